--- /dev/null
+++ b/cmake/packages.cmake
@@ -0,0 +1,40 @@
+# Catch2's main function is compiled once and linked into every test program.
+add_library(bilberry_test_main OBJECT ${CMAKE_SOURCE_DIR}/tests/support/testmain.cpp)
+target_link_libraries(bilberry_test_main PUBLIC Catch2::Catch2)
+
+# Adds one package: a static library from src/, its public headers and one test program.
+function(bilberry_package NAME)
+  cmake_parse_arguments(ARG "" "" "LIBRARIES;PRIVATE_LIBRARIES" ${ARGN})
+  set(DIR ${CMAKE_SOURCE_DIR}/packages/${NAME})
+  file(GLOB SOURCES CONFIGURE_DEPENDS ${DIR}/src/*.cpp)
+  add_library(bilberry_${NAME} STATIC ${SOURCES})
+  target_include_directories(bilberry_${NAME} PUBLIC ${DIR}/include PRIVATE ${DIR}/src)
+  target_link_libraries(bilberry_${NAME} PUBLIC ${ARG_LIBRARIES} PRIVATE ${ARG_PRIVATE_LIBRARIES})
+  bilberry_tests(${NAME} ${DIR})
+endfunction()
+
+# Adds the test program of a package when it has tests.
+function(bilberry_tests NAME DIR)
+  file(GLOB TESTS CONFIGURE_DEPENDS ${DIR}/tests/*.cpp)
+  if(TESTS)
+    add_executable(${NAME}_tests ${TESTS})
+    target_include_directories(${NAME}_tests PRIVATE ${DIR}/src ${CMAKE_SOURCE_DIR}/tests)
+    target_link_libraries(${NAME}_tests PRIVATE bilberry_${NAME} bilberry_test_main rapidcheck)
+    add_test(NAME ${NAME} COMMAND ${NAME}_tests)
+    set_tests_properties(${NAME} PROPERTIES TIMEOUT 300)
+  endif()
+endfunction()
+
+# Adds one shipped program; its sources but main.cpp form a library, so that tests can link it.
+function(bilberry_program PROGRAM)
+  cmake_parse_arguments(ARG "" "PACKAGE" "LIBRARIES" ${ARGN})
+  set(DIR ${CMAKE_SOURCE_DIR}/packages/${ARG_PACKAGE})
+  file(GLOB SOURCES CONFIGURE_DEPENDS ${DIR}/src/*.cpp)
+  list(REMOVE_ITEM SOURCES ${DIR}/src/main.cpp)
+  add_library(bilberry_${ARG_PACKAGE} STATIC ${SOURCES})
+  target_include_directories(bilberry_${ARG_PACKAGE} PUBLIC ${DIR}/src ${DIR}/include)
+  target_link_libraries(bilberry_${ARG_PACKAGE} PUBLIC ${ARG_LIBRARIES})
+  add_executable(${PROGRAM} ${DIR}/src/main.cpp)
+  target_link_libraries(${PROGRAM} PRIVATE bilberry_${ARG_PACKAGE})
+  bilberry_tests(${ARG_PACKAGE} ${DIR})
+endfunction()
--- /dev/null
+++ b/packages/admin/src/adminserver.cpp
@@ -0,0 +1,109 @@
+#include "bilberry/admin/adminserver.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/core/tcp_stream.hpp>
+#include <boost/beast/http.hpp>
+
+namespace bilberry::admin {
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+namespace http = boost::beast::http;
+
+namespace {
+
+constexpr std::size_t maxBodySize = 16U << 20U;
+constexpr auto connectionLimit = std::chrono::seconds(30);
+constexpr std::size_t maxConnections = 64;
+
+} // namespace
+
+struct AdminServer::State : std::enable_shared_from_this<State>
+{
+    State(asio::io_context &context, const asio::ip::tcp::endpoint &endpoint,
+          std::map<std::string, AdminHandler> handlers)
+        : context(context), acceptor(context, endpoint), handlers(std::move(handlers))
+    {
+    }
+
+    AdminResponse answer(const http::request<http::string_body> &request) const
+    {
+        const std::string target(request.target().substr(0, request.target().find('?')));
+        const auto handler = handlers.find(target);
+        if (handler == handlers.end())
+            return {404, "{}"};
+        return handler->second({std::string(request.method_string()), request.body()});
+    }
+
+    asio::awaitable<void> serve(beast::tcp_stream stream)
+    {
+        const auto self = shared_from_this();
+        boost::system::error_code error;
+        beast::flat_buffer buffer;
+        while (!error) {
+            stream.expires_after(connectionLimit);
+            http::request_parser<http::string_body> parser;
+            parser.body_limit(maxBodySize);
+            co_await http::async_read(stream, buffer, parser,
+                                      asio::redirect_error(asio::use_awaitable, error));
+            if (error)
+                break;
+            const auto request = parser.release();
+            const AdminResponse result = answer(request);
+            http::response<http::string_body> response(http::status(result.status), 11);
+            response.set(http::field::content_type, result.contentType);
+            response.body() = result.body;
+            response.keep_alive(request.keep_alive());
+            response.prepare_payload();
+            co_await http::async_write(stream, response,
+                                       asio::redirect_error(asio::use_awaitable, error));
+            if (!response.keep_alive())
+                break;
+        }
+        --connections;
+    }
+
+    asio::awaitable<void> accept()
+    {
+        const auto self = shared_from_this();
+        for (;;) {
+            boost::system::error_code error;
+            asio::ip::tcp::socket socket(context);
+            co_await acceptor.async_accept(socket,
+                                           asio::redirect_error(asio::use_awaitable, error));
+            if (!acceptor.is_open())
+                co_return;
+            if (error || connections >= maxConnections)
+                continue;
+            ++connections;
+            asio::co_spawn(context, serve(beast::tcp_stream(std::move(socket))), asio::detached);
+        }
+    }
+
+    asio::io_context &context;
+    asio::ip::tcp::acceptor acceptor;
+    std::map<std::string, AdminHandler> handlers;
+    std::size_t connections = 0;
+};
+
+AdminServer::AdminServer(asio::io_context &context, const std::string &address, std::uint16_t port,
+                         std::map<std::string, AdminHandler> handlers)
+    : m_state(std::make_shared<State>(
+            context, asio::ip::tcp::endpoint(asio::ip::make_address(address), port),
+            std::move(handlers)))
+{
+    asio::co_spawn(context, m_state->accept(), asio::detached);
+}
+
+AdminServer::~AdminServer()
+{
+    boost::system::error_code ignored;
+    m_state->acceptor.close(ignored);
+}
+
+} // namespace bilberry::admin
--- /dev/null
+++ b/packages/agent/src/agent.cpp
@@ -0,0 +1,216 @@
+#include "bilberry/agent/agent.h"
+
+#include "bilberry/admin/adminserver.h"
+#include "bilberry/agent/agentcore.h"
+#include "bilberry/agent/backendclient.h"
+#include "bilberry/agent/routerlinks.h"
+#include "bilberry/base/digest.h"
+#include "bilberry/base/duty.h"
+#include "bilberry/model/configurationcodec.h"
+
+#include "agentmetrics.h"
+
+#include <future>
+
+namespace bilberry::agent {
+
+namespace asio = boost::asio;
+
+namespace {
+
+constexpr std::size_t ringCapacity = 65536;
+constexpr Duration tickPeriod = std::chrono::milliseconds(50);
+constexpr Duration lastWordsDelay = std::chrono::milliseconds(200);
+
+struct LinkUp
+{
+    decision::LinkId link = 0;
+};
+struct LinkDown
+{
+    decision::LinkId link = 0;
+};
+struct LinkReceived
+{
+    decision::LinkId link = 0;
+    wire::LinkMessage message;
+};
+using CoreEvent = std::variant<LinkUp, LinkDown, LinkReceived, BackendEvent>;
+
+struct LinkSend
+{
+    decision::LinkId link = 0;
+    wire::LinkMessage message;
+};
+
+} // namespace
+
+struct Agent::Parts
+{
+    explicit Parts(const AgentSettings &settings)
+        : settings(settings),
+          coreRing(coreDuty, ringCapacity, [this](CoreEvent &&event) { handle(event); }),
+          linkRing(linkDuty, ringCapacity,
+                   [this](LinkSend &&send) { links.send(send.link, send.message); }),
+          backendRing(backendDuty, ringCapacity,
+                      [this](BackendCommand &&command) { backend.command(std::move(command)); }),
+          core(settings, randomId(),
+               {[this](decision::LinkId link, wire::LinkMessage &&message) {
+                    push<LinkSend>(linkRing, {link, std::move(message)});
+                },
+                [this](BackendCommand &&command) {
+                    push<BackendCommand>(backendRing, std::move(command));
+                }}),
+          links(linkDuty.context(), settings.listenAddress, settings.listenPort,
+                {[this](decision::LinkId link) { push<CoreEvent>(coreRing, LinkUp{link}); },
+                 [this](decision::LinkId link) { push<CoreEvent>(coreRing, LinkDown{link}); },
+                 [this](decision::LinkId link, wire::LinkMessage &&message) {
+                     push<CoreEvent>(coreRing, LinkReceived{link, std::move(message)});
+                 },
+                 [this](std::size_t bytes) { metrics.addControlBytes(bytes); }}),
+          backend(backendDuty.context(), settings,
+                  [this](BackendEvent &&event) { push<CoreEvent>(coreRing, std::move(event)); }),
+          admin(adminDuty.context(), settings.listenAddress, settings.adminPort, handlers()),
+          tickTimer(coreDuty.context())
+    {
+    }
+
+    /// A full ring means that a duty is far behind. Losing a message could lose a request, so the
+    /// producer waits for room.
+    template <typename T>
+    void push(DutyRing<T> &ring, T item)
+    {
+        while (!ring.push(std::move(item)) && !stopping)
+            std::this_thread::sleep_for(std::chrono::microseconds(100));
+    }
+
+    void handle(CoreEvent &event)
+    {
+        const TimePoint now = Clock::now();
+        if (auto *up = std::get_if<LinkUp>(&event))
+            core.linkUp(up->link, now);
+        else if (auto *down = std::get_if<LinkDown>(&event))
+            core.linkDown(down->link, now);
+        else if (auto *received = std::get_if<LinkReceived>(&event))
+            core.received(received->link, std::move(received->message), now);
+        else
+            core.backend(std::get<BackendEvent>(std::move(event)), now);
+    }
+
+    void tick()
+    {
+        tickTimer.expires_after(tickPeriod);
+        tickTimer.async_wait([this](boost::system::error_code error) {
+            if (error)
+                return;
+            core.tick(Clock::now());
+            tick();
+        });
+    }
+
+    /// Runs a function on the core's thread and waits for its result.
+    template <typename F>
+    auto onCore(F function) -> decltype(function())
+    {
+        std::packaged_task<decltype(function())()> task(std::move(function));
+        auto result = task.get_future();
+        asio::post(coreDuty.context(), [&task] { task(); });
+        return result.get();
+    }
+
+    std::map<std::string, admin::AdminHandler> handlers()
+    {
+        return {{"/healthz",
+                 [](const auto &) {
+                     return admin::AdminResponse{200, "{}"};
+                 }},
+                {"/readyz", [this](const auto &) { return ready(); }},
+                {"/metrics", [this](const auto &) { return metricsPage(); }},
+                {"/v1/status", [this](const auto &) { return status(); }},
+                {"/v1/configuration",
+                 [this](const admin::AdminRequest &request) { return configuration(request); }}};
+    }
+
+    admin::AdminResponse ready()
+    {
+        const bool accepting = onCore([this] { return core.load().accepting; });
+        return {accepting ? 200U : 503U, "{}"};
+    }
+
+    admin::AdminResponse metricsPage()
+    {
+        onCore([this] { metrics.update(core); });
+        return {200, metrics.text(), "text/plain; version=0.0.4"};
+    }
+
+    admin::AdminResponse status()
+    {
+        return {200, onCore([this] { return statusText(settings, core); })};
+    }
+
+    admin::AdminResponse configuration(const admin::AdminRequest &request)
+    {
+        if (request.method == "PUT") {
+            const Result<Configuration> offered = decodeConfiguration(request.body);
+            if (!offered)
+                return {400, "{}"};
+            onCore([&] { core.offerConfiguration(offered.value(), Clock::now()); });
+            return {200, "{}"};
+        }
+        const ConfigurationPtr present = onCore([this] { return core.configuration(); });
+        if (!present)
+            return {404, "{}"};
+        return {200, encodeConfiguration(*present)};
+    }
+
+    AgentSettings settings;
+    Log log{"agent"};
+    std::atomic<bool> stopping = false;
+    AgentMetrics metrics;
+    Duty coreDuty{"agent-core"};
+    Duty linkDuty{"agent-links"};
+    Duty backendDuty{"agent-backend"};
+    Duty adminDuty{"agent-admin"};
+    DutyRing<CoreEvent> coreRing;
+    DutyRing<LinkSend> linkRing;
+    DutyRing<BackendCommand> backendRing;
+    AgentCore core;
+    RouterLinks links;
+    BackendClient backend;
+    admin::AdminServer admin;
+    asio::steady_timer tickTimer;
+};
+
+Agent::Agent(const AgentSettings &settings) : m_parts(std::make_unique<Parts>(settings)) {}
+
+Agent::~Agent() = default;
+
+void Agent::start()
+{
+    m_parts->links.start();
+    m_parts->backend.start();
+    m_parts->tick();
+    m_parts->coreDuty.start();
+    m_parts->linkDuty.start();
+    m_parts->backendDuty.start();
+    m_parts->adminDuty.start();
+    m_parts->log.info("Agent started for server " + m_parts->settings.server.text() + ".");
+}
+
+void Agent::stop()
+{
+    m_parts->log.info("Graceful shutdown started.");
+    m_parts->onCore([this] { m_parts->core.drain(Clock::now()); });
+    const TimePoint deadline = Clock::now() + m_parts->settings.drainLimit;
+    while (Clock::now() < deadline && !m_parts->onCore([this] { return m_parts->core.idle(); }))
+        std::this_thread::sleep_for(tickPeriod);
+    std::this_thread::sleep_for(lastWordsDelay);
+    m_parts->stopping = true;
+    m_parts->adminDuty.stop();
+    m_parts->linkDuty.stop();
+    m_parts->backendDuty.stop();
+    m_parts->coreDuty.stop();
+    m_parts->log.info("Agent stopped.");
+}
+
+} // namespace bilberry::agent
--- /dev/null
+++ b/packages/agent/src/agentcore.cpp
@@ -0,0 +1,427 @@
+#include "bilberry/agent/agentcore.h"
+
+#include "bilberry/model/configurationcodec.h"
+
+namespace bilberry::agent {
+
+namespace {
+
+constexpr Duration heartbeatPeriod = std::chrono::milliseconds(1000);
+/// A change of load is told at most this often; answers carry it anyway.
+constexpr Duration shortestHeartbeatGap = std::chrono::milliseconds(100);
+
+/// The longest time between a crash's broken connections and the health check that shows it.
+constexpr Duration crashNoticeDelay = std::chrono::seconds(2);
+
+/// Tells what a router must know soon, other than mere numbers.
+bool stateDiffers(const wire::ServerLoad &left, const wire::ServerLoad &right)
+{
+    return left.accepting != right.accepting || left.cold != right.cold
+           || left.contended != right.contended || left.window != right.window;
+}
+
+} // namespace
+
+AgentCore::AgentCore(AgentSettings settings, Incarnation incarnation, AgentHooks hooks)
+    : m_settings(std::move(settings)), m_incarnation(incarnation), m_hooks(std::move(hooks)),
+      m_admission({{}, std::chrono::seconds(2), m_settings.ahead}),
+      m_freshness(m_settings.freshness), m_cost(decision::makeCostHook({}))
+{
+}
+
+void AgentCore::linkUp(decision::LinkId link, TimePoint now)
+{
+    m_links[link] = {};
+    m_hooks.send(link, wire::AgentHello{m_settings.server, m_incarnation, m_settings.pool,
+                                        m_settings.zone, stamp(now), load()});
+}
+
+void AgentCore::linkDown(decision::LinkId link, TimePoint now)
+{
+    m_links.erase(link);
+    m_admission.removeLink(link);
+    std::vector<AttemptId> held;
+    for (auto &[attempt, state] : m_attempts) {
+        if (state.link != link)
+            continue;
+        if (state.started)
+            m_hooks.backend(StopRequest{attempt});
+        else
+            held.push_back(attempt);
+    }
+    for (const AttemptId attempt : held) {
+        m_admission.removeHeld(attempt);
+        m_attempts.erase(attempt);
+    }
+    advance(now);
+}
+
+void AgentCore::received(decision::LinkId link, wire::LinkMessage &&message, TimePoint now)
+{
+    if (!m_links.contains(link))
+        return;
+    std::visit([&](auto &alternative) { handle(link, alternative, now); }, message);
+    advance(now);
+}
+
+void AgentCore::backend(BackendEvent &&event, TimePoint now)
+{
+    std::visit([&](auto &alternative) { this->event(alternative, now); }, event);
+    advance(now);
+}
+
+void AgentCore::handle(decision::LinkId link, wire::RouterHello &message, TimePoint now)
+{
+    m_links[link].router = message.router;
+    m_links[link].greeted = true;
+    takeStamp(link, message.stamp, now);
+}
+
+void AgentCore::handle(decision::LinkId link, wire::RouterHeartbeat &message, TimePoint now)
+{
+    takeStamp(link, message.stamp, now);
+}
+
+void AgentCore::handle(decision::LinkId link, wire::Demand &message, TimePoint)
+{
+    m_admission.setDemand(link, message.waiting, std::move(message.nextVirtualTimes));
+}
+
+void AgentCore::handle(decision::LinkId link, wire::Dispatch &message, TimePoint now)
+{
+    m_admission.setDemand(link, message.demand.waiting, message.demand.nextVirtualTimes);
+    if (m_quarantine.refuses(message.fingerprint)) {
+        m_admission.giveBack(message.grant, link);
+        refuse(link, message.attempt, wire::RefusalReason::Quarantined);
+        return;
+    }
+    if (const auto reason = closedReason(now)) {
+        m_admission.giveBack(message.grant, link);
+        refuse(link, message.attempt, *reason);
+        return;
+    }
+    const bool otherLife
+            = message.agentIncarnation != 0 && message.agentIncarnation != m_incarnation;
+    if (otherLife || m_attempts.contains(message.attempt)) {
+        refuse(link, message.attempt, wire::RefusalReason::StaleGrant);
+        return;
+    }
+    m_admission.setOpen(true);
+    const auto verdict
+            = m_admission.offer({message.attempt, link, message.grant, message.virtualTime}, now);
+    if (verdict != decision::AdmissionVerdict::Run && verdict != decision::AdmissionVerdict::Hold) {
+        refuse(link, message.attempt,
+               verdict == decision::AdmissionVerdict::StaleGrant ? wire::RefusalReason::StaleGrant
+                                                                 : wire::RefusalReason::Full);
+        return;
+    }
+    Attempt &state = m_attempts[message.attempt];
+    state.link = link;
+    state.fingerprint = message.fingerprint;
+    state.request = {message.attempt, std::move(message.method), std::move(message.target),
+                     std::move(message.headers), std::move(message.body)};
+    if (verdict == decision::AdmissionVerdict::Run)
+        start(message.attempt, state, now);
+}
+
+void AgentCore::handle(decision::LinkId link, wire::GrantReturn &message, TimePoint)
+{
+    m_admission.giveBack(message.grant, link);
+    m_admission.setDemand(link, message.demand.waiting, message.demand.nextVirtualTimes);
+}
+
+void AgentCore::handle(decision::LinkId link, wire::Cancel &message, TimePoint)
+{
+    const auto found = m_attempts.find(message.attempt);
+    if (found == m_attempts.end() || found->second.link != link)
+        return;
+    if (found->second.started) {
+        m_hooks.backend(StopRequest{message.attempt});
+        return;
+    }
+    m_admission.removeHeld(message.attempt);
+    m_attempts.erase(found);
+    refuse(link, message.attempt, wire::RefusalReason::Cancelled);
+}
+
+void AgentCore::handle(decision::LinkId link, wire::AnswerCredit &message, TimePoint)
+{
+    const auto found = m_attempts.find(message.attempt);
+    if (found != m_attempts.end() && found->second.link == link)
+        m_hooks.backend(CreditRequest{message.attempt, message.bytes});
+}
+
+void AgentCore::handle(decision::LinkId, wire::QuarantineNotice &message, TimePoint now)
+{
+    m_quarantine.merge(message.fingerprint, message.crashes, now);
+}
+
+void AgentCore::handle(decision::LinkId link, wire::ConfigurationRequest &, TimePoint)
+{
+    if (m_configuration)
+        m_hooks.send(link, wire::ConfigurationOffer{encodeConfiguration(*m_configuration)});
+}
+
+void AgentCore::handle(decision::LinkId link, wire::ConfigurationOffer &message, TimePoint now)
+{
+    m_links[link].asked = false;
+    const Result<Configuration> configuration = decodeConfiguration(message.document);
+    if (configuration)
+        offerConfiguration(configuration.value(), now);
+    else
+        m_log.warning("Configuration offer refused: " + configuration.error().message() + ".");
+}
+
+void AgentCore::offerConfiguration(const Configuration &configuration, TimePoint now)
+{
+    if (m_configuration && configuration.revision() <= m_configuration->revision())
+        return;
+    m_configuration = std::make_shared<const Configuration>(configuration);
+    m_freshness.inForce(configuration.revision());
+    if (const BackendPool *pool = m_configuration->pool(m_settings.pool)) {
+        m_admission.setLimits({pool->coldLimit, pool->fullLimit});
+        m_cost = decision::makeCostHook(*pool);
+    }
+    m_log.info("Configuration revision " + std::to_string(configuration.revision())
+               + " is in force.");
+    updateOpen(now);
+}
+
+void AgentCore::takeStamp(decision::LinkId link, const wire::ConfigurationStamp &stamp,
+                          TimePoint now)
+{
+    const Revision own = m_configuration ? m_configuration->revision() : 0;
+    Link &sender = m_links[link];
+    if (stamp.revision > own && !sender.asked) {
+        sender.asked = true;
+        m_hooks.send(link, wire::ConfigurationRequest{});
+    }
+    constexpr std::uint32_t noProof = 0xffffffffU;
+    if (stamp.proofAgeMs != noProof)
+        m_freshness.proof(stamp.revision, std::chrono::milliseconds(stamp.proofAgeMs), now);
+    if (stamp.frozen && stamp.revision <= own)
+        m_freshness.frozen(now);
+}
+
+wire::ConfigurationStamp AgentCore::stamp(TimePoint now) const
+{
+    wire::ConfigurationStamp stamp;
+    stamp.revision = m_configuration ? m_configuration->revision() : 0;
+    const auto age = m_freshness.proofAge(now);
+    stamp.proofAgeMs = age ? static_cast<std::uint32_t>(toMilliseconds(*age)) : 0xffffffffU;
+    return stamp;
+}
+
+std::optional<wire::RefusalReason> AgentCore::closedReason(TimePoint now) const
+{
+    if (m_draining || m_health.leaving)
+        return wire::RefusalReason::Leaving;
+    if (!m_health.reachable)
+        return wire::RefusalReason::ServerDown;
+    if (!m_configuration || !m_freshness.mayAdmit(now))
+        return wire::RefusalReason::CutOff;
+    if (m_configuration->zoneIsOut(m_settings.zone) || !m_configuration->pool(m_settings.pool))
+        return wire::RefusalReason::Leaving;
+    return std::nullopt;
+}
+
+void AgentCore::refuse(decision::LinkId link, AttemptId attempt, wire::RefusalReason reason)
+{
+    ++m_counts.refused[reason];
+    m_hooks.send(link, wire::Refusal{attempt, reason, load()});
+}
+
+void AgentCore::refuseHeld(wire::RefusalReason reason)
+{
+    for (const AttemptId attempt : m_admission.takeHeld()) {
+        const decision::LinkId link = m_attempts[attempt].link;
+        m_attempts.erase(attempt);
+        refuse(link, attempt, reason);
+    }
+}
+
+void AgentCore::start(AttemptId attempt, Attempt &state, TimePoint now)
+{
+    state.started = true;
+    state.startedAt = now;
+    ++m_counts.started;
+    m_hooks.send(state.link, wire::Started{attempt});
+    m_hooks.backend(std::move(state.request));
+}
+
+void AgentCore::event(BackendHead &head, TimePoint now)
+{
+    const auto found = m_attempts.find(head.attempt);
+    if (found == m_attempts.end())
+        return;
+    found->second.firstByteAt = now;
+    m_hooks.send(found->second.link,
+                 wire::AnswerHead{head.attempt, head.status, std::move(head.headers)});
+}
+
+void AgentCore::event(BackendChunk &chunk, TimePoint)
+{
+    const auto found = m_attempts.find(chunk.attempt);
+    if (found == m_attempts.end())
+        return;
+    m_hooks.send(found->second.link,
+                 wire::AnswerChunk{chunk.attempt, found->second.chunks++, std::move(chunk.data)});
+}
+
+void AgentCore::event(BackendEnd &end, TimePoint now)
+{
+    const auto found = m_attempts.find(end.attempt);
+    if (found == m_attempts.end())
+        return;
+    switch (end.outcome) {
+    case BackendOutcome::NotSent: {
+        const decision::LinkId link = found->second.link;
+        m_attempts.erase(found);
+        m_admission.finished(end.attempt, std::nullopt);
+        refuse(link, end.attempt, wire::RefusalReason::ServerDown);
+        return;
+    }
+    case BackendOutcome::Complete:
+        m_quarantine.completed(found->second.fingerprint);
+        finish(end.attempt, wire::AttemptEnd::Complete, now);
+        return;
+    case BackendOutcome::Broken:
+        m_broken.push_back({found->second.fingerprint, now});
+        finish(end.attempt, wire::AttemptEnd::Truncated, now);
+        return;
+    case BackendOutcome::Stopped:
+        finish(end.attempt, wire::AttemptEnd::Cancelled, now);
+        return;
+    }
+}
+
+void AgentCore::finish(AttemptId attempt, wire::AttemptEnd end, TimePoint now)
+{
+    const Attempt state = m_attempts[attempt];
+    m_attempts.erase(attempt);
+    const bool good = end == wire::AttemptEnd::Complete;
+    std::optional<Duration> firstByte;
+    if (good && state.firstByteAt)
+        firstByte = *state.firstByteAt - state.startedAt;
+    m_admission.finished(attempt, firstByte);
+    if (good)
+        ++m_counts.completed;
+    const double cost = m_cost({now - state.startedAt, state.chunks});
+    m_hooks.send(state.link, wire::AnswerEnd{attempt, end, state.chunks, cost, load()});
+}
+
+void AgentCore::event(BackendHealth &health, TimePoint now)
+{
+    const bool restarted = m_health.serverIncarnation != 0 && health.serverIncarnation != 0
+                           && health.serverIncarnation != m_health.serverIncarnation;
+    const bool lost = m_health.reachable && !health.reachable;
+    if (restarted || lost)
+        serverCrashed(now);
+    const std::uint64_t incarnation
+            = health.reachable ? health.serverIncarnation : m_health.serverIncarnation;
+    m_health = health;
+    m_health.serverIncarnation = incarnation;
+    if (health.reachable)
+        m_admission.serverReported(health.cold, health.running);
+    updateOpen(now);
+}
+
+void AgentCore::serverCrashed(TimePoint now)
+{
+    ++m_counts.crashes;
+    ++m_crashes;
+    m_log.warning("The backend server crashed or restarted.");
+    m_admission.serverCrashed();
+    std::vector<decision::Fingerprint> inFlight = takeRecentlyBroken(now);
+    std::vector<AttemptId> running;
+    for (const auto &[attempt, state] : m_attempts) {
+        if (!state.started)
+            continue;
+        inFlight.push_back(state.fingerprint);
+        running.push_back(attempt);
+    }
+    m_quarantine.crashed({m_incarnation, m_crashes}, inFlight, now);
+    for (const auto &[link, state] : m_links) {
+        for (const decision::Fingerprint fingerprint : inFlight) {
+            m_hooks.send(link,
+                         wire::QuarantineNotice{fingerprint, m_quarantine.crashes(fingerprint)});
+        }
+    }
+    for (const AttemptId attempt : running) {
+        m_hooks.backend(StopRequest{attempt});
+        finish(attempt, wire::AttemptEnd::ServerCrash, now);
+    }
+}
+
+std::vector<decision::Fingerprint> AgentCore::takeRecentlyBroken(TimePoint now)
+{
+    // A crash breaks connections before the health check notices it.
+    std::vector<decision::Fingerprint> fingerprints;
+    for (const BrokenRequest &broken : m_broken) {
+        if (now - broken.at <= crashNoticeDelay)
+            fingerprints.push_back(broken.fingerprint);
+    }
+    m_broken.clear();
+    return fingerprints;
+}
+
+void AgentCore::updateOpen(TimePoint now)
+{
+    const auto reason = closedReason(now);
+    m_admission.setOpen(!reason);
+    if (reason)
+        refuseHeld(*reason);
+}
+
+void AgentCore::advance(TimePoint now)
+{
+    for (const AttemptId attempt : m_admission.takeReady()) {
+        const auto found = m_attempts.find(attempt);
+        if (found != m_attempts.end())
+            start(attempt, found->second, now);
+    }
+    for (const decision::IssuedGrant &grant : m_admission.takeGrants(now)) {
+        constexpr std::uint32_t lifetimeMs = 2000;
+        m_hooks.send(grant.link, wire::Grant{grant.grant, lifetimeMs, load()});
+    }
+}
+
+void AgentCore::tick(TimePoint now)
+{
+    updateOpen(now);
+    advance(now);
+    m_quarantine.expire(now);
+    std::erase_if(m_broken,
+                  [&](const BrokenRequest &broken) { return now - broken.at > crashNoticeDelay; });
+    heartbeat(now);
+}
+
+void AgentCore::heartbeat(TimePoint now)
+{
+    const wire::ServerLoad present = load();
+    const bool changed = stateDiffers(present, m_sentLoad);
+    const Duration gap = now - m_heartbeatAt;
+    if (gap < heartbeatPeriod && !(changed && gap >= shortestHeartbeatGap))
+        return;
+    m_heartbeatAt = now;
+    m_sentLoad = present;
+    for (const auto &[link, state] : m_links)
+        m_hooks.send(link, wire::AgentHeartbeat{stamp(now), present});
+}
+
+void AgentCore::drain(TimePoint now)
+{
+    m_draining = true;
+    updateOpen(now);
+    m_heartbeatAt = {};
+    heartbeat(now);
+}
+
+wire::ServerLoad AgentCore::load() const
+{
+    const decision::AdmissionLoad load = m_admission.load();
+    return {load.window, load.running, load.held,     load.virtualTime,
+            load.cold,   load.open,    load.contended};
+}
+
+} // namespace bilberry::agent
--- /dev/null
+++ b/packages/agent/src/backendclient.cpp
@@ -0,0 +1,319 @@
+#include "bilberry/agent/backendclient.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/core/tcp_stream.hpp>
+#include <boost/beast/http.hpp>
+#include <boost/json.hpp>
+
+#include <unordered_map>
+#include <vector>
+
+namespace bilberry::agent {
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+namespace http = boost::beast::http;
+namespace json = boost::json;
+
+namespace {
+
+/// Answer bytes that may be on their way to the caller for one attempt.
+constexpr std::int64_t creditWindow = 256 << 10;
+constexpr std::size_t readSize = 32U << 10U;
+constexpr std::size_t maxIdleConnections = 256;
+constexpr auto connectLimit = std::chrono::seconds(1);
+constexpr auto healthLimit = std::chrono::milliseconds(500);
+/// Failed health checks in a row after which the server counts as gone.
+constexpr int failuresToUnreachable = 2;
+
+bool isHopByHop(http::field field)
+{
+    switch (field) {
+    case http::field::connection:
+    case http::field::keep_alive:
+    case http::field::transfer_encoding:
+    case http::field::content_length:
+    case http::field::upgrade:
+    case http::field::te:
+    case http::field::trailer:
+    case http::field::proxy_connection:
+        return true;
+    default:
+        return false;
+    }
+}
+
+using Stream = beast::tcp_stream;
+using AnswerParser = http::response_parser<http::buffer_body>;
+
+/// One request that the server runs.
+struct Running
+{
+    Running(asio::io_context &context) : creditTimer(context) {}
+
+    std::unique_ptr<Stream> stream;
+    asio::steady_timer creditTimer;
+    std::int64_t credit = creditWindow;
+    bool stopped = false;
+};
+
+BackendHealth parseHealth(const std::string &body)
+{
+    BackendHealth health;
+    boost::system::error_code error;
+    const json::value document = json::parse(body, error);
+    health.reachable = true;
+    if (error || !document.is_object())
+        return health;
+    const json::object &object = document.as_object();
+    const auto flag = [&](const char *name) {
+        const json::value *value = object.if_contains(name);
+        return value && value->is_bool() && value->as_bool();
+    };
+    const auto number = [&](const char *name) -> std::uint64_t {
+        const json::value *value = object.if_contains(name);
+        boost::system::error_code invalid;
+        const auto result = value ? value->to_number<std::uint64_t>(invalid) : 0;
+        return invalid ? 0 : result;
+    };
+    health.cold = flag("cold");
+    health.leaving = flag("leaving");
+    health.running = static_cast<std::uint32_t>(number("running"));
+    health.serverIncarnation = number("incarnation");
+    return health;
+}
+
+} // namespace
+
+struct BackendClient::State : std::enable_shared_from_this<State>
+{
+    State(asio::io_context &context, const AgentSettings &settings, EventHook onEvent)
+        : context(context), settings(settings),
+          endpoint(asio::ip::make_address(settings.backendAddress), settings.backendPort),
+          onEvent(std::move(onEvent))
+    {
+    }
+
+    void command(RunRequest &request)
+    {
+        const auto running = std::make_shared<Running>(context);
+        attempts[request.attempt] = running;
+        asio::co_spawn(context, run(shared_from_this(), std::move(request), running),
+                       asio::detached);
+    }
+
+    void command(StopRequest &request)
+    {
+        const auto found = attempts.find(request.attempt);
+        if (found == attempts.end())
+            return;
+        found->second->stopped = true;
+        found->second->creditTimer.cancel();
+        if (found->second->stream)
+            found->second->stream->close();
+    }
+
+    void command(CreditRequest &request)
+    {
+        const auto found = attempts.find(request.attempt);
+        if (found == attempts.end())
+            return;
+        found->second->credit += request.bytes;
+        found->second->creditTimer.cancel();
+    }
+
+    /// An idle connection has nothing to read; a byte or an end means that it can't be used.
+    static bool isOpen(Stream &stream)
+    {
+        boost::system::error_code error;
+        char byte = 0;
+        stream.socket().non_blocking(true, error);
+        stream.socket().receive(asio::buffer(&byte, 1), asio::ip::tcp::socket::message_peek, error);
+        return error == asio::error::would_block;
+    }
+
+    asio::awaitable<std::unique_ptr<Stream>> connect()
+    {
+        while (!idle.empty()) {
+            std::unique_ptr<Stream> stream = std::move(idle.back());
+            idle.pop_back();
+            if (isOpen(*stream))
+                co_return stream;
+        }
+        auto stream = std::make_unique<Stream>(context);
+        stream->expires_after(connectLimit);
+        boost::system::error_code error;
+        co_await stream->async_connect(endpoint, asio::redirect_error(asio::use_awaitable, error));
+        if (error)
+            co_return nullptr;
+        stream->socket().set_option(asio::ip::tcp::no_delay(true), error);
+        co_return stream;
+    }
+
+    static asio::awaitable<void> run(std::shared_ptr<State> self, RunRequest request,
+                                     std::shared_ptr<Running> running)
+    {
+        const AttemptId attempt = request.attempt;
+        const BackendOutcome outcome = co_await self->exchange(std::move(request), *running);
+        if (outcome != BackendOutcome::Complete)
+            running->stream.reset();
+        if (running->stream && self->idle.size() < maxIdleConnections)
+            self->idle.push_back(std::move(running->stream));
+        self->attempts.erase(attempt);
+        self->onEvent(BackendEnd{attempt, running->stopped && outcome != BackendOutcome::Complete
+                                                  ? BackendOutcome::Stopped
+                                                  : outcome});
+    }
+
+    asio::awaitable<BackendOutcome> exchange(RunRequest request, Running &running)
+    {
+        running.stream = co_await connect();
+        if (!running.stream || running.stopped)
+            co_return BackendOutcome::NotSent;
+        http::request<http::string_body> message;
+        message.method_string(request.method);
+        message.target(request.target);
+        message.version(11);
+        for (const wire::HeaderField &field : request.headers)
+            message.insert(field.name, field.value);
+        message.set(http::field::host, settings.backendAddress);
+        message.body() = std::move(request.body);
+        message.prepare_payload();
+        boost::system::error_code error;
+        running.stream->expires_after(settings.answerLimit);
+        co_await http::async_write(*running.stream, message,
+                                   asio::redirect_error(asio::use_awaitable, error));
+        if (error)
+            co_return BackendOutcome::Broken;
+        co_return co_await receive(request.attempt, running);
+    }
+
+    asio::awaitable<BackendOutcome> receive(AttemptId attempt, Running &running)
+    {
+        Stream &stream = *running.stream;
+        beast::flat_buffer buffer;
+        AnswerParser parser;
+        parser.body_limit(boost::none);
+        boost::system::error_code error;
+        co_await http::async_read_header(stream, buffer, parser,
+                                         asio::redirect_error(asio::use_awaitable, error));
+        if (error)
+            co_return BackendOutcome::Broken;
+        sendHead(attempt, parser);
+        std::vector<char> chunk(readSize);
+        while (!parser.is_done()) {
+            while (running.credit <= 0 && !running.stopped)
+                co_await waitForCredit(running);
+            if (running.stopped)
+                co_return BackendOutcome::Stopped;
+            parser.get().body() = {chunk.data(), chunk.size(), true};
+            stream.expires_after(settings.answerLimit);
+            co_await http::async_read_some(stream, buffer, parser,
+                                           asio::redirect_error(asio::use_awaitable, error));
+            if (error && error != http::error::need_buffer)
+                co_return BackendOutcome::Broken;
+            const std::size_t size = chunk.size() - parser.get().body().size;
+            if (size > 0) {
+                running.credit -= static_cast<std::int64_t>(size);
+                onEvent(BackendChunk{attempt, std::string(chunk.data(), size)});
+            }
+        }
+        if (!parser.get().keep_alive())
+            running.stream.reset();
+        co_return BackendOutcome::Complete;
+    }
+
+    static asio::awaitable<void> waitForCredit(Running &running)
+    {
+        boost::system::error_code ignored;
+        running.creditTimer.expires_after(std::chrono::hours(1));
+        co_await running.creditTimer.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
+    }
+
+    void sendHead(AttemptId attempt, AnswerParser &parser)
+    {
+        BackendHead head{attempt, static_cast<std::uint16_t>(parser.get().result_int()), {}};
+        for (const auto &field : parser.get().base()) {
+            if (!isHopByHop(field.name()))
+                head.headers.push_back(
+                        {std::string(field.name_string()), std::string(field.value())});
+        }
+        onEvent(std::move(head));
+    }
+
+    static asio::awaitable<void> pollHealth(std::shared_ptr<State> self)
+    {
+        asio::steady_timer timer(self->context);
+        int failures = failuresToUnreachable;
+        for (;;) {
+            const BackendHealth health = co_await self->checkHealth();
+            failures = health.reachable ? 0 : failures + 1;
+            if (health.reachable || failures >= failuresToUnreachable)
+                self->onEvent(health);
+            boost::system::error_code error;
+            timer.expires_after(self->settings.healthPeriod);
+            co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, error));
+        }
+    }
+
+    asio::awaitable<BackendHealth> checkHealth()
+    {
+        boost::system::error_code error;
+        if (!healthStream || !isOpen(*healthStream)) {
+            healthStream = std::make_unique<Stream>(context);
+            healthStream->expires_after(healthLimit);
+            co_await healthStream->async_connect(endpoint,
+                                                 asio::redirect_error(asio::use_awaitable, error));
+        }
+        http::request<http::empty_body> request(http::verb::get, "/health", 11);
+        request.set(http::field::host, settings.backendAddress);
+        healthStream->expires_after(healthLimit);
+        if (!error)
+            co_await http::async_write(*healthStream, request,
+                                       asio::redirect_error(asio::use_awaitable, error));
+        beast::flat_buffer buffer;
+        http::response<http::string_body> response;
+        if (!error)
+            co_await http::async_read(*healthStream, buffer, response,
+                                      asio::redirect_error(asio::use_awaitable, error));
+        if (error || response.result() != http::status::ok) {
+            healthStream.reset();
+            co_return BackendHealth{};
+        }
+        co_return parseHealth(response.body());
+    }
+
+    asio::io_context &context;
+    AgentSettings settings;
+    asio::ip::tcp::endpoint endpoint;
+    EventHook onEvent;
+    std::unordered_map<AttemptId, std::shared_ptr<Running>> attempts;
+    std::vector<std::unique_ptr<Stream>> idle;
+    std::unique_ptr<Stream> healthStream;
+};
+
+BackendClient::BackendClient(asio::io_context &context, const AgentSettings &settings,
+                             EventHook onEvent)
+    : m_state(std::make_shared<State>(context, settings, std::move(onEvent)))
+{
+}
+
+BackendClient::~BackendClient() = default;
+
+void BackendClient::start()
+{
+    asio::co_spawn(m_state->context, State::pollHealth(m_state), asio::detached);
+}
+
+void BackendClient::command(BackendCommand &&command)
+{
+    std::visit([this](auto &alternative) { m_state->command(alternative); }, command);
+}
+
+} // namespace bilberry::agent
--- /dev/null
+++ b/packages/agent/src/routerlinks.cpp
@@ -0,0 +1,63 @@
+#include "bilberry/agent/routerlinks.h"
+
+namespace bilberry::agent {
+
+namespace asio = boost::asio;
+
+namespace {
+
+constexpr std::size_t maxLinks = 1024;
+
+} // namespace
+
+RouterLinks::RouterLinks(asio::io_context &context, const std::string &address, std::uint16_t port,
+                         RouterLinksHooks hooks)
+    : m_acceptor(context, asio::ip::tcp::endpoint(asio::ip::make_address(address), port)),
+      m_hooks(std::move(hooks))
+{
+}
+
+void RouterLinks::start()
+{
+    accept();
+}
+
+void RouterLinks::accept()
+{
+    m_acceptor.async_accept([this](boost::system::error_code error, asio::ip::tcp::socket socket) {
+        if (!m_acceptor.is_open())
+            return;
+        if (!error && m_links.size() < maxLinks)
+            add(std::move(socket));
+        accept();
+    });
+}
+
+void RouterLinks::add(asio::ip::tcp::socket socket)
+{
+    const decision::LinkId id = ++m_lastLink;
+    const auto closed = [this, id](std::error_code error) {
+        m_log.info("Router link closed: " + error.message() + ".");
+        m_links.erase(id);
+        m_hooks.down(id);
+    };
+    const auto received
+            = [this, id](wire::LinkMessage &&message) { m_hooks.received(id, std::move(message)); };
+    const auto link = std::make_shared<wire::FrameLink>(
+            std::move(socket), wire::FrameLinkHooks{received, closed, m_hooks.controlSent});
+    m_links[id] = link;
+    m_hooks.up(id);
+    link->start();
+}
+
+void RouterLinks::send(decision::LinkId link, const wire::LinkMessage &message)
+{
+    const auto found = m_links.find(link);
+    if (found == m_links.end())
+        return;
+    // A failing send erases the link; the copy keeps it alive until then.
+    const std::shared_ptr<wire::FrameLink> target = found->second;
+    target->send(message);
+}
+
+} // namespace bilberry::agent
--- /dev/null
+++ b/packages/base/include/bilberry/base/boundedring.h
@@ -0,0 +1,64 @@
+#ifndef BILBERRY_BASE_BOUNDEDRING_H
+#define BILBERRY_BASE_BOUNDEDRING_H
+
+#include <boost/circular_buffer.hpp>
+
+#include <cstddef>
+#include <functional>
+#include <mutex>
+#include <utility>
+#include <vector>
+
+namespace bilberry {
+
+/// Bounded queue between two duties: any thread pushes, one thread drains.
+/// @tparam T movable item
+template <typename T>
+class BoundedRing
+{
+public:
+    /// @param capacity largest number of items held
+    /// @param wake called by the pushing thread when the ring stops being empty
+    BoundedRing(std::size_t capacity, std::function<void()> wake)
+        : m_items(capacity), m_wake(std::move(wake))
+    {
+    }
+
+    /// Adds an item at the end.
+    /// @param item moved from only on success
+    /// @return false when the ring is full; the item stays with the caller
+    [[nodiscard]] bool push(T &&item)
+    {
+        bool wasEmpty = false;
+        {
+            const std::lock_guard lock(m_mutex);
+            if (m_items.full())
+                return false;
+            wasEmpty = m_items.empty();
+            m_items.push_back(std::move(item));
+        }
+        if (wasEmpty)
+            m_wake();
+        return true;
+    }
+
+    /// Moves all items out.
+    /// @param out cleared first; receives the items in order
+    void drain(std::vector<T> &out)
+    {
+        out.clear();
+        const std::lock_guard lock(m_mutex);
+        for (T &item : m_items)
+            out.push_back(std::move(item));
+        m_items.clear();
+    }
+
+private:
+    std::mutex m_mutex;
+    boost::circular_buffer<T> m_items;
+    std::function<void()> m_wake;
+};
+
+} // namespace bilberry
+
+#endif
--- /dev/null
+++ b/packages/base/include/bilberry/base/log.h
@@ -0,0 +1,54 @@
+#ifndef BILBERRY_BASE_LOG_H
+#define BILBERRY_BASE_LOG_H
+
+#include "bilberry/base/time.h"
+
+#include <cstdint>
+#include <mutex>
+#include <string>
+#include <string_view>
+
+namespace bilberry {
+
+enum class LogLevel { Debug, Info, Warning, Error };
+enum class LogFormat { Text, Json };
+
+/// How the process logs.
+struct LogSettings
+{
+    LogLevel level = LogLevel::Info;
+    LogFormat format = LogFormat::Text;
+    bool operator==(const LogSettings &) const = default;
+};
+
+/// Sets up logging to standard error for the whole process.
+/// @param settings level and format
+void setUpLogging(const LogSettings &settings);
+
+/// Logger of one part of the program. Its prefix starts every line; a part that logs more than
+/// its rate is cut, and the number of suppressed lines is logged once a second.
+class Log
+{
+public:
+    /// @param prefix the part's fixed prefix, such as "router.links"
+    explicit Log(std::string prefix);
+
+    void debug(std::string_view sentence);
+    void info(std::string_view sentence);
+    void warning(std::string_view sentence);
+    void error(std::string_view sentence);
+
+private:
+    void write(LogLevel level, std::string_view sentence);
+    bool admit(std::uint64_t &suppressed);
+
+    std::string m_prefix;
+    std::mutex m_mutex;
+    TimePoint m_second{};
+    std::uint32_t m_linesInSecond = 0;
+    std::uint64_t m_suppressed = 0;
+};
+
+} // namespace bilberry
+
+#endif
--- /dev/null
+++ b/packages/base/include/bilberry/base/result.h
@@ -0,0 +1,85 @@
+#ifndef BILBERRY_BASE_RESULT_H
+#define BILBERRY_BASE_RESULT_H
+
+#include <system_error>
+#include <type_traits>
+#include <utility>
+#include <variant>
+
+namespace bilberry {
+
+/// Stands for "no value" in a Result.
+struct Unit
+{
+    bool operator==(const Unit &) const = default;
+};
+
+/// A value or the typed reason why there is none. The result must be looked at.
+/// @tparam T the value's type; not std::error_code
+template <typename T>
+class [[nodiscard]] Result
+{
+public:
+    Result(T value) : m_state(std::in_place_index<0>, std::move(value)) {}
+    Result(std::error_code error) : m_state(std::in_place_index<1>, error) {}
+
+    /// Wraps an enumerator of a registered error enumeration.
+    template <typename E>
+    requires std::is_error_code_enum<E>::value Result(E error) : Result(std::error_code(error)) {}
+
+    /// @return true when there is a value
+    [[nodiscard]] bool ok() const { return m_state.index() == 0; }
+    explicit operator bool() const { return ok(); }
+
+    /// @return the value; requires ok()
+    const T &value() const & { return std::get<0>(m_state); }
+    T &&value() && { return std::get<0>(std::move(m_state)); }
+
+    /// @return the error, or a code equal to zero when there is a value
+    [[nodiscard]] std::error_code error() const
+    {
+        return ok() ? std::error_code() : std::get<1>(m_state);
+    }
+
+    /// @param fallback used when there is no value
+    /// @return the value or the fallback
+    T valueOr(T fallback) const { return ok() ? value() : std::move(fallback); }
+
+    /// Applies a function to the value, and passes an error on.
+    /// @param next takes the value, returns a plain value
+    template <typename F>
+    auto map(F &&next) const -> Result<std::invoke_result_t<F, const T &>>
+    {
+        if (!ok())
+            return error();
+        return std::forward<F>(next)(value());
+    }
+
+    /// Chains a step that may fail itself.
+    /// @param next takes the value, returns a Result
+    template <typename F>
+    auto andThen(F &&next) const -> std::invoke_result_t<F, const T &>
+    {
+        if (!ok())
+            return error();
+        return std::forward<F>(next)(value());
+    }
+
+    bool operator==(const Result &) const = default;
+
+private:
+    std::variant<T, std::error_code> m_state;
+};
+
+/// Success or a typed error.
+using Status = Result<Unit>;
+
+/// @return the successful Status
+inline Status success()
+{
+    return Unit{};
+}
+
+} // namespace bilberry
+
+#endif
--- /dev/null
+++ b/packages/base/include/bilberry/base/settings.h
@@ -0,0 +1,90 @@
+#ifndef BILBERRY_BASE_SETTINGS_H
+#define BILBERRY_BASE_SETTINGS_H
+
+#include "bilberry/base/result.h"
+
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace bilberry {
+
+/// What can be wrong with a key of a settings file.
+enum class SettingsErrc {
+    Unreadable = 1,
+    Malformed,
+    MissingKey,
+    UnknownKey,
+    WrongType,
+    OutOfRange,
+    UnknownValue,
+};
+
+std::error_code make_error_code(SettingsErrc error);
+
+/// One fault of a settings file.
+struct SettingsFault
+{
+    SettingsErrc error{};
+    std::string file;
+    int line = 0;     ///< counted from 1; 0 when unknown
+    std::string key;  ///< dotted path of the key
+    std::string hint; ///< what would be accepted
+
+    /// @return one line: file:line: key: message (hint)
+    std::string text() const;
+    bool operator==(const SettingsFault &) const = default;
+};
+
+/// Reads a YAML settings file and collects every fault instead of stopping at the first.
+class SettingsReader
+{
+public:
+    /// @param file path of the file
+    explicit SettingsReader(const std::string &file);
+    /// @param text YAML text
+    /// @param file name shown in faults
+    SettingsReader(const std::string &text, const std::string &file);
+    ~SettingsReader();
+
+    /// Reads a required text.
+    std::string text(const std::string &key);
+    /// Reads an optional text.
+    std::string text(const std::string &key, const std::string &fallback);
+    /// Reads one of several words.
+    std::string choice(const std::string &key, const std::vector<std::string> &words,
+                       const std::string &fallback);
+    /// Reads a number within a range, both ends included.
+    double number(const std::string &key, double low, double high, double fallback);
+    /// Reads a whole number within a range, both ends included.
+    std::int64_t integer(const std::string &key, std::int64_t low, std::int64_t high,
+                         std::int64_t fallback);
+    /// Reads a required whole number within a range.
+    std::int64_t integer(const std::string &key, std::int64_t low, std::int64_t high);
+    bool boolean(const std::string &key, bool fallback);
+    /// Reads a list of texts; absent means empty.
+    std::vector<std::string> list(const std::string &key);
+
+    /// Adds a fault found by the caller, for rules between several keys.
+    void fault(SettingsErrc error, const std::string &key, const std::string &hint);
+
+    /// Reports keys that nothing asked for as unknown.
+    /// @return all faults found so far
+    std::vector<SettingsFault> finish();
+
+private:
+    struct State;
+    std::unique_ptr<State> m_state;
+};
+
+} // namespace bilberry
+
+template <>
+struct std::is_error_code_enum<bilberry::SettingsErrc> : std::true_type
+{
+};
+
+#endif
--- /dev/null
+++ b/packages/base/src/duty.cpp
@@ -0,0 +1,33 @@
+#include "bilberry/base/duty.h"
+
+#include <pthread.h>
+
+namespace bilberry {
+
+Duty::Duty(std::string name)
+    : m_name(std::move(name)), m_work(boost::asio::make_work_guard(m_context))
+{
+}
+
+Duty::~Duty()
+{
+    stop();
+}
+
+void Duty::start()
+{
+    m_thread = std::thread([this] {
+        pthread_setname_np(pthread_self(), m_name.c_str());
+        m_context.run();
+    });
+}
+
+void Duty::stop()
+{
+    m_work.reset();
+    m_context.stop();
+    if (m_thread.joinable())
+        m_thread.join();
+}
+
+} // namespace bilberry
--- /dev/null
+++ b/packages/daemon/src/daemon.h
@@ -0,0 +1,20 @@
+#ifndef BILBERRY_DAEMON_DAEMON_H
+#define BILBERRY_DAEMON_DAEMON_H
+
+/// The program bilberryd.
+namespace bilberry::daemon {
+
+/// Exit codes of bilberryd.
+enum ExitCode : int {
+    ExitOk = 0,
+    ExitFailure = 1,  ///< an address can't be used, or another failure at start
+    ExitSettings = 2, ///< faults in the command line or the settings; nothing was started
+};
+
+/// Reads the settings, runs the router or agent and stops it gracefully on SIGTERM or SIGINT.
+/// @return an ExitCode
+int run(int argc, char **argv);
+
+} // namespace bilberry::daemon
+
+#endif
--- /dev/null
+++ b/packages/decision/include/bilberry/decision/admissioncontrol.h
@@ -0,0 +1,123 @@
+#ifndef BILBERRY_DECISION_ADMISSIONCONTROL_H
+#define BILBERRY_DECISION_ADMISSIONCONTROL_H
+
+#include "bilberry/decision/admissionwindow.h"
+#include "bilberry/decision/grantbook.h"
+#include "bilberry/model/ids.h"
+
+#include <map>
+#include <optional>
+#include <unordered_map>
+#include <vector>
+
+namespace bilberry::decision {
+
+/// A router's wish to run one request on the agent's server.
+struct AdmissionRequest
+{
+    AttemptId attempt = 0;
+    LinkId link = 0;
+    std::uint64_t grant = 0; ///< 0: without a grant
+    double virtualTime = 0.0;
+    bool operator==(const AdmissionRequest &) const = default;
+};
+
+enum class AdmissionVerdict {
+    Run,        ///< start it now
+    Hold,       ///< start it when takeReady() names it
+    Full,       ///< no room, or others come first
+    StaleGrant, ///< the grant can't be used any more
+    Closed,     ///< the server takes no new work
+};
+
+struct AdmissionSettings
+{
+    WindowLimits limits;
+    Duration grantLifetime = std::chrono::seconds(2);
+    /// Grants made beyond the window. Their requests wait at the agent, so that a slot that
+    /// becomes free finds work without a round trip.
+    std::uint32_t ahead = 1;
+    bool operator==(const AdmissionSettings &) const = default;
+};
+
+/// What routers are told of the server's load.
+struct AdmissionLoad
+{
+    std::uint32_t window = 0;
+    std::uint32_t running = 0;
+    std::uint32_t held = 0;
+    double virtualTime = 0.0;
+    bool cold = false;
+    bool open = false;
+    bool contended = false;
+    bool operator==(const AdmissionLoad &) const = default;
+};
+
+/// Decides which requests run on one backend server. The only place that sees the load of all
+/// routers on it; invariant: running + inherited never exceeds the window when a request starts.
+class AdmissionControl
+{
+public:
+    explicit AdmissionControl(AdmissionSettings settings);
+
+    void setLimits(WindowLimits limits);
+
+    /// Opens or closes the server for new work.
+    void setOpen(bool open) { m_open = open; }
+    bool isOpen() const { return m_open; }
+
+    /// Decides on a request.
+    AdmissionVerdict offer(const AdmissionRequest &request, TimePoint now);
+
+    /// @return held requests that start now
+    std::vector<AttemptId> takeReady();
+
+    /// @return all held requests, for example to refuse them when the server closes
+    std::vector<AttemptId> takeHeld();
+
+    /// @return grants to send now; none while the server is closed
+    std::vector<IssuedGrant> takeGrants(TimePoint now);
+
+    /// A request ended.
+    /// @param firstByte time to the first byte of a good answer, nothing for a bad one
+    void finished(AttemptId attempt, std::optional<Duration> firstByte);
+
+    /// Takes a held request out.
+    /// @return false when it is not held
+    bool removeHeld(AttemptId attempt);
+
+    void setDemand(LinkId link, std::uint32_t waiting, std::vector<double> nextVirtualTimes);
+    void giveBack(std::uint64_t grant, LinkId link);
+
+    /// A router is gone: its demand and grants end.
+    void removeLink(LinkId link);
+
+    /// The server restarted or failed.
+    void serverCrashed();
+
+    /// Takes the server's load report in.
+    /// @param running requests that it runs, also those of an earlier life of this agent
+    void serverReported(bool cold, std::uint32_t running);
+
+    AdmissionLoad load() const;
+
+private:
+    std::uint32_t used() const;
+    bool hasRoom() const { return used() < m_window.size(); }
+    void start(const AdmissionRequest &request);
+    void hold(const AdmissionRequest &request);
+
+    AdmissionSettings m_settings;
+    AdmissionWindow m_window;
+    GrantBook m_grants;
+    bool m_open = false;
+    bool m_heardReport = false;
+    std::uint32_t m_inherited = 0; ///< requests of an earlier life that still run
+    double m_virtualTime = 0.0;
+    std::unordered_map<AttemptId, AdmissionRequest> m_running;
+    std::multimap<double, AdmissionRequest> m_held;
+};
+
+} // namespace bilberry::decision
+
+#endif
--- /dev/null
+++ b/packages/decision/include/bilberry/decision/rendezvous.h
@@ -0,0 +1,27 @@
+#ifndef BILBERRY_DECISION_RENDEZVOUS_H
+#define BILBERRY_DECISION_RENDEZVOUS_H
+
+#include <cstdint>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace bilberry::decision {
+
+/// @return 64-bit hash of the text, the same on every machine
+std::uint64_t stableHash(std::string_view text);
+
+/// Rendezvous hashing: when a node leaves, only its own keys move.
+/// @param key what is to be placed
+/// @param nodes names of the candidates
+/// @return index of the key's owner; requires nodes not to be empty
+std::size_t rendezvousOwner(std::string_view key, const std::vector<std::string> &nodes);
+
+/// @param count size of the subset
+/// @return indices of the best nodes for the key, best first
+std::vector<std::size_t> rendezvousSubset(std::string_view key,
+                                          const std::vector<std::string> &nodes, std::size_t count);
+
+} // namespace bilberry::decision
+
+#endif
--- /dev/null
+++ b/packages/decision/include/bilberry/decision/reportplanner.h
@@ -0,0 +1,63 @@
+#ifndef BILBERRY_DECISION_REPORTPLANNER_H
+#define BILBERRY_DECISION_REPORTPLANNER_H
+
+#include "bilberry/decision/serviceledger.h"
+
+#include <map>
+#include <string>
+#include <vector>
+
+namespace bilberry::decision {
+
+struct ReportSettings
+{
+    double bytesPerSecond = 2000.0;   ///< budget for reports and the answers they cause
+    std::size_t bytesPerReport = 80;  ///< fixed cost of a report and its answer
+    std::size_t bytesPerCounter = 80; ///< cost of one counter and its total
+    Duration shortestGap = std::chrono::milliseconds(100); ///< between two reports
+    Duration longestSilence = std::chrono::seconds(1);     ///< of a customer with waiting work
+    double quantum = 100.0; ///< change that is worth a report, normalised milliseconds
+    bool operator==(const ReportSettings &) const = default;
+};
+
+/// Decides which counters are reported now: those that changed by a quantum, the largest change
+/// first, within a byte budget.
+class ReportPlanner
+{
+public:
+    explicit ReportPlanner(ReportSettings settings);
+
+    /// @param own the ledger's counters
+    /// @return the counters to report now
+    std::vector<OwnService> plan(const std::vector<OwnService> &own, TimePoint now);
+
+    /// Forgets what was reported, so that a new aggregator hears everything.
+    void resend(const ServiceKey &key) { m_reported.erase(key); }
+
+private:
+    struct Reported
+    {
+        double normalised = 0.0;
+        double offset = 0.0;
+        bool backlogged = false;
+        TimePoint at{};
+    };
+    struct Candidate
+    {
+        const OwnService *service = nullptr;
+        double change = 0.0;
+    };
+
+    double changeOf(const OwnService &service, TimePoint now) const;
+    void refill(TimePoint now);
+
+    ReportSettings m_settings;
+    double m_tokens;
+    TimePoint m_refilled{};
+    TimePoint m_lastReport{};
+    std::map<ServiceKey, Reported> m_reported;
+};
+
+} // namespace bilberry::decision
+
+#endif
--- /dev/null
+++ b/packages/decision/include/bilberry/decision/serviceaggregator.h
@@ -0,0 +1,80 @@
+#ifndef BILBERRY_DECISION_SERVICEAGGREGATOR_H
+#define BILBERRY_DECISION_SERVICEAGGREGATOR_H
+
+#include "bilberry/decision/serviceledger.h"
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <utility>
+#include <vector>
+
+namespace bilberry::decision {
+
+/// Origin of a report: one life of one router.
+struct ReportOrigin
+{
+    RouterId router;
+    Incarnation incarnation = 0;
+    auto operator<=>(const ReportOrigin &) const = default;
+};
+
+struct AggregatorSettings
+{
+    /// A new owner of a customer answers only after this time, when all routers have reported.
+    Duration settleTime = std::chrono::milliseconds(1000);
+    /// Counters of a life that is silent for longer become part of the retired sum.
+    Duration retireAfter = std::chrono::seconds(10);
+    bool operator==(const AggregatorSettings &) const = default;
+};
+
+/// Sums the cumulative counters of all routers for the customers that this router owns.
+class ServiceAggregator
+{
+public:
+    explicit ServiceAggregator(AggregatorSettings settings) : m_settings(settings) {}
+
+    /// Takes in one counter. The largest sequence of an origin holds.
+    void report(const ReportOrigin &origin, std::uint64_t sequence, const OwnService &counter,
+                TimePoint now);
+
+    /// @param receiver whose own counters are left out
+    /// @return the total for the receiver, or nothing while this owner settles
+    std::optional<RemoteService> totalFor(const ServiceKey &key, const ReportOrigin &receiver,
+                                          TimePoint now) const;
+
+    /// Retires silent origins and forgets keys without origins.
+    void expire(TimePoint now);
+
+    /// Forgets all keys that this router no longer owns.
+    template <typename Owns>
+    void keepOnly(const Owns &owns)
+    {
+        std::erase_if(m_keys, [&](const auto &entry) { return !owns(entry.first); });
+    }
+
+    std::size_t size() const { return m_keys.size(); }
+
+private:
+    struct Counter
+    {
+        std::uint64_t sequence = 0;
+        double normalised = 0.0;
+        double rate = 0.0;
+        TimePoint at{};
+    };
+    struct Key
+    {
+        TimePoint since{};
+        double retired = 0.0;
+        double offset = 0.0;
+        std::map<ReportOrigin, Counter> counters;
+    };
+
+    AggregatorSettings m_settings;
+    std::map<ServiceKey, Key> m_keys;
+};
+
+} // namespace bilberry::decision
+
+#endif
--- /dev/null
+++ b/packages/decision/src/admissioncontrol.cpp
@@ -0,0 +1,151 @@
+#include "bilberry/decision/admissioncontrol.h"
+
+#include <algorithm>
+
+namespace bilberry::decision {
+
+AdmissionControl::AdmissionControl(AdmissionSettings settings)
+    : m_settings(settings), m_window(settings.limits), m_grants(settings.grantLifetime)
+{
+}
+
+void AdmissionControl::setLimits(WindowLimits limits)
+{
+    m_settings.limits = limits;
+    m_window.setLimits(limits);
+}
+
+std::uint32_t AdmissionControl::used() const
+{
+    return static_cast<std::uint32_t>(m_running.size()) + m_inherited;
+}
+
+void AdmissionControl::start(const AdmissionRequest &request)
+{
+    m_running.emplace(request.attempt, request);
+    m_virtualTime = std::max(m_virtualTime, request.virtualTime);
+}
+
+void AdmissionControl::hold(const AdmissionRequest &request)
+{
+    m_held.emplace(request.virtualTime, request);
+}
+
+AdmissionVerdict AdmissionControl::offer(const AdmissionRequest &request, TimePoint now)
+{
+    if (!m_open)
+        return AdmissionVerdict::Closed;
+    if (request.grant != 0) {
+        if (!m_grants.redeem(request.grant, request.link, now))
+            return AdmissionVerdict::StaleGrant;
+        if (hasRoom() && m_held.empty()) {
+            start(request);
+            return AdmissionVerdict::Run;
+        }
+        hold(request);
+        return AdmissionVerdict::Hold;
+    }
+    const auto first = m_grants.smallestVirtualTime();
+    const bool othersFirst = first && *first < request.virtualTime;
+    const std::size_t promised = m_held.size() + m_grants.open();
+    if (othersFirst || used() + promised >= m_window.size())
+        return AdmissionVerdict::Full;
+    start(request);
+    return AdmissionVerdict::Run;
+}
+
+std::vector<AttemptId> AdmissionControl::takeReady()
+{
+    std::vector<AttemptId> ready;
+    while (m_open && hasRoom() && !m_held.empty()) {
+        const AdmissionRequest request = m_held.begin()->second;
+        m_held.erase(m_held.begin());
+        start(request);
+        ready.push_back(request.attempt);
+    }
+    return ready;
+}
+
+std::vector<AttemptId> AdmissionControl::takeHeld()
+{
+    std::vector<AttemptId> held;
+    for (const auto &[virtualTime, request] : m_held)
+        held.push_back(request.attempt);
+    m_held.clear();
+    return held;
+}
+
+std::vector<IssuedGrant> AdmissionControl::takeGrants(TimePoint now)
+{
+    std::vector<IssuedGrant> issued;
+    m_grants.expire(now);
+    while (m_open) {
+        const std::size_t promised = used() + m_held.size() + m_grants.open();
+        if (promised >= m_window.size() + m_settings.ahead)
+            break;
+        const auto grant = m_grants.issue(now);
+        if (!grant)
+            break;
+        issued.push_back(*grant);
+    }
+    return issued;
+}
+
+void AdmissionControl::finished(AttemptId attempt, std::optional<Duration> firstByte)
+{
+    if (m_running.erase(attempt) > 0 && firstByte)
+        m_window.completed(*firstByte);
+}
+
+bool AdmissionControl::removeHeld(AttemptId attempt)
+{
+    return std::erase_if(m_held, [&](const auto &entry) { return entry.second.attempt == attempt; })
+           > 0;
+}
+
+void AdmissionControl::setDemand(LinkId link, std::uint32_t waiting,
+                                 std::vector<double> nextVirtualTimes)
+{
+    m_grants.setDemand(link, waiting, std::move(nextVirtualTimes));
+}
+
+void AdmissionControl::giveBack(std::uint64_t grant, LinkId link)
+{
+    m_grants.giveBack(grant, link);
+}
+
+void AdmissionControl::removeLink(LinkId link)
+{
+    m_grants.removeLink(link);
+}
+
+void AdmissionControl::serverCrashed()
+{
+    m_window.turnedCold();
+    m_inherited = 0;
+}
+
+void AdmissionControl::serverReported(bool cold, std::uint32_t running)
+{
+    m_window.reported(cold);
+    const auto own = static_cast<std::uint32_t>(m_running.size());
+    const std::uint32_t others = running > own ? running - own : 0;
+    // Only the first report can show requests of an earlier life; later ones lag behind starts.
+    m_inherited = m_heardReport ? std::min(m_inherited, others) : others;
+    m_heardReport = true;
+}
+
+AdmissionLoad AdmissionControl::load() const
+{
+    AdmissionLoad load;
+    load.window = m_window.size();
+    load.running = used();
+    load.held = static_cast<std::uint32_t>(m_held.size() + m_grants.open());
+    load.virtualTime = m_virtualTime;
+    load.cold = m_window.cold();
+    load.open = m_open;
+    load.contended = m_grants.contended();
+    return load;
+}
+
+} // namespace bilberry::decision
--- /dev/null
+++ b/packages/decision/src/costestimator.cpp
@@ -0,0 +1,43 @@
+#include "bilberry/decision/costestimator.h"
+
+#include <algorithm>
+
+namespace bilberry::decision {
+
+namespace {
+
+constexpr double firstEstimateMs = 100.0;
+constexpr double learningRate = 0.2;
+/// A hint moves the estimate to at most these multiples of the learned mean.
+constexpr double lowestNudge = 0.8;
+constexpr double highestNudge = 1.25;
+
+} // namespace
+
+CostHook makeCostHook(const BackendPool &pool)
+{
+    if (pool.costUnit == CostUnit::Tokens) {
+        return [tokenCost = pool.tokenCost](const RequestUsage &usage) {
+            return tokenCost * static_cast<double>(usage.events);
+        };
+    }
+    return [](const RequestUsage &usage) { return toMilliseconds(usage.slotTime); };
+}
+
+double CostEstimator::estimate(const ServiceKey &key, std::optional<double> hint) const
+{
+    const auto found = m_means.find(key);
+    const double mean = found == m_means.end() ? firstEstimateMs : found->second;
+    if (!hint)
+        return mean;
+    return std::clamp(*hint, lowestNudge * mean, highestNudge * mean);
+}
+
+void CostEstimator::learn(const ServiceKey &key, double cost)
+{
+    const auto [entry, isNew] = m_means.emplace(key, cost);
+    if (!isNew)
+        entry->second += learningRate * (cost - entry->second);
+}
+
+} // namespace bilberry::decision
--- /dev/null
+++ b/packages/decision/src/membership.cpp
@@ -0,0 +1,117 @@
+#include "bilberry/decision/membership.h"
+
+#include <algorithm>
+#include <deque>
+
+namespace bilberry::decision {
+
+Membership::Membership(RouterId self, MembershipSettings settings)
+    : m_self(std::move(self)), m_settings(settings)
+{
+}
+
+void Membership::setKnown(std::set<RouterId> routers, std::set<ServerId> servers)
+{
+    m_routers = std::move(routers);
+    m_servers = std::move(servers);
+}
+
+void Membership::heard(const PeerReport &report, TimePoint now)
+{
+    if (report.router != m_self)
+        m_peers[report.router] = {report, now};
+}
+
+void Membership::heard(const RouterId &router, Incarnation incarnation, bool platformReachable,
+                       TimePoint now)
+{
+    if (router == m_self)
+        return;
+    Peer &peer = m_peers[router];
+    peer.report.router = router;
+    peer.report.incarnation = incarnation;
+    peer.report.platformReachable = platformReachable;
+    peer.heardAt = now;
+}
+
+bool Membership::isLive(const Peer &peer, TimePoint now) const
+{
+    return now - peer.heardAt <= m_settings.silenceLimit;
+}
+
+std::vector<std::string> Membership::live(TimePoint now) const
+{
+    std::vector<std::string> names{m_self.text()};
+    for (const auto &[router, peer] : m_peers) {
+        if (isLive(peer, now) && !peer.report.leaving)
+            names.push_back(router.text());
+    }
+    std::sort(names.begin(), names.end());
+    return names;
+}
+
+std::vector<RouterId> Membership::reachable(TimePoint now) const
+{
+    std::vector<RouterId> routers;
+    for (const auto &[router, peer] : m_peers) {
+        if (isLive(peer, now))
+            routers.push_back(router);
+    }
+    return routers;
+}
+
+std::vector<RouterId> Membership::peers() const
+{
+    std::vector<RouterId> routers;
+    for (const RouterId &router : m_routers) {
+        if (router != m_self)
+            routers.push_back(router);
+    }
+    return routers;
+}
+
+Incarnation Membership::incarnation(const RouterId &router) const
+{
+    const auto found = m_peers.find(router);
+    return found == m_peers.end() ? 0 : found->second.report.incarnation;
+}
+
+bool Membership::frozenMajority(const std::vector<ServerId> &linkedServers, bool platformReachable,
+                                TimePoint now) const
+{
+    if (platformReachable)
+        return false;
+    std::set<RouterId> routers{m_self};
+    std::set<ServerId> servers(linkedServers.begin(), linkedServers.end());
+    std::deque<RouterId> open;
+    const auto visit = [&](const RouterId &router) {
+        if (routers.insert(router).second)
+            open.push_back(router);
+    };
+    for (const RouterId &router : reachable(now))
+        visit(router);
+    while (!open.empty()) {
+        const auto peer = m_peers.find(open.front());
+        open.pop_front();
+        // A router known only through others counts as connected; what it reaches is unknown.
+        if (peer == m_peers.end() || !isLive(peer->second, now))
+            continue;
+        const PeerReport &report = peer->second.report;
+        if (report.platformReachable)
+            return false;
+        for (const RouterId &router : report.reachablePeers)
+            visit(router);
+        servers.insert(report.reachableServers.begin(), report.reachableServers.end());
+    }
+    std::set<RouterId> knownRouters = m_routers;
+    knownRouters.insert(m_self);
+    const auto known = [&](const auto &all, const auto &members) {
+        return std::count_if(members.begin(), members.end(),
+                             [&](const auto &member) { return all.contains(member); });
+    };
+    const auto connected
+            = static_cast<std::size_t>(known(knownRouters, routers) + known(m_servers, servers));
+    return 2 * connected > knownRouters.size() + m_servers.size();
+}
+
+} // namespace bilberry::decision
--- /dev/null
+++ b/packages/decision/src/serviceledger.cpp
@@ -0,0 +1,102 @@
+#include "bilberry/decision/serviceledger.h"
+
+#include <algorithm>
+
+namespace bilberry::decision {
+
+void ServiceLedger::charge(const ServiceKey &key, double amount, double share)
+{
+    Account &account = m_accounts[key];
+    account.charged += amount;
+    account.own += amount / share;
+}
+
+void ServiceLedger::applyRemote(const ServiceKey &key, const RemoteService &remote,
+                                bool aggregatorChanged, TimePoint now)
+{
+    if (!m_settings.countRemote)
+        return;
+    Account &account = m_accounts[key];
+    const double before = virtualTime(account, now);
+    account.remote = remote;
+    account.remoteAt = now;
+    account.offset = std::max(account.offset, remote.offset);
+    if (aggregatorChanged)
+        lift(account, before, now);
+}
+
+void ServiceLedger::setBacklogged(const ServiceKey &key, TimePoint now)
+{
+    Account &account = m_accounts[key];
+    if (account.backlogged)
+        return;
+    account.backlogged = true;
+    lift(account, frontier(key.pool), now);
+}
+
+void ServiceLedger::setIdle(const ServiceKey &key)
+{
+    m_accounts[key].backlogged = false;
+}
+
+void ServiceLedger::raiseFrontier(const PoolId &pool, double virtualTime)
+{
+    double &frontier = m_frontiers[pool];
+    frontier = std::max(frontier, virtualTime);
+}
+
+void ServiceLedger::capCatchUp(TimePoint now)
+{
+    for (auto &[key, account] : m_accounts) {
+        if (account.backlogged)
+            lift(account, frontier(key.pool) - m_settings.catchUpCap, now);
+    }
+}
+
+double ServiceLedger::virtualTime(const ServiceKey &key, TimePoint now) const
+{
+    const auto found = m_accounts.find(key);
+    return found == m_accounts.end() ? 0.0 : virtualTime(found->second, now);
+}
+
+double ServiceLedger::frontier(const PoolId &pool) const
+{
+    const auto found = m_frontiers.find(pool);
+    return found == m_frontiers.end() ? 0.0 : found->second;
+}
+
+std::vector<OwnService> ServiceLedger::own() const
+{
+    std::vector<OwnService> services;
+    services.reserve(m_accounts.size());
+    for (const auto &[key, account] : m_accounts)
+        services.push_back({key, account.own, account.offset, account.backlogged});
+    return services;
+}
+
+double ServiceLedger::charged(const ServiceKey &key) const
+{
+    const auto found = m_accounts.find(key);
+    return found == m_accounts.end() ? 0.0 : found->second.charged;
+}
+
+double ServiceLedger::remoteNow(const Account &account, TimePoint now) const
+{
+    const Duration age = std::min(now - account.remoteAt, m_settings.maxExtrapolation);
+    const double seconds = std::max(0.0, toMilliseconds(age) / 1000.0);
+    return account.remote.normalised + account.remote.ratePerSecond * seconds;
+}
+
+double ServiceLedger::virtualTime(const Account &account, TimePoint now) const
+{
+    return account.offset + account.own + remoteNow(account, now);
+}
+
+void ServiceLedger::lift(Account &account, double target, TimePoint now) const
+{
+    const double lag = target - virtualTime(account, now);
+    if (lag > 0.0)
+        account.offset += lag;
+}
+
+} // namespace bilberry::decision
--- /dev/null
+++ b/packages/model/src/configuration.cpp
@@ -0,0 +1,167 @@
+#include "bilberry/model/configuration.h"
+
+#include "bilberry/base/digest.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace bilberry {
+
+namespace {
+
+constexpr std::size_t maxIdentifierLength = 64;
+constexpr std::size_t digestLength = 64;
+
+bool isIdentifier(const std::string &text)
+{
+    const auto allowed = [](char c) {
+        return (c >= 'a' && c <= 'z') || (c >= '0' && c <= '9') || c == '.' || c == '-' || c == '_';
+    };
+    return !text.empty() && text.size() <= maxIdentifierLength
+           && std::all_of(text.begin(), text.end(), allowed);
+}
+
+bool isDigest(const std::string &text)
+{
+    return text.size() == digestLength
+           && text.find_first_not_of("0123456789abcdef") == std::string::npos;
+}
+
+void checkIdentifier(const std::string &id, const std::string &subject, ModelFaults &faults)
+{
+    if (!isIdentifier(id))
+        faults.push_back({ModelErrc::InvalidIdentifier, subject});
+}
+
+void checkReferences(const ConfigurationParts &parts, ModelFaults &faults)
+{
+    for (const auto &[id, pool] : parts.pools) {
+        for (const ZoneId &zone : pool.zones) {
+            if (!parts.zones.contains(zone))
+                faults.push_back({ModelErrc::UnknownZone, "pool " + id.text()});
+        }
+    }
+    for (const auto &[prefix, route] : parts.routes) {
+        if (!prefix.starts_with('/'))
+            faults.push_back({ModelErrc::InvalidPrefix, "route " + prefix});
+        if (!parts.pools.contains(route.pool))
+            faults.push_back({ModelErrc::UnknownPool, "route " + prefix});
+    }
+}
+
+void checkUniqueKeys(const ConfigurationParts &parts, ModelFaults &faults)
+{
+    std::map<std::string, CustomerId> owners;
+    for (const auto &[id, customer] : parts.customers) {
+        for (const std::string &digest : customer.keyDigests) {
+            if (!owners.emplace(digest, id).second)
+                faults.push_back({ModelErrc::DuplicateEntry, "API key of customer " + id.text()});
+        }
+    }
+}
+
+} // namespace
+
+void check(const Customer &customer, ModelFaults &faults)
+{
+    const std::string subject = "customer " + customer.id.text();
+    checkIdentifier(customer.id.text(), subject, faults);
+    if (!(customer.share >= minShare && customer.share <= maxShare))
+        faults.push_back({ModelErrc::InvalidShare, subject});
+    for (const std::string &digest : customer.keyDigests) {
+        if (!isDigest(digest))
+            faults.push_back({ModelErrc::InvalidKeyDigest, subject});
+    }
+}
+
+void check(const BackendPool &pool, ModelFaults &faults)
+{
+    const std::string subject = "pool " + pool.id.text();
+    checkIdentifier(pool.id.text(), subject, faults);
+    const bool limitsOk = pool.coldLimit >= 1 && pool.coldLimit <= pool.fullLimit
+                          && pool.queueLimit >= 1 && std::isfinite(pool.tokenCost)
+                          && pool.tokenCost > 0;
+    if (!limitsOk)
+        faults.push_back({ModelErrc::InvalidLimit, subject});
+    const Objective &objective = pool.objective;
+    const bool objectiveOk = objective.firstByteMilliseconds > 0 && objective.goodFraction > 0
+                             && objective.goodFraction < 1;
+    if (!objectiveOk)
+        faults.push_back({ModelErrc::InvalidObjective, subject});
+}
+
+ModelFaults check(const ConfigurationParts &parts)
+{
+    ModelFaults faults;
+    for (const auto &[id, zone] : parts.zones)
+        checkIdentifier(id.text(), "zone " + id.text(), faults);
+    for (const auto &[id, pool] : parts.pools)
+        check(pool, faults);
+    for (const auto &[id, customer] : parts.customers)
+        check(customer, faults);
+    checkReferences(parts, faults);
+    checkUniqueKeys(parts, faults);
+    return faults;
+}
+
+Result<Configuration> Configuration::create(Revision revision, ConfigurationParts parts)
+{
+    const ModelFaults faults = check(parts);
+    if (!faults.empty())
+        return faults.front().error;
+    return Configuration(revision, std::move(parts));
+}
+
+Configuration::Configuration(Revision revision, ConfigurationParts parts)
+    : m_revision(revision), m_parts(std::move(parts))
+{
+    for (const auto &[id, customer] : m_parts.customers) {
+        for (const std::string &digest : customer.keyDigests)
+            m_customerByDigest.emplace(digest, id);
+    }
+}
+
+const Route *Configuration::routeFor(std::string_view path) const
+{
+    const Route *best = nullptr;
+    for (const auto &[prefix, route] : m_parts.routes) {
+        if (path.starts_with(prefix) && (!best || prefix.size() > best->prefix.size()))
+            best = &route;
+    }
+    return best;
+}
+
+const Customer *Configuration::customerByKey(std::string_view keyDigest) const
+{
+    // The look-up is by digest, so its duration tells nothing about a key; the last comparison
+    // is constant-time all the same.
+    const auto found = m_customerByDigest.find(keyDigest);
+    if (found == m_customerByDigest.end() || !equalConstantTime(found->first, keyDigest))
+        return nullptr;
+    return customer(found->second);
+}
+
+const BackendPool *Configuration::pool(const PoolId &id) const
+{
+    const auto found = m_parts.pools.find(id);
+    return found == m_parts.pools.end() ? nullptr : &found->second;
+}
+
+const Customer *Configuration::customer(const CustomerId &id) const
+{
+    const auto found = m_parts.customers.find(id);
+    return found == m_parts.customers.end() ? nullptr : &found->second;
+}
+
+bool Configuration::zoneIsOut(const ZoneId &id) const
+{
+    const auto found = m_parts.zones.find(id);
+    return found == m_parts.zones.end() || !found->second.inService;
+}
+
+bool Configuration::operator==(const Configuration &other) const
+{
+    return m_revision == other.m_revision && m_parts == other.m_parts;
+}
+
+} // namespace bilberry
--- /dev/null
+++ b/packages/model/src/releasenote.cpp
@@ -0,0 +1,180 @@
+#include "bilberry/model/releasenote.h"
+
+#include <sstream>
+
+namespace bilberry {
+
+namespace {
+
+const std::string &label(const ZoneId &id)
+{
+    return id.text();
+}
+
+const std::string &label(const PoolId &id)
+{
+    return id.text();
+}
+
+const std::string &label(const CustomerId &id)
+{
+    return id.text();
+}
+
+const std::string &label(const std::string &prefix)
+{
+    return prefix;
+}
+
+template <typename T>
+void assign(T &field, const std::optional<T> &value)
+{
+    if (value)
+        field = *value;
+}
+
+void change(AvailabilityZone &zone, const ZoneChange &change)
+{
+    assign(zone.inService, change.inService);
+}
+
+void change(BackendPool &pool, const PoolChange &change)
+{
+    assign(pool.zones, change.zones);
+    assign(pool.coldLimit, change.coldLimit);
+    assign(pool.fullLimit, change.fullLimit);
+    assign(pool.queueLimit, change.queueLimit);
+    assign(pool.costUnit, change.costUnit);
+    assign(pool.tokenCost, change.tokenCost);
+    assign(pool.objective, change.objective);
+}
+
+void change(Customer &customer, const CustomerChange &change)
+{
+    assign(customer.share, change.share);
+    assign(customer.keyDigests, change.keyDigests);
+}
+
+void change(Route &route, const RouteChange &change)
+{
+    assign(route.pool, change.pool);
+    assign(route.repeatability, change.repeatability);
+}
+
+/// Applies the three sections of a note to the entries of one kind.
+template <typename Key, typename Entry, typename Change>
+void applySections(const std::string &kind, const std::map<Key, Entry> &added,
+                   const std::map<Key, Change> &changed, const std::set<Key> &withdrawn,
+                   std::map<Key, Entry> &entries, ModelFaults &faults)
+{
+    for (const Key &key : withdrawn) {
+        if (entries.erase(key) == 0)
+            faults.push_back({ModelErrc::UnknownEntry, kind + " " + label(key)});
+    }
+    for (const auto &[key, values] : changed) {
+        const auto entry = entries.find(key);
+        if (entry == entries.end())
+            faults.push_back({ModelErrc::UnknownEntry, kind + " " + label(key)});
+        else
+            change(entry->second, values);
+    }
+    for (const auto &[key, entry] : added) {
+        if (!entries.emplace(key, entry).second)
+            faults.push_back({ModelErrc::DuplicateEntry, kind + " " + label(key)});
+    }
+}
+
+std::string describe(const AvailabilityZone &zone)
+{
+    return zone.inService ? "in service" : "out of service";
+}
+
+std::string describe(const BackendPool &pool)
+{
+    std::ostringstream out;
+    out << "zones";
+    for (const ZoneId &zone : pool.zones)
+        out << ' ' << zone;
+    out << ", limits cold " << pool.coldLimit << " full " << pool.fullLimit << " queue "
+        << pool.queueLimit << ", cost ";
+    if (pool.costUnit == CostUnit::Tokens)
+        out << "tokens at " << pool.tokenCost << " ms";
+    else
+        out << "slot time";
+    out << ", objective " << pool.objective.goodFraction * 100 << "% below "
+        << pool.objective.firstByteMilliseconds << " ms";
+    return out.str();
+}
+
+std::string describe(const Customer &customer)
+{
+    std::ostringstream out;
+    out << "share " << customer.share << ", keys";
+    constexpr std::size_t shownDigits = 12;
+    for (const std::string &digest : customer.keyDigests)
+        out << ' ' << digest.substr(0, shownDigits);
+    return out.str();
+}
+
+std::string describe(const Route &route)
+{
+    const char *repeat = "by method";
+    if (route.repeatability == Repeatability::Always)
+        repeat = "always";
+    else if (route.repeatability == Repeatability::Never)
+        repeat = "never";
+    return "pool " + route.pool.text() + ", may repeat " + repeat;
+}
+
+template <typename Key, typename Entry>
+void compare(const std::string &kind, const std::map<Key, Entry> &before,
+             const std::map<Key, Entry> &after, std::vector<PlannedChange> &changes)
+{
+    using Kind = PlannedChange::Kind;
+    for (const auto &[key, entry] : before) {
+        const std::string subject = kind + " " + label(key);
+        const auto now = after.find(key);
+        if (now == after.end())
+            changes.push_back({Kind::Withdrawn, subject, describe(entry), ""});
+        else if (!(now->second == entry))
+            changes.push_back({Kind::Changed, subject, describe(entry), describe(now->second)});
+    }
+    for (const auto &[key, entry] : after) {
+        if (!before.contains(key))
+            changes.push_back({Kind::Added, kind + " " + label(key), "", describe(entry)});
+    }
+}
+
+} // namespace
+
+AppliedNote applyNote(const ReleaseNote &note, const ConfigurationParts &parts)
+{
+    ConfigurationParts result = parts;
+    ModelFaults faults;
+    applySections("zone", note.added.zones, note.changedZones, note.withdrawnZones, result.zones,
+                  faults);
+    applySections("pool", note.added.pools, note.changedPools, note.withdrawnPools, result.pools,
+                  faults);
+    applySections("customer", note.added.customers, note.changedCustomers, note.withdrawnCustomers,
+                  result.customers, faults);
+    applySections("route", note.added.routes, note.changedRoutes, note.withdrawnRoutes,
+                  result.routes, faults);
+    const ModelFaults broken = check(result);
+    faults.insert(faults.end(), broken.begin(), broken.end());
+    if (!faults.empty())
+        return faults;
+    return result;
+}
+
+std::vector<PlannedChange> difference(const ConfigurationParts &before,
+                                      const ConfigurationParts &after)
+{
+    std::vector<PlannedChange> changes;
+    compare("customer", before.customers, after.customers, changes);
+    compare("pool", before.pools, after.pools, changes);
+    compare("route", before.routes, after.routes, changes);
+    compare("zone", before.zones, after.zones, changes);
+    return changes;
+}
+
+} // namespace bilberry
--- /dev/null
+++ b/packages/model/src/releasenoteparser.cpp
@@ -0,0 +1,324 @@
+#include "bilberry/model/releasenote.h"
+
+#include <yaml-cpp/yaml.h>
+
+#include <functional>
+
+namespace bilberry {
+
+namespace {
+
+/// Walks the note and collects every fault with its line.
+class Parser
+{
+public:
+    ParsedReleaseNote parse(const std::string &text)
+    {
+        try {
+            const YAML::Node root = YAML::Load(text);
+            parseRoot(root);
+        } catch (const YAML::Exception &exception) {
+            m_faults.push_back(
+                    {ModelErrc::MalformedDocument, exception.mark.line + 1, exception.msg});
+        }
+        if (!m_faults.empty())
+            return m_faults;
+        return m_note;
+    }
+
+private:
+    using EntryReader = std::function<void(const std::string &key, const YAML::Node &value)>;
+    using FieldReader = std::function<bool(const std::string &name, const YAML::Node &value)>;
+
+    void fault(ModelErrc error, const YAML::Node &node, const std::string &subject)
+    {
+        m_faults.push_back({error, node.Mark().line + 1, subject});
+    }
+
+    bool expectMap(const YAML::Node &node, const std::string &subject)
+    {
+        if (node.IsNull() || node.IsMap())
+            return node.IsMap();
+        fault(ModelErrc::MalformedDocument, node, subject + " is expected to be a map");
+        return false;
+    }
+
+    /// Reads each entry of a map by the reader of its key.
+    void section(const YAML::Node &node, const std::string &path,
+                 const std::map<std::string, EntryReader> &readers)
+    {
+        if (!expectMap(node, path))
+            return;
+        for (const auto &part : node) {
+            const std::string kind = part.first.as<std::string>();
+            const auto reader = readers.find(kind);
+            const std::string subject = path + "." + kind;
+            if (reader == readers.end())
+                fault(ModelErrc::UnknownField, part.first, subject);
+            else if (expectMap(part.second, subject))
+                entries(part.second, reader->second);
+        }
+    }
+
+    static void entries(const YAML::Node &map, const EntryReader &reader)
+    {
+        for (const auto &entry : map)
+            reader(entry.first.as<std::string>(), entry.second);
+    }
+
+    /// Reads the fields of one entry; the reader returns false for an unknown field.
+    void fields(const YAML::Node &node, const std::string &subject, const FieldReader &reader)
+    {
+        if (!expectMap(node, subject))
+            return;
+        for (const auto &field : node) {
+            const std::string name = field.first.as<std::string>();
+            try {
+                if (!reader(name, field.second))
+                    fault(ModelErrc::UnknownField, field.first, subject + "." + name);
+            } catch (const YAML::Exception &) {
+                fault(ModelErrc::MalformedDocument, field.second, subject + "." + name);
+            }
+        }
+    }
+
+    template <typename T>
+    std::optional<T> word(const YAML::Node &node, const std::map<std::string, T> &words,
+                          const std::string &subject)
+    {
+        const auto found = words.find(node.as<std::string>());
+        if (found != words.end())
+            return found->second;
+        fault(ModelErrc::MalformedDocument, node, subject);
+        return std::nullopt;
+    }
+
+    void parseRoot(const YAML::Node &root)
+    {
+        if (!expectMap(root, "release note"))
+            return;
+        for (const auto &part : root) {
+            const std::string name = part.first.as<std::string>();
+            if (name == "added")
+                parseAdded(part.second);
+            else if (name == "changed")
+                parseChanged(part.second);
+            else if (name == "withdrawn")
+                parseWithdrawn(part.second);
+            else
+                fault(ModelErrc::UnknownField, part.first, name);
+        }
+    }
+
+    void parseAdded(const YAML::Node &node)
+    {
+        section(node, "added",
+                {{"zones", [this](auto &key, auto &value) { addZone(key, value); }},
+                 {"pools", [this](auto &key, auto &value) { addPool(key, value); }},
+                 {"customers", [this](auto &key, auto &value) { addCustomer(key, value); }},
+                 {"routes", [this](auto &key, auto &value) { addRoute(key, value); }}});
+    }
+
+    void addZone(const std::string &key, const YAML::Node &value)
+    {
+        const ZoneId id(key);
+        const ZoneChange change = zoneChange(value, "zone " + key);
+        m_note.added.zones[id] = {id, change.inService.value_or(true)};
+    }
+
+    void addPool(const std::string &key, const YAML::Node &value)
+    {
+        const PoolChange change = poolChange(value, "pool " + key);
+        const BackendPool defaults;
+        BackendPool pool;
+        pool.id = PoolId(key);
+        pool.zones = change.zones.value_or(defaults.zones);
+        pool.coldLimit = change.coldLimit.value_or(defaults.coldLimit);
+        pool.fullLimit = change.fullLimit.value_or(defaults.fullLimit);
+        pool.queueLimit = change.queueLimit.value_or(defaults.queueLimit);
+        pool.costUnit = change.costUnit.value_or(defaults.costUnit);
+        pool.tokenCost = change.tokenCost.value_or(defaults.tokenCost);
+        pool.objective = change.objective.value_or(defaults.objective);
+        m_note.added.pools[pool.id] = pool;
+    }
+
+    void addCustomer(const std::string &key, const YAML::Node &value)
+    {
+        const CustomerId id(key);
+        const CustomerChange change = customerChange(value, "customer " + key);
+        m_note.added.customers[id] = {id, change.share.value_or(1.0),
+                                      change.keyDigests.value_or(std::vector<std::string>())};
+    }
+
+    void addRoute(const std::string &key, const YAML::Node &value)
+    {
+        const RouteChange change = routeChange(value, "route " + key);
+        if (!change.pool)
+            fault(ModelErrc::UnknownPool, value, "route " + key);
+        m_note.added.routes[key] = {key, change.pool.value_or(PoolId()),
+                                    change.repeatability.value_or(Repeatability::ByMethod)};
+    }
+
+    void parseChanged(const YAML::Node &node)
+    {
+        section(node, "changed",
+                {{"zones",
+                  [this](auto &key, auto &value) {
+                      m_note.changedZones[ZoneId(key)] = zoneChange(value, "zone " + key);
+                  }},
+                 {"pools",
+                  [this](auto &key, auto &value) {
+                      m_note.changedPools[PoolId(key)] = poolChange(value, "pool " + key);
+                  }},
+                 {"customers",
+                  [this](auto &key, auto &value) {
+                      m_note.changedCustomers[CustomerId(key)]
+                              = customerChange(value, "customer " + key);
+                  }},
+                 {"routes", [this](auto &key, auto &value) {
+                      m_note.changedRoutes[key] = routeChange(value, "route " + key);
+                  }}});
+    }
+
+    ZoneChange zoneChange(const YAML::Node &node, const std::string &subject)
+    {
+        ZoneChange change;
+        fields(node, subject, [&](const std::string &name, const YAML::Node &value) {
+            if (name != "inService")
+                return false;
+            change.inService = value.as<bool>();
+            return true;
+        });
+        return change;
+    }
+
+    PoolChange poolChange(const YAML::Node &node, const std::string &subject)
+    {
+        PoolChange change;
+        const std::map<std::string, std::function<void(const YAML::Node &)>> readers = {
+                {"zones", [&](auto &value) { change.zones = zoneList(value); }},
+                {"coldLimit",
+                 [&](auto &value) { change.coldLimit = value.template as<uint32_t>(); }},
+                {"fullLimit",
+                 [&](auto &value) { change.fullLimit = value.template as<uint32_t>(); }},
+                {"queueLimit",
+                 [&](auto &value) { change.queueLimit = value.template as<uint32_t>(); }},
+                {"tokenCost", [&](auto &value) { change.tokenCost = value.template as<double>(); }},
+                {"costUnit",
+                 [&](auto &value) {
+                     change.costUnit = word<CostUnit>(
+                             value,
+                             {{"slot-time", CostUnit::SlotTime}, {"tokens", CostUnit::Tokens}},
+                             subject + ".costUnit");
+                 }},
+                {"objective",
+                 [&](auto &value) { change.objective = objective(value, subject + ".objective"); }},
+        };
+        fields(node, subject, [&](const std::string &name, const YAML::Node &value) {
+            const auto reader = readers.find(name);
+            if (reader == readers.end())
+                return false;
+            reader->second(value);
+            return true;
+        });
+        return change;
+    }
+
+    static std::vector<ZoneId> zoneList(const YAML::Node &node)
+    {
+        std::vector<ZoneId> zones;
+        for (const YAML::Node &zone : node)
+            zones.emplace_back(zone.as<std::string>());
+        return zones;
+    }
+
+    Objective objective(const YAML::Node &node, const std::string &subject)
+    {
+        Objective objective;
+        fields(node, subject, [&](const std::string &name, const YAML::Node &value) {
+            if (name == "firstByteMilliseconds")
+                objective.firstByteMilliseconds = value.as<double>();
+            else if (name == "goodFraction")
+                objective.goodFraction = value.as<double>();
+            else
+                return false;
+            return true;
+        });
+        return objective;
+    }
+
+    CustomerChange customerChange(const YAML::Node &node, const std::string &subject)
+    {
+        CustomerChange change;
+        fields(node, subject, [&](const std::string &name, const YAML::Node &value) {
+            if (name == "share")
+                change.share = value.as<double>();
+            else if (name == "keyDigests")
+                change.keyDigests = value.as<std::vector<std::string>>();
+            else
+                return false;
+            return true;
+        });
+        return change;
+    }
+
+    RouteChange routeChange(const YAML::Node &node, const std::string &subject)
+    {
+        RouteChange change;
+        fields(node, subject, [&](const std::string &name, const YAML::Node &value) {
+            if (name == "pool")
+                change.pool = PoolId(value.as<std::string>());
+            else if (name == "repeatable")
+                change.repeatability = word<Repeatability>(value,
+                                                           {{"by-method", Repeatability::ByMethod},
+                                                            {"always", Repeatability::Always},
+                                                            {"never", Repeatability::Never}},
+                                                           subject + ".repeatable");
+            else
+                return false;
+            return true;
+        });
+        return change;
+    }
+
+    void parseWithdrawn(const YAML::Node &node)
+    {
+        if (!expectMap(node, "withdrawn"))
+            return;
+        for (const auto &part : node) {
+            const std::string kind = part.first.as<std::string>();
+            if (!withdraw(kind, part.second))
+                fault(ModelErrc::UnknownField, part.first, "withdrawn." + kind);
+        }
+    }
+
+    bool withdraw(const std::string &kind, const YAML::Node &names)
+    {
+        const auto list = names.as<std::vector<std::string>>();
+        for (const std::string &name : list) {
+            if (kind == "zones")
+                m_note.withdrawnZones.emplace(name);
+            else if (kind == "pools")
+                m_note.withdrawnPools.emplace(name);
+            else if (kind == "customers")
+                m_note.withdrawnCustomers.emplace(name);
+            else if (kind == "routes")
+                m_note.withdrawnRoutes.insert(name);
+            else
+                return false;
+        }
+        return true;
+    }
+
+    ReleaseNote m_note;
+    std::vector<ReleaseNoteFault> m_faults;
+};
+
+} // namespace
+
+ParsedReleaseNote parseReleaseNote(const std::string &text)
+{
+    return Parser().parse(text);
+}
+
+} // namespace bilberry
--- /dev/null
+++ b/packages/router/include/bilberry/router/coordinator.h
@@ -0,0 +1,101 @@
+#ifndef BILBERRY_ROUTER_COORDINATOR_H
+#define BILBERRY_ROUTER_COORDINATOR_H
+
+#include "bilberry/base/log.h"
+#include "bilberry/decision/membership.h"
+#include "bilberry/decision/serviceaggregator.h"
+#include "bilberry/router/routersettings.h"
+#include "bilberry/wire/gossipmessages.h"
+
+#include <functional>
+#include <map>
+#include <set>
+
+namespace bilberry::router {
+
+/// Where the coordinator's output goes.
+struct CoordinatorHooks
+{
+    std::function<void(const RouterId &, const wire::GossipMessage &)> send;
+    std::function<void(const decision::ServiceKey &, const decision::RemoteService &,
+                       bool aggregatorChanged)>
+            remoteService;
+    std::function<void(const wire::QuarantineNotice &)> quarantine;
+    /// The stamp for the agents changed or is due again.
+    std::function<void(const wire::ConfigurationStamp &)> stamp;
+    /// A peer has a newer configuration.
+    std::function<void(const RouterId &)> fetchConfiguration;
+    /// Whether this router shall watch the configuration at the platform.
+    std::function<void(bool)> watch;
+};
+
+/// What a router does together with the other routers: membership, service counters,
+/// configuration freshness, quarantine. No I/O.
+class Coordinator
+{
+public:
+    Coordinator(const RouterSettings &settings, Incarnation incarnation, CoordinatorHooks hooks);
+
+    void received(const wire::GossipMessage &message, TimePoint now);
+
+    /// @param vms routers and agents of the platform's list or the settings
+    void setKnown(const std::vector<platform::Vm> &vms);
+    void setLinkedServers(std::vector<ServerId> servers) { m_linked = std::move(servers); }
+    void setOwnService(const std::vector<decision::OwnService> &own, TimePoint now);
+    void spreadQuarantine(const std::vector<wire::QuarantineNotice> &notices, TimePoint now);
+
+    /// A revision was put in force here.
+    void inForce(Revision revision, TimePoint now);
+    /// The platform proved a revision to be the newest.
+    void proof(Revision revision, Duration age, TimePoint now);
+    /// A call to the platform failed.
+    void platformFailed() { m_platformReachable = false; }
+    /// The router is shutting down.
+    void leave(TimePoint now);
+
+    /// Probes and stamps; called every 50 ms.
+    void tick(TimePoint now);
+
+    wire::ConfigurationStamp stamp(TimePoint now) const;
+    std::vector<std::string> liveRouters(TimePoint now) const { return m_membership.live(now); }
+    bool platformReachable() const { return m_platformReachable; }
+
+private:
+    void handle(const wire::Probe &probe, TimePoint now);
+    void handle(const wire::ProbeAck &ack, TimePoint now);
+    void handle(const wire::ServiceReport &report, TimePoint now);
+    void handle(const wire::ServiceTotals &totals, TimePoint now);
+    void handle(const wire::QuarantineGossip &gossip, TimePoint now);
+
+    wire::GossipSender self() const;
+    void takeStamp(const RouterId &from, const wire::ConfigurationStamp &stamp, TimePoint now);
+    RouterId ownerOf(const decision::ServiceKey &key) const;
+    void refreshOwners(TimePoint now);
+    void aggregate(const wire::ServiceReport &report, TimePoint now);
+    void sendProbes(TimePoint now);
+    void sendStamp(TimePoint now);
+    void decideWatch(TimePoint now);
+
+    RouterSettings m_settings;
+    Incarnation m_incarnation;
+    CoordinatorHooks m_hooks;
+    Log m_log{"router.coordinator"};
+    decision::Membership m_membership;
+    decision::Freshness m_freshness;
+    decision::ServiceAggregator m_aggregator{{}};
+    decision::ReportPlanner m_planner;
+    std::vector<std::string> m_live;
+    std::map<decision::ServiceKey, RouterId> m_lastOwner; ///< whose totals are in force
+    std::vector<ServerId> m_linked;
+    bool m_platformReachable = false;
+    bool m_leaving = false;
+    std::uint64_t m_sequence = 0;
+    std::size_t m_nextProbe = 0;
+    TimePoint m_probedAt{};
+    TimePoint m_stampedAt{};
+    TimePoint m_expiredAt{};
+};
+
+} // namespace bilberry::router
+
+#endif
--- /dev/null
+++ b/packages/router/include/bilberry/router/gossipsocket.h
@@ -0,0 +1,45 @@
+#ifndef BILBERRY_ROUTER_GOSSIPSOCKET_H
+#define BILBERRY_ROUTER_GOSSIPSOCKET_H
+
+#include "bilberry/base/log.h"
+#include "bilberry/platform/objectstore.h"
+#include "bilberry/wire/codec.h"
+
+#include <boost/asio/ip/udp.hpp>
+
+#include <array>
+#include <functional>
+#include <map>
+
+namespace bilberry::router {
+
+/// Sends and receives datagrams between routers. Runs on one event loop.
+class GossipSocket
+{
+public:
+    using ReceiveHook = std::function<void(wire::GossipMessage &&)>;
+
+    /// Binds at once; throws std::system_error when the address can't be used.
+    GossipSocket(boost::asio::io_context &context, const std::string &address, std::uint16_t port,
+                 ReceiveHook onReceive, std::function<void(std::size_t)> onSent);
+
+    /// Starts receiving.
+    void start();
+    void setPeers(const std::vector<platform::Vm> &routers);
+    void send(const RouterId &router, const wire::GossipMessage &message);
+
+private:
+    void receive();
+
+    boost::asio::ip::udp::socket m_socket;
+    ReceiveHook m_onReceive;
+    std::function<void(std::size_t)> m_onSent;
+    Log m_log{"router.gossip"};
+    std::map<RouterId, boost::asio::ip::udp::endpoint> m_peers;
+    std::array<char, 65536> m_buffer{};
+    boost::asio::ip::udp::endpoint m_from;
+};
+
+} // namespace bilberry::router
+
+#endif
--- /dev/null
+++ b/packages/router/include/bilberry/router/platformduty.h
@@ -0,0 +1,82 @@
+#ifndef BILBERRY_ROUTER_PLATFORMDUTY_H
+#define BILBERRY_ROUTER_PLATFORMDUTY_H
+
+#include "bilberry/admin/adminclient.h"
+#include "bilberry/base/log.h"
+#include "bilberry/platform/configurationstore.h"
+#include "bilberry/platform/httpobjectstore.h"
+#include "bilberry/router/claimevents.h"
+#include "bilberry/router/routersettings.h"
+
+#include <functional>
+#include <memory>
+#include <unordered_map>
+
+namespace bilberry::router {
+
+/// What the platform's duty tells the others; all calls come on its event loop.
+struct PlatformDutyHooks
+{
+    std::function<void(ConfigurationPtr)> configuration;
+    std::function<void(Revision, Duration age)> proof;
+    std::function<void()> failed;
+    std::function<void(const std::vector<platform::Vm> &)> vms;
+    std::function<void(ClaimOpened &&)> claimOpened;
+    platform::CallHook called;
+};
+
+/// Watches the configuration, reads the VM list and keeps claims. Runs on one event loop.
+class PlatformDuty
+{
+public:
+    PlatformDuty(boost::asio::io_context &context, const RouterSettings &settings,
+                 PlatformDutyHooks hooks);
+
+    /// Starts the watch and the list reads.
+    void start();
+
+    /// @param watch false: other routers watch, their proof is enough
+    void setWatch(bool watch) { m_watch = watch; }
+
+    /// Takes the newer configuration of a peer.
+    void fetchFrom(const RouterId &peer);
+
+    /// Puts a configuration in force that a peer or an operator handed over.
+    void offer(ConfigurationPtr configuration);
+
+    void claim(ClaimCommand &&command);
+
+private:
+    platform::Awaitable<void> watchLoop();
+    platform::Awaitable<void> watchOnce();
+    platform::Awaitable<void> listLoop();
+    platform::Awaitable<void> fetch(admin::AdminEndpoint endpoint);
+    platform::Awaitable<void> openClaim(OpenClaim command);
+    platform::Awaitable<void> releaseClaim(ReleaseClaim command);
+    platform::Awaitable<void> finishClaim(FinishClaim command);
+    platform::Awaitable<void> pause(Duration duration);
+
+    /// A claim that this process created.
+    struct HeldClaim
+    {
+        std::string token;
+        platform::ObjectVersion version = 0; ///< 0: not known
+    };
+
+    boost::asio::io_context &m_context;
+    RouterSettings m_settings;
+    PlatformDutyHooks m_hooks;
+    Log m_log{"router.platform"};
+    std::unique_ptr<platform::ObjectStore> m_store;
+    platform::ConfigurationStore m_configurations;
+    platform::ObjectVersion m_headVersion = 0;
+    Revision m_revision = 0;
+    bool m_watch = true;
+    bool m_fetching = false;
+    std::map<RouterId, admin::AdminEndpoint> m_peers;
+    std::unordered_map<std::string, HeldClaim> m_held;
+};
+
+} // namespace bilberry::router
+
+#endif
--- /dev/null
+++ b/packages/router/include/bilberry/router/routersettings.h
@@ -0,0 +1,65 @@
+#ifndef BILBERRY_ROUTER_ROUTERSETTINGS_H
+#define BILBERRY_ROUTER_ROUTERSETTINGS_H
+
+#include "bilberry/base/settings.h"
+#include "bilberry/decision/fairqueue.h"
+#include "bilberry/decision/freshness.h"
+#include "bilberry/decision/reportplanner.h"
+#include "bilberry/platform/httpobjectstore.h"
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+namespace bilberry::router {
+
+/// How a router shares capacity between customers.
+enum class FairnessMode {
+    Fleet, ///< by service counted over all routers
+    Local, ///< by service of this router only (a baseline for measurements)
+    Fifo,  ///< by arrival (a baseline for measurements)
+};
+
+/// Limits on what one caller may send.
+struct CallerLimits
+{
+    std::size_t headBytes = 16U << 10U;
+    std::size_t bodyBytes = 1U << 20U;
+    std::size_t connections = 20000;
+    Duration headLimit = std::chrono::seconds(10);  ///< from the first wait to the whole head
+    Duration bodyLimit = std::chrono::seconds(30);  ///< from the head to the whole body
+    Duration idleLimit = std::chrono::seconds(120); ///< between two requests
+    bool operator==(const CallerLimits &) const = default;
+};
+
+/// Settings of one router process.
+struct RouterSettings
+{
+    RouterId router;
+    ZoneId zone;
+    std::string listenAddress;    ///< IP number for callers, routers and operators
+    std::uint16_t callerPort = 0; ///< HTTP port for callers
+    std::uint16_t gossipPort = 0; ///< UDP port for routers
+    std::uint16_t adminPort = 0;  ///< HTTP port for operators
+    platform::PlatformSettings platform;
+    std::vector<platform::Vm> peers;  ///< known before the platform's list is
+    std::vector<platform::Vm> agents; ///< known before the platform's list is
+    CallerLimits callers;
+    FairnessMode fairness = FairnessMode::Fleet;
+    std::size_t queueLimit = 10000; ///< waiting requests of all customers of a pool
+    Duration queueTimeLimit = std::chrono::seconds(30); ///< longest wait for a slot
+    Duration drainLimit = std::chrono::minutes(10);     ///< longest graceful shutdown
+    Duration listPeriod = std::chrono::seconds(2);      ///< between two reads of the VM list
+    std::size_t watchers = 3;    ///< routers that watch the configuration at the platform
+    double catchUpCap = 60000.0; ///< see LedgerSettings
+    decision::ReportSettings reports;
+    decision::FreshnessSettings freshness;
+    bool operator==(const RouterSettings &) const = default;
+};
+
+/// Reads the settings; faults stay in the reader.
+RouterSettings readRouterSettings(SettingsReader &reader);
+
+} // namespace bilberry::router
+
+#endif
--- /dev/null
+++ b/packages/router/src/agentlinks.cpp
@@ -0,0 +1,192 @@
+#include "bilberry/router/agentlinks.h"
+
+#include "bilberry/base/digest.h"
+#include "bilberry/model/configurationcodec.h"
+
+#include <algorithm>
+
+namespace bilberry::router {
+
+namespace asio = boost::asio;
+
+namespace {
+
+constexpr Duration firstBackoff = std::chrono::milliseconds(100);
+constexpr Duration longestBackoff = std::chrono::seconds(2);
+
+/// Agents need no customers: neither their keys nor their shares.
+std::string encodeForAgents(const Configuration &configuration)
+{
+    ConfigurationParts parts = configuration.parts();
+    parts.customers.clear();
+    const Result<Configuration> reduced
+            = Configuration::create(configuration.revision(), std::move(parts));
+    return reduced ? encodeConfiguration(reduced.value()) : std::string();
+}
+
+/// Spreads reconnections: half of the delay is random.
+Duration jittered(Duration delay)
+{
+    constexpr std::uint64_t steps = 1000;
+    return delay / 2 + delay / 2 * static_cast<long>(randomId() % steps) / static_cast<long>(steps);
+}
+
+} // namespace
+
+AgentLinks::AgentLinks(asio::io_context &context, wire::RouterHello hello, AgentLinksHooks hooks)
+    : m_context(context), m_hello(std::move(hello)), m_hooks(std::move(hooks))
+{
+}
+
+void AgentLinks::setAgents(const std::vector<platform::Vm> &agents)
+{
+    std::map<std::string, platform::Vm> wanted;
+    for (const platform::Vm &vm : agents) {
+        if (vm.role == platform::VmRole::Agent)
+            wanted[vm.name] = vm;
+    }
+    std::vector<std::string> gone;
+    for (const auto &[name, target] : m_targets) {
+        // The list lags, so that a working link outlives its entry.
+        if (!wanted.contains(name) && !target.greeted)
+            gone.push_back(name);
+    }
+    for (const std::string &name : gone)
+        m_targets.erase(name);
+    for (const auto &[name, vm] : wanted) {
+        Target &target = m_targets[name];
+        target.vm = vm;
+        if (!target.link && !target.connecting)
+            connect(name);
+    }
+}
+
+void AgentLinks::connect(const std::string &name)
+{
+    const auto found = m_targets.find(name);
+    if (found == m_targets.end())
+        return;
+    boost::system::error_code error;
+    const auto address = asio::ip::make_address(found->second.vm.address, error);
+    if (error) {
+        m_log.warning("Agent " + name + " has an address that is no IP number.");
+        return;
+    }
+    found->second.connecting = true;
+    const auto socket = std::make_shared<asio::ip::tcp::socket>(m_context);
+    socket->async_connect({address, found->second.vm.port},
+                          [this, name, socket](boost::system::error_code failure) {
+                              if (failure)
+                                  retryLater(name);
+                              else
+                                  connected(name, std::move(*socket));
+                          });
+}
+
+void AgentLinks::connected(const std::string &name, asio::ip::tcp::socket socket)
+{
+    const auto found = m_targets.find(name);
+    if (found == m_targets.end())
+        return;
+    const std::uint64_t generation = ++m_lastGeneration;
+    wire::FrameLinkHooks hooks;
+    hooks.received = [this, name, generation](wire::LinkMessage &&message) {
+        received(name, generation, std::move(message));
+    };
+    hooks.closed
+            = [this, name, generation](std::error_code error) { closed(name, generation, error); };
+    hooks.controlSent = m_hooks.controlSent;
+    Target &target = found->second;
+    target.connecting = false;
+    target.generation = generation;
+    target.link = std::make_shared<wire::FrameLink>(std::move(socket), std::move(hooks));
+    target.link->start();
+    target.link->send(m_hello);
+}
+
+void AgentLinks::retryLater(const std::string &name)
+{
+    const auto found = m_targets.find(name);
+    if (found == m_targets.end())
+        return;
+    Target &target = found->second;
+    target.connecting = true;
+    target.backoff = std::clamp(target.backoff * 2, firstBackoff, longestBackoff);
+    const auto timer = std::make_shared<asio::steady_timer>(m_context, jittered(target.backoff));
+    timer->async_wait([this, name, timer](boost::system::error_code error) {
+        if (!error)
+            connect(name);
+    });
+}
+
+void AgentLinks::received(const std::string &name, std::uint64_t generation,
+                          wire::LinkMessage &&message)
+{
+    const auto found = m_targets.find(name);
+    if (found == m_targets.end() || found->second.generation != generation)
+        return;
+    Target &target = found->second;
+    if (auto *hello = std::get_if<wire::AgentHello>(&message)) {
+        target.greeted = true;
+        target.backoff = {};
+        target.server = hello->server;
+        m_nameOf[target.server] = name;
+        m_hooks.up(std::move(*hello));
+        return;
+    }
+    if (std::holds_alternative<wire::ConfigurationRequest>(message)) {
+        if (!m_document.empty())
+            target.link->send(wire::ConfigurationOffer{m_document});
+        return;
+    }
+    if (target.greeted)
+        m_hooks.received(target.server, std::move(message));
+}
+
+void AgentLinks::closed(const std::string &name, std::uint64_t generation, std::error_code error)
+{
+    const auto found = m_targets.find(name);
+    if (found == m_targets.end() || found->second.generation != generation)
+        return;
+    Target &target = found->second;
+    m_log.info("Link to agent " + name + " closed: " + error.message() + ".");
+    target.link.reset();
+    if (std::exchange(target.greeted, false)) {
+        m_nameOf.erase(target.server);
+        m_hooks.down(target.server);
+    }
+    retryLater(name);
+}
+
+void AgentLinks::send(const ServerId &server, const wire::LinkMessage &message)
+{
+    const auto name = m_nameOf.find(server);
+    if (name == m_nameOf.end())
+        return;
+    // A failing send resets the target's link; the copy keeps it alive until then.
+    const std::shared_ptr<wire::FrameLink> link = m_targets[name->second].link;
+    if (link)
+        link->send(message);
+}
+
+void AgentLinks::setStamp(const wire::ConfigurationStamp &stamp)
+{
+    m_hello.stamp = stamp;
+    for (const ServerId &server : linked())
+        send(server, wire::RouterHeartbeat{stamp});
+}
+
+void AgentLinks::setConfiguration(ConfigurationPtr configuration)
+{
+    m_document = encodeForAgents(*configuration);
+}
+
+std::vector<ServerId> AgentLinks::linked() const
+{
+    std::vector<ServerId> servers;
+    for (const auto &[server, name] : m_nameOf)
+        servers.push_back(server);
+    return servers;
+}
+
+} // namespace bilberry::router
--- /dev/null
+++ b/packages/router/src/coordinator.cpp
@@ -0,0 +1,260 @@
+#include "bilberry/router/coordinator.h"
+
+#include "bilberry/decision/rendezvous.h"
+
+#include <algorithm>
+
+namespace bilberry::router {
+
+namespace {
+
+constexpr Duration probePeriod = std::chrono::milliseconds(500);
+constexpr Duration stampPeriod = std::chrono::milliseconds(500);
+constexpr Duration expirePeriod = std::chrono::seconds(1);
+/// Peers probed in one period.
+constexpr std::size_t maxProbes = 8;
+constexpr std::uint32_t noProof = 0xffffffffU;
+
+std::string ownerKey(const decision::ServiceKey &key)
+{
+    return key.customer.text();
+}
+
+} // namespace
+
+Coordinator::Coordinator(const RouterSettings &settings, Incarnation incarnation,
+                         CoordinatorHooks hooks)
+    : m_settings(settings), m_incarnation(incarnation), m_hooks(std::move(hooks)),
+      m_membership(settings.router, {}), m_freshness(settings.freshness),
+      m_planner(settings.reports), m_live{settings.router.text()}
+{
+    std::vector<platform::Vm> vms = settings.peers;
+    vms.insert(vms.end(), settings.agents.begin(), settings.agents.end());
+    setKnown(vms);
+}
+
+void Coordinator::setKnown(const std::vector<platform::Vm> &vms)
+{
+    std::set<RouterId> routers;
+    std::set<ServerId> servers;
+    for (const platform::Vm &vm : vms) {
+        if (vm.role == platform::VmRole::Router)
+            routers.emplace(vm.name);
+        else
+            servers.emplace(vm.name);
+    }
+    m_membership.setKnown(std::move(routers), std::move(servers));
+}
+
+wire::GossipSender Coordinator::self() const
+{
+    return {m_settings.router, m_incarnation, m_settings.zone};
+}
+
+void Coordinator::received(const wire::GossipMessage &message, TimePoint now)
+{
+    std::visit([&](const auto &alternative) { handle(alternative, now); }, message);
+}
+
+void Coordinator::handle(const wire::Probe &probe, TimePoint now)
+{
+    m_membership.heard({probe.sender.router, probe.sender.incarnation, probe.platformReachable,
+                        probe.leaving, probe.reachablePeers, probe.reachableServers},
+                       now);
+    m_hooks.send(probe.sender.router,
+                 wire::ProbeAck{self(), probe.sequence, stamp(now), m_platformReachable});
+    takeStamp(probe.sender.router, probe.stamp, now);
+}
+
+void Coordinator::handle(const wire::ProbeAck &ack, TimePoint now)
+{
+    m_membership.heard(ack.sender.router, ack.sender.incarnation, ack.platformReachable, now);
+    takeStamp(ack.sender.router, ack.stamp, now);
+}
+
+void Coordinator::takeStamp(const RouterId &from, const wire::ConfigurationStamp &stamp,
+                            TimePoint now)
+{
+    if (stamp.revision > m_freshness.revision())
+        m_hooks.fetchConfiguration(from);
+    if (stamp.proofAgeMs != noProof)
+        m_freshness.proof(stamp.revision, std::chrono::milliseconds(stamp.proofAgeMs), now);
+}
+
+void Coordinator::handle(const wire::ServiceReport &report, TimePoint now)
+{
+    aggregate(report, now);
+}
+
+void Coordinator::aggregate(const wire::ServiceReport &report, TimePoint now)
+{
+    const decision::ReportOrigin origin{report.sender.router, report.sender.incarnation};
+    wire::ServiceTotals answer{self(), {}, {}};
+    for (const wire::ServiceCounter &counter : report.counters) {
+        const decision::ServiceKey key{counter.pool, counter.customer};
+        m_aggregator.report(origin, report.sequence,
+                            {key, counter.service, counter.offset, counter.backlogged}, now);
+        const auto total = m_aggregator.totalFor(key, origin, now);
+        if (total)
+            answer.totals.push_back({counter.customer, counter.pool, total->normalised,
+                                     total->ratePerSecond, total->offset});
+    }
+    if (answer.totals.empty())
+        return;
+    if (report.sender.router == m_settings.router)
+        handle(answer, now);
+    else
+        m_hooks.send(report.sender.router, answer);
+}
+
+void Coordinator::handle(const wire::ServiceTotals &totals, TimePoint now)
+{
+    static_cast<void>(now);
+    for (const wire::ServiceTotal &total : totals.totals) {
+        const decision::ServiceKey key{total.pool, total.customer};
+        const RouterId &from = totals.sender.router;
+        if (from != ownerOf(key))
+            continue;
+        const auto last = m_lastOwner.find(key);
+        const bool changed = last == m_lastOwner.end() || last->second != from;
+        m_lastOwner[key] = from;
+        m_hooks.remoteService(key, {total.remoteService, total.remoteRate, total.offset}, changed);
+    }
+}
+
+void Coordinator::handle(const wire::QuarantineGossip &gossip, TimePoint)
+{
+    for (const wire::QuarantineNotice &notice : gossip.notices)
+        m_hooks.quarantine(notice);
+}
+
+RouterId Coordinator::ownerOf(const decision::ServiceKey &key) const
+{
+    return RouterId(m_live[decision::rendezvousOwner(ownerKey(key), m_live)]);
+}
+
+void Coordinator::refreshOwners(TimePoint now)
+{
+    std::vector<std::string> live = m_membership.live(now);
+    if (live == m_live)
+        return;
+    std::vector<decision::ServiceKey> moved;
+    const std::vector<std::string> before = std::exchange(m_live, std::move(live));
+    for (const auto &[key, owner] : m_lastOwner) {
+        if (ownerOf(key) != owner)
+            moved.push_back(key);
+    }
+    for (const decision::ServiceKey &key : moved)
+        m_planner.resend(key);
+    m_aggregator.keepOnly(
+            [this](const decision::ServiceKey &key) { return ownerOf(key) == m_settings.router; });
+    m_log.info("Live routers: " + std::to_string(m_live.size()) + ", before "
+               + std::to_string(before.size()) + ".");
+}
+
+void Coordinator::setOwnService(const std::vector<decision::OwnService> &own, TimePoint now)
+{
+    if (m_settings.fairness != FairnessMode::Fleet)
+        return;
+    std::map<RouterId, wire::ServiceReport> reports;
+    for (const decision::OwnService &service : m_planner.plan(own, now)) {
+        wire::ServiceReport &report = reports[ownerOf(service.key)];
+        report.counters.push_back({service.key.customer, service.key.pool, service.normalised,
+                                   service.offset, service.backlogged});
+    }
+    for (auto &[owner, report] : reports) {
+        report.sender = self();
+        report.sequence = ++m_sequence;
+        if (owner == m_settings.router)
+            aggregate(report, now);
+        else
+            m_hooks.send(owner, report);
+    }
+}
+
+void Coordinator::spreadQuarantine(const std::vector<wire::QuarantineNotice> &notices,
+                                   TimePoint now)
+{
+    if (notices.empty())
+        return;
+    for (const RouterId &router : m_membership.reachable(now))
+        m_hooks.send(router, wire::QuarantineGossip{self(), notices});
+}
+
+void Coordinator::inForce(Revision revision, TimePoint now)
+{
+    m_freshness.inForce(revision);
+    sendStamp(now);
+    sendProbes(now);
+}
+
+void Coordinator::proof(Revision revision, Duration age, TimePoint now)
+{
+    m_platformReachable = true;
+    m_freshness.proof(revision, age, now);
+}
+
+void Coordinator::leave(TimePoint now)
+{
+    m_leaving = true;
+    sendProbes(now);
+}
+
+wire::ConfigurationStamp Coordinator::stamp(TimePoint now) const
+{
+    wire::ConfigurationStamp stamp;
+    stamp.revision = m_freshness.revision();
+    const auto age = m_freshness.proofAge(now);
+    stamp.proofAgeMs = age ? static_cast<std::uint32_t>(toMilliseconds(*age)) : noProof;
+    stamp.frozen = m_membership.frozenMajority(m_linked, m_platformReachable, now);
+    return stamp;
+}
+
+void Coordinator::sendProbes(TimePoint now)
+{
+    m_probedAt = now;
+    ++m_sequence;
+    wire::Probe probe{
+            self(),   m_sequence, stamp(now), m_platformReachable, m_membership.reachable(now),
+            m_linked, m_leaving};
+    const std::vector<RouterId> peers = m_membership.peers();
+    const std::size_t count = std::min(maxProbes, peers.size());
+    for (std::size_t i = 0; i < count; ++i)
+        m_hooks.send(peers[(m_nextProbe + i) % peers.size()], probe);
+    m_nextProbe += count;
+}
+
+void Coordinator::sendStamp(TimePoint now)
+{
+    m_stampedAt = now;
+    m_hooks.stamp(stamp(now));
+}
+
+void Coordinator::decideWatch(TimePoint now)
+{
+    const auto chosen
+            = decision::rendezvousSubset("configuration watch", m_live, m_settings.watchers);
+    const bool isChosen = std::any_of(chosen.begin(), chosen.end(), [&](std::size_t index) {
+        return m_live[index] == m_settings.router.text();
+    });
+    const auto age = m_freshness.proofAge(now);
+    const bool proofIsOld = !age || *age > m_settings.freshness.proofLimit / 2;
+    m_hooks.watch(isChosen || proofIsOld);
+}
+
+void Coordinator::tick(TimePoint now)
+{
+    refreshOwners(now);
+    if (now - m_probedAt >= probePeriod) {
+        sendProbes(now);
+        decideWatch(now);
+    }
+    if (now - m_stampedAt >= stampPeriod)
+        sendStamp(now);
+    if (now - m_expiredAt >= expirePeriod) {
+        m_expiredAt = now;
+        m_aggregator.expire(now);
+    }
+}
+
+} // namespace bilberry::router
--- /dev/null
+++ b/packages/router/src/gossipsocket.cpp
@@ -0,0 +1,61 @@
+#include "bilberry/router/gossipsocket.h"
+
+namespace bilberry::router {
+
+namespace asio = boost::asio;
+
+GossipSocket::GossipSocket(asio::io_context &context, const std::string &address,
+                           std::uint16_t port, ReceiveHook onReceive,
+                           std::function<void(std::size_t)> onSent)
+    : m_socket(context, asio::ip::udp::endpoint(asio::ip::make_address(address), port)),
+      m_onReceive(std::move(onReceive)), m_onSent(std::move(onSent))
+{
+    m_socket.non_blocking(true);
+}
+
+void GossipSocket::start()
+{
+    receive();
+}
+
+void GossipSocket::setPeers(const std::vector<platform::Vm> &routers)
+{
+    for (const platform::Vm &vm : routers) {
+        boost::system::error_code error;
+        const auto address = asio::ip::make_address(vm.address, error);
+        if (!error && vm.role == platform::VmRole::Router)
+            m_peers[RouterId(vm.name)] = {address, vm.port};
+    }
+}
+
+void GossipSocket::send(const RouterId &router, const wire::GossipMessage &message)
+{
+    const auto peer = m_peers.find(router);
+    if (peer == m_peers.end())
+        return;
+    const std::string datagram = wire::encodeDatagram(message);
+    // A datagram that does not leave at once is lost like one that is lost on its way.
+    boost::system::error_code ignored;
+    m_socket.send_to(asio::buffer(datagram), peer->second, 0, ignored);
+    m_onSent(datagram.size());
+}
+
+void GossipSocket::receive()
+{
+    m_socket.async_receive_from(
+            asio::buffer(m_buffer), m_from,
+            [this](boost::system::error_code error, std::size_t size) {
+                if (error == asio::error::operation_aborted || !m_socket.is_open())
+                    return;
+                if (!error) {
+                    auto message = wire::decodeDatagram({m_buffer.data(), size});
+                    if (message)
+                        m_onReceive(std::move(message).value());
+                    else
+                        m_log.warning("Datagram refused: " + message.error().message() + ".");
+                }
+                receive();
+            });
+}
+
+} // namespace bilberry::router
--- /dev/null
+++ b/packages/router/src/routercore.cpp
@@ -0,0 +1,609 @@
+#include "bilberry/router/routercore.h"
+
+#include "bilberry/base/digest.h"
+#include "bilberry/decision/rendezvous.h"
+
+namespace bilberry::router {
+
+namespace {
+
+/// Requests that are described to an agent; grants beyond them go by the last value.
+constexpr std::size_t demandDepth = 4;
+/// Agents that got no dispatch meanwhile hear of a changed demand at most this often.
+constexpr Duration demandGap = std::chrono::milliseconds(250);
+/// Optimistic tries before a request waits for a grant.
+constexpr std::size_t maxOptimisticTries = 2;
+constexpr std::uint32_t shortRetrySeconds = 1;
+constexpr std::uint32_t longRetrySeconds = 5;
+
+std::uint64_t fingerprintOf(const Submit &submit)
+{
+    return decision::stableHash(submit.customer.text() + '\n' + submit.method + '\n' + submit.target
+                                + '\n' + submit.body);
+}
+
+std::string claimNameOf(const Submit &submit)
+{
+    return "claims/" + submit.customer.text() + '/' + sha256Hex(submit.idempotencyKey);
+}
+
+decision::QueueOrder orderOf(FairnessMode mode)
+{
+    return mode == FairnessMode::Fifo ? decision::QueueOrder::FirstInFirstOut
+                                      : decision::QueueOrder::Fair;
+}
+
+} // namespace
+
+RouterCore::RouterCore(const RouterSettings &settings, Incarnation incarnation, RouterHooks hooks,
+                       decision::RandomHook random)
+    : m_settings(settings), m_hooks(std::move(hooks)), m_lastAttempt(incarnation),
+      m_ledger({std::chrono::seconds(1), settings.catchUpCap,
+                settings.fairness == FairnessMode::Fleet}),
+      m_placement(std::move(random))
+{
+}
+
+void RouterCore::caller(CallerEvent &&event, TimePoint now)
+{
+    std::visit([&](auto &alternative) { this->event(alternative, now); }, event);
+}
+
+void RouterCore::received(const ServerId &server, wire::LinkMessage &&message, TimePoint now)
+{
+    if (m_agents.contains(server))
+        std::visit([&](auto &alternative) { handle(server, alternative, now); }, message);
+}
+
+RouterCore::PoolQueue &RouterCore::poolQueue(const PoolId &pool)
+{
+    const auto found = m_queues.find(pool);
+    if (found != m_queues.end())
+        return found->second;
+    decision::FairQueue queue(orderOf(m_settings.fairness), m_settings.queueLimit);
+    return m_queues.emplace(pool, PoolQueue{std::move(queue), false, false, {}}).first->second;
+}
+
+std::size_t RouterCore::waiting(const PoolId &pool) const
+{
+    const auto found = m_queues.find(pool);
+    return found == m_queues.end() ? 0 : found->second.queue.size();
+}
+
+double RouterCore::share(const CustomerId &customer) const
+{
+    const Customer *found = m_configuration ? m_configuration->customer(customer) : nullptr;
+    return found ? found->share : 1.0;
+}
+
+decision::ServiceKey RouterCore::keyOf(const Request &request) const
+{
+    return {request.submit.pool, request.submit.customer};
+}
+
+decision::StandingHook RouterCore::standing(const PoolId &pool, TimePoint now) const
+{
+    return [this, pool, now](const CustomerId &customer) {
+        const decision::ServiceKey key{pool, customer};
+        return decision::CustomerStanding{m_ledger.virtualTime(key, now),
+                                          m_estimator.estimate(key, std::nullopt)
+                                                  / share(customer)};
+    };
+}
+
+void RouterCore::event(Submit &submit, TimePoint now)
+{
+    ++m_counts.submitted;
+    const RequestId id = submit.request;
+    Request &request = m_requests[id];
+    request.submit = std::move(submit);
+    request.arrivedAt = now;
+    request.fingerprint = fingerprintOf(request.submit);
+    if (!request.submit.mayRepeat && !request.submit.idempotencyKey.empty())
+        request.claimName = claimNameOf(request.submit);
+    m_retryBudgets[request.submit.pool].requestSeen();
+    if (m_quarantine.refuses(request.fingerprint)) {
+        refuse(id, RefusalKind::Quarantined, RequestOutcome::NotRun, 0, now);
+        return;
+    }
+    // A request with a claim takes its grant first, so that no claim is made for a request that
+    // can't run.
+    const bool mayTry = request.claimName.empty() && poolQueue(request.submit.pool).queue.empty();
+    if (!mayTry || !dispatchAtOnce(id, request, now))
+        enqueue(id, request, now);
+}
+
+void RouterCore::event(CallerGone &gone, TimePoint)
+{
+    const auto found = m_requests.find(gone.request);
+    if (found == m_requests.end())
+        return;
+    Request &request = found->second;
+    request.callerGone = true;
+    if (request.stage == Stage::Queued && !request.claimHeld) {
+        const PoolId pool = request.submit.pool;
+        const CustomerId customer = request.submit.customer;
+        poolQueue(pool).queue.remove(gone.request);
+        leaveQueue(pool, customer);
+        m_requests.erase(found);
+        return;
+    }
+    // A request that may not be repeated runs to its end: cutting it off would leave its outcome
+    // open.
+    if (request.stage == Stage::Running && request.submit.mayRepeat)
+        m_hooks.send(request.server, wire::Cancel{request.attempt});
+}
+
+void RouterCore::event(CallerDrained &drained, TimePoint)
+{
+    const auto found = m_requests.find(drained.request);
+    if (found != m_requests.end() && found->second.stage == Stage::Running)
+        m_hooks.send(found->second.server,
+                     wire::AnswerCredit{found->second.attempt, drained.bytes});
+}
+
+bool RouterCore::dispatchAtOnce(RequestId id, Request &request, TimePoint now)
+{
+    const auto usable = [this](const ZoneId &zone) {
+        return m_configuration && !m_configuration->zoneIsOut(zone);
+    };
+    const auto server = m_placement.choose(request.submit.pool, request.refusedBy, usable);
+    if (!server)
+        return false;
+    dispatch(id, request, *server, 0, now);
+    return true;
+}
+
+void RouterCore::dispatch(RequestId id, Request &request, const ServerId &server,
+                          std::uint64_t grant, TimePoint now)
+{
+    const decision::ServiceKey key = keyOf(request);
+    const double virtualTime = m_ledger.virtualTime(key, now);
+    request.stage = Stage::Running;
+    request.server = server;
+    request.grant = grant;
+    request.attempt = ++m_lastAttempt;
+    request.sequence = {};
+    m_requestOf[request.attempt] = id;
+    m_charges.dispatch(request.attempt, key, share(request.submit.customer),
+                       m_estimator.estimate(key, request.submit.costHint));
+    m_ledger.raiseFrontier(key.pool, virtualTime);
+    m_placement.noteDispatch(server);
+    wire::Dispatch message;
+    message.attempt = request.attempt;
+    message.grant = grant;
+    message.agentIncarnation = m_agents[server].incarnation;
+    message.customer = request.submit.customer;
+    message.virtualTime = virtualTime;
+    message.fingerprint = request.fingerprint;
+    message.method = request.submit.method;
+    message.target = request.submit.target;
+    message.headers = request.submit.headers;
+    message.body = request.submit.body;
+    message.demand = demand(key.pool, now);
+    m_hooks.send(server, std::move(message));
+}
+
+void RouterCore::enqueue(RequestId id, Request &request, TimePoint now)
+{
+    const PoolId pool = request.submit.pool;
+    const CustomerId customer = request.submit.customer;
+    const BackendPool *rules = m_configuration ? m_configuration->pool(pool) : nullptr;
+    PoolQueue &queue = poolQueue(pool);
+    const auto pushed = queue.queue.push(id, customer, rules ? rules->queueLimit : 1);
+    if (pushed != decision::PushResult::Queued) {
+        const bool customerFull = pushed == decision::PushResult::CustomerFull;
+        refuse(id, customerFull ? RefusalKind::CustomerQueueFull : RefusalKind::QueueFull,
+               RequestOutcome::NotRun, shortRetrySeconds, now);
+        return;
+    }
+    request.stage = Stage::Queued;
+    m_ledger.setBacklogged({pool, customer}, now);
+    queue.demandStale = true;
+    if (!queue.demandStands)
+        refreshDemand(pool, queue, now);
+}
+
+void RouterCore::requeue(RequestId id, Request &request, TimePoint now)
+{
+    const PoolId pool = request.submit.pool;
+    PoolQueue &queue = poolQueue(pool);
+    request.stage = Stage::Queued;
+    queue.queue.pushFront(id, request.submit.customer);
+    m_ledger.setBacklogged(keyOf(request), now);
+    queue.demandStale = true;
+    if (!queue.demandStands)
+        refreshDemand(pool, queue, now);
+}
+
+void RouterCore::leaveQueue(const PoolId &pool, const CustomerId &customer)
+{
+    PoolQueue &queue = poolQueue(pool);
+    queue.demandStale = true;
+    if (!queue.queue.has(customer))
+        m_ledger.setIdle({pool, customer});
+}
+
+void RouterCore::useGrant(const ServerId &server, std::uint64_t grant, TimePoint now)
+{
+    const PoolId pool = m_agents[server].pool;
+    PoolQueue &queue = poolQueue(pool);
+    const auto next = queue.queue.pop(standing(pool, now));
+    if (!next) {
+        returnGrant(server, grant, now);
+        return;
+    }
+    leaveQueue(pool, next->customer);
+    Request &request = m_requests[next->request];
+    if (request.claimName.empty() || request.claimHeld) {
+        dispatch(next->request, request, server, grant, now);
+        return;
+    }
+    request.stage = Stage::Claiming;
+    request.server = server;
+    request.grant = grant;
+    m_hooks.claim(OpenClaim{next->request, request.claimName});
+}
+
+void RouterCore::returnGrant(const ServerId &server, std::uint64_t grant, TimePoint now)
+{
+    const auto agent = m_agents.find(server);
+    if (agent != m_agents.end())
+        m_hooks.send(server, wire::GrantReturn{grant, demand(agent->second.pool, now)});
+}
+
+void RouterCore::claimOpened(const ClaimOpened &opened, TimePoint now)
+{
+    const auto found = m_requests.find(opened.request);
+    if (found == m_requests.end() || found->second.stage != Stage::Claiming)
+        return;
+    Request &request = found->second;
+    const ServerId server = request.server;
+    const std::uint64_t grant = request.grant;
+    if (opened.result == ClaimResult::Taken) {
+        returnGrant(server, grant, now);
+        refuse(opened.request, RefusalKind::AlreadyClaimed, RequestOutcome::Unknown, 0, now,
+               opened.detail);
+        return;
+    }
+    if (opened.result == ClaimResult::Refused) {
+        returnGrant(server, grant, now);
+        refuse(opened.request, RefusalKind::ClaimUnavailable, RequestOutcome::NotRun,
+               longRetrySeconds, now);
+        return;
+    }
+    request.claimHeld = true;
+    if (request.callerGone) {
+        returnGrant(server, grant, now);
+        finishClaim(request, false);
+        m_requests.erase(found);
+        return;
+    }
+    if (m_agents.contains(server))
+        dispatch(opened.request, request, server, grant, now);
+    else
+        requeue(opened.request, request, now);
+}
+
+void RouterCore::finishClaim(Request &request, bool ran)
+{
+    if (!request.claimHeld)
+        return;
+    request.claimHeld = false;
+    if (ran)
+        m_hooks.claim(FinishClaim{request.claimName, request.status});
+    else
+        m_hooks.claim(ReleaseClaim{request.claimName});
+}
+
+void RouterCore::agentUp(const wire::AgentHello &hello, TimePoint now)
+{
+    m_agents[hello.server] = {hello.incarnation, hello.pool, hello.zone};
+    takeLoad(hello.server, hello.load);
+    PoolQueue &queue = poolQueue(hello.pool);
+    queue.demandStale = queue.demandStale || !queue.queue.empty();
+    if (!queue.queue.empty())
+        m_hooks.send(hello.server, demand(hello.pool, now));
+    for (const wire::QuarantineNotice &notice : quarantineEntries())
+        m_hooks.send(hello.server, wire::QuarantineNotice(notice));
+}
+
+void RouterCore::agentDown(const ServerId &server, TimePoint now)
+{
+    m_agents.erase(server);
+    m_placement.remove(server);
+    std::vector<RequestId> lost;
+    for (const auto &[id, request] : m_requests) {
+        if (request.stage == Stage::Running && request.server == server)
+            lost.push_back(id);
+    }
+    for (const RequestId id : lost)
+        attemptFailed(id, m_requests[id], now);
+}
+
+void RouterCore::takeLoad(const ServerId &server, const wire::ServerLoad &load)
+{
+    const Agent &agent = m_agents[server];
+    m_placement.update(server, {agent.pool, agent.zone, load.window, load.running, load.held,
+                                load.accepting, load.contended});
+    m_ledger.raiseFrontier(agent.pool, load.virtualTime);
+}
+
+void RouterCore::handle(const ServerId &server, wire::AgentHeartbeat &message, TimePoint)
+{
+    takeLoad(server, message.load);
+}
+
+void RouterCore::handle(const ServerId &server, wire::Grant &message, TimePoint now)
+{
+    takeLoad(server, message.load);
+    useGrant(server, message.grant, now);
+}
+
+RouterCore::Requests::iterator RouterCore::findAttempt(const ServerId &server, AttemptId attempt)
+{
+    const auto id = m_requestOf.find(attempt);
+    if (id == m_requestOf.end()) {
+        ++m_counts.droppedParts;
+        return m_requests.end();
+    }
+    const auto found = m_requests.find(id->second);
+    if (found != m_requests.end() && found->second.server == server)
+        return found;
+    ++m_counts.droppedParts;
+    return m_requests.end();
+}
+
+void RouterCore::handle(const ServerId &server, wire::Refusal &message, TimePoint now)
+{
+    takeLoad(server, message.load);
+    const auto found = findAttempt(server, message.attempt);
+    if (found == m_requests.end())
+        return;
+    const RequestId id = found->first;
+    Request &request = found->second;
+    m_requestOf.erase(message.attempt);
+    m_charges.finish(message.attempt, 0.0);
+    if (request.callerGone) {
+        finishClaim(request, false);
+        m_requests.erase(found);
+        return;
+    }
+    if (message.reason == wire::RefusalReason::Quarantined) {
+        refuse(id, RefusalKind::Quarantined, RequestOutcome::NotRun, 0, now);
+        return;
+    }
+    request.refusedBy.insert(server);
+    const bool mayTry = request.grant == 0 && request.refusedBy.size() < maxOptimisticTries
+                        && poolQueue(request.submit.pool).queue.empty();
+    if (!mayTry || !dispatchAtOnce(id, request, now)) {
+        request.refusedBy.clear();
+        requeue(id, request, now);
+    }
+}
+
+void RouterCore::handle(const ServerId &server, wire::Started &message, TimePoint now)
+{
+    if (findAttempt(server, message.attempt) != m_requests.end())
+        m_charges.start(message.attempt, now);
+}
+
+void RouterCore::handle(const ServerId &server, wire::AnswerHead &message, TimePoint now)
+{
+    const auto found = findAttempt(server, message.attempt);
+    if (found == m_requests.end())
+        return;
+    Request &request = found->second;
+    if (request.sequence.head() != decision::SequenceVerdict::Accept) {
+        ++m_counts.droppedParts;
+        return;
+    }
+    request.headSent = true;
+    request.status = message.status;
+    const BackendPool *pool
+            = m_configuration ? m_configuration->pool(request.submit.pool) : nullptr;
+    const Objective objective = pool ? pool->objective : Objective{};
+    const bool good = message.status < 500
+                      && toMilliseconds(now - request.arrivedAt) <= objective.firstByteMilliseconds;
+    m_burn.count(keyOf(request), good, now);
+    if (!request.callerGone)
+        m_hooks.reply(ReplyHead{found->first, message.status, std::move(message.headers)});
+}
+
+void RouterCore::handle(const ServerId &server, wire::AnswerChunk &message, TimePoint now)
+{
+    const auto found = findAttempt(server, message.attempt);
+    if (found == m_requests.end())
+        return;
+    Request &request = found->second;
+    switch (request.sequence.chunk(message.number)) {
+    case decision::SequenceVerdict::Accept:
+        if (!request.callerGone)
+            m_hooks.reply(ReplyChunk{found->first, std::move(message.data)});
+        return;
+    case decision::SequenceVerdict::Drop:
+        ++m_counts.droppedParts;
+        return;
+    case decision::SequenceVerdict::Broken:
+        m_hooks.send(server, wire::Cancel{message.attempt});
+        attemptFailed(found->first, request, now);
+        return;
+    }
+}
+
+void RouterCore::handle(const ServerId &server, wire::AnswerEnd &message, TimePoint now)
+{
+    takeLoad(server, message.load);
+    const auto found = findAttempt(server, message.attempt);
+    if (found == m_requests.end())
+        return;
+    Request &request = found->second;
+    const bool whole
+            = message.end == wire::AttemptEnd::Complete
+              && request.sequence.end(message.chunkCount) == decision::SequenceVerdict::Accept;
+    if (whole) {
+        completed(found, message, now);
+        return;
+    }
+    m_charges.finish(message.attempt, message.cost);
+    attemptFailed(found->first, request, now);
+}
+
+void RouterCore::completed(Requests::iterator found, const wire::AnswerEnd &end, TimePoint now)
+{
+    Request &request = found->second;
+    m_requestOf.erase(end.attempt);
+    m_charges.finish(end.attempt, end.cost);
+    m_estimator.learn(keyOf(request), end.cost);
+    m_quarantine.completed(request.fingerprint);
+    finishClaim(request, true);
+    ++m_counts.answered;
+    if (!request.callerGone)
+        m_hooks.reply(ReplyEnd{found->first, true});
+    m_requests.erase(found);
+    static_cast<void>(now);
+}
+
+void RouterCore::attemptFailed(RequestId id, Request &request, TimePoint now)
+{
+    // What a lost attempt used is not known; its charge so far stays, by its own estimate.
+    m_requestOf.erase(request.attempt);
+    m_charges.finish(request.attempt, m_estimator.estimate(keyOf(request), std::nullopt));
+    request.failedBefore = true;
+    if (request.callerGone) {
+        finishClaim(request, true);
+        m_requests.erase(id);
+        return;
+    }
+    if (request.headSent) {
+        finishClaim(request, true);
+        m_hooks.reply(ReplyEnd{id, false});
+        m_requests.erase(id);
+        return;
+    }
+    if (m_quarantine.refuses(request.fingerprint)) {
+        refuse(id, RefusalKind::Quarantined, RequestOutcome::Unknown, 0, now);
+        return;
+    }
+    if (request.submit.mayRepeat && m_retryBudgets[request.submit.pool].take()) {
+        ++m_counts.retries;
+        requeue(id, request, now);
+        return;
+    }
+    ++m_counts.unknownOutcomes;
+    refuse(id, RefusalKind::ServerFailed, RequestOutcome::Unknown, 0, now);
+}
+
+void RouterCore::refuse(RequestId id, RefusalKind kind, RequestOutcome outcome,
+                        std::uint32_t retryAfterSeconds, TimePoint now, const std::string &detail)
+{
+    const auto found = m_requests.find(id);
+    Request &request = found->second;
+    // An earlier attempt may have run, so that "not run" would not be true.
+    const RequestOutcome told = request.failedBefore ? RequestOutcome::Unknown : outcome;
+    ++m_counts.refused[kind];
+    const bool counts = kind != RefusalKind::Quarantined && kind != RefusalKind::AlreadyClaimed
+                        && kind != RefusalKind::CustomerQueueFull;
+    if (counts)
+        m_burn.count(keyOf(request), false, now);
+    finishClaim(request, told == RequestOutcome::Unknown);
+    if (!request.callerGone)
+        m_hooks.reply(ReplyRefusal{id, kind, told, retryAfterSeconds, detail});
+    m_requests.erase(found);
+}
+
+void RouterCore::handle(const ServerId &, wire::QuarantineNotice &message, TimePoint now)
+{
+    const bool before = m_quarantine.refuses(message.fingerprint);
+    m_quarantine.merge(message.fingerprint, message.crashes, now);
+    m_hooks.quarantined(message);
+    if (before || !m_quarantine.refuses(message.fingerprint))
+        return;
+    m_log.warning("A request is in quarantine after it crashed servers.");
+    for (const auto &[server, agent] : m_agents)
+        m_hooks.send(server, wire::QuarantineNotice(message));
+}
+
+void RouterCore::mergeQuarantine(const wire::QuarantineNotice &notice, TimePoint now)
+{
+    const bool before = m_quarantine.refuses(notice.fingerprint);
+    m_quarantine.merge(notice.fingerprint, notice.crashes, now);
+    if (before || !m_quarantine.refuses(notice.fingerprint))
+        return;
+    for (const auto &[server, agent] : m_agents)
+        m_hooks.send(server, wire::QuarantineNotice(notice));
+}
+
+std::vector<wire::QuarantineNotice> RouterCore::quarantineEntries() const
+{
+    std::vector<wire::QuarantineNotice> notices;
+    for (const auto &[fingerprint, crashes] : m_quarantine.entries())
+        notices.push_back({fingerprint, crashes});
+    return notices;
+}
+
+void RouterCore::setConfiguration(ConfigurationPtr configuration, TimePoint)
+{
+    m_configuration = std::move(configuration);
+}
+
+void RouterCore::applyRemote(const decision::ServiceKey &key, const decision::RemoteService &remote,
+                             bool aggregatorChanged, TimePoint now)
+{
+    m_ledger.applyRemote(key, remote, aggregatorChanged, now);
+}
+
+wire::Demand RouterCore::demand(const PoolId &pool, TimePoint now)
+{
+    const PoolQueue &queue = poolQueue(pool);
+    return {static_cast<std::uint32_t>(queue.queue.size()),
+            queue.queue.nextVirtualTimes(standing(pool, now), demandDepth)};
+}
+
+void RouterCore::refreshDemand(const PoolId &pool, PoolQueue &queue, TimePoint now)
+{
+    const wire::Demand present = demand(pool, now);
+    queue.demandStale = false;
+    queue.demandStands = present.waiting > 0;
+    queue.demandAt = now;
+    for (const ServerId &server : m_placement.agents(pool))
+        m_hooks.send(server, wire::Demand(present));
+}
+
+void RouterCore::refreshDemands(TimePoint now)
+{
+    for (auto &[pool, queue] : m_queues) {
+        const bool withdrawn = queue.demandStands && queue.queue.empty();
+        if (queue.demandStale && (withdrawn || now - queue.demandAt >= demandGap))
+            refreshDemand(pool, queue, now);
+    }
+}
+
+void RouterCore::expireQueued(TimePoint now)
+{
+    std::vector<RequestId> expired;
+    for (const auto &[id, request] : m_requests) {
+        if (request.stage == Stage::Queued && now - request.arrivedAt > m_settings.queueTimeLimit)
+            expired.push_back(id);
+    }
+    for (const RequestId id : expired) {
+        const Request &request = m_requests[id];
+        const PoolId pool = request.submit.pool;
+        const CustomerId customer = request.submit.customer;
+        poolQueue(pool).queue.remove(id);
+        leaveQueue(pool, customer);
+        refuse(id, RefusalKind::QueueTimeout, RequestOutcome::NotRun, shortRetrySeconds, now);
+    }
+}
+
+void RouterCore::tick(TimePoint now)
+{
+    m_charges.tick(now);
+    m_ledger.capCatchUp(now);
+    expireQueued(now);
+    refreshDemands(now);
+    m_quarantine.expire(now);
+    m_burn.expire(now);
+}
+
+} // namespace bilberry::router
--- /dev/null
+++ b/packages/router/src/routermetrics.cpp
@@ -0,0 +1,151 @@
+#include "routermetrics.h"
+
+#include "bilberry/router/problem.h"
+
+#include <boost/json.hpp>
+#include <prometheus/text_serializer.h>
+
+namespace bilberry::router {
+
+namespace json = boost::json;
+
+namespace {
+
+prometheus::Family<prometheus::Gauge> &gauges(prometheus::Registry &registry, const char *name,
+                                              const char *help)
+{
+    return prometheus::BuildGauge().Name(name).Help(help).Register(registry);
+}
+
+prometheus::Family<prometheus::Counter> &counters(prometheus::Registry &registry, const char *name,
+                                                  const char *help)
+{
+    return prometheus::BuildCounter().Name(name).Help(help).Register(registry);
+}
+
+Revision revisionOf(const RouterCore &core)
+{
+    const ConfigurationPtr configuration = core.configuration();
+    return configuration ? configuration->revision() : 0;
+}
+
+json::array agentsOf(const RouterCore &core)
+{
+    json::array agents;
+    for (const auto &[server, view] : core.placement().views()) {
+        agents.push_back(json::object{{"server", server.text()},
+                                      {"pool", view.pool.text()},
+                                      {"zone", view.zone.text()},
+                                      {"window", view.window},
+                                      {"running", view.running},
+                                      {"held", view.held},
+                                      {"accepting", view.accepting}});
+    }
+    return agents;
+}
+
+json::array serviceOf(const RouterCore &core, TimePoint now)
+{
+    json::array services;
+    for (const decision::OwnService &own : core.ownService()) {
+        services.push_back(json::object{{"customer", own.key.customer.text()},
+                                        {"pool", own.key.pool.text()},
+                                        {"chargedMs", core.ledger().charged(own.key)},
+                                        {"virtualTime", core.ledger().virtualTime(own.key, now)},
+                                        {"backlogged", own.backlogged}});
+    }
+    return services;
+}
+
+} // namespace
+
+RouterMetrics::RouterMetrics()
+    : m_controlBytes(
+            counters(m_registry, "bilberry_control_bytes_total", "Bytes of control messages sent")),
+      m_platformCalls(
+              counters(m_registry, "bilberry_platform_calls_total", "Calls to the platform")),
+      m_submitted(gauges(m_registry, "bilberry_requests_submitted", "Requests of known customers")
+                          .Add({})),
+      m_answered(gauges(m_registry, "bilberry_requests_answered", "Requests answered in full")
+                         .Add({})),
+      m_retries(gauges(m_registry, "bilberry_requests_retried", "Attempts made again").Add({})),
+      m_unknown(gauges(m_registry, "bilberry_requests_unknown", "Requests of unknown outcome")
+                        .Add({})),
+      m_dropped(gauges(m_registry, "bilberry_answer_parts_dropped", "Parts of no known attempt")
+                        .Add({})),
+      m_revision(
+              gauges(m_registry, "bilberry_configuration_revision", "Revision in force").Add({})),
+      m_refused(gauges(m_registry, "bilberry_requests_refused", "Requests refused, by kind")),
+      m_service(gauges(m_registry, "bilberry_service_ms", "Service charged by this router")),
+      m_waiting(gauges(m_registry, "bilberry_requests_waiting", "Requests waiting, by pool"))
+{
+}
+
+void RouterMetrics::addControlBytes(const char *kind, std::size_t bytes)
+{
+    m_controlBytes.Add({{"kind", kind}}).Increment(static_cast<double>(bytes));
+}
+
+void RouterMetrics::addPlatformCall(const char *kind)
+{
+    m_platformCalls.Add({{"kind", kind}}).Increment();
+}
+
+void RouterMetrics::update(const RouterCore &core)
+{
+    const RouterCounts &counts = core.counts();
+    m_submitted.Set(static_cast<double>(counts.submitted));
+    m_answered.Set(static_cast<double>(counts.answered));
+    m_retries.Set(static_cast<double>(counts.retries));
+    m_unknown.Set(static_cast<double>(counts.unknownOutcomes));
+    m_dropped.Set(static_cast<double>(counts.droppedParts));
+    m_revision.Set(static_cast<double>(revisionOf(core)));
+    for (const auto &[kind, count] : counts.refused)
+        m_refused.Add({{"kind", toText(kind)}}).Set(static_cast<double>(count));
+    std::set<PoolId> pools;
+    for (const decision::OwnService &own : core.ownService()) {
+        const decision::ServiceKey &key = own.key;
+        m_service.Add({{"customer", key.customer.text()}, {"pool", key.pool.text()}})
+                .Set(core.ledger().charged(key));
+        pools.insert(key.pool);
+    }
+    for (const PoolId &pool : pools)
+        m_waiting.Add({{"pool", pool.text()}}).Set(static_cast<double>(core.waiting(pool)));
+}
+
+std::string RouterMetrics::text() const
+{
+    return prometheus::TextSerializer().Serialize(m_registry.Collect());
+}
+
+std::string statusText(const RouterSettings &settings, const RouterCore &core, TimePoint now)
+{
+    return json::serialize(json::object{{"role", "router"},
+                                        {"name", settings.router.text()},
+                                        {"zone", settings.zone.text()},
+                                        {"revision", revisionOf(core)},
+                                        {"submitted", core.counts().submitted},
+                                        {"answered", core.counts().answered},
+                                        {"agents", agentsOf(core)},
+                                        {"service", serviceOf(core, now)}});
+}
+
+std::string burnText(const RouterCore &core, TimePoint now)
+{
+    json::array rows;
+    for (const decision::ServiceKey &key : core.burn().keys()) {
+        json::array windows;
+        for (const int seconds : decision::burnWindowSeconds) {
+            const decision::BurnCount count
+                    = core.burn().window(key, std::chrono::seconds(seconds), now);
+            windows.push_back(
+                    json::object{{"seconds", seconds}, {"good", count.good}, {"bad", count.bad}});
+        }
+        rows.push_back(json::object{{"customer", key.customer.text()},
+                                    {"pool", key.pool.text()},
+                                    {"windows", windows}});
+    }
+    return json::serialize(rows);
+}
+
+} // namespace bilberry::router
--- /dev/null
+++ b/packages/router/src/routermetrics.h
@@ -0,0 +1,55 @@
+#ifndef BILBERRY_ROUTER_ROUTERMETRICS_H
+#define BILBERRY_ROUTER_ROUTERMETRICS_H
+
+#include "bilberry/router/routercore.h"
+
+#include <prometheus/counter.h>
+#include <prometheus/gauge.h>
+#include <prometheus/registry.h>
+
+#include <string>
+
+namespace bilberry::router {
+
+/// Metrics page of a router.
+class RouterMetrics
+{
+public:
+    RouterMetrics();
+
+    /// Counts control bytes sent on links or between routers; may be called on any thread.
+    void addControlBytes(const char *kind, std::size_t bytes);
+
+    /// Counts a call to the platform; may be called on any thread.
+    void addPlatformCall(const char *kind);
+
+    /// Takes the core's numbers over.
+    void update(const RouterCore &core);
+
+    /// @return the page in Prometheus text format
+    std::string text() const;
+
+private:
+    prometheus::Registry m_registry;
+    prometheus::Family<prometheus::Counter> &m_controlBytes;
+    prometheus::Family<prometheus::Counter> &m_platformCalls;
+    prometheus::Gauge &m_submitted;
+    prometheus::Gauge &m_answered;
+    prometheus::Gauge &m_retries;
+    prometheus::Gauge &m_unknown;
+    prometheus::Gauge &m_dropped;
+    prometheus::Gauge &m_revision;
+    prometheus::Family<prometheus::Gauge> &m_refused;
+    prometheus::Family<prometheus::Gauge> &m_service;
+    prometheus::Family<prometheus::Gauge> &m_waiting;
+};
+
+/// @return the router's state as JSON for operators
+std::string statusText(const RouterSettings &settings, const RouterCore &core, TimePoint now);
+
+/// @return good and bad requests per customer, pool and window as JSON
+std::string burnText(const RouterCore &core, TimePoint now);
+
+} // namespace bilberry::router
+
+#endif
--- /dev/null
+++ b/packages/router/src/routersettings.cpp
@@ -0,0 +1,139 @@
+#include "bilberry/router/routersettings.h"
+
+#include <charconv>
+#include <optional>
+
+namespace bilberry::router {
+
+namespace {
+
+constexpr std::int64_t highestPort = 65535;
+
+std::uint16_t port(SettingsReader &reader, const std::string &key)
+{
+    return static_cast<std::uint16_t>(reader.integer(key, 1, highestPort));
+}
+
+Duration milliseconds(SettingsReader &reader, const std::string &key, std::int64_t low,
+                      std::int64_t high, Duration fallback)
+{
+    const auto fallbackMs = static_cast<std::int64_t>(toMilliseconds(fallback));
+    return std::chrono::milliseconds(reader.integer(key, low, high, fallbackMs));
+}
+
+std::optional<std::uint16_t> parsePort(const std::string &text)
+{
+    std::uint16_t port = 0;
+    const auto parsed = std::from_chars(text.data(), text.data() + text.size(), port);
+    if (parsed.ec != std::errc() || parsed.ptr != text.data() + text.size() || port == 0)
+        return std::nullopt;
+    return port;
+}
+
+std::vector<std::string> split(const std::string &text, char separator)
+{
+    std::vector<std::string> parts;
+    std::size_t start = 0;
+    for (;;) {
+        const std::size_t end = text.find(separator, start);
+        parts.push_back(text.substr(start, end - start));
+        if (end == std::string::npos)
+            return parts;
+        start = end + 1;
+    }
+}
+
+/// Parses "name@address:port:adminPort".
+std::optional<platform::Vm> parseVm(const std::string &text, platform::VmRole role)
+{
+    const std::size_t at = text.find('@');
+    if (at == std::string::npos || at == 0)
+        return std::nullopt;
+    const auto parts = split(text.substr(at + 1), ':');
+    if (parts.size() != 3)
+        return std::nullopt;
+    const auto port = parsePort(parts[1]);
+    const auto adminPort = parsePort(parts[2]);
+    if (!port || !adminPort)
+        return std::nullopt;
+    platform::Vm vm;
+    vm.name = text.substr(0, at);
+    vm.role = role;
+    vm.address = parts[0];
+    vm.port = *port;
+    vm.adminPort = *adminPort;
+    return vm;
+}
+
+std::vector<platform::Vm> vms(SettingsReader &reader, const std::string &key, platform::VmRole role)
+{
+    std::vector<platform::Vm> result;
+    for (const std::string &text : reader.list(key)) {
+        const auto vm = parseVm(text, role);
+        if (vm)
+            result.push_back(*vm);
+        else
+            reader.fault(SettingsErrc::UnknownValue, key, "name@address:port:adminPort");
+    }
+    return result;
+}
+
+FairnessMode fairness(SettingsReader &reader)
+{
+    const std::string word = reader.choice("fairness.mode", {"fleet", "local", "fifo"}, "fleet");
+    if (word == "local")
+        return FairnessMode::Local;
+    return word == "fifo" ? FairnessMode::Fifo : FairnessMode::Fleet;
+}
+
+void readCallers(SettingsReader &reader, CallerLimits &limits)
+{
+    limits.headBytes = static_cast<std::size_t>(
+            reader.integer("callers.headBytes", 1024, 1 << 20, 16 << 10));
+    limits.bodyBytes
+            = static_cast<std::size_t>(reader.integer("callers.bodyBytes", 1024, 4 << 20, 1 << 20));
+    limits.connections
+            = static_cast<std::size_t>(reader.integer("callers.connections", 1, 100000, 20000));
+    limits.headLimit = milliseconds(reader, "callers.headLimitMs", 100, 600000, limits.headLimit);
+    limits.bodyLimit = milliseconds(reader, "callers.bodyLimitMs", 100, 600000, limits.bodyLimit);
+    limits.idleLimit = milliseconds(reader, "callers.idleLimitMs", 100, 3600000, limits.idleLimit);
+}
+
+} // namespace
+
+RouterSettings readRouterSettings(SettingsReader &reader)
+{
+    RouterSettings settings;
+    settings.router = RouterId(reader.text("name"));
+    settings.zone = ZoneId(reader.text("zone"));
+    settings.listenAddress = reader.text("listen.address");
+    settings.callerPort = port(reader, "listen.callerPort");
+    settings.gossipPort = port(reader, "listen.gossipPort");
+    settings.adminPort = port(reader, "listen.adminPort");
+    settings.platform.address = reader.text("platform.address");
+    settings.platform.port = port(reader, "platform.port");
+    settings.platform.callLimit
+            = milliseconds(reader, "platform.callLimitMs", 50, 60000, settings.platform.callLimit);
+    settings.platform.callsPerSecond = reader.number("platform.callsPerSecond", 1, 1000, 50);
+    settings.peers = vms(reader, "peers", platform::VmRole::Router);
+    settings.agents = vms(reader, "agents", platform::VmRole::Agent);
+    readCallers(reader, settings.callers);
+    settings.fairness = fairness(reader);
+    settings.catchUpCap = reader.number("fairness.catchUpCapMs", 1000, 1e9, settings.catchUpCap);
+    settings.reports.bytesPerSecond
+            = reader.number("fairness.reportBytesPerSecond", 100, 1e7, 2000);
+    settings.reports.quantum = reader.number("fairness.reportQuantumMs", 1, 1e6, 100);
+    settings.queueLimit
+            = static_cast<std::size_t>(reader.integer("queue.limit", 1, 1000000, 10000));
+    settings.queueTimeLimit
+            = milliseconds(reader, "queue.timeLimitMs", 10, 3600000, settings.queueTimeLimit);
+    settings.drainLimit = milliseconds(reader, "drainLimitMs", 0, 3600000, settings.drainLimit);
+    settings.listPeriod
+            = milliseconds(reader, "platform.listPeriodMs", 100, 600000, settings.listPeriod);
+    settings.watchers = static_cast<std::size_t>(reader.integer("platform.watchers", 1, 1000, 3));
+    settings.freshness.proofLimit = milliseconds(reader, "island.proofLimitMs", 500, 60000,
+                                                 settings.freshness.proofLimit);
+    return settings;
+}
+
+} // namespace bilberry::router
--- /dev/null
+++ b/packages/wire/include/bilberry/wire/framelink.h
@@ -0,0 +1,68 @@
+#ifndef BILBERRY_WIRE_FRAMELINK_H
+#define BILBERRY_WIRE_FRAMELINK_H
+
+#include "bilberry/base/time.h"
+#include "bilberry/wire/codec.h"
+
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+#include <array>
+#include <functional>
+#include <memory>
+#include <system_error>
+
+namespace bilberry::wire {
+
+/// @return false for messages that carry requests and answers
+bool isControl(const LinkMessage &message);
+
+/// What a link tells its owner; all calls come on the link's event loop.
+struct FrameLinkHooks
+{
+    std::function<void(LinkMessage &&)> received;
+    /// Called once; nothing follows.
+    std::function<void(std::error_code)> closed;
+    /// Told the size of each control frame sent.
+    std::function<void(std::size_t)> controlSent;
+};
+
+/// Sends and receives messages over one TCP connection. Closes it on a malformed frame, when the
+/// peer is silent for too long, and when too much waits to be sent.
+class FrameLink : public std::enable_shared_from_this<FrameLink>
+{
+public:
+    FrameLink(boost::asio::ip::tcp::socket socket, FrameLinkHooks hooks);
+
+    /// Starts reading.
+    void start();
+
+    /// Sends a message after those before it.
+    void send(const LinkMessage &message);
+
+    /// Closes without a call of the closed hook.
+    void close();
+
+private:
+    void read();
+    void received(std::size_t size);
+    void write();
+    void watchSilence();
+    void fail(std::error_code error);
+
+    static constexpr std::size_t readSize = 64U << 10U;
+
+    boost::asio::ip::tcp::socket m_socket;
+    boost::asio::steady_timer m_silenceTimer;
+    FrameLinkHooks m_hooks;
+    FrameReader m_reader;
+    std::array<char, readSize> m_input{};
+    std::string m_waiting; ///< frames that follow the ones being written
+    std::string m_writing;
+    TimePoint m_receivedAt;
+    bool m_closed = false;
+};
+
+} // namespace bilberry::wire
+
+#endif
--- /dev/null
+++ b/packages/wire/src/serialization.h
@@ -0,0 +1,60 @@
+#ifndef BILBERRY_WIRE_SERIALIZATION_H
+#define BILBERRY_WIRE_SERIALIZATION_H
+
+#include "bilberry/wire/gossipmessages.h"
+#include "bilberry/wire/linkmessages.h"
+
+/// Field lists for cereal; the order is part of the protocol version.
+namespace bilberry::wire {
+
+#define BILBERRY_FIELDS(Type, ...) \
+    template <typename Archive> \
+    void serialize(Archive &archive, Type &m) \
+    { \
+        archive(__VA_ARGS__); \
+    }
+
+BILBERRY_FIELDS(HeaderField, m.name, m.value)
+BILBERRY_FIELDS(ConfigurationStamp, m.revision, m.proofAgeMs, m.frozen)
+BILBERRY_FIELDS(RouterHello, m.router, m.incarnation, m.zone, m.stamp)
+BILBERRY_FIELDS(RouterHeartbeat, m.stamp)
+BILBERRY_FIELDS(Demand, m.waiting, m.nextVirtualTimes)
+BILBERRY_FIELDS(Dispatch, m.attempt, m.grant, m.agentIncarnation, m.customer, m.virtualTime,
+                m.fingerprint, m.method, m.target, m.headers, m.body, m.demand)
+BILBERRY_FIELDS(GrantReturn, m.grant, m.demand)
+BILBERRY_FIELDS(Cancel, m.attempt)
+BILBERRY_FIELDS(AnswerCredit, m.attempt, m.bytes)
+BILBERRY_FIELDS(QuarantineNotice, m.fingerprint, m.crashes)
+BILBERRY_FIELDS(ConfigurationOffer, m.document)
+BILBERRY_FIELDS(ServerLoad, m.window, m.running, m.held, m.virtualTime, m.cold, m.accepting,
+                m.contended)
+BILBERRY_FIELDS(AgentHello, m.server, m.incarnation, m.pool, m.zone, m.stamp, m.load)
+BILBERRY_FIELDS(AgentHeartbeat, m.stamp, m.load)
+BILBERRY_FIELDS(Grant, m.grant, m.expiresInMs, m.load)
+BILBERRY_FIELDS(Refusal, m.attempt, m.reason, m.load)
+BILBERRY_FIELDS(Started, m.attempt)
+BILBERRY_FIELDS(AnswerHead, m.attempt, m.status, m.headers)
+BILBERRY_FIELDS(AnswerChunk, m.attempt, m.number, m.data)
+BILBERRY_FIELDS(AnswerEnd, m.attempt, m.end, m.chunkCount, m.cost, m.load)
+
+BILBERRY_FIELDS(GossipSender, m.router, m.incarnation, m.zone)
+BILBERRY_FIELDS(Probe, m.sender, m.sequence, m.stamp, m.platformReachable, m.reachablePeers,
+                m.reachableServers, m.leaving)
+BILBERRY_FIELDS(ProbeAck, m.sender, m.sequence, m.stamp, m.platformReachable)
+BILBERRY_FIELDS(ServiceCounter, m.customer, m.pool, m.service, m.offset, m.backlogged)
+BILBERRY_FIELDS(ServiceReport, m.sender, m.sequence, m.counters)
+BILBERRY_FIELDS(ServiceTotal, m.customer, m.pool, m.remoteService, m.remoteRate, m.offset)
+BILBERRY_FIELDS(PoolFloor, m.pool, m.virtualTime)
+BILBERRY_FIELDS(ServiceTotals, m.sender, m.totals, m.floors)
+BILBERRY_FIELDS(QuarantineGossip, m.sender, m.notices)
+
+#undef BILBERRY_FIELDS
+
+template <typename Archive>
+void serialize(Archive &, ConfigurationRequest &)
+{
+}
+
+} // namespace bilberry::wire
+
+#endif
--- /dev/null
+++ b/tests/support/process.cpp
@@ -0,0 +1,80 @@
+#include "support/process.h"
+
+#include <boost/process.hpp>
+
+#include <csignal>
+
+namespace bilberry::tests {
+
+namespace bp = boost::process;
+
+Finished runProgram(const std::string &program, const std::vector<std::string> &arguments)
+{
+    bp::ipstream out;
+    bp::child child(program, bp::args(arguments), (bp::std_out & bp::std_err) > out,
+                    bp::std_in < bp::null);
+    Finished finished;
+    for (std::string line; std::getline(out, line);)
+        finished.output += line + '\n';
+    child.wait();
+    finished.exitCode = child.exit_code();
+    return finished;
+}
+
+struct Process::State
+{
+    bp::child child;
+};
+
+Process::Process(const std::string &program, const std::vector<std::string> &arguments,
+                 const std::string &logFile)
+    : m_state(std::make_unique<State>())
+{
+    std::FILE *log = std::fopen(logFile.c_str(), "a");
+    m_state->child = bp::child(program, bp::args(arguments), (bp::std_out & bp::std_err) > log,
+                               bp::std_in < bp::null);
+    std::fclose(log);
+}
+
+Process::~Process()
+{
+    if (m_state)
+        kill();
+}
+
+Process::Process(Process &&) noexcept = default;
+Process &Process::operator=(Process &&) noexcept = default;
+
+void Process::signal(int number)
+{
+    if (running())
+        ::kill(id(), number);
+}
+
+void Process::kill()
+{
+    signal(SIGKILL);
+    std::error_code ignored;
+    m_state->child.wait(ignored);
+}
+
+int Process::terminate()
+{
+    signal(SIGTERM);
+    std::error_code ignored;
+    m_state->child.wait(ignored);
+    return m_state->child.exit_code();
+}
+
+bool Process::running()
+{
+    std::error_code ignored;
+    return m_state->child.running(ignored);
+}
+
+int Process::id() const
+{
+    return m_state->child.id();
+}
+
+} // namespace bilberry::tests
