--- /dev/null
+++ b/benchmark/pathbench.cpp
@@ -0,0 +1,283 @@
+// Measures what router and agent add to a request: latency, request rate, streamed parts a second
+// and memory for idle callers, each next to the direct way to the backend stand-in.
+
+#include "support/fleet.h"
+
+#include "bilberry/base/digest.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/core/tcp_stream.hpp>
+#include <boost/beast/http.hpp>
+#include <cxxopts.hpp>
+
+#include <sys/resource.h>
+
+#include <algorithm>
+#include <cstdio>
+#include <fstream>
+#include <thread>
+
+using namespace bilberry;
+using namespace bilberry::tests;
+
+namespace {
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+namespace http = boost::beast::http;
+
+/// What each connection of a load does.
+struct Load
+{
+    std::uint16_t port = 0;
+    std::size_t connections = 1;
+    Duration length = std::chrono::seconds(3);
+    Duration gap{};  ///< between two requests of a connection; 0: at once
+    long chunks = 0; ///< streamed parts of each answer
+    long chunkBytes = 0;
+};
+
+/// What came of a load.
+struct Outcome
+{
+    std::vector<double> latenciesMs;
+    std::uint64_t failed = 0;
+    std::uint64_t parts = 0;
+    double seconds = 0.0;
+
+    double rate() const { return static_cast<double>(latenciesMs.size()) / seconds; }
+    double percentile(double fraction)
+    {
+        if (latenciesMs.empty())
+            return 0.0;
+        std::sort(latenciesMs.begin(), latenciesMs.end());
+        const auto last = static_cast<double>(latenciesMs.size() - 1);
+        return latenciesMs[static_cast<std::size_t>(fraction * last)];
+    }
+};
+
+http::request<http::empty_body> makeRequest(const Load &load)
+{
+    http::request<http::empty_body> request(http::verb::get, "/v1/bench", 11);
+    request.set(http::field::host, "127.0.0.1");
+    request.set("X-Api-Key", "bench-key");
+    if (load.chunks > 0) {
+        request.set("X-Chunks", std::to_string(load.chunks));
+        request.set("X-Bytes", std::to_string(load.chunkBytes));
+    }
+    return request;
+}
+
+asio::awaitable<void> runConnection(asio::io_context &context, const Load &load, Outcome &outcome,
+                                    TimePoint deadline)
+{
+    boost::system::error_code error;
+    beast::tcp_stream stream(context);
+    const asio::ip::tcp::endpoint endpoint(asio::ip::address_v4::loopback(), load.port);
+    co_await stream.async_connect(endpoint, asio::redirect_error(asio::use_awaitable, error));
+    if (error) {
+        ++outcome.failed;
+        co_return;
+    }
+    stream.socket().set_option(asio::ip::tcp::no_delay(true), error);
+    const auto request = makeRequest(load);
+    beast::flat_buffer buffer;
+    asio::steady_timer timer(context, Clock::now());
+    while (Clock::now() < deadline) {
+        const TimePoint start = Clock::now();
+        co_await http::async_write(stream, request,
+                                   asio::redirect_error(asio::use_awaitable, error));
+        http::response_parser<http::string_body> parser;
+        parser.body_limit(boost::none);
+        if (!error)
+            co_await http::async_read(stream, buffer, parser,
+                                      asio::redirect_error(asio::use_awaitable, error));
+        if (error || parser.get().result() != http::status::ok) {
+            ++outcome.failed;
+            co_return;
+        }
+        outcome.latenciesMs.push_back(toMilliseconds(Clock::now() - start));
+        outcome.parts += static_cast<std::uint64_t>(load.chunks);
+        if (load.gap.count() > 0) {
+            timer.expires_at(std::max(timer.expiry() + load.gap, Clock::now()));
+            co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, error));
+        }
+    }
+}
+
+Outcome run(const Load &load)
+{
+    asio::io_context context(1);
+    Outcome outcome;
+    const TimePoint start = Clock::now();
+    const TimePoint deadline = start + load.length;
+    for (std::size_t i = 0; i < load.connections; ++i)
+        asio::co_spawn(context, runConnection(context, load, outcome, deadline), asio::detached);
+    context.run();
+    outcome.seconds = toMilliseconds(Clock::now() - start) / 1000.0;
+    return outcome;
+}
+
+/// @return resident memory of a process in KiB
+long residentKib(int process)
+{
+    std::ifstream status("/proc/" + std::to_string(process) + "/status");
+    for (std::string line; std::getline(status, line);) {
+        if (line.starts_with("VmRSS:"))
+            return std::atol(line.c_str() + sizeof "VmRSS:" - 1);
+    }
+    return 0;
+}
+
+/// @return processor time of a process in seconds
+double processorSeconds(int process)
+{
+    std::ifstream stat("/proc/" + std::to_string(process) + "/stat");
+    std::string text;
+    std::getline(stat, text);
+    std::istringstream fields(text.substr(text.rfind(')') + 2));
+    std::string field;
+    double ticks = 0.0;
+    for (int i = 0; fields >> field && i < 13; ++i) {
+        if (i >= 11)
+            ticks += std::atof(field.c_str());
+    }
+    return ticks / static_cast<double>(sysconf(_SC_CLK_TCK));
+}
+
+void printLatency(const char *way, Outcome outcome)
+{
+    std::printf("%-22s %9.0f req/s  median %.3f ms  p99 %.3f ms  failed %llu\n", way,
+                outcome.rate(), outcome.percentile(0.5), outcome.percentile(0.99),
+                static_cast<unsigned long long>(outcome.failed));
+}
+
+void measureLatency(Fleet &fleet, Duration length)
+{
+    std::printf("\nLatency at moderate load (20 connections, 1,000 requests/s)\n");
+    Load load{fleet.backend("server").port(), 20, length, std::chrono::milliseconds(20), 0, 0};
+    Outcome direct = run(load);
+    load.port = fleet.callerPort(0);
+    Outcome routed = run(load);
+    printLatency("direct", direct);
+    printLatency("router and agent", routed);
+    std::printf("added: median %.3f ms, p99 %.3f ms\n",
+                routed.percentile(0.5) - direct.percentile(0.5),
+                routed.percentile(0.99) - direct.percentile(0.99));
+}
+
+void measureRate(Fleet &fleet, Duration length)
+{
+    std::printf("\nSmall requests as fast as possible (64 connections)\n");
+    Load load{fleet.backend("server").port(), 64, length, {}, 0, 0};
+    printLatency("direct", run(load));
+    load.port = fleet.callerPort(0);
+    const double routerBefore = processorSeconds(fleet.router(0).id());
+    const double agentBefore = processorSeconds(fleet.agent("server").id());
+    const Outcome routed = run(load);
+    const auto requests = static_cast<double>(routed.latenciesMs.size());
+    printLatency("router and agent", routed);
+    std::printf("processor time: router %.1f us/request, agent %.1f us/request\n",
+                (processorSeconds(fleet.router(0).id()) - routerBefore) * 1e6 / requests,
+                (processorSeconds(fleet.agent("server").id()) - agentBefore) * 1e6 / requests);
+}
+
+void measureStream(Fleet &fleet, Duration length)
+{
+    std::printf("\nStreamed parts (64 streams, 1,000 parts of 40 bytes each)\n");
+    Load load{fleet.backend("server").port(), 64, length, {}, 1000, 20};
+    const Outcome direct = run(load);
+    load.port = fleet.callerPort(0);
+    const double routerBefore = processorSeconds(fleet.router(0).id());
+    const double agentBefore = processorSeconds(fleet.agent("server").id());
+    const Outcome routed = run(load);
+    const auto parts = static_cast<double>(routed.parts);
+    std::printf("%-22s %9.0f parts/s\n%-22s %9.0f parts/s  failed %llu\n", "direct",
+                static_cast<double>(direct.parts) / direct.seconds, "router and agent",
+                parts / routed.seconds, static_cast<unsigned long long>(routed.failed));
+    std::printf("processor time: router %.2f us/part, agent %.2f us/part\n",
+                (processorSeconds(fleet.router(0).id()) - routerBefore) * 1e6 / parts,
+                (processorSeconds(fleet.agent("server").id()) - agentBefore) * 1e6 / parts);
+}
+
+void measureIdle(Fleet &fleet)
+{
+    std::printf("\nIdle caller connections at one router\n");
+    asio::io_context context(1);
+    std::vector<std::unique_ptr<asio::ip::tcp::socket>> sockets;
+    long before = residentKib(fleet.router(0).id());
+    std::printf("%6d connections: %ld KiB resident\n", 0, before);
+    for (const std::size_t count : {5000UL, 10000UL}) {
+        while (sockets.size() < count) {
+            auto socket = std::make_unique<asio::ip::tcp::socket>(context);
+            boost::system::error_code error;
+            socket->connect({asio::ip::address_v4::loopback(), fleet.callerPort(0)}, error);
+            if (error) {
+                std::printf("connect failed at %zu: %s\n", sockets.size(), error.message().c_str());
+                return;
+            }
+            sockets.push_back(std::move(socket));
+        }
+        std::this_thread::sleep_for(std::chrono::seconds(1));
+        const long now = residentKib(fleet.router(0).id());
+        std::printf("%6zu connections: %ld KiB resident, %.2f KiB each\n", count, now,
+                    static_cast<double>(now - before) / static_cast<double>(count));
+    }
+}
+
+/// Opens as many files as the machine allows; router and agent inherit the limit.
+void raiseFileLimit()
+{
+    rlimit limit{};
+    getrlimit(RLIMIT_NOFILE, &limit);
+    limit.rlim_cur = limit.rlim_max;
+    setrlimit(RLIMIT_NOFILE, &limit);
+}
+
+FleetPlan makePlan(const std::string &binaries)
+{
+    FleetPlan plan;
+    plan.binaries = binaries;
+    plan.routers = {"a"};
+    plan.servers = {{"server", "models", "a"}};
+    plan.releaseNote = "added:\n"
+                       "  zones: { a: {} }\n"
+                       "  pools:\n"
+                       "    models: { zones: [a], coldLimit: 256, fullLimit: 256 }\n"
+                       "  customers:\n"
+                       "    bench: { keyDigests: ["
+                       + sha256Hex("bench-key")
+                       + "] }\n"
+                         "  routes:\n"
+                         "    /v1: { pool: models }\n";
+    return plan;
+}
+
+} // namespace
+
+int main(int argc, char **argv)
+{
+    cxxopts::Options options("pathbench", "Measures what router and agent add to a request.");
+    options.add_options()("binaries", "folder of bilberryd",
+                          cxxopts::value<std::string>()->default_value("build/bin"))(
+            "seconds", "length of each load", cxxopts::value<int>()->default_value("3"));
+    const auto arguments = options.parse(argc, argv);
+    raiseFileLimit();
+    Fleet fleet(makePlan(arguments["binaries"].as<std::string>()));
+    if (!fleet.start()) {
+        std::fprintf(stderr, "the fleet did not start\n");
+        return 1;
+    }
+    const Duration length = std::chrono::seconds(arguments["seconds"].as<int>());
+    measureLatency(fleet, length);
+    measureRate(fleet, length);
+    measureStream(fleet, length);
+    measureIdle(fleet);
+    return 0;
+}
