Add capacitybench: slopes by customers, links and routers

Change: benchmark/capacitybench.cpp with idle agents behind the real frame protocol; process statistics shared with pathbench.

--- /dev/null
+++ b/benchmark/capacitybench.cpp
@@ -0,0 +1,262 @@
+// Measures the slopes that docs/CAPACITY.md works with: memory, processor time and control bytes
+// of a router by customers, links and routers, and the platform calls of a configuration change.
+
+#include "processstats.h"
+
+#include "support/fleet.h"
+
+#include "bilberry/base/digest.h"
+#include "bilberry/base/duty.h"
+#include "bilberry/model/configurationcodec.h"
+#include "bilberry/wire/framelink.h"
+
+#include <cxxopts.hpp>
+
+#include <cstdio>
+#include <sstream>
+#include <thread>
+
+using namespace bilberry;
+using namespace bilberry::tests;
+using namespace bilberry::benchmark;
+
+namespace {
+
+namespace asio = boost::asio;
+
+/// Answers a router's link like an idle agent: hello and a heartbeat a second.
+class IdleAgents
+{
+public:
+    IdleAgents(std::size_t count, std::string pool)
+        : m_pool(std::move(pool)), m_timer(m_duty.context())
+    {
+        for (std::size_t i = 0; i < count; ++i) {
+            m_acceptors.push_back(std::make_unique<asio::ip::tcp::acceptor>(
+                    m_duty.context(),
+                    asio::ip::tcp::endpoint(asio::ip::address_v4::loopback(), 0)));
+            accept(i);
+        }
+        heartbeat();
+        m_duty.start();
+    }
+
+    ~IdleAgents() { m_duty.stop(); }
+
+    std::vector<platform::Vm> vms() const
+    {
+        std::vector<platform::Vm> list;
+        for (std::size_t i = 0; i < m_acceptors.size(); ++i)
+            list.push_back({name(i), platform::VmRole::Agent, ZoneId("a"), "127.0.0.1",
+                            m_acceptors[i]->local_endpoint().port(), 1, false});
+        return list;
+    }
+
+private:
+    static std::string name(std::size_t index) { return "idle-" + std::to_string(index); }
+
+    void accept(std::size_t index)
+    {
+        m_acceptors[index]->async_accept(
+                [this, index](boost::system::error_code error, asio::ip::tcp::socket socket) {
+                    if (error)
+                        return;
+                    wire::FrameLinkHooks hooks;
+                    hooks.received = [](wire::LinkMessage &&) {};
+                    hooks.closed = [](std::error_code) {};
+                    hooks.controlSent = [](std::size_t) {};
+                    auto link = std::make_shared<wire::FrameLink>(std::move(socket), hooks);
+                    link->start();
+                    link->send(wire::AgentHello{
+                            ServerId(name(index)), 1, PoolId(m_pool), ZoneId("a"), {}, load()});
+                    m_links.push_back(link);
+                    accept(index);
+                });
+    }
+
+    static wire::ServerLoad load()
+    {
+        wire::ServerLoad load;
+        load.window = 8;
+        load.accepting = true;
+        return load;
+    }
+
+    void heartbeat()
+    {
+        m_timer.expires_after(std::chrono::seconds(1));
+        m_timer.async_wait([this](boost::system::error_code error) {
+            if (error)
+                return;
+            for (const auto &link : m_links)
+                link->send(wire::AgentHeartbeat{{}, load()});
+            heartbeat();
+        });
+    }
+
+    Duty m_duty{"idle-agents"};
+    std::string m_pool;
+    asio::steady_timer m_timer;
+    std::vector<std::unique_ptr<asio::ip::tcp::acceptor>> m_acceptors;
+    std::vector<std::shared_ptr<wire::FrameLink>> m_links;
+};
+
+std::string makeNote(std::size_t customers)
+{
+    std::ostringstream note;
+    note << "added:\n  zones: { a: {} }\n  pools:\n    models: { zones: [a] }\n"
+         << "  routes:\n    /v1: { pool: models }\n  customers:\n";
+    for (std::size_t i = 0; i < customers; ++i)
+        note << "    customer-" << i << ": { share: 1, keyDigests: ["
+             << sha256Hex("key-" + std::to_string(i)) << "] }\n";
+    return note.str();
+}
+
+FleetPlan makePlan(const std::string &binaries, std::size_t routers, std::size_t customers)
+{
+    FleetPlan plan;
+    plan.binaries = binaries;
+    plan.routers.assign(routers, "a");
+    plan.releaseNote = makeNote(customers);
+    plan.routerSettings["platform.listPeriodMs"] = "500";
+    return plan;
+}
+
+/// @return the sum of all samples of a metric on an admin server's page
+double metric(const Fleet &fleet, std::uint16_t adminPort, const std::string &name)
+{
+    std::istringstream page(fleet.admin(adminPort, "/metrics"));
+    double sum = 0.0;
+    for (std::string line; std::getline(page, line);) {
+        if (line.starts_with(name))
+            sum += std::stod(line.substr(line.rfind(' ') + 1));
+    }
+    return sum;
+}
+
+void rest(Duration length)
+{
+    std::this_thread::sleep_for(length);
+}
+
+/// What a router costs while nothing happens.
+struct IdleCost
+{
+    long kib = 0;
+    double corePercent = 0.0;
+    double controlBytes = 0.0;
+    double platformCalls = 0.0;
+};
+
+IdleCost measureIdle(Fleet &fleet, Duration length)
+{
+    rest(std::chrono::seconds(2));
+    const int process = fleet.router(0).id();
+    const std::uint16_t port = fleet.routerAdminPort(0);
+    const double processorBefore = processorSeconds(process);
+    const double bytesBefore = metric(fleet, port, "bilberry_control_bytes_total");
+    const double callsBefore = metric(fleet, port, "bilberry_platform_calls_total");
+    rest(length);
+    const double seconds = toMilliseconds(length) / 1000.0;
+    IdleCost cost;
+    cost.kib = residentKib(process);
+    cost.corePercent = (processorSeconds(process) - processorBefore) / seconds * 100.0;
+    cost.controlBytes
+            = (metric(fleet, port, "bilberry_control_bytes_total") - bytesBefore) / seconds;
+    cost.platformCalls
+            = (metric(fleet, port, "bilberry_platform_calls_total") - callsBefore) / seconds;
+    return cost;
+}
+
+void print(const char *what, std::size_t size, const IdleCost &cost)
+{
+    std::printf("%-22s %6zu: %7ld KiB, %6.2f%% of a core, %8.0f control bytes/s, %5.2f platform "
+                "calls/s\n",
+                what, size, cost.kib, cost.corePercent, cost.controlBytes, cost.platformCalls);
+}
+
+void measureCustomers(const std::string &binaries, Duration length)
+{
+    std::printf("\nOne router by customers in the configuration\n");
+    for (const std::size_t customers : {780UL, 7800UL}) {
+        Fleet fleet(makePlan(binaries, 1, customers));
+        if (!fleet.start())
+            continue;
+        print("customers", customers, measureIdle(fleet, length));
+        std::size_t bytes = 0;
+        for (const std::string &name : fleet.platform().names("configuration/"))
+            bytes += fleet.platform().value(name).size();
+        std::printf("%-22s %6zu: %zu bytes in the platform\n", "configuration", customers, bytes);
+    }
+}
+
+void measureLinks(const std::string &binaries, Duration length)
+{
+    std::printf("\nOne router by links to idle agents\n");
+    for (const std::size_t links : {50UL, 200UL, 400UL}) {
+        Fleet fleet(makePlan(binaries, 1, 10));
+        const IdleAgents agents(links, "models");
+        std::vector<platform::Vm> vms = fleet.vms();
+        for (const platform::Vm &vm : agents.vms())
+            vms.push_back(vm);
+        fleet.platform().setVms(vms);
+        if (fleet.start())
+            print("links", links, measureIdle(fleet, length));
+    }
+}
+
+void measureRouters(const std::string &binaries, Duration length)
+{
+    std::printf("\nRouters without load\n");
+    for (const std::size_t routers : {4UL, 8UL, 16UL}) {
+        Fleet fleet(makePlan(binaries, routers, 10));
+        if (fleet.start())
+            print("routers", routers, measureIdle(fleet, length));
+    }
+}
+
+void measureChanges(const std::string &binaries)
+{
+    std::printf("\nConfiguration changes (3 routers, 780 customers)\n");
+    Fleet fleet(makePlan(binaries, 3, 780));
+    if (!fleet.start())
+        return;
+    constexpr int changes = 20;
+    const std::uint64_t callsBefore = fleet.platform().calls();
+    const TimePoint start = Clock::now();
+    double worstMs = 0.0;
+    int inForce = 0;
+    for (int i = 0; i < changes; ++i) {
+        const std::string note = fleet.write(
+                "change.yaml", "changed:\n  customers:\n    customer-" + std::to_string(i)
+                                       + ": { share: " + std::to_string(i + 2) + " }\n");
+        const TimePoint begin = Clock::now();
+        inForce += fleet.ctl({"apply", note}).exitCode == 0 ? 1 : 0;
+        worstMs = std::max(worstMs, toMilliseconds(Clock::now() - begin));
+    }
+    const double seconds = toMilliseconds(Clock::now() - start) / 1000.0;
+    std::printf("%d of %d in force everywhere, slowest %.0f ms from call to in force\n", inForce,
+                changes, worstMs);
+    std::printf("%.1f platform calls a change, all processes, %.1f changes/s\n",
+                static_cast<double>(fleet.platform().calls() - callsBefore) / changes,
+                changes / seconds);
+}
+
+} // namespace
+
+int main(int argc, char **argv)
+{
+    cxxopts::Options options("capacitybench", "Measures the slopes for docs/CAPACITY.md.");
+    options.add_options()("binaries", "folder of bilberryd",
+                          cxxopts::value<std::string>()->default_value("build/bin"))(
+            "seconds", "length of each measurement", cxxopts::value<int>()->default_value("5"));
+    const auto arguments = options.parse(argc, argv);
+    const std::string binaries = arguments["binaries"].as<std::string>();
+    const Duration length = std::chrono::seconds(arguments["seconds"].as<int>());
+    raiseFileLimit();
+    measureCustomers(binaries, length);
+    measureLinks(binaries, length);
+    measureRouters(binaries, length);
+    measureChanges(binaries);
+    return 0;
+}
--- a/benchmark/pathbench.cpp
+++ b/benchmark/pathbench.cpp
@@ -1,6 +1,8 @@
 // Measures what router and agent add to a request: latency, request rate, streamed parts a second
 // and memory for idle callers, each next to the direct way to the backend stand-in.
 
+#include "processstats.h"
+
 #include "support/fleet.h"
 
 #include "bilberry/base/digest.h"
@@ -16,15 +18,13 @@
 #include <boost/beast/http.hpp>
 #include <cxxopts.hpp>
 
-#include <sys/resource.h>
-
 #include <algorithm>
 #include <cstdio>
-#include <fstream>
 #include <thread>
 
 using namespace bilberry;
 using namespace bilberry::tests;
+using namespace bilberry::benchmark;
 
 namespace {
 
@@ -124,33 +124,6 @@
     return outcome;
 }
 
-/// @return resident memory of a process in KiB
-long residentKib(int process)
-{
-    std::ifstream status("/proc/" + std::to_string(process) + "/status");
-    for (std::string line; std::getline(status, line);) {
-        if (line.starts_with("VmRSS:"))
-            return std::atol(line.c_str() + sizeof "VmRSS:" - 1);
-    }
-    return 0;
-}
-
-/// @return processor time of a process in seconds
-double processorSeconds(int process)
-{
-    std::ifstream stat("/proc/" + std::to_string(process) + "/stat");
-    std::string text;
-    std::getline(stat, text);
-    std::istringstream fields(text.substr(text.rfind(')') + 2));
-    std::string field;
-    double ticks = 0.0;
-    for (int i = 0; fields >> field && i < 13; ++i) {
-        if (i >= 11)
-            ticks += std::atof(field.c_str());
-    }
-    return ticks / static_cast<double>(sysconf(_SC_CLK_TCK));
-}
-
 void printLatency(const char *way, Outcome outcome)
 {
     std::printf("%-22s %9.0f req/s  median %.3f ms  p99 %.3f ms  failed %llu\n", way,
@@ -231,15 +204,6 @@
     }
 }
 
-/// Opens as many files as the machine allows; router and agent inherit the limit.
-void raiseFileLimit()
-{
-    rlimit limit{};
-    getrlimit(RLIMIT_NOFILE, &limit);
-    limit.rlim_cur = limit.rlim_max;
-    setrlimit(RLIMIT_NOFILE, &limit);
-}
-
 FleetPlan makePlan(const std::string &binaries)
 {
     FleetPlan plan;
