Take test ports below the range for outgoing connections

Cause: capacitybench lost its router in 1 of 5 runs; its log says 'bind: Address already in use'. freePort() took a port from the range that the system hands out for outgoing connections, and another socket got it in between. Ruled out: a crash of the router (it exited with code 1 at its start). Change: ports come from 10240 to 32000 and are checked for TCP and UDP.

--- a/benchmark/capacitybench.cpp
+++ b/benchmark/capacitybench.cpp
@@ -249,14 +249,22 @@
     cxxopts::Options options("capacitybench", "Measures the slopes for docs/CAPACITY.md.");
     options.add_options()("binaries", "folder of bilberryd",
                           cxxopts::value<std::string>()->default_value("build/bin"))(
-            "seconds", "length of each measurement", cxxopts::value<int>()->default_value("5"));
+            "seconds", "length of each measurement", cxxopts::value<int>()->default_value("5"))(
+            "only", "customers, links, routers or changes",
+            cxxopts::value<std::string>()->default_value("all"));
     const auto arguments = options.parse(argc, argv);
     const std::string binaries = arguments["binaries"].as<std::string>();
     const Duration length = std::chrono::seconds(arguments["seconds"].as<int>());
     raiseFileLimit();
-    measureCustomers(binaries, length);
-    measureLinks(binaries, length);
-    measureRouters(binaries, length);
-    measureChanges(binaries);
+    const std::string only = arguments["only"].as<std::string>();
+    const auto wanted = [&](const char *part) { return only == "all" || only == part; };
+    if (wanted("customers"))
+        measureCustomers(binaries, length);
+    if (wanted("links"))
+        measureLinks(binaries, length);
+    if (wanted("routers"))
+        measureRouters(binaries, length);
+    if (wanted("changes"))
+        measureChanges(binaries);
     return 0;
 }
--- a/tests/support/fleet.cpp
+++ b/tests/support/fleet.cpp
@@ -7,6 +7,7 @@
 
 #include <cstdlib>
 #include <fstream>
+#include <random>
 #include <set>
 #include <sstream>
 #include <thread>
@@ -42,15 +43,20 @@
 std::uint16_t freePort()
 {
     static std::set<std::uint16_t> given;
+    static std::mt19937 random(std::random_device{}());
+    // Below the range that the system hands out for outgoing connections: such a port could be
+    // taken between this check and its use.
+    std::uniform_int_distribution<int> ports(10240, 32000);
     asio::io_context context;
     for (;;) {
-        const asio::ip::tcp::acceptor tcp(
-                context, asio::ip::tcp::endpoint(asio::ip::address_v4::loopback(), 0));
-        const std::uint16_t port = tcp.local_endpoint().port();
-        boost::system::error_code error;
+        const auto port = static_cast<std::uint16_t>(ports(random));
+        boost::system::error_code tcpError;
+        boost::system::error_code udpError;
+        asio::ip::tcp::acceptor tcp(context, asio::ip::tcp::v4());
+        tcp.bind({asio::ip::address_v4::loopback(), port}, tcpError);
         asio::ip::udp::socket udp(context, asio::ip::udp::v4());
-        udp.bind({asio::ip::address_v4::loopback(), port}, error);
-        if (!error && given.insert(port).second)
+        udp.bind({asio::ip::address_v4::loopback(), port}, udpError);
+        if (!tcpError && !udpError && given.insert(port).second)
             return port;
     }
 }
