Add the fleet experiment

Measures fairness gap, utilisation while work waits, control bytes, platform calls and service during a zone move on real processes, for the modes fleet, local and fifo in one run.

--- /dev/null
+++ b/benchmark/experiment/experiment.cpp
@@ -0,0 +1,249 @@
+/// Runs one load against a fleet of real processes, once for each fairness mode, and prints the
+/// measures side by side.
+
+#include "measures.h"
+
+#include <boost/json.hpp>
+#include <cxxopts.hpp>
+
+#include <cstdio>
+#include <iostream>
+#include <sstream>
+#include <thread>
+
+namespace bilberry::benchmark {
+
+namespace {
+
+namespace json = boost::json;
+
+constexpr auto warmUp = std::chrono::seconds(3);
+constexpr auto zoneStep = std::chrono::seconds(3);
+
+/// Control bytes a second of the busiest and the mean process of a role.
+struct ControlRate
+{
+    double highest = 0.0;
+    double mean = 0.0;
+};
+
+struct ModeResult
+{
+    std::string mode;
+    FairnessMeasures fairness;
+    ControlRate routers;
+    ControlRate agents;
+    double platformCallsPerSecond = 0.0;
+    ServiceMeasures zoneMove;
+};
+
+/// @return sum of a process's control byte counters
+double controlBytes(const tests::Fleet &fleet, std::uint16_t adminPort)
+{
+    std::istringstream lines(fleet.admin(adminPort, "/metrics"));
+    double sum = 0.0;
+    for (std::string line; std::getline(lines, line);) {
+        if (line.starts_with("bilberry_control_bytes_total"))
+            sum += std::stod(line.substr(line.rfind(' ')));
+    }
+    return sum;
+}
+
+std::vector<double> routerBytes(const tests::Fleet &fleet)
+{
+    std::vector<double> bytes;
+    for (std::size_t i = 0; i < fleet.routerCount(); ++i)
+        bytes.push_back(controlBytes(fleet, fleet.routerAdminPort(i)));
+    return bytes;
+}
+
+std::vector<double> agentBytes(const tests::Fleet &fleet)
+{
+    std::vector<double> bytes;
+    for (const tests::ServerPlan &server : fleet.plan().servers)
+        bytes.push_back(controlBytes(fleet, fleet.agentAdminPort(server.name)));
+    return bytes;
+}
+
+ControlRate rateOf(const std::vector<double> &before, const std::vector<double> &after,
+                   double seconds)
+{
+    ControlRate rate;
+    for (std::size_t i = 0; i < before.size(); ++i) {
+        const double own = (after[i] - before[i]) / seconds;
+        rate.highest = std::max(rate.highest, own);
+        rate.mean += own / static_cast<double>(before.size());
+    }
+    return rate;
+}
+
+void measureSaturated(tests::Fleet &fleet, const Deployment &deployment, LoadGenerator &load,
+                      Duration length, ModeResult &result)
+{
+    const TimePoint from = Clock::now() + warmUp;
+    const TimePoint until = from + length;
+    const auto calls = load.run({}, until, [&] {
+        std::this_thread::sleep_until(from);
+        const auto routersBefore = routerBytes(fleet);
+        const auto agentsBefore = agentBytes(fleet);
+        const std::uint64_t platformBefore = fleet.platform().calls();
+        const TimePoint readAt = Clock::now();
+        std::this_thread::sleep_until(until);
+        const double seconds = toMilliseconds(Clock::now() - readAt) / 1000.0;
+        result.platformCallsPerSecond
+                = static_cast<double>(fleet.platform().calls() - platformBefore) / seconds;
+        result.routers = rateOf(routersBefore, routerBytes(fleet), seconds);
+        result.agents = rateOf(agentsBefore, agentBytes(fleet), seconds);
+    });
+    result.fairness = measureFairness(deployment, modelRuns(fleet), calls, from, until);
+}
+
+/// Loads about half of the slots while a zone goes out and comes back.
+void measureZoneMove(tests::Fleet &fleet, LoadGenerator &load, ModeResult &result)
+{
+    LoadPlan plan;
+    plan.saturating = false;
+    plan.openPerSecond = 12.0;
+    plan.openMeanMs = 120.0;
+    const TimePoint start = Clock::now();
+    const auto apply = [&](const std::string &inService) {
+        const std::string note = fleet.write(
+                "zone.yaml", "changed:\n  zones: { a: { inService: " + inService + " } }\n");
+        if (fleet.ctl({"apply", note}).exitCode != 0)
+            std::fputs("The zone's change was not in force everywhere.\n", stderr);
+    };
+    const auto calls = load.run(plan, start + 3 * zoneStep, [&] {
+        std::this_thread::sleep_until(start + zoneStep);
+        apply("false");
+        std::this_thread::sleep_until(start + 2 * zoneStep);
+        apply("true");
+    });
+    result.zoneMove = measureService(calls);
+}
+
+ModeResult runMode(const std::string &deploymentName, const std::string &mode, Duration length)
+{
+    ModeResult result;
+    result.mode = mode;
+    const Deployment deployment = makeDeployment(deploymentName, mode);
+    tests::Fleet fleet(deployment.plan);
+    if (!fleet.start()) {
+        std::fputs("The fleet did not start.\n", stderr);
+        return result;
+    }
+    std::vector<std::uint16_t> ports;
+    for (std::size_t i = 0; i < fleet.routerCount(); ++i)
+        ports.push_back(fleet.callerPort(i));
+    LoadGenerator load(deployment, ports);
+    measureSaturated(fleet, deployment, load, length, result);
+    measureZoneMove(fleet, load, result);
+    return result;
+}
+
+json::object toJson(const ModeResult &result)
+{
+    return {{"mode", result.mode},
+            {"gapMs", result.fairness.gapMs},
+            {"gapInLargestCharges", result.fairness.gapInLargest},
+            {"gapBetween", result.fairness.gapBetween},
+            {"servicePerShareMs", json::value_from(result.fairness.servicePerShare)},
+            {"utilisation", result.fairness.utilisation},
+            {"routerControlBytesPerSecond", result.routers.highest},
+            {"agentControlBytesPerSecond", result.agents.highest},
+            {"platformCallsPerSecond", result.platformCallsPerSecond},
+            {"zoneMoveCalls", result.zoneMove.calls},
+            {"zoneMoveFailedRepeatable", result.zoneMove.failedRepeatable},
+            {"zoneMoveInTime", result.zoneMove.inTime},
+            {"zoneMoveP95FirstByteMs", result.zoneMove.p95FirstByteMs}};
+}
+
+using Cell = std::function<std::string(const ModeResult &)>;
+
+void printRow(const char *title, const std::vector<ModeResult> &results, const Cell &cell)
+{
+    std::printf("%-46s", title);
+    for (const ModeResult &result : results)
+        std::printf(" %14s", cell(result).c_str());
+    std::printf("\n");
+}
+
+std::string number(double value, int digits)
+{
+    std::ostringstream text;
+    text.precision(digits);
+    text << std::fixed << value;
+    return text.str();
+}
+
+std::string rate(const ControlRate &rate)
+{
+    return number(rate.mean, 0) + "/" + number(rate.highest, 0);
+}
+
+void printTable(const Deployment &deployment, const std::vector<ModeResult> &results)
+{
+    printRow(deployment.name.c_str(), results, [](const auto &r) { return r.mode; });
+    printRow("fairness gap, ms of service per share", results,
+             [](const auto &r) { return number(r.fairness.gapMs, 0); });
+    printRow("  in charges of the largest request (aim 2)", results,
+             [](const auto &r) { return number(r.fairness.gapInLargest, 2); });
+    printRow("utilisation while work waits (aim 97 %)", results,
+             [](const auto &r) { return number(100.0 * r.fairness.utilisation, 1); });
+    printRow("control B/s of a router, mean/highest", results,
+             [](const auto &r) { return rate(r.routers); });
+    printRow("control B/s of an agent, mean/highest", results,
+             [](const auto &r) { return rate(r.agents); });
+    printRow("platform calls a second", results,
+             [](const auto &r) { return number(r.platformCallsPerSecond, 1); });
+    printRow("zone move: repeatable calls failed (aim 0)", results,
+             [](const auto &r) { return std::to_string(r.zoneMove.failedRepeatable); });
+    printRow("zone move: answered in time, %", results,
+             [](const auto &r) { return number(100.0 * r.zoneMove.inTime, 2); });
+    printRow("zone move: p95 first byte, ms", results,
+             [](const auto &r) { return number(r.zoneMove.p95FirstByteMs, 0); });
+    std::printf("service per share, ms:\n");
+    for (std::size_t i = 0; i < deployment.customers.size(); ++i) {
+        const CustomerLoad &customer = deployment.customers[i];
+        const std::string title = "  " + customer.name + ", share " + number(customer.share, 0);
+        printRow(title.c_str(), results,
+                 [i](const auto &r) { return number(r.fairness.servicePerShare.at(i), 0); });
+    }
+    for (const ModeResult &result : results)
+        std::printf("%s: the gap is between %s\n", result.mode.c_str(),
+                    result.fairness.gapBetween.c_str());
+}
+
+} // namespace
+
+} // namespace bilberry::benchmark
+
+int main(int argc, char **argv)
+{
+    using namespace bilberry::benchmark;
+    cxxopts::Options options("experiment", "Measures fairness, utilisation and control traffic.");
+    options.add_options()("deployment", "ovsena or krathin",
+                          cxxopts::value<std::string>()->default_value("ovsena"))(
+            "seconds", "length of the saturated part", cxxopts::value<int>()->default_value("15"))(
+            "modes", "fairness modes, comma separated",
+            cxxopts::value<std::vector<std::string>>()->default_value("fleet,local,fifo"))(
+            "json", "print JSON")("help", "print this help");
+    const auto parsed = options.parse(argc, argv);
+    if (parsed.count("help") > 0) {
+        std::cout << options.help();
+        return 0;
+    }
+    const auto deployment = parsed["deployment"].as<std::string>();
+    std::vector<ModeResult> results;
+    for (const std::string &mode : parsed["modes"].as<std::vector<std::string>>())
+        results.push_back(
+                runMode(deployment, mode, std::chrono::seconds(parsed["seconds"].as<int>())));
+    if (parsed.count("json") == 0) {
+        printTable(makeDeployment(deployment, "fleet"), results);
+        return 0;
+    }
+    boost::json::array modes;
+    for (const ModeResult &result : results)
+        modes.push_back(toJson(result));
+    std::cout << boost::json::serialize(modes) << "\n";
+    return 0;
+}
