Stream the model servers' answers in the experiment

Cause: with answers in one piece the first byte comes at the end, costs vary by 100:1, and the admission window takes the variation for a cold server, so that the first run measured the window instead of the fairness.

--- a/benchmark/experiment/deployment.h
+++ b/benchmark/experiment/deployment.h
@@ -30,6 +30,7 @@
     std::vector<CustomerLoad> customers;
     std::size_t modelServers = 0;
     double largestMs = 2000.0; ///< cost of the largest request
+    bool streamed = true;      ///< answers of the model servers begin at once
 
     std::size_t modelSlots() const { return modelServers * slotsPerServer; }
 
--- a/benchmark/experiment/experiment.cpp
+++ b/benchmark/experiment/experiment.cpp
@@ -121,11 +121,13 @@
     result.zoneMove = measureService(calls);
 }
 
-ModeResult runMode(const std::string &deploymentName, const std::string &mode, Duration length)
+ModeResult runMode(const std::string &deploymentName, const std::string &mode, Duration length,
+                   bool streamed)
 {
     ModeResult result;
     result.mode = mode;
-    const Deployment deployment = makeDeployment(deploymentName, mode);
+    Deployment deployment = makeDeployment(deploymentName, mode);
+    deployment.streamed = streamed;
     tests::Fleet fleet(deployment.plan);
     if (!fleet.start()) {
         std::fputs("The fleet did not start.\n", stderr);
@@ -226,6 +228,7 @@
             "seconds", "length of the saturated part", cxxopts::value<int>()->default_value("15"))(
             "modes", "fairness modes, comma separated",
             cxxopts::value<std::vector<std::string>>()->default_value("fleet,local,fifo"))(
+            "whole", "answers of the model servers come in one piece, at their end")(
             "json", "print JSON")("help", "print this help");
     const auto parsed = options.parse(argc, argv);
     if (parsed.count("help") > 0) {
@@ -235,8 +238,9 @@
     const auto deployment = parsed["deployment"].as<std::string>();
     std::vector<ModeResult> results;
     for (const std::string &mode : parsed["modes"].as<std::vector<std::string>>())
-        results.push_back(
-                runMode(deployment, mode, std::chrono::seconds(parsed["seconds"].as<int>())));
+        results.push_back(runMode(deployment, mode,
+                                  std::chrono::seconds(parsed["seconds"].as<int>()),
+                                  parsed.count("whole") == 0));
     if (parsed.count("json") == 0) {
         printTable(makeDeployment(deployment, "fleet"), results);
         return 0;
--- a/benchmark/experiment/load.cpp
+++ b/benchmark/experiment/load.cpp
@@ -23,6 +23,7 @@
 namespace {
 
 constexpr double smallestMs = 5.0;
+constexpr char streamedParts[] = "4";
 constexpr auto answerLimit = std::chrono::seconds(40);
 
 using Request = http::request<http::empty_body>;
@@ -62,6 +63,8 @@
         const auto whole = static_cast<long>(ms);
         request.set("X-Ms", std::to_string(whole));
         request.set("X-Tag", std::to_string(customer) + ":" + std::to_string(whole));
+        if (deployment.streamed)
+            request.set("X-Chunks", streamedParts);
         return request;
     }
 
