Start a waiting customer beside the neediest one

Cause: a customer whose queue emptied for a moment was lifted to the largest virtual time served, so small customers with few callers lost service each time: offsets of 4709 and 5305 ms after 8 s (router status: virtual time minus charged service). Ruled out: charges at the end (sums of charged service match the servers' journals) and the catch-up cap (60 s, never reached). Change: the start is the smallest virtual time of the waiting customers, as far as the router and its agents know it; the largest one served counts only while nothing waits. Test: serviceledger_test fails with the former rule (entry at 2000 in place of 500).

--- a/packages/decision/include/bilberry/decision/admissioncontrol.h
+++ b/packages/decision/include/bilberry/decision/admissioncontrol.h
@@ -113,7 +113,7 @@
     bool m_open = false;
     bool m_heardReport = false;
     std::uint32_t m_inherited = 0; ///< requests of an earlier life that still run
-    double m_virtualTime = 0.0;
+    double m_virtualTime = 0.0; ///< of the last grant, or the largest one started without a grant
     std::unordered_map<AttemptId, AdmissionRequest> m_running;
     std::multimap<double, AdmissionRequest> m_held;
 };
--- a/packages/decision/include/bilberry/decision/serviceledger.h
+++ b/packages/decision/include/bilberry/decision/serviceledger.h
@@ -69,16 +69,22 @@
     void applyRemote(const ServiceKey &key, const RemoteService &remote, bool aggregatorChanged,
                      TimePoint now);
 
-    /// Tells that a customer has work waiting. A customer that was idle starts at the frontier at
-    /// the least: idle time is not saved up.
+    /// Tells that a customer has work waiting. A customer that was idle starts at the least where
+    /// the neediest waiting customer is: idle time is not saved up, and nobody is set back behind
+    /// those who wait already.
     void setBacklogged(const ServiceKey &key, TimePoint now);
 
     /// Tells that a customer has no more work waiting.
     void setIdle(const ServiceKey &key);
 
-    /// Raises the pool's service frontier: the largest virtual time at which work started.
+    /// Raises the pool's service frontier: the largest virtual time at which work started while
+    /// nothing waited.
     void raiseFrontier(const PoolId &pool, double virtualTime);
 
+    /// Sets the pool's service frontier while work waits: the smallest virtual time that waits at
+    /// an agent. It may fall, because the most served customer doesn't say where the others are.
+    void setFrontier(const PoolId &pool, double virtualTime) { m_frontiers[pool] = virtualTime; }
+
     /// Lifts waiting customers that lag behind the frontier by more than the cap.
     void capCatchUp(TimePoint now);
 
@@ -111,6 +117,7 @@
     double remoteNow(const Account &account, TimePoint now) const;
     double virtualTime(const Account &account, TimePoint now) const;
     void lift(Account &account, double target, TimePoint now) const;
+    double entryTime(const PoolId &pool, TimePoint now) const;
 
     LedgerSettings m_settings;
     std::map<ServiceKey, Account> m_accounts;
--- a/packages/decision/src/admissioncontrol.cpp
+++ b/packages/decision/src/admissioncontrol.cpp
@@ -23,7 +23,10 @@
 void AdmissionControl::start(const AdmissionRequest &request)
 {
     m_running.emplace(request.attempt, request);
-    m_virtualTime = std::max(m_virtualTime, request.virtualTime);
+    // While work waits, the grants tell how far service is: the largest virtual time would set
+    // customers back that come and go.
+    if (request.grant == 0)
+        m_virtualTime = std::max(m_virtualTime, request.virtualTime);
 }
 
 void AdmissionControl::hold(const AdmissionRequest &request)
@@ -86,6 +89,7 @@
         const auto grant = m_grants.issue(now);
         if (!grant)
             break;
+        m_virtualTime = grant->virtualTime;
         issued.push_back(*grant);
     }
     return issued;
--- a/packages/decision/src/serviceledger.cpp
+++ b/packages/decision/src/serviceledger.cpp
@@ -30,8 +30,19 @@
     Account &account = m_accounts[key];
     if (account.backlogged)
         return;
+    lift(account, entryTime(key.pool, now), now);
     account.backlogged = true;
-    lift(account, frontier(key.pool), now);
+}
+
+double ServiceLedger::entryTime(const PoolId &pool, TimePoint now) const
+{
+    double smallest = frontier(pool);
+    for (auto entry = m_accounts.lower_bound({pool, CustomerId()});
+         entry != m_accounts.end() && entry->first.pool == pool; ++entry) {
+        if (entry->second.backlogged)
+            smallest = std::min(smallest, virtualTime(entry->second, now));
+    }
+    return smallest;
 }
 
 void ServiceLedger::setIdle(const ServiceKey &key)
--- /dev/null
+++ b/packages/decision/tests/serviceledger_test.cpp
@@ -0,0 +1,114 @@
+#include "bilberry/decision/serviceledger.h"
+
+#include <catch2/catch.hpp>
+#include <rapidcheck.h>
+
+using namespace bilberry;
+using namespace bilberry::decision;
+
+namespace {
+
+const PoolId pool("models");
+const TimePoint start{};
+
+ServiceKey keyOf(const std::string &customer)
+{
+    return {pool, CustomerId(customer)};
+}
+
+TimePoint at(double ms)
+{
+    return start + fromMilliseconds(ms);
+}
+
+} // namespace
+
+SCENARIO("a customer that starts to wait begins where the others are")
+{
+    GIVEN("two customers that wait, one far ahead")
+    {
+        ServiceLedger ledger({});
+        ledger.setBacklogged(keyOf("small"), start);
+        ledger.setBacklogged(keyOf("large"), start);
+        ledger.charge(keyOf("small"), 500.0, 1.0);
+        ledger.charge(keyOf("large"), 20000.0, 10.0);
+        ledger.setFrontier(pool, 2000.0);
+
+        WHEN("an idle customer comes with less service than both")
+        {
+            ledger.setBacklogged(keyOf("new"), start);
+
+            THEN("it starts beside the neediest one, not behind the most served one")
+            {
+                CHECK(ledger.virtualTime(keyOf("new"), start) == Approx(500.0));
+            }
+        }
+        WHEN("the neediest customer's queue is empty for a moment")
+        {
+            ledger.setIdle(keyOf("small"));
+            ledger.setFrontier(pool, 400.0);
+            ledger.setBacklogged(keyOf("small"), start);
+
+            THEN("it is not set back")
+            {
+                CHECK(ledger.virtualTime(keyOf("small"), start) == Approx(500.0));
+            }
+        }
+        WHEN("an idle customer comes with more service than both")
+        {
+            ledger.charge(keyOf("new"), 9000.0, 1.0);
+            ledger.setBacklogged(keyOf("new"), start);
+
+            THEN("its virtual time stays: past service counts")
+            {
+                CHECK(ledger.virtualTime(keyOf("new"), start) == Approx(9000.0));
+            }
+        }
+    }
+    GIVEN("a pool in which nobody waits, after much service")
+    {
+        ServiceLedger ledger({});
+        ledger.raiseFrontier(pool, 7000.0);
+        ledger.raiseFrontier(pool, 300.0);
+
+        THEN("a customer that starts to wait saved up no idle time")
+        {
+            ledger.setBacklogged(keyOf("new"), start);
+            CHECK(ledger.virtualTime(keyOf("new"), start) == Approx(7000.0));
+        }
+    }
+}
+
+SCENARIO("what other routers served counts")
+{
+    GIVEN("a customer with own and remote service")
+    {
+        ServiceLedger ledger({});
+        const ServiceKey key = keyOf("kitchen");
+        ledger.charge(key, 100.0, 1.0);
+        ledger.applyRemote(key, {1000.0, 200.0, 0.0}, false, at(0.0));
+
+        THEN("remote service is extrapolated for a limited time")
+        {
+            CHECK(ledger.virtualTime(key, at(500.0)) == Approx(1200.0));
+            CHECK(ledger.virtualTime(key, at(60000.0)) == Approx(1300.0));
+        }
+        WHEN("another aggregator answers, which lost counters")
+        {
+            ledger.applyRemote(key, {0.0, 0.0, 0.0}, true, at(0.0));
+
+            THEN("the virtual time doesn't fall")
+            {
+                CHECK(ledger.virtualTime(key, at(0.0)) == Approx(1100.0));
+            }
+        }
+    }
+    GIVEN("a ledger for measurements without exchange")
+    {
+        LedgerSettings settings;
+        settings.countRemote = false;
+        ServiceLedger ledger(settings);
+        ledger.applyRemote(keyOf("kitchen"), {1000.0, 0.0, 50.0}, false, start);
+        CHECK(ledger.virtualTime(keyOf("kitchen"), start) == Approx(0.0));
+    }
+}
--- a/packages/router/src/routercore.cpp
+++ b/packages/router/src/routercore.cpp
@@ -167,7 +167,8 @@
     m_requestOf[request.attempt] = id;
     m_charges.dispatch(request.attempt, key, share(request.submit.customer),
                        m_estimator.estimate(key, request.submit.costHint));
-    m_ledger.raiseFrontier(key.pool, virtualTime);
+    if (grant == 0)
+        m_ledger.raiseFrontier(key.pool, virtualTime);
     m_placement.noteDispatch(server);
     wire::Dispatch message;
     message.attempt = request.attempt;
@@ -326,7 +327,10 @@
     const Agent &agent = m_agents[server];
     m_placement.update(server, {agent.pool, agent.zone, load.window, load.running, load.held,
                                 load.accepting, load.contended});
-    m_ledger.raiseFrontier(agent.pool, load.virtualTime);
+    if (load.contended)
+        m_ledger.setFrontier(agent.pool, load.virtualTime);
+    else
+        m_ledger.raiseFrontier(agent.pool, load.virtualTime);
 }
 
 void RouterCore::handle(const ServerId &server, wire::AgentHeartbeat &message, TimePoint)
--- a/packages/wire/include/bilberry/wire/linkmessages.h
+++ b/packages/wire/include/bilberry/wire/linkmessages.h
@@ -128,7 +128,7 @@
     std::uint32_t window = 0;  ///< requests that the server may run at once
     std::uint32_t running = 0; ///< requests that it runs
     std::uint32_t held = 0;    ///< admitted requests waiting at the agent, and open grants
-    double virtualTime = 0.0;  ///< largest virtual time that the agent has served
+    double virtualTime = 0.0;  ///< how far service is in virtual time
     bool cold = false;
     bool accepting = false; ///< false: leaving, zone out, unhealthy or cut off
     bool contended = false; ///< demand of some router stands
