Keep test sockets out of started programs

Cause: sockets of a test process were inherited by the programs that it starts, so that the port of a backend stand-in stayed open there after a simulated crash closed it: the stand-in could not bind again (SIGABRT), and a crashed server still accepted connections. Ruled out: lingering connections (the acceptor sets reuse_address). Change: the programs close all descriptors but the standard ones at exec.

--- a/tests/support/process.cpp
+++ b/tests/support/process.cpp
@@ -1,18 +1,33 @@
 #include "support/process.h"
 
 #include <boost/process.hpp>
+#include <boost/process/extend.hpp>
 
 #include <csignal>
 
+#include <linux/close_range.h>
+#include <unistd.h>
+
 namespace bilberry::tests {
 
 namespace bp = boost::process;
 
+namespace {
+
+/// Keeps the test's own sockets out of the program: a stand-in's port would stay open there after
+/// the stand-in closed it. Runs between fork and exec.
+constexpr auto closeInherited = [](auto &) {
+    constexpr unsigned int firstOther = 3;
+    ::close_range(firstOther, ~0U, CLOSE_RANGE_CLOEXEC);
+};
+
+} // namespace
+
 Finished runProgram(const std::string &program, const std::vector<std::string> &arguments)
 {
     bp::ipstream out;
     bp::child child(program, bp::args(arguments), (bp::std_out & bp::std_err) > out,
-                    bp::std_in < bp::null);
+                    bp::std_in < bp::null, bp::extend::on_exec_setup = closeInherited);
     Finished finished;
     for (std::string line; std::getline(out, line);)
         finished.output += line + '\n';
@@ -32,7 +47,7 @@
 {
     std::FILE *log = std::fopen(logFile.c_str(), "a");
     m_state->child = bp::child(program, bp::args(arguments), (bp::std_out & bp::std_err) > log,
-                               bp::std_in < bp::null);
+                               bp::std_in < bp::null, bp::extend::on_exec_setup = closeInherited);
     std::fclose(log);
 }
 
