Count crashes of different servers together, run suspects apart

Cause: a notice carried a number of crashes and receivers took the largest number, so that crashes on different servers never added up; the request was retried before the health check showed the crash; and a whole batch was retried together, so that innocents shared the second crash too. A health check that merely timed out counted as a crash and cut the running requests off. Ruled out: spreading by gossip only (the retry is faster). Change: notices carry the crashes' identities and are united; a broken connection is followed by a health check at once, before the end of the attempt is told; an agent runs one suspect at a time; a completed request is cleared also of repeated notices. Only the router whose request it was gossips the suspicion.

--- a/packages/agent/include/bilberry/agent/agentcore.h
+++ b/packages/agent/include/bilberry/agent/agentcore.h
@@ -3,6 +3,7 @@
 
 #include "bilberry/agent/agentsettings.h"
 #include "bilberry/agent/backendevents.h"
+#include "bilberry/agent/healthtracker.h"
 #include "bilberry/base/log.h"
 #include "bilberry/decision/admissioncontrol.h"
 #include "bilberry/decision/costestimator.h"
@@ -76,13 +77,6 @@
         std::uint32_t chunks = 0;
     };
 
-    /// A request whose connection the server broke.
-    struct BrokenRequest
-    {
-        decision::Fingerprint fingerprint = 0;
-        TimePoint at{};
-    };
-
     void handle(decision::LinkId link, wire::RouterHello &message, TimePoint now);
     void handle(decision::LinkId link, wire::RouterHeartbeat &message, TimePoint now);
     void handle(decision::LinkId link, wire::Demand &message, TimePoint now);
@@ -112,7 +106,7 @@
     void start(AttemptId attempt, Attempt &state, TimePoint now);
     void finish(AttemptId attempt, wire::AttemptEnd end, TimePoint now);
     void serverCrashed(TimePoint now);
-    std::vector<decision::Fingerprint> takeRecentlyBroken(TimePoint now);
+    bool suspectRuns() const;
     void advance(TimePoint now);
     void updateOpen(TimePoint now);
     void heartbeat(TimePoint now);
@@ -128,8 +122,7 @@
     ConfigurationPtr m_configuration;
     std::map<decision::LinkId, Link> m_links;
     std::unordered_map<AttemptId, Attempt> m_attempts;
-    std::vector<BrokenRequest> m_broken;
-    BackendHealth m_health;
+    HealthTracker m_health;
     bool m_draining = false;
     std::uint32_t m_crashes = 0;
     wire::ServerLoad m_sentLoad;
--- a/packages/agent/include/bilberry/agent/backendevents.h
+++ b/packages/agent/include/bilberry/agent/backendevents.h
@@ -66,6 +66,7 @@
 struct BackendHealth
 {
     bool reachable = false;
+    bool gone = false; ///< not reachable: nothing listens on its port, so that it runs nothing
     bool cold = false;
     bool leaving = false;
     std::uint32_t running = 0;
--- a/packages/agent/src/agentcore.cpp
+++ b/packages/agent/src/agentcore.cpp
@@ -2,6 +2,8 @@
 
 #include "bilberry/model/configurationcodec.h"
 
+#include <algorithm>
+
 namespace bilberry::agent {
 
 namespace {
@@ -10,9 +12,6 @@
 /// A change of load is told at most this often; answers carry it anyway.
 constexpr Duration shortestHeartbeatGap = std::chrono::milliseconds(100);
 
-/// The longest time between a crash's broken connections and the health check that shows it.
-constexpr Duration crashNoticeDelay = std::chrono::seconds(2);
-
 /// Tells what a router must know soon, other than mere numbers.
 bool stateDiffers(const wire::ServerLoad &left, const wire::ServerLoad &right)
 {
@@ -106,6 +105,12 @@
         refuse(link, message.attempt, wire::RefusalReason::StaleGrant);
         return;
     }
+    // Suspects run one at a time, so that the next crash shows which of them causes it.
+    if (m_quarantine.suspects(message.fingerprint) && suspectRuns()) {
+        m_admission.giveBack(message.grant, link);
+        refuse(link, message.attempt, wire::RefusalReason::Full);
+        return;
+    }
     m_admission.setOpen(true);
     const auto verdict
             = m_admission.offer({message.attempt, link, message.grant, message.virtualTime}, now);
@@ -214,9 +219,9 @@
 
 std::optional<wire::RefusalReason> AgentCore::closedReason(TimePoint now) const
 {
-    if (m_draining || m_health.leaving)
+    if (m_draining || m_health.health().leaving)
         return wire::RefusalReason::Leaving;
-    if (!m_health.reachable)
+    if (!m_health.health().reachable)
         return wire::RefusalReason::ServerDown;
     if (!m_configuration || !m_freshness.mayAdmit(now))
         return wire::RefusalReason::CutOff;
@@ -286,7 +291,7 @@
         finish(end.attempt, wire::AttemptEnd::Complete, now);
         return;
     case BackendOutcome::Broken:
-        m_broken.push_back({found->second.fingerprint, now});
+        m_health.broke(found->second.fingerprint);
         finish(end.attempt, wire::AttemptEnd::Truncated, now);
         return;
     case BackendOutcome::Stopped:
@@ -312,15 +317,8 @@
 
 void AgentCore::event(BackendHealth &health, TimePoint now)
 {
-    const bool restarted = m_health.serverIncarnation != 0 && health.serverIncarnation != 0
-                           && health.serverIncarnation != m_health.serverIncarnation;
-    const bool lost = m_health.reachable && !health.reachable;
-    if (restarted || lost)
+    if (m_health.report(health, now))
         serverCrashed(now);
-    const std::uint64_t incarnation
-            = health.reachable ? health.serverIncarnation : m_health.serverIncarnation;
-    m_health = health;
-    m_health.serverIncarnation = incarnation;
     if (health.reachable)
         m_admission.serverReported(health.cold, health.running);
     updateOpen(now);
@@ -332,7 +330,7 @@
     ++m_crashes;
     m_log.warning("The backend server crashed or restarted.");
     m_admission.serverCrashed();
-    std::vector<decision::Fingerprint> inFlight = takeRecentlyBroken(now);
+    std::vector<decision::Fingerprint> inFlight = m_health.takeBroken();
     std::vector<AttemptId> running;
     for (const auto &[attempt, state] : m_attempts) {
         if (!state.started)
@@ -353,16 +351,11 @@
     }
 }
 
-std::vector<decision::Fingerprint> AgentCore::takeRecentlyBroken(TimePoint now)
+bool AgentCore::suspectRuns() const
 {
-    // A crash breaks connections before the health check notices it.
-    std::vector<decision::Fingerprint> fingerprints;
-    for (const BrokenRequest &broken : m_broken) {
-        if (now - broken.at <= crashNoticeDelay)
-            fingerprints.push_back(broken.fingerprint);
-    }
-    m_broken.clear();
-    return fingerprints;
+    return std::any_of(m_attempts.begin(), m_attempts.end(), [this](const auto &entry) {
+        return m_quarantine.suspects(entry.second.fingerprint);
+    });
 }
 
 void AgentCore::updateOpen(TimePoint now)
@@ -391,8 +384,6 @@
     updateOpen(now);
     advance(now);
     m_quarantine.expire(now);
-    std::erase_if(m_broken,
-                  [&](const BrokenRequest &broken) { return now - broken.at > crashNoticeDelay; });
     heartbeat(now);
 }
 
--- a/packages/agent/src/backendclient.cpp
+++ b/packages/agent/src/backendclient.cpp
@@ -163,6 +163,14 @@
         const BackendOutcome outcome = co_await self->exchange(std::move(request), *running);
         if (outcome != BackendOutcome::Complete)
             running->stream.reset();
+        // The core must know of a crash before it tells the end of the attempt, so that a retry
+        // elsewhere is already suspected.
+        if (outcome == BackendOutcome::Broken && !running->stopped) {
+            std::unique_ptr<Stream> probe;
+            const BackendHealth health = co_await self->checkHealth(probe);
+            if (health.reachable || health.gone)
+                self->onEvent(health);
+        }
         if (running->stream && self->idle.size() < maxIdleConnections)
             self->idle.push_back(std::move(running->stream));
         self->attempts.erase(attempt);
@@ -252,9 +260,9 @@
         asio::steady_timer timer(self->context);
         int failures = failuresToUnreachable;
         for (;;) {
-            const BackendHealth health = co_await self->checkHealth();
+            const BackendHealth health = co_await self->checkHealth(self->healthStream);
             failures = health.reachable ? 0 : failures + 1;
-            if (health.reachable || failures >= failuresToUnreachable)
+            if (health.reachable || health.gone || failures >= failuresToUnreachable)
                 self->onEvent(health);
             boost::system::error_code error;
             timer.expires_after(self->settings.healthPeriod);
@@ -262,29 +270,32 @@
         }
     }
 
-    asio::awaitable<BackendHealth> checkHealth()
+    /// @param stream kept open for the next check
+    asio::awaitable<BackendHealth> checkHealth(std::unique_ptr<Stream> &stream)
     {
         boost::system::error_code error;
-        if (!healthStream || !isOpen(*healthStream)) {
-            healthStream = std::make_unique<Stream>(context);
-            healthStream->expires_after(healthLimit);
-            co_await healthStream->async_connect(endpoint,
-                                                 asio::redirect_error(asio::use_awaitable, error));
+        if (!stream || !isOpen(*stream)) {
+            stream = std::make_unique<Stream>(context);
+            stream->expires_after(healthLimit);
+            co_await stream->async_connect(endpoint,
+                                           asio::redirect_error(asio::use_awaitable, error));
         }
         http::request<http::empty_body> request(http::verb::get, "/health", 11);
         request.set(http::field::host, settings.backendAddress);
-        healthStream->expires_after(healthLimit);
+        stream->expires_after(healthLimit);
         if (!error)
-            co_await http::async_write(*healthStream, request,
+            co_await http::async_write(*stream, request,
                                        asio::redirect_error(asio::use_awaitable, error));
         beast::flat_buffer buffer;
         http::response<http::string_body> response;
         if (!error)
-            co_await http::async_read(*healthStream, buffer, response,
+            co_await http::async_read(*stream, buffer, response,
                                       asio::redirect_error(asio::use_awaitable, error));
         if (error || response.result() != http::status::ok) {
-            healthStream.reset();
-            co_return BackendHealth{};
+            stream.reset();
+            BackendHealth health;
+            health.gone = error == asio::error::connection_refused;
+            co_return health;
         }
         co_return parseHealth(response.body());
     }
--- a/packages/decision/include/bilberry/decision/quarantine.h
+++ b/packages/decision/include/bilberry/decision/quarantine.h
@@ -2,6 +2,7 @@
 #define BILBERRY_DECISION_QUARANTINE_H
 
 #include "bilberry/base/time.h"
+#include "bilberry/model/ids.h"
 
 #include <cstdint>
 #include <map>
@@ -14,14 +15,6 @@
 /// Same for each repeat of one request.
 using Fingerprint = std::uint64_t;
 
-/// Identifies one crash: the agent's life and the count of its server's crashes.
-struct CrashId
-{
-    std::uint64_t agentIncarnation = 0;
-    std::uint32_t crash = 0;
-    auto operator<=>(const CrashId &) const = default;
-};
-
 struct QuarantineSettings
 {
     std::uint32_t crashesToQuarantine = 2;
@@ -31,7 +24,8 @@
 };
 
 /// Requests in flight at a crash share the suspicion; one that is seen in a second crash is
-/// refused. A request that completes is cleared.
+/// refused. A request that completes is cleared of the crashes known until then, also when another
+/// process repeats them.
 class Quarantine
 {
 public:
@@ -47,14 +41,18 @@
     /// @return true when the request must be refused
     bool refuses(Fingerprint fingerprint) const;
 
-    /// @return crashes that the fingerprint is suspected of
-    std::uint32_t crashes(Fingerprint fingerprint) const;
+    /// @return true when the request was in flight at a crash and has not completed since
+    bool suspects(Fingerprint fingerprint) const { return !crashes(fingerprint).empty(); }
+
+    /// @return crashes that the fingerprint is suspected of, as many as lead to quarantine
+    std::vector<CrashId> crashes(Fingerprint fingerprint) const;
 
     /// Takes in what another process knows.
-    void merge(Fingerprint fingerprint, std::uint32_t crashes, TimePoint now);
+    /// @return true when a crash was new
+    bool merge(Fingerprint fingerprint, const std::vector<CrashId> &crashes, TimePoint now);
 
-    /// @return all suspected fingerprints with their number of crashes
-    std::vector<std::pair<Fingerprint, std::uint32_t>> entries() const;
+    /// @return all suspected fingerprints with their crashes
+    std::vector<std::pair<Fingerprint, std::vector<CrashId>>> entries() const;
 
     /// Forgets old suspicion.
     void expire(TimePoint now);
@@ -62,17 +60,12 @@
 private:
     struct Entry
     {
-        std::set<CrashId> seen;
-        std::uint32_t reported = 0; ///< by other processes
+        std::set<CrashId> seen;    ///< at most as many as lead to quarantine
+        std::set<CrashId> cleared; ///< the request completed after these
         TimePoint last{};
-
-        std::uint32_t crashes() const
-        {
-            const auto own = static_cast<std::uint32_t>(seen.size());
-            return own > reported ? own : reported;
-        }
     };
 
+    bool add(Fingerprint fingerprint, const CrashId &crash, TimePoint now);
     void shrink();
 
     QuarantineSettings m_settings;
--- a/packages/decision/src/quarantine.cpp
+++ b/packages/decision/src/quarantine.cpp
@@ -4,51 +4,74 @@
 
 namespace bilberry::decision {
 
+namespace {
+
+/// Crashes remembered for one request that completed after them.
+constexpr std::size_t maxCleared = 8;
+
+} // namespace
+
 void Quarantine::crashed(const CrashId &crash, const std::vector<Fingerprint> &inFlight,
                          TimePoint now)
 {
     for (const Fingerprint fingerprint : inFlight) {
-        Entry &entry = m_entries[fingerprint];
-        entry.seen.insert(crash);
-        entry.last = now;
+        add(fingerprint, crash, now);
     }
     shrink();
 }
 
+bool Quarantine::add(Fingerprint fingerprint, const CrashId &crash, TimePoint now)
+{
+    Entry &entry = m_entries[fingerprint];
+    entry.last = now;
+    if (entry.seen.size() >= m_settings.crashesToQuarantine || entry.cleared.contains(crash))
+        return false;
+    return entry.seen.insert(crash).second;
+}
+
 void Quarantine::completed(Fingerprint fingerprint)
 {
     // A request in quarantine never completes: it is refused before it runs.
-    if (!refuses(fingerprint))
-        m_entries.erase(fingerprint);
+    const auto found = m_entries.find(fingerprint);
+    if (found == m_entries.end() || refuses(fingerprint))
+        return;
+    Entry &entry = found->second;
+    if (entry.cleared.size() >= maxCleared)
+        entry.cleared.clear();
+    entry.cleared.merge(entry.seen);
+    entry.seen.clear();
 }
 
 bool Quarantine::refuses(Fingerprint fingerprint) const
 {
-    return crashes(fingerprint) >= m_settings.crashesToQuarantine;
+    const auto found = m_entries.find(fingerprint);
+    return found != m_entries.end() && found->second.seen.size() >= m_settings.crashesToQuarantine;
 }
 
-std::uint32_t Quarantine::crashes(Fingerprint fingerprint) const
+std::vector<CrashId> Quarantine::crashes(Fingerprint fingerprint) const
 {
     const auto found = m_entries.find(fingerprint);
-    return found == m_entries.end() ? 0 : found->second.crashes();
+    if (found == m_entries.end())
+        return {};
+    return {found->second.seen.begin(), found->second.seen.end()};
 }
 
-void Quarantine::merge(Fingerprint fingerprint, std::uint32_t crashes, TimePoint now)
+bool Quarantine::merge(Fingerprint fingerprint, const std::vector<CrashId> &crashes, TimePoint now)
 {
-    Entry &entry = m_entries[fingerprint];
-    if (crashes > entry.reported) {
-        entry.reported = crashes;
-        entry.last = now;
-    }
+    bool changed = false;
+    for (const CrashId &crash : crashes)
+        changed = add(fingerprint, crash, now) || changed;
     shrink();
+    return changed;
 }
 
-std::vector<std::pair<Fingerprint, std::uint32_t>> Quarantine::entries() const
+std::vector<std::pair<Fingerprint, std::vector<CrashId>>> Quarantine::entries() const
 {
-    std::vector<std::pair<Fingerprint, std::uint32_t>> result;
-    result.reserve(m_entries.size());
-    for (const auto &[fingerprint, entry] : m_entries)
-        result.emplace_back(fingerprint, entry.crashes());
+    std::vector<std::pair<Fingerprint, std::vector<CrashId>>> result;
+    for (const auto &[fingerprint, entry] : m_entries) {
+        if (!entry.seen.empty())
+            result.emplace_back(fingerprint, crashes(fingerprint));
+    }
     return result;
 }
 
@@ -65,8 +88,8 @@
         // The least suspicious and then oldest entry goes first.
         const auto weakest = std::min_element(
                 m_entries.begin(), m_entries.end(), [](const auto &left, const auto &right) {
-                    return std::pair(left.second.crashes(), left.second.last)
-                           < std::pair(right.second.crashes(), right.second.last);
+                    return std::pair(left.second.seen.size(), left.second.last)
+                           < std::pair(right.second.seen.size(), right.second.last);
                 });
         m_entries.erase(weakest);
     }
--- a/packages/model/include/bilberry/model/ids.h
+++ b/packages/model/include/bilberry/model/ids.h
@@ -3,6 +3,7 @@
 
 #include "bilberry/base/name.h"
 
+#include <compare>
 #include <cstdint>
 
 namespace bilberry {
@@ -22,6 +23,14 @@
 /// Unique number of one attempt to run a request on a backend server.
 using AttemptId = std::uint64_t;
 
+/// Identifies one crash of a backend server: the agent's life and the count of crashes in it.
+struct CrashId
+{
+    Incarnation agent = 0;
+    std::uint32_t crash = 0;
+    auto operator<=>(const CrashId &) const = default;
+};
+
 } // namespace bilberry
 
 #endif
--- a/packages/router/include/bilberry/router/routercore.h
+++ b/packages/router/include/bilberry/router/routercore.h
@@ -147,6 +147,7 @@
     void completed(Requests::iterator found, const wire::AnswerEnd &end, TimePoint now);
     void refuse(RequestId id, RefusalKind kind, RequestOutcome outcome,
                 std::uint32_t retryAfterSeconds, TimePoint now, const std::string &detail = "");
+    bool runs(decision::Fingerprint fingerprint) const;
     void finishClaim(Request &request, bool ran);
     void takeLoad(const ServerId &server, const wire::ServerLoad &load);
     wire::Demand demand(const PoolId &pool, TimePoint now);
--- a/packages/router/src/routercore.cpp
+++ b/packages/router/src/routercore.cpp
@@ -3,6 +3,8 @@
 #include "bilberry/base/digest.h"
 #include "bilberry/decision/rendezvous.h"
 
+#include <algorithm>
+
 namespace bilberry::router {
 
 namespace {
@@ -181,6 +183,10 @@
     message.headers = request.submit.headers;
     message.body = request.submit.body;
     message.demand = demand(key.pool, now);
+    // The agent runs a suspect apart from others, so it has to know before.
+    if (m_quarantine.suspects(request.fingerprint))
+        m_hooks.send(server, wire::QuarantineNotice{request.fingerprint,
+                                                    m_quarantine.crashes(request.fingerprint)});
     m_hooks.send(server, std::move(message));
 }
 
@@ -515,13 +521,26 @@
 void RouterCore::handle(const ServerId &, wire::QuarantineNotice &message, TimePoint now)
 {
     const bool before = m_quarantine.refuses(message.fingerprint);
-    m_quarantine.merge(message.fingerprint, message.crashes, now);
-    m_hooks.quarantined(message);
-    if (before || !m_quarantine.refuses(message.fingerprint))
+    const bool changed = m_quarantine.merge(message.fingerprint, message.crashes, now);
+    const wire::QuarantineNotice known{message.fingerprint,
+                                       m_quarantine.crashes(message.fingerprint)};
+    const bool reached = !before && m_quarantine.refuses(message.fingerprint);
+    // All routers linked to the agent hear of the crash. Only the one whose request it was passes
+    // the suspicion on, so that a crash costs one round of gossip for each request.
+    if (changed && (reached || runs(message.fingerprint)))
+        m_hooks.quarantined(known);
+    if (!reached)
         return;
     m_log.warning("A request is in quarantine after it crashed servers.");
     for (const auto &[server, agent] : m_agents)
-        m_hooks.send(server, wire::QuarantineNotice(message));
+        m_hooks.send(server, wire::QuarantineNotice(known));
+}
+
+bool RouterCore::runs(decision::Fingerprint fingerprint) const
+{
+    return std::any_of(m_requests.begin(), m_requests.end(), [&](const auto &entry) {
+        return entry.second.stage == Stage::Running && entry.second.fingerprint == fingerprint;
+    });
 }
 
 void RouterCore::mergeQuarantine(const wire::QuarantineNotice &notice, TimePoint now)
@@ -530,8 +549,10 @@
     m_quarantine.merge(notice.fingerprint, notice.crashes, now);
     if (before || !m_quarantine.refuses(notice.fingerprint))
         return;
+    const wire::QuarantineNotice known{notice.fingerprint,
+                                       m_quarantine.crashes(notice.fingerprint)};
     for (const auto &[server, agent] : m_agents)
-        m_hooks.send(server, wire::QuarantineNotice(notice));
+        m_hooks.send(server, wire::QuarantineNotice(known));
 }
 
 std::vector<wire::QuarantineNotice> RouterCore::quarantineEntries() const
--- a/packages/wire/include/bilberry/wire/linkmessages.h
+++ b/packages/wire/include/bilberry/wire/linkmessages.h
@@ -97,11 +97,12 @@
     bool operator==(const AnswerCredit &) const = default;
 };
 
-/// A fingerprint that is refused because it crashed servers.
+/// A request that was in flight when servers crashed. Receivers unite the crashes with those that
+/// they know, so that repeated and reordered notices do no harm.
 struct QuarantineNotice
 {
     std::uint64_t fingerprint = 0;
-    std::uint32_t crashes = 0;
+    std::vector<CrashId> crashes;
     bool operator==(const QuarantineNotice &) const = default;
 };
 
--- a/packages/wire/src/serialization.h
+++ b/packages/wire/src/serialization.h
@@ -4,6 +4,16 @@
 #include "bilberry/wire/gossipmessages.h"
 #include "bilberry/wire/linkmessages.h"
 
+namespace bilberry {
+
+template <typename Archive>
+void serialize(Archive &archive, CrashId &m)
+{
+    archive(m.agent, m.crash);
+}
+
+} // namespace bilberry
+
 /// Field lists for cereal; the order is part of the protocol version.
 namespace bilberry::wire {
 
