Let a request that may not be repeated run to its end when its link breaks

Cause: an agent stopped all running requests of a router whose link broke, also a booking half way; the answer of a request whose caller had left waited for credit for ever beyond 256 KiB, which kept its slot; grants were numbered from 1 in each life of an agent, so that an old number could pass for a new one; the lifetime of grants stood in two places. Ruled out: a refusal by the incarnation alone (the router fills in the incarnation that it knows at dispatch, not that of the grant). Change: Dispatch says whether the request may be repeated; the agent lets one that may not run on and drops its answer; unlimited credit for answers that nobody reads; grants are numbered from the agent's incarnation. A queued request with a claim leaves with its caller and releases the claim.

--- a/packages/agent/include/bilberry/agent/agentcore.h
+++ b/packages/agent/include/bilberry/agent/agentcore.h
@@ -70,6 +70,7 @@
     {
         decision::LinkId link = 0;
         std::uint64_t fingerprint = 0;
+        bool mayRepeat = true;
         RunRequest request; ///< kept until the request starts
         bool started = false;
         TimePoint startedAt{};
@@ -101,6 +102,7 @@
     void takeStamp(decision::LinkId link, const wire::ConfigurationStamp &stamp, TimePoint now);
     wire::ConfigurationStamp stamp(TimePoint now) const;
     std::optional<wire::RefusalReason> closedReason(TimePoint now) const;
+    void send(decision::LinkId link, wire::LinkMessage &&message);
     void refuse(decision::LinkId link, AttemptId attempt, wire::RefusalReason reason);
     void refuseHeld(wire::RefusalReason reason);
     void start(AttemptId attempt, Attempt &state, TimePoint now);
--- a/packages/agent/src/agentcore.cpp
+++ b/packages/agent/src/agentcore.cpp
@@ -12,6 +12,9 @@
 /// A change of load is told at most this often; answers carry it anyway.
 constexpr Duration shortestHeartbeatGap = std::chrono::milliseconds(100);
 
+/// How long a router may hold a grant; covers the creation of a claim by the platform.
+constexpr Duration grantLifetime = std::chrono::seconds(2);
+
 /// Tells what a router must know soon, other than mere numbers.
 bool stateDiffers(const wire::ServerLoad &left, const wire::ServerLoad &right)
 {
@@ -23,7 +26,7 @@
 
 AgentCore::AgentCore(AgentSettings settings, Incarnation incarnation, AgentHooks hooks)
     : m_settings(std::move(settings)), m_incarnation(incarnation), m_hooks(std::move(hooks)),
-      m_admission({{}, std::chrono::seconds(2), m_settings.ahead}),
+      m_admission({{}, grantLifetime, m_settings.ahead, incarnation}),
       m_freshness(m_settings.freshness), m_cost(decision::makeCostHook({}))
 {
 }
@@ -43,10 +46,12 @@
     for (auto &[attempt, state] : m_attempts) {
         if (state.link != link)
             continue;
-        if (state.started)
-            m_hooks.backend(StopRequest{attempt});
-        else
+        if (!state.started)
             held.push_back(attempt);
+        else if (state.mayRepeat)
+            m_hooks.backend(StopRequest{attempt});
+        else // Cut off, it would be neither done nor undone. Its answer is dropped.
+            m_hooks.backend(CreditRequest{attempt, wire::unlimitedCredit});
     }
     for (const AttemptId attempt : held) {
         m_admission.removeHeld(attempt);
@@ -123,6 +128,7 @@
     Attempt &state = m_attempts[message.attempt];
     state.link = link;
     state.fingerprint = message.fingerprint;
+    state.mayRepeat = message.mayRepeat;
     state.request = {message.attempt, std::move(message.method), std::move(message.target),
                      std::move(message.headers), std::move(message.body)};
     if (verdict == decision::AdmissionVerdict::Run)
@@ -230,10 +236,17 @@
     return std::nullopt;
 }
 
+void AgentCore::send(decision::LinkId link, wire::LinkMessage &&message)
+{
+    // An attempt may outlive its link.
+    if (m_links.contains(link))
+        m_hooks.send(link, std::move(message));
+}
+
 void AgentCore::refuse(decision::LinkId link, AttemptId attempt, wire::RefusalReason reason)
 {
     ++m_counts.refused[reason];
-    m_hooks.send(link, wire::Refusal{attempt, reason, load()});
+    send(link, wire::Refusal{attempt, reason, load()});
 }
 
 void AgentCore::refuseHeld(wire::RefusalReason reason)
@@ -250,7 +263,7 @@
     state.started = true;
     state.startedAt = now;
     ++m_counts.started;
-    m_hooks.send(state.link, wire::Started{attempt});
+    send(state.link, wire::Started{attempt});
     m_hooks.backend(std::move(state.request));
 }
 
@@ -260,8 +273,7 @@
     if (found == m_attempts.end())
         return;
     found->second.firstByteAt = now;
-    m_hooks.send(found->second.link,
-                 wire::AnswerHead{head.attempt, head.status, std::move(head.headers)});
+    send(found->second.link, wire::AnswerHead{head.attempt, head.status, std::move(head.headers)});
 }
 
 void AgentCore::event(BackendChunk &chunk, TimePoint)
@@ -269,8 +281,8 @@
     const auto found = m_attempts.find(chunk.attempt);
     if (found == m_attempts.end())
         return;
-    m_hooks.send(found->second.link,
-                 wire::AnswerChunk{chunk.attempt, found->second.chunks++, std::move(chunk.data)});
+    send(found->second.link,
+         wire::AnswerChunk{chunk.attempt, found->second.chunks++, std::move(chunk.data)});
 }
 
 void AgentCore::event(BackendEnd &end, TimePoint now)
@@ -312,7 +324,7 @@
     if (good)
         ++m_counts.completed;
     const double cost = m_cost({now - state.startedAt, state.chunks});
-    m_hooks.send(state.link, wire::AnswerEnd{attempt, end, state.chunks, cost, load()});
+    send(state.link, wire::AnswerEnd{attempt, end, state.chunks, cost, load()});
 }
 
 void AgentCore::event(BackendHealth &health, TimePoint now)
@@ -374,7 +386,7 @@
             start(attempt, found->second, now);
     }
     for (const decision::IssuedGrant &grant : m_admission.takeGrants(now)) {
-        constexpr std::uint32_t lifetimeMs = 2000;
+        const auto lifetimeMs = static_cast<std::uint32_t>(toMilliseconds(grantLifetime));
         m_hooks.send(grant.link, wire::Grant{grant.grant, lifetimeMs, load()});
     }
 }
--- a/packages/agent/src/backendclient.cpp
+++ b/packages/agent/src/backendclient.cpp
@@ -124,7 +124,7 @@
         const auto found = attempts.find(request.attempt);
         if (found == attempts.end())
             return;
-        found->second->credit += request.bytes;
+        found->second->credit += request.bytes; // 64 bits: no overflow by unlimited credit
         found->second->creditTimer.cancel();
     }
 
--- a/packages/decision/include/bilberry/decision/admissioncontrol.h
+++ b/packages/decision/include/bilberry/decision/admissioncontrol.h
@@ -37,6 +37,9 @@
     /// Grants made beyond the window. Their requests wait at the agent, so that a slot that
     /// becomes free finds work without a round trip.
     std::uint32_t ahead = 1;
+    /// Grants are numbered from here. Random for each life of an agent, so that a grant of an
+    /// earlier life is never taken for one of this life.
+    std::uint64_t firstGrant = 1;
     bool operator==(const AdmissionSettings &) const = default;
 };
 
--- a/packages/decision/include/bilberry/decision/grantbook.h
+++ b/packages/decision/include/bilberry/decision/grantbook.h
@@ -29,7 +29,11 @@
 {
 public:
     /// @param lifetime how long a grant may be used
-    explicit GrantBook(Duration lifetime) : m_lifetime(lifetime) {}
+    /// @param firstGrant number before the first grant
+    explicit GrantBook(Duration lifetime, std::uint64_t firstGrant = 0)
+        : m_lifetime(lifetime), m_lastGrant(firstGrant)
+    {
+    }
 
     /// Replaces a router's demand.
     /// @param waiting requests that wait there; 0 withdraws the demand
@@ -78,7 +82,7 @@
     std::map<LinkId, Standing>::iterator neediest();
 
     Duration m_lifetime;
-    std::uint64_t m_lastGrant = 0;
+    std::uint64_t m_lastGrant;
     std::map<LinkId, Standing> m_demands;
     std::map<std::uint64_t, Open> m_grants;
 };
--- a/packages/decision/src/admissioncontrol.cpp
+++ b/packages/decision/src/admissioncontrol.cpp
@@ -5,7 +5,8 @@
 namespace bilberry::decision {
 
 AdmissionControl::AdmissionControl(AdmissionSettings settings)
-    : m_settings(settings), m_window(settings.limits), m_grants(settings.grantLifetime)
+    : m_settings(settings), m_window(settings.limits),
+      m_grants(settings.grantLifetime, settings.firstGrant)
 {
 }
 
--- a/packages/router/src/routercore.cpp
+++ b/packages/router/src/routercore.cpp
@@ -122,7 +122,8 @@
         return;
     Request &request = found->second;
     request.callerGone = true;
-    if (request.stage == Stage::Queued && !request.claimHeld) {
+    if (request.stage == Stage::Queued) {
+        finishClaim(request, false);
         const PoolId pool = request.submit.pool;
         const CustomerId customer = request.submit.customer;
         poolQueue(pool).queue.remove(gone.request);
@@ -130,10 +131,14 @@
         m_requests.erase(found);
         return;
     }
+    if (request.stage != Stage::Running)
+        return;
     // A request that may not be repeated runs to its end: cutting it off would leave its outcome
-    // open.
-    if (request.stage == Stage::Running && request.submit.mayRepeat)
+    // open. Nobody reads its answer, so that it must not wait for credit.
+    if (request.submit.mayRepeat)
         m_hooks.send(request.server, wire::Cancel{request.attempt});
+    else
+        m_hooks.send(request.server, wire::AnswerCredit{request.attempt, wire::unlimitedCredit});
 }
 
 void RouterCore::event(CallerDrained &drained, TimePoint)
@@ -178,6 +183,7 @@
     message.customer = request.submit.customer;
     message.virtualTime = virtualTime;
     message.fingerprint = request.fingerprint;
+    message.mayRepeat = request.submit.mayRepeat;
     message.method = request.submit.method;
     message.target = request.submit.target;
     message.headers = request.submit.headers;
--- a/packages/wire/include/bilberry/wire/linkmessages.h
+++ b/packages/wire/include/bilberry/wire/linkmessages.h
@@ -66,6 +66,7 @@
     CustomerId customer;
     double virtualTime = 0.0;      ///< of the customer before this request
     std::uint64_t fingerprint = 0; ///< same for a repeated request
+    bool mayRepeat = true;         ///< false: runs to its end even when the link breaks
     std::string method;
     std::string target;
     Headers headers;
@@ -89,6 +90,9 @@
     bool operator==(const Cancel &) const = default;
 };
 
+/// Credit for an answer that nobody waits for any more.
+constexpr std::uint32_t unlimitedCredit = 0xffffffffU;
+
 /// The caller took bytes: as many more may be sent.
 struct AnswerCredit
 {
--- a/packages/wire/src/serialization.h
+++ b/packages/wire/src/serialization.h
@@ -30,7 +30,7 @@
 BILBERRY_FIELDS(RouterHeartbeat, m.stamp)
 BILBERRY_FIELDS(Demand, m.waiting, m.nextVirtualTimes)
 BILBERRY_FIELDS(Dispatch, m.attempt, m.grant, m.agentIncarnation, m.customer, m.virtualTime,
-                m.fingerprint, m.method, m.target, m.headers, m.body, m.demand)
+                m.fingerprint, m.mayRepeat, m.method, m.target, m.headers, m.body, m.demand)
 BILBERRY_FIELDS(GrantReturn, m.grant, m.demand)
 BILBERRY_FIELDS(Cancel, m.attempt)
 BILBERRY_FIELDS(AnswerCredit, m.attempt, m.bytes)
