Settle a lost write of the configuration head by repeating it

Cause: after a write of unknown outcome the head was read once, and an unchanged head was reported as a conflict, although the write was only lost or could still arrive; the operator heard that another change had won when none had. A head two revisions on was reported the same way, although ours may be the one below it.

Change: the conditional write is repeated with the same token while its outcome is unknown; only one of the writes can take effect. A conflict is settled by token and revision; a stale read is read again; a head beyond our revision is an unknown outcome. Retries wait with jitter.

--- a/packages/platform/include/bilberry/platform/configurationstore.h
+++ b/packages/platform/include/bilberry/platform/configurationstore.h
@@ -37,7 +37,7 @@
     Awaitable<Result<AcceptedConfiguration>> watch(ObjectVersion known, Duration limit);
 
     /// Accepts a configuration if the head is still the one that it was derived from. A lost
-    /// answer is settled by reading the head and comparing the token.
+    /// answer is settled by repeating the conditional write and comparing the head's token.
     /// @param base what the change was derived from
     /// @param parts the new parts
     /// @param requestToken random, the same for repeats of one change
@@ -49,9 +49,13 @@
     Awaitable<Result<AcceptedConfiguration>> fetch(Object head);
     Awaitable<Result<std::string>> shard(std::string name, std::string digest);
     Awaitable<Status> writeShards(const Shards &shards, const ConfigurationHead &head);
+    /// Repeats the conditional write of unknown outcome: as long as the head is the expected one,
+    /// an earlier write of ours may still arrive, and only one of them can take effect.
     Awaitable<Result<ObjectVersion>> writeHead(ObjectVersion expected, std::string value,
-                                               std::string requestToken);
-    Awaitable<Result<ObjectVersion>> settle(std::string requestToken);
+                                               Revision revision, std::string requestToken);
+    /// Tells after a conflict whether the head is ours.
+    Awaitable<Result<ObjectVersion>> settle(Revision revision, std::string requestToken,
+                                            bool mayHaveArrived);
 
     ObjectStore &m_store;
     std::map<std::string, std::string> m_shardByDigest; ///< of the newest head only
--- a/packages/platform/src/configurationstore.cpp
+++ b/packages/platform/src/configurationstore.cpp
@@ -2,17 +2,33 @@
 
 #include "bilberry/base/digest.h"
 
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/this_coro.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
 namespace bilberry::platform {
 
 namespace {
 
-constexpr int settleAttempts = 5;
+constexpr int writeAttempts = 6;
+constexpr Duration firstBackoff = std::chrono::milliseconds(50);
 
 std::string shardObject(const std::string &digest)
 {
     return "configuration/shards/" + digest;
 }
 
+/// Waits longer after each attempt; half of the delay is random, so that callers spread.
+Awaitable<void> pauseBeforeRetry(int attempt)
+{
+    constexpr long steps = 1000;
+    const Duration delay = firstBackoff * (1 << attempt);
+    const auto jitter = static_cast<long>(randomId() % steps);
+    boost::asio::steady_timer timer(co_await boost::asio::this_coro::executor);
+    timer.expires_after(delay / 2 + delay * jitter / (2 * steps));
+    co_await timer.async_wait(boost::asio::use_awaitable);
+}
+
 AcceptedConfiguration nothingAccepted()
 {
     const Result<Configuration> empty = Configuration::create(0, {});
@@ -93,7 +109,7 @@
     if (!written)
         co_return written.error();
     const Result<ObjectVersion> version
-            = co_await writeHead(base.version, encodeHead(head), requestToken);
+            = co_await writeHead(base.version, encodeHead(head), revision, requestToken);
     co_return version.map([&](ObjectVersion accepted) {
         return AcceptedConfiguration{accepted,
                                      std::make_shared<const Configuration>(configuration.value())};
@@ -121,39 +137,51 @@
     co_return success();
 }
 
-Awaitable<Result<ObjectVersion>>
-ConfigurationStore::writeHead(ObjectVersion expected, std::string value, std::string requestToken)
+Awaitable<Result<ObjectVersion>> ConfigurationStore::writeHead(ObjectVersion expected,
+                                                               std::string value, Revision revision,
+                                                               std::string requestToken)
 {
-    Result<ObjectVersion> written = PlatformErrc::Unavailable;
-    if (expected == 0)
-        written = co_await m_store.create(headName, value);
-    else
-        written = co_await m_store.update(headName, expected, value);
-    // A conflict can be our own earlier write whose answer was lost below the HTTP client.
-    if (written.error() == PlatformErrc::OutcomeUnknown
-        || written.error() == PlatformErrc::Conflict) {
-        const auto settled = co_await settle(requestToken);
-        if (!settled && settled.error() == PlatformErrc::Conflict)
-            co_return written.error() == PlatformErrc::Conflict ? written : settled;
-        co_return settled;
+    bool mayHaveArrived = false;
+    for (int attempt = 0; attempt < writeAttempts; ++attempt) {
+        Result<ObjectVersion> written = PlatformErrc::Unavailable;
+        if (expected == 0)
+            written = co_await m_store.create(headName, value);
+        else
+            written = co_await m_store.update(headName, expected, value);
+        if (written)
+            co_return written;
+        if (written.error() == PlatformErrc::Conflict)
+            co_return co_await settle(revision, requestToken, mayHaveArrived);
+        if (written.error() == PlatformErrc::OutcomeUnknown)
+            mayHaveArrived = true;
+        else if (!mayHaveArrived)
+            co_return written;
+        co_await pauseBeforeRetry(attempt);
     }
-    co_return written;
+    co_return PlatformErrc::OutcomeUnknown;
 }
 
-Awaitable<Result<ObjectVersion>> ConfigurationStore::settle(std::string requestToken)
+Awaitable<Result<ObjectVersion>>
+ConfigurationStore::settle(Revision revision, std::string requestToken, bool mayHaveArrived)
 {
-    for (int attempt = 0; attempt < settleAttempts; ++attempt) {
+    for (int attempt = 0; attempt < writeAttempts; ++attempt) {
         const Result<Object> object = co_await m_store.get(headName);
-        if (object.error() == PlatformErrc::NotFound)
+        if (object) {
+            const Result<ConfigurationHead> head = decodeHead(object.value().value);
+            if (!head)
+                co_return head.error();
+            if (head.value().requestToken == requestToken)
+                co_return object.value().version;
+            // Each revision is accepted once, so that another token on ours settles it. A head
+            // beyond it no longer tells; one before it is a stale read, as the conflict shows.
+            if (head.value().revision == revision || !mayHaveArrived)
+                co_return PlatformErrc::Conflict;
+            if (head.value().revision > revision)
+                co_return PlatformErrc::OutcomeUnknown;
+        }
+        if (object.error() == PlatformErrc::NotFound || !mayHaveArrived)
             co_return PlatformErrc::Conflict;
-        if (!object)
-            continue;
-        const Result<ConfigurationHead> head = decodeHead(object.value().value);
-        if (!head)
-            co_return head.error();
-        if (head.value().requestToken == requestToken)
-            co_return object.value().version;
-        co_return PlatformErrc::Conflict;
+        co_await pauseBeforeRetry(attempt);
     }
     co_return PlatformErrc::OutcomeUnknown;
 }
