--- a/tests/support/fleet.cpp
+++ b/tests/support/fleet.cpp
@@ -134,6 +134,8 @@
         entry = extra.erase(entry);
     }
     settings << extraLines(extra);
+    if (m_plan.routerLines)
+        settings << m_plan.routerLines(*this, index);
     const std::string file = write(router.name + ".yaml", settings.str());
     router.process = std::make_unique<Process>(m_plan.binaries + "/bilberryd",
                                                std::vector<std::string>{"--settings", file},
--- a/tests/support/fleet.h
+++ b/tests/support/fleet.h
@@ -14,6 +14,8 @@
 
 namespace bilberry::tests {
 
+class Fleet;
+
 /// One backend server with its agent.
 struct ServerPlan
 {
@@ -34,6 +36,8 @@
     /// Port of the platform as one router sees it, so that a test can put a proxy between; given
     /// the router's index and the real port. Called at each start of the router.
     std::function<std::uint16_t(std::size_t, std::uint16_t)> platformPort;
+    /// Further lines for one router's settings. Called at each start of the router.
+    std::function<std::string(const Fleet &, std::size_t)> routerLines;
 };
 
 /// A free TCP and UDP port on loopback.
