Release claims until the platform settles it

Cause: a claim whose creation or deletion was not answered was given up after five tries in about three seconds, so a platform outage left claims that blocked a repeat for ever although its caller had heard "not run". Claims were kept by name, so that a second attempt with the same key that was refused unsettled overwrote the record of the attempt that held the claim. A creation that the platform had certainly not carried out (429, own budget) was followed by five reads.

Ruled out: a second write ("dispatched") before the dispatch. It moves the moment in which a lost router leaves an undecidable record, and doubles the writes on the path, but does not remove it.

Change: ClaimDesk out of PlatformDuty, claims keyed by request, one bounded list of unsettled endings that is retried one call at a time; pure ClaimRelease beside Claim, which counts creations that may still take effect.

--- a/packages/decision/include/bilberry/decision/claim.h
+++ b/packages/decision/include/bilberry/decision/claim.h
@@ -1,28 +1,27 @@
 #ifndef BILBERRY_DECISION_CLAIM_H
 #define BILBERRY_DECISION_CLAIM_H
 
+#include <compare>
 #include <cstdint>
-#include <string>
 
 namespace bilberry::decision {
 
-/// Where a request that may not be repeated stands.
+/// Where the claim of a request that may not be repeated stands.
 enum class ClaimState {
-    Creating,   ///< the claim object is being created
-    Settling,   ///< the answer to the creation was lost; the object is being read
-    Held,       ///< this attempt holds the claim and may be dispatched under its grant
-    Releasing,  ///< nothing ran: the claim is being deleted
-    Dispatched, ///< the request may have run; the claim stays
-    Refused,    ///< nothing ran and nothing is held
-    Taken,      ///< another attempt holds the claim
+    Creating, ///< the claim object is being created
+    Settling, ///< the answer to the creation was lost; the object is being read
+    Held,     ///< this attempt holds the claim and may be dispatched under its grant
+    Refused,  ///< nothing ran; the object may exist all the same, see Claim::inDoubt()
+    Taken,    ///< another attempt holds the claim
 };
 
 /// What the platform said.
 enum class ClaimAnswer {
     Created,      ///< the object was created by this call
-    Exists,       ///< there is an object of that name
+    Exists,       ///< there is an object of that name, or it has another version
+    Deleted,      ///< the object was deleted by this call
     NotDone,      ///< the call had no effect
-    Lost,         ///< the call may have had an effect
+    Lost,         ///< the call may have had an effect, or may have it later
     TokenIsOurs,  ///< the object read carries this attempt's token
     TokenDiffers, ///< the object read carries another token
     Absent,       ///< there is no object
@@ -31,8 +30,9 @@
 /// What has to be done next.
 enum class ClaimStep { Create, Read, Dispatch, Delete, Refuse, TellState, None };
 
-/// Order of steps of a request that may not be repeated: claim, dispatch, keep or release. Pure;
-/// the caller carries the steps out and reports what came of them.
+/// Takes the claim of one attempt. Pure; the caller carries the steps out and reports what came
+/// of them. Invariant: Dispatch is returned at most once, and only while the object carries this
+/// attempt's token.
 class Claim
 {
 public:
@@ -41,19 +41,42 @@
     /// @param answer of the platform to the last step
     /// @return the next step
     ClaimStep answered(ClaimAnswer answer);
-    /// The dispatch was sent.
-    void dispatched();
-    /// The agent refused before it called its server.
-    /// @return the next step
-    ClaimStep refusedByAgent();
 
     ClaimState state() const { return m_state; }
+    /// @return true while a creation may still take effect that was never seen to do so
+    bool inDoubt() const { return m_lostCreations > 0; }
+
+    auto operator<=>(const Claim &) const = default;
 
 private:
     ClaimStep settle(ClaimAnswer answer);
 
     ClaimState m_state = ClaimState::Creating;
     std::uint32_t m_rounds = 0;
+    std::uint32_t m_lostCreations = 0;
+};
+
+/// Deletes the claim of an attempt that did not run, so that a repeat may run. Pure, like Claim.
+class ClaimRelease
+{
+public:
+    /// @param held the object exists and its version is known
+    /// @param inDoubt a creation may still take effect
+    ClaimRelease(bool held, bool inDoubt) : m_held(held), m_inDoubt(inDoubt) {}
+
+    /// @return the first step; None when there is nothing to delete
+    ClaimStep begin() const;
+    /// @param answer of the platform to the last step
+    /// @return the next step; None when the release is over
+    ClaimStep answered(ClaimAnswer answer);
+    /// Creations take effect within the doubt period or never: an absent object stays absent.
+    void doubtEnded() { m_inDoubt = false; }
+
+    auto operator<=>(const ClaimRelease &) const = default;
+
+private:
+    bool m_held = false;
+    bool m_inDoubt = false;
 };
 
 } // namespace bilberry::decision
--- a/packages/decision/src/claim.cpp
+++ b/packages/decision/src/claim.cpp
@@ -16,10 +16,6 @@
 
 ClaimStep Claim::answered(ClaimAnswer answer)
 {
-    if (m_state == ClaimState::Releasing) {
-        m_state = ClaimState::Refused;
-        return ClaimStep::Refuse;
-    }
     if (m_state == ClaimState::Settling)
         return settle(answer);
     if (m_state != ClaimState::Creating)
@@ -31,6 +27,9 @@
     case ClaimAnswer::NotDone:
         m_state = ClaimState::Refused;
         return ClaimStep::Refuse;
+    case ClaimAnswer::Lost:
+        ++m_lostCreations;
+        [[fallthrough]];
     default:
         // An existing object may be this attempt's own, when an earlier answer was lost.
         m_state = ClaimState::Settling;
@@ -42,6 +41,8 @@
 {
     switch (answer) {
     case ClaimAnswer::TokenIsOurs:
+        // One of the lost creations took effect; the others may find the name free again later.
+        --m_lostCreations;
         m_state = ClaimState::Held;
         return ClaimStep::Dispatch;
     case ClaimAnswer::TokenDiffers:
@@ -63,15 +64,26 @@
     return ClaimStep::Read;
 }
 
-void Claim::dispatched()
+ClaimStep ClaimRelease::begin() const
 {
-    m_state = ClaimState::Dispatched;
+    if (m_held)
+        return ClaimStep::Delete;
+    return m_inDoubt ? ClaimStep::Read : ClaimStep::None;
 }
 
-ClaimStep Claim::refusedByAgent()
+ClaimStep ClaimRelease::answered(ClaimAnswer answer)
 {
-    m_state = ClaimState::Releasing;
-    return ClaimStep::Delete;
+    switch (answer) {
+    case ClaimAnswer::TokenIsOurs:
+        return ClaimStep::Delete;
+    // Another attempt's object keeps a late creation out only until it is released itself.
+    case ClaimAnswer::TokenDiffers:
+    case ClaimAnswer::Deleted:
+    case ClaimAnswer::Absent:
+        return m_inDoubt ? ClaimStep::Read : ClaimStep::None;
+    default:
+        return ClaimStep::Read;
+    }
 }
 
 } // namespace bilberry::decision
--- /dev/null
+++ b/packages/router/include/bilberry/router/claimdesk.h
@@ -0,0 +1,91 @@
+#ifndef BILBERRY_ROUTER_CLAIMDESK_H
+#define BILBERRY_ROUTER_CLAIMDESK_H
+
+#include "bilberry/base/log.h"
+#include "bilberry/decision/claim.h"
+#include "bilberry/platform/objectstore.h"
+#include "bilberry/router/claimevents.h"
+
+#include <boost/asio/io_context.hpp>
+
+#include <deque>
+#include <functional>
+#include <string>
+#include <unordered_map>
+
+namespace bilberry::router {
+
+/// Keeps the claims of requests that may not be repeated as objects of the platform. Runs on one
+/// event loop.
+///
+/// A claim is created before the dispatch and stays for as long as the request may have run. A
+/// release that the platform does not answer is tried again until it is settled, one call at a
+/// time, so that an outage leaves no claim behind that blocks a repeat. What can't be undone: a
+/// router that is lost between the creation and the dispatch leaves a claim that looks like one
+/// of a request that ran; its repeats are told that the outcome is unknown.
+class ClaimDesk
+{
+public:
+    using OpenedHook = std::function<void(ClaimOpened &&)>;
+
+    /// @param context event loop that the calls run on
+    /// @param store outlives the desk
+    /// @param onOpened told the end of each OpenClaim
+    ClaimDesk(boost::asio::io_context &context, platform::ObjectStore &store, OpenedHook onOpened);
+
+    /// Starts retrying what could not be written.
+    void start();
+
+    /// Carries a command out.
+    void command(ClaimCommand &&command);
+
+private:
+    /// A claim that this process created, or may have.
+    struct HeldClaim
+    {
+        std::string name;
+        std::string token;
+        platform::ObjectVersion version = 0; ///< 0: not known
+        bool inDoubt = false;
+    };
+
+    /// A last write to a claim.
+    struct Ending
+    {
+        HeldClaim held;
+        bool release = true;
+        std::uint16_t status = 0; ///< of a finished request
+        decision::ClaimStep step = decision::ClaimStep::None;
+        TimePoint doubtUntil{};
+        TimePoint dueAt{}; ///< earliest next try
+    };
+
+    enum class EndResult {
+        Settled,
+        InDoubt, ///< the object is absent now, a lost creation may still make it
+        Failed,  ///< the platform did not answer
+    };
+
+    platform::Awaitable<void> open(OpenClaim command);
+    platform::Awaitable<decision::ClaimAnswer> read(HeldClaim &held, std::string &detail);
+    void end(decision::RequestId request, bool release, std::uint16_t status);
+    platform::Awaitable<void> endFirst(Ending ending);
+    platform::Awaitable<EndResult> tryEnd(Ending &ending);
+    platform::Awaitable<EndResult> tryRelease(Ending &ending);
+    platform::Awaitable<EndResult> tryFinish(const Ending &ending);
+    platform::Awaitable<decision::ClaimAnswer> remove(const HeldClaim &held);
+    void endLater(Ending ending);
+    platform::Awaitable<void> retryLoop();
+    platform::Awaitable<void> pause(Duration duration);
+
+    boost::asio::io_context &m_context;
+    platform::ObjectStore &m_store;
+    OpenedHook m_onOpened;
+    Log m_log{"router.claims"};
+    std::unordered_map<decision::RequestId, HeldClaim> m_held;
+    std::deque<Ending> m_unsettled;
+};
+
+} // namespace bilberry::router
+
+#endif
--- a/packages/router/include/bilberry/router/claimevents.h
+++ b/packages/router/include/bilberry/router/claimevents.h
@@ -19,13 +19,13 @@
 /// Nothing ran: a repeat may run.
 struct ReleaseClaim
 {
-    std::string name;
+    decision::RequestId request = 0;
 };
 
 /// The request ended; the claim stays and tells repeats so.
 struct FinishClaim
 {
-    std::string name;
+    decision::RequestId request = 0;
     std::uint16_t status = 0; ///< HTTP status of the answer; 0 when the outcome is unknown
 };
 
--- a/packages/router/include/bilberry/router/platformduty.h
+++ b/packages/router/include/bilberry/router/platformduty.h
@@ -5,12 +5,12 @@
 #include "bilberry/base/log.h"
 #include "bilberry/platform/configurationstore.h"
 #include "bilberry/platform/httpobjectstore.h"
-#include "bilberry/router/claimevents.h"
+#include "bilberry/router/claimdesk.h"
 #include "bilberry/router/routersettings.h"
 
 #include <functional>
+#include <map>
 #include <memory>
-#include <unordered_map>
 
 namespace bilberry::router {
 
@@ -44,37 +44,28 @@
     /// Puts a configuration in force that a peer or an operator handed over.
     void offer(ConfigurationPtr configuration);
 
-    void claim(ClaimCommand &&command);
+    /// Hands a command to the claims.
+    void claim(ClaimCommand &&command) { m_claims.command(std::move(command)); }
 
 private:
     platform::Awaitable<void> watchLoop();
     platform::Awaitable<void> watchOnce();
     platform::Awaitable<void> listLoop();
     platform::Awaitable<void> fetch(admin::AdminEndpoint endpoint);
-    platform::Awaitable<void> openClaim(OpenClaim command);
-    platform::Awaitable<void> releaseClaim(ReleaseClaim command);
-    platform::Awaitable<void> finishClaim(FinishClaim command);
     platform::Awaitable<void> pause(Duration duration);
 
-    /// A claim that this process created.
-    struct HeldClaim
-    {
-        std::string token;
-        platform::ObjectVersion version = 0; ///< 0: not known
-    };
-
     boost::asio::io_context &m_context;
     RouterSettings m_settings;
     PlatformDutyHooks m_hooks;
     Log m_log{"router.platform"};
     std::unique_ptr<platform::ObjectStore> m_store;
     platform::ConfigurationStore m_configurations;
+    ClaimDesk m_claims;
     platform::ObjectVersion m_headVersion = 0;
     Revision m_revision = 0;
     bool m_watch = true;
     bool m_fetching = false;
     std::map<RouterId, admin::AdminEndpoint> m_peers;
-    std::unordered_map<std::string, HeldClaim> m_held;
 };
 
 } // namespace bilberry::router
--- /dev/null
+++ b/packages/router/src/claimdesk.cpp
@@ -0,0 +1,284 @@
+#include "bilberry/router/claimdesk.h"
+
+#include "bilberry/base/digest.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/json.hpp>
+
+#include <algorithm>
+
+namespace bilberry::router {
+
+namespace asio = boost::asio;
+namespace json = boost::json;
+
+using decision::ClaimAnswer;
+using decision::ClaimStep;
+using platform::PlatformErrc;
+
+namespace {
+
+constexpr Duration readRetryDelay = std::chrono::milliseconds(100);
+constexpr Duration shortestBackoff = std::chrono::milliseconds(40);
+constexpr Duration longestBackoff = std::chrono::seconds(2);
+/// A call that was sent takes effect within this time or never. Longer than any call's limit.
+constexpr Duration doubtPeriod = std::chrono::seconds(60);
+/// Between two looks for an object that a lost creation may still leave.
+constexpr Duration lookPeriod = std::chrono::seconds(5);
+/// Unsettled endings that are remembered; about 200 bytes each.
+constexpr std::size_t maxUnsettled = 10000;
+
+/// Content of a claim object.
+struct ClaimRecord
+{
+    std::string token;
+    std::string state;        ///< "accepted" or "finished"
+    std::uint16_t status = 0; ///< HTTP status of the answer
+};
+
+std::string encode(const ClaimRecord &record)
+{
+    return json::serialize(json::object{
+            {"token", record.token}, {"state", record.state}, {"status", record.status}});
+}
+
+ClaimRecord decodeRecord(const std::string &text)
+{
+    boost::system::error_code error;
+    const json::value document = json::parse(text, error);
+    ClaimRecord record;
+    if (error || !document.is_object())
+        return record;
+    const json::object &object = document.as_object();
+    const json::value *token = object.if_contains("token");
+    const json::value *state = object.if_contains("state");
+    const json::value *status = object.if_contains("status");
+    if (token && token->is_string())
+        record.token = json::value_to<std::string>(*token);
+    if (state && state->is_string())
+        record.state = json::value_to<std::string>(*state);
+    if (status && status->is_int64())
+        record.status = static_cast<std::uint16_t>(status->as_int64());
+    return record;
+}
+
+std::string describe(const ClaimRecord &record)
+{
+    if (record.state != "finished")
+        return "The earlier request was accepted and may be running.";
+    if (record.status == 0)
+        return "The earlier request ended without a known outcome.";
+    return "The earlier request was answered with status " + std::to_string(record.status) + ".";
+}
+
+ClaimAnswer answerToCreate(const std::error_code &error)
+{
+    if (!error)
+        return ClaimAnswer::Created;
+    if (error == PlatformErrc::Conflict)
+        return ClaimAnswer::Exists;
+    const bool nothingHappened = error == PlatformErrc::RateLimited
+                                 || error == PlatformErrc::Unavailable
+                                 || error == PlatformErrc::BudgetSpent;
+    return nothingHappened ? ClaimAnswer::NotDone : ClaimAnswer::Lost;
+}
+
+ClaimAnswer answerToRemove(const std::error_code &error)
+{
+    if (!error)
+        return ClaimAnswer::Deleted;
+    if (error == PlatformErrc::NotFound)
+        return ClaimAnswer::Absent;
+    return error == PlatformErrc::Conflict ? ClaimAnswer::Exists : ClaimAnswer::Lost;
+}
+
+} // namespace
+
+ClaimDesk::ClaimDesk(asio::io_context &context, platform::ObjectStore &store, OpenedHook onOpened)
+    : m_context(context), m_store(store), m_onOpened(std::move(onOpened))
+{
+}
+
+void ClaimDesk::start()
+{
+    asio::co_spawn(m_context, retryLoop(), asio::detached);
+}
+
+void ClaimDesk::command(ClaimCommand &&command)
+{
+    if (auto *opening = std::get_if<OpenClaim>(&command))
+        asio::co_spawn(m_context, open(std::move(*opening)), asio::detached);
+    else if (const auto *release = std::get_if<ReleaseClaim>(&command))
+        end(release->request, true, 0);
+    else if (const auto *finish = std::get_if<FinishClaim>(&command))
+        end(finish->request, false, finish->status);
+}
+
+platform::Awaitable<void> ClaimDesk::pause(Duration duration)
+{
+    boost::system::error_code ignored;
+    asio::steady_timer timer(m_context, duration);
+    co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
+}
+
+platform::Awaitable<ClaimAnswer> ClaimDesk::read(HeldClaim &held, std::string &detail)
+{
+    const auto object = co_await m_store.get(held.name);
+    if (object.error() == PlatformErrc::NotFound)
+        co_return ClaimAnswer::Absent;
+    if (!object)
+        co_return ClaimAnswer::NotDone;
+    const ClaimRecord record = decodeRecord(object.value().value);
+    detail = describe(record);
+    if (record.token != held.token)
+        co_return ClaimAnswer::TokenDiffers;
+    held.version = object.value().version;
+    co_return ClaimAnswer::TokenIsOurs;
+}
+
+platform::Awaitable<void> ClaimDesk::open(OpenClaim command)
+{
+    decision::Claim claim;
+    HeldClaim held{command.name, randomToken(), 0, false};
+    const std::string value = encode({held.token, "accepted", 0});
+    std::string detail;
+    ClaimStep step = claim.begin();
+    while (step == ClaimStep::Create || step == ClaimStep::Read) {
+        ClaimAnswer answer = ClaimAnswer::NotDone;
+        if (step == ClaimStep::Create) {
+            const auto created = co_await m_store.create(command.name, value);
+            held.version = created.valueOr(0);
+            answer = answerToCreate(created.error());
+        } else {
+            answer = co_await read(held, detail);
+            if (answer == ClaimAnswer::NotDone)
+                co_await pause(readRetryDelay);
+        }
+        step = claim.answered(answer);
+    }
+    held.inDoubt = claim.inDoubt();
+    ClaimResult result = ClaimResult::Refused;
+    if (step == ClaimStep::Dispatch)
+        result = ClaimResult::Held;
+    else if (step == ClaimStep::TellState)
+        result = ClaimResult::Taken;
+    if (result != ClaimResult::Held)
+        held.version = 0;
+    m_held[command.request] = held;
+    m_onOpened({command.request, result, detail});
+    // A refused creation may still take effect; it must not block a repeat for ever.
+    if (result != ClaimResult::Held)
+        end(command.request, true, 0);
+}
+
+void ClaimDesk::end(decision::RequestId request, bool release, std::uint16_t status)
+{
+    const auto found = m_held.find(request);
+    if (found == m_held.end())
+        return;
+    Ending ending{std::move(found->second),   release, status, ClaimStep::None,
+                  Clock::now() + doubtPeriod, {}};
+    m_held.erase(found);
+    const decision::ClaimRelease first(ending.held.version != 0, ending.held.inDoubt);
+    ending.step = first.begin();
+    if (!release || ending.step != ClaimStep::None)
+        asio::co_spawn(m_context, endFirst(std::move(ending)), asio::detached);
+}
+
+platform::Awaitable<void> ClaimDesk::endFirst(Ending ending)
+{
+    const EndResult result = co_await tryEnd(ending);
+    if (result != EndResult::Settled)
+        endLater(std::move(ending));
+}
+
+platform::Awaitable<ClaimDesk::EndResult> ClaimDesk::tryEnd(Ending &ending)
+{
+    if (ending.release)
+        co_return co_await tryRelease(ending);
+    co_return co_await tryFinish(ending);
+}
+
+platform::Awaitable<ClaimDesk::EndResult> ClaimDesk::tryRelease(Ending &ending)
+{
+    decision::ClaimRelease release(ending.held.version != 0, ending.held.inDoubt);
+    if (Clock::now() >= ending.doubtUntil)
+        release.doubtEnded();
+    std::string ignored;
+    ClaimAnswer answer = ClaimAnswer::NotDone;
+    if (ending.step == ClaimStep::Delete)
+        answer = co_await remove(ending.held);
+    else
+        answer = co_await read(ending.held, ignored);
+    const bool wasRead = ending.step == ClaimStep::Read;
+    ending.step = release.answered(answer);
+    // What was just read is deleted at once.
+    if (wasRead && ending.step == ClaimStep::Delete) {
+        answer = co_await remove(ending.held);
+        ending.step = release.answered(answer);
+    }
+    if (ending.step == ClaimStep::None)
+        co_return EndResult::Settled;
+    const bool answered = answer == ClaimAnswer::Absent || answer == ClaimAnswer::Deleted
+                          || answer == ClaimAnswer::TokenDiffers;
+    if (!answered)
+        co_return EndResult::Failed;
+    ending.dueAt = Clock::now() + lookPeriod;
+    co_return EndResult::InDoubt;
+}
+
+platform::Awaitable<ClaimAnswer> ClaimDesk::remove(const HeldClaim &held)
+{
+    const Status removed = co_await m_store.remove(held.name, held.version);
+    co_return answerToRemove(removed.error());
+}
+
+platform::Awaitable<ClaimDesk::EndResult> ClaimDesk::tryFinish(const Ending &ending)
+{
+    const std::string value = encode({ending.held.token, "finished", ending.status});
+    const auto updated = co_await m_store.update(ending.held.name, ending.held.version, value);
+    // A conflict shows that an earlier try took effect.
+    const bool settled = updated || updated.error() == PlatformErrc::Conflict
+                         || updated.error() == PlatformErrc::NotFound;
+    if (settled)
+        co_return EndResult::Settled;
+    co_return EndResult::Failed;
+}
+
+void ClaimDesk::endLater(Ending ending)
+{
+    if (m_unsettled.size() >= maxUnsettled) {
+        m_log.warning("Too many claims are unsettled; the oldest is left as it is.");
+        m_unsettled.pop_front();
+    }
+    m_unsettled.push_back(std::move(ending));
+}
+
+platform::Awaitable<void> ClaimDesk::retryLoop()
+{
+    Duration backoff = shortestBackoff;
+    for (;;) {
+        const Duration jitter = backoff / 2 * static_cast<long>(randomId() % 100) / 100;
+        co_await pause(backoff / 2 + jitter);
+        const TimePoint now = Clock::now();
+        const auto due = std::find_if(m_unsettled.begin(), m_unsettled.end(),
+                                      [&](const Ending &ending) { return ending.dueAt <= now; });
+        if (due == m_unsettled.end())
+            continue;
+        Ending ending = std::move(*due);
+        m_unsettled.erase(due);
+        const EndResult result = co_await tryEnd(ending);
+        if (result == EndResult::Failed)
+            backoff = std::min(backoff * 2, longestBackoff);
+        else
+            backoff = shortestBackoff;
+        if (result != EndResult::Settled)
+            endLater(std::move(ending));
+    }
+}
+
+} // namespace bilberry::router
--- a/packages/router/src/platformduty.cpp
+++ b/packages/router/src/platformduty.cpp
@@ -1,22 +1,17 @@
 #include "bilberry/router/platformduty.h"
 
 #include "bilberry/base/digest.h"
-#include "bilberry/decision/claim.h"
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
-#include <boost/json.hpp>
 
 namespace bilberry::router {
 
 namespace asio = boost::asio;
-namespace json = boost::json;
 
-using decision::ClaimAnswer;
-using decision::ClaimStep;
 using platform::PlatformErrc;
 
 namespace {
@@ -26,59 +21,6 @@
 constexpr Duration firstBackoff = std::chrono::milliseconds(100);
 constexpr Duration longestBackoff = std::chrono::seconds(1);
 constexpr Duration fetchLimit = std::chrono::seconds(2);
-constexpr int releaseAttempts = 5;
-
-/// Content of a claim object.
-struct ClaimRecord
-{
-    std::string token;
-    std::string state;        ///< "accepted" or "finished"
-    std::uint16_t status = 0; ///< HTTP status of the answer
-};
-
-std::string encode(const ClaimRecord &record)
-{
-    return json::serialize(json::object{
-            {"token", record.token}, {"state", record.state}, {"status", record.status}});
-}
-
-ClaimRecord decodeRecord(const std::string &text)
-{
-    boost::system::error_code error;
-    const json::value document = json::parse(text, error);
-    ClaimRecord record;
-    if (error || !document.is_object())
-        return record;
-    const json::object &object = document.as_object();
-    const json::value *token = object.if_contains("token");
-    const json::value *state = object.if_contains("state");
-    const json::value *status = object.if_contains("status");
-    if (token && token->is_string())
-        record.token = json::value_to<std::string>(*token);
-    if (state && state->is_string())
-        record.state = json::value_to<std::string>(*state);
-    if (status && status->is_int64())
-        record.status = static_cast<std::uint16_t>(status->as_int64());
-    return record;
-}
-
-std::string describe(const ClaimRecord &record)
-{
-    if (record.state != "finished")
-        return "The earlier request was accepted and may be running.";
-    if (record.status == 0)
-        return "The earlier request ended without a known outcome.";
-    return "The earlier request was answered with status " + std::to_string(record.status) + ".";
-}
-
-ClaimAnswer answerToCreate(const std::error_code &error)
-{
-    if (!error)
-        return ClaimAnswer::Created;
-    if (error == PlatformErrc::Conflict)
-        return ClaimAnswer::Exists;
-    return error == PlatformErrc::OutcomeUnknown ? ClaimAnswer::Lost : ClaimAnswer::NotDone;
-}
 
 } // namespace
 
@@ -86,7 +28,7 @@
                            PlatformDutyHooks hooks)
     : m_context(context), m_settings(settings), m_hooks(std::move(hooks)),
       m_store(platform::makeHttpObjectStore(context, settings.platform, m_hooks.called)),
-      m_configurations(*m_store)
+      m_configurations(*m_store), m_claims(context, *m_store, m_hooks.claimOpened)
 {
     for (const platform::Vm &vm : settings.peers)
         m_peers[RouterId(vm.name)] = {vm.address, vm.adminPort};
@@ -96,6 +38,7 @@
 {
     asio::co_spawn(m_context, watchLoop(), asio::detached);
     asio::co_spawn(m_context, listLoop(), asio::detached);
+    m_claims.start();
 }
 
 platform::Awaitable<void> PlatformDuty::pause(Duration duration)
@@ -189,95 +132,4 @@
         offer(std::make_shared<const Configuration>(configuration.value()));
 }
 
-void PlatformDuty::claim(ClaimCommand &&command)
-{
-    if (auto *open = std::get_if<OpenClaim>(&command))
-        asio::co_spawn(m_context, openClaim(std::move(*open)), asio::detached);
-    else if (auto *release = std::get_if<ReleaseClaim>(&command))
-        asio::co_spawn(m_context, releaseClaim(std::move(*release)), asio::detached);
-    else
-        asio::co_spawn(m_context, finishClaim(std::get<FinishClaim>(std::move(command))),
-                       asio::detached);
-}
-
-platform::Awaitable<void> PlatformDuty::openClaim(OpenClaim command)
-{
-    decision::Claim claim;
-    HeldClaim held{randomToken(), 0};
-    const std::string value = encode({held.token, "accepted", 0});
-    std::string detail;
-    ClaimStep step = claim.begin();
-    while (step == ClaimStep::Create || step == ClaimStep::Read) {
-        if (step == ClaimStep::Create) {
-            const auto created = co_await m_store->create(command.name, value);
-            held.version = created.valueOr(0);
-            step = claim.answered(answerToCreate(created.error()));
-            continue;
-        }
-        const auto object = co_await m_store->get(command.name);
-        if (object.error() == PlatformErrc::NotFound) {
-            step = claim.answered(ClaimAnswer::Absent);
-            continue;
-        }
-        if (!object) {
-            co_await pause(firstBackoff);
-            step = claim.answered(ClaimAnswer::NotDone);
-            continue;
-        }
-        const ClaimRecord record = decodeRecord(object.value().value);
-        const bool ours = record.token == held.token;
-        held.version = object.value().version;
-        detail = describe(record);
-        step = claim.answered(ours ? ClaimAnswer::TokenIsOurs : ClaimAnswer::TokenDiffers);
-    }
-    ClaimResult result = ClaimResult::Refused;
-    if (step == ClaimStep::Dispatch)
-        result = ClaimResult::Held;
-    else if (step == ClaimStep::TellState)
-        result = ClaimResult::Taken;
-    if (result != ClaimResult::Taken)
-        m_held[command.name] = held;
-    m_hooks.claimOpened({command.request, result, detail});
-    // A refused creation may still take effect; it must not block a repeat for ever.
-    const ReleaseClaim release{command.name};
-    if (result == ClaimResult::Refused)
-        co_await releaseClaim(release);
-}
-
-platform::Awaitable<void> PlatformDuty::releaseClaim(ReleaseClaim command)
-{
-    const auto found = m_held.find(command.name);
-    if (found == m_held.end())
-        co_return;
-    const HeldClaim held = found->second;
-    m_held.erase(found);
-    for (int attempt = 0; attempt < releaseAttempts; ++attempt) {
-        const auto object = co_await m_store->get(command.name);
-        if (object.error() == PlatformErrc::NotFound && held.version != 0)
-            co_return;
-        if (object) {
-            if (decodeRecord(object.value().value).token != held.token)
-                co_return;
-            const Status removed = co_await m_store->remove(command.name, object.value().version);
-            if (removed)
-                co_return;
-        }
-        co_await pause(firstBackoff * (1 << attempt));
-    }
-}
-
-platform::Awaitable<void> PlatformDuty::finishClaim(FinishClaim command)
-{
-    const auto found = m_held.find(command.name);
-    if (found == m_held.end())
-        co_return;
-    const HeldClaim held = found->second;
-    m_held.erase(found);
-    // Best effort: without it a repeat is told that the request may be running.
-    const std::string value = encode({held.token, "finished", command.status});
-    const auto updated = co_await m_store->update(command.name, held.version, value);
-    if (!updated)
-        m_log.info("A claim's end was not recorded: " + updated.error().message() + ".");
-}
-
 } // namespace bilberry::router
--- a/packages/router/src/routercore.cpp
+++ b/packages/router/src/routercore.cpp
@@ -291,9 +291,9 @@
         return;
     request.claimHeld = false;
     if (ran)
-        m_hooks.claim(FinishClaim{request.claimName, request.status});
+        m_hooks.claim(FinishClaim{request.submit.request, request.status});
     else
-        m_hooks.claim(ReleaseClaim{request.claimName});
+        m_hooks.claim(ReleaseClaim{request.submit.request});
 }
 
 void RouterCore::agentUp(const wire::AgentHello &hello, TimePoint now)
