Check settings in full: addresses, identifiers, duplicates, rules between keys

Cause: read in the code, the reader took host names and empty names, kept the first of two equal keys silently, reported one missing key for each key of an unreadable file, and took an absent role for router. Change: typed readers for identifiers, IP numbers and ports; DuplicateKey, Contradiction; a missing key is reported at its section's line; role is required; keys() describes what a reader asked for. The daemon's settings moved to a file of their own, so that tests can read them.

--- a/packages/agent/src/agentsettings.cpp
+++ b/packages/agent/src/agentsettings.cpp
@@ -4,31 +4,37 @@
 
 namespace {
 
-std::uint16_t port(SettingsReader &reader, const std::string &key)
-{
-    constexpr std::int64_t highest = 65535;
-    return static_cast<std::uint16_t>(reader.integer(key, 1, highest));
-}
-
 Duration milliseconds(SettingsReader &reader, const std::string &key, std::int64_t low,
                       std::int64_t high, std::int64_t fallback)
 {
     return std::chrono::milliseconds(reader.integer(key, low, high, fallback));
 }
 
+/// Rules between several keys.
+void checkTogether(SettingsReader &reader, const AgentSettings &settings)
+{
+    if (settings.listenPort != 0 && settings.listenPort == settings.adminPort)
+        reader.fault(SettingsErrc::Contradiction, "listen.adminPort",
+                     "listen.port has the same number");
+    const bool sameAddress = settings.listenAddress == settings.backendAddress;
+    if (sameAddress && settings.backendPort != 0 && settings.backendPort == settings.listenPort)
+        reader.fault(SettingsErrc::Contradiction, "backend.port",
+                     "the agent itself listens on this port");
+}
+
 } // namespace
 
 AgentSettings readAgentSettings(SettingsReader &reader)
 {
     AgentSettings settings;
-    settings.server = ServerId(reader.text("name"));
-    settings.pool = PoolId(reader.text("pool"));
-    settings.zone = ZoneId(reader.text("zone"));
-    settings.listenAddress = reader.text("listen.address");
-    settings.listenPort = port(reader, "listen.port");
-    settings.adminPort = port(reader, "listen.adminPort");
-    settings.backendAddress = reader.text("backend.address", "127.0.0.1");
-    settings.backendPort = port(reader, "backend.port");
+    settings.server = ServerId(reader.identifier("name"));
+    settings.pool = PoolId(reader.identifier("pool"));
+    settings.zone = ZoneId(reader.identifier("zone"));
+    settings.listenAddress = reader.address("listen.address");
+    settings.listenPort = reader.port("listen.port");
+    settings.adminPort = reader.port("listen.adminPort");
+    settings.backendAddress = reader.address("backend.address", "127.0.0.1");
+    settings.backendPort = reader.port("backend.port");
     settings.healthPeriod = milliseconds(reader, "backend.healthPeriodMs", 10, 10000, 200);
     settings.answerLimit = milliseconds(reader, "backend.answerLimitMs", 100, 3600000, 600000);
     settings.drainLimit = milliseconds(reader, "drainLimitMs", 0, 3600000, 600000);
@@ -37,6 +43,7 @@
     const std::string policy = reader.choice("island.policy", {"stop", "serve"}, "stop");
     settings.freshness.island
             = policy == "serve" ? decision::IslandPolicy::Serve : decision::IslandPolicy::Stop;
+    checkTogether(reader, settings);
     return settings;
 }
 
--- a/packages/base/include/bilberry/base/settings.h
+++ b/packages/base/include/bilberry/base/settings.h
@@ -21,6 +21,10 @@
     WrongType,
     OutOfRange,
     UnknownValue,
+    DuplicateKey,
+    NotAnAddress,
+    NotAnIdentifier,
+    Contradiction,
 };
 
 std::error_code make_error_code(SettingsErrc error);
@@ -39,6 +43,15 @@
     bool operator==(const SettingsFault &) const = default;
 };
 
+/// A key that a reader asked for, as the settings page lists it.
+struct SettingsKey
+{
+    std::string key;      ///< dotted path
+    std::string range;    ///< "LOW to HIGH", the words, or the type
+    std::string fallback; ///< value when the key is absent; "required" when it must not be
+    bool operator==(const SettingsKey &) const = default;
+};
+
 /// Reads a YAML settings file and collects every fault instead of stopping at the first.
 class SettingsReader
 {
@@ -54,6 +67,17 @@
     std::string text(const std::string &key);
     /// Reads an optional text.
     std::string text(const std::string &key, const std::string &fallback);
+    /// Reads a required identifier: 1 to 64 of a-z, 0-9, dot, dash and underscore.
+    std::string identifier(const std::string &key);
+    /// Reads a required IP number; host names are faults.
+    std::string address(const std::string &key);
+    /// Reads an optional IP number.
+    std::string address(const std::string &key, const std::string &fallback);
+    /// Reads a required TCP or UDP port.
+    /// @return the port, or 0 when it is missing or faulty
+    std::uint16_t port(const std::string &key);
+    /// Reads one of several words; required.
+    std::string choice(const std::string &key, const std::vector<std::string> &words);
     /// Reads one of several words.
     std::string choice(const std::string &key, const std::vector<std::string> &words,
                        const std::string &fallback);
@@ -71,15 +95,26 @@
     /// Adds a fault found by the caller, for rules between several keys.
     void fault(SettingsErrc error, const std::string &key, const std::string &hint);
 
+    /// @return every key asked for so far, ordered by key
+    std::vector<SettingsKey> keys() const;
+
     /// Reports keys that nothing asked for as unknown.
     /// @return all faults found so far
     std::vector<SettingsFault> finish();
 
 private:
+    std::string checkedAddress(const std::string &key, const std::string &address);
+
     struct State;
     std::unique_ptr<State> m_state;
 };
 
+/// @return true when the text is an IP number, version 4 or 6
+bool isIpNumber(const std::string &text);
+
+/// @return true when the text has 1 to 64 of a-z, 0-9, dot, dash and underscore
+bool isIdentifier(const std::string &text);
+
 } // namespace bilberry
 
 template <>
--- a/packages/base/src/settings.cpp
+++ b/packages/base/src/settings.cpp
@@ -2,9 +2,14 @@
 
 #include "bilberry/base/errorcategory.h"
 
+#include <boost/asio/ip/address.hpp>
 #include <yaml-cpp/yaml.h>
 
+#include <algorithm>
 #include <fstream>
+#include <iomanip>
+#include <limits>
+#include <map>
 #include <optional>
 #include <sstream>
 
@@ -29,12 +34,22 @@
         return "value out of range";
     case SettingsErrc::UnknownValue:
         return "unknown value";
+    case SettingsErrc::DuplicateKey:
+        return "the key stands twice";
+    case SettingsErrc::NotAnAddress:
+        return "an IP number is expected";
+    case SettingsErrc::NotAnIdentifier:
+        return "not an identifier";
+    case SettingsErrc::Contradiction:
+        return "contradicts another key";
     }
     return "unknown settings error";
 }
 
 const ErrorCategory category("settings", describe);
 
+constexpr char required[] = "required";
+
 std::string joined(const std::vector<std::string> &words)
 {
     std::string text;
@@ -44,13 +59,20 @@
 }
 
 template <typename T>
-std::string rangeText(T low, T high)
+std::string valueText(T value)
 {
     std::ostringstream out;
-    out << low << " to " << high;
+    // Enough digits for every limit to show as it is written in the source.
+    out << std::setprecision(std::numeric_limits<T>::digits10) << value;
     return out.str();
 }
 
+template <typename T>
+std::string rangeText(T low, T high)
+{
+    return valueText(low) + " to " + valueText(high);
+}
+
 } // namespace
 
 std::error_code make_error_code(SettingsErrc error)
@@ -73,7 +95,7 @@
 {
     std::string file;
     YAML::Node root;
-    std::set<std::string> asked;
+    std::map<std::string, SettingsKey> asked;
     std::vector<SettingsFault> faults;
 
     void parse(const std::string &text)
@@ -85,14 +107,35 @@
                     {SettingsErrc::Malformed, file, exception.mark.line + 1, "", exception.msg});
             return;
         }
-        if (!root.IsMap())
+        if (root.IsMap())
+            reportDuplicates(root, "");
+        else
             faults.push_back({SettingsErrc::WrongType, file, 1, "", "a map is expected"});
     }
 
+    /// yaml-cpp keeps both entries of a repeated key and answers look-ups with the first one.
+    void reportDuplicates(const YAML::Node &map, const std::string &prefix)
+    {
+        std::set<std::string> seen;
+        for (const auto &entry : map) {
+            const std::string path = prefix + entry.first.as<std::string>("");
+            if (!seen.insert(path).second)
+                faults.push_back(
+                        {SettingsErrc::DuplicateKey, file, entry.first.Mark().line + 1, path, ""});
+            if (entry.second.IsMap())
+                reportDuplicates(entry.second, path + ".");
+        }
+    }
+
+    /// Notes a key's description; the first one stands.
+    void ask(const std::string &key, const std::string &range, const std::string &fallback)
+    {
+        asked.emplace(key, SettingsKey{key, range, fallback});
+    }
+
     /// Walks a dotted path. yaml-cpp nodes alias on assignment, so reset() moves the cursor.
     std::optional<YAML::Node> find(const std::string &key)
     {
-        asked.insert(key);
         if (!root.IsMap())
             return std::nullopt;
         YAML::Node node;
@@ -109,10 +152,29 @@
     void add(SettingsErrc error, const std::string &key, const std::string &hint,
              const std::optional<YAML::Node> &node)
     {
-        const int line = node ? node->Mark().line + 1 : 0;
+        // A file that can't be read or parsed has one fault, not one for each key it lacks.
+        if (!root.IsMap())
+            return;
+        const int line = node ? node->Mark().line + 1 : sectionLine(key);
         faults.push_back({error, file, line, key, hint});
     }
 
+    /// @return line of the innermost section that would hold the key
+    int sectionLine(const std::string &key)
+    {
+        const std::size_t dot = key.rfind('.');
+        if (dot == std::string::npos)
+            return 1;
+        const auto section = find(key.substr(0, dot));
+        return section ? section->Mark().line + 1 : sectionLine(key.substr(0, dot));
+    }
+
+    void require(const std::string &key, const std::string &hint)
+    {
+        if (!find(key))
+            add(SettingsErrc::MissingKey, key, hint, std::nullopt);
+    }
+
     template <typename T>
     std::optional<T> scalar(const std::string &key, const char *type)
     {
@@ -129,6 +191,7 @@
     template <typename T>
     T ranged(const std::string &key, T low, T high, T fallback, const char *type)
     {
+        ask(key, rangeText(low, high), valueText(fallback));
         const auto value = scalar<T>(key, type);
         if (!value)
             return fallback;
@@ -141,13 +204,13 @@
     bool known(const std::string &path) const
     {
         const auto next = asked.lower_bound(path);
-        return next != asked.end() && (*next == path || next->starts_with(path + "."));
+        return next != asked.end() && (next->first == path || next->first.starts_with(path + "."));
     }
 
     void reportUnknown(const YAML::Node &map, const std::string &prefix)
     {
         for (const auto &entry : map) {
-            const std::string path = prefix + entry.first.as<std::string>();
+            const std::string path = prefix + entry.first.as<std::string>("");
             if (asked.contains(path))
                 continue;
             if (entry.second.IsMap() && known(path))
@@ -183,24 +246,70 @@
 
 std::string SettingsReader::text(const std::string &key)
 {
-    if (!m_state->find(key))
-        m_state->add(SettingsErrc::MissingKey, key, "", std::nullopt);
+    m_state->ask(key, "text", required);
+    m_state->require(key, "");
     return text(key, "");
 }
 
 std::string SettingsReader::text(const std::string &key, const std::string &fallback)
 {
+    m_state->ask(key, "text", fallback);
     return m_state->scalar<std::string>(key, "a text").value_or(fallback);
 }
 
+std::string SettingsReader::identifier(const std::string &key)
+{
+    m_state->ask(key, "identifier", required);
+    std::string value = text(key);
+    if (m_state->find(key) && !isIdentifier(value))
+        fault(SettingsErrc::NotAnIdentifier, key, "1 to 64 of a-z, 0-9, dot, dash and underscore");
+    return value;
+}
+
+std::string SettingsReader::address(const std::string &key)
+{
+    m_state->ask(key, "IP number", required);
+    return checkedAddress(key, text(key));
+}
+
+std::string SettingsReader::address(const std::string &key, const std::string &fallback)
+{
+    m_state->ask(key, "IP number", fallback);
+    return checkedAddress(key, text(key, fallback));
+}
+
+std::string SettingsReader::checkedAddress(const std::string &key, const std::string &address)
+{
+    if (m_state->find(key) && !isIpNumber(address))
+        fault(SettingsErrc::NotAnAddress, key, "host names are not resolved");
+    return address;
+}
+
+std::uint16_t SettingsReader::port(const std::string &key)
+{
+    constexpr std::int64_t highest = std::numeric_limits<std::uint16_t>::max();
+    m_state->ask(key, rangeText<std::int64_t>(1, highest), required);
+    m_state->require(key, rangeText<std::int64_t>(1, highest));
+    return static_cast<std::uint16_t>(integer(key, 1, highest, 0));
+}
+
+std::string SettingsReader::choice(const std::string &key, const std::vector<std::string> &words)
+{
+    m_state->ask(key, joined(words), required);
+    if (!m_state->find(key)) {
+        m_state->add(SettingsErrc::MissingKey, key, "one of " + joined(words), std::nullopt);
+        return words.front();
+    }
+    return choice(key, words, words.front());
+}
+
 std::string SettingsReader::choice(const std::string &key, const std::vector<std::string> &words,
                                    const std::string &fallback)
 {
+    m_state->ask(key, joined(words), fallback);
     std::string word = text(key, fallback);
-    for (const std::string &known : words) {
-        if (word == known)
-            return word;
-    }
+    if (std::find(words.begin(), words.end(), word) != words.end())
+        return word;
     m_state->add(SettingsErrc::UnknownValue, key, "one of " + joined(words), m_state->find(key));
     return fallback;
 }
@@ -218,18 +327,20 @@
 
 std::int64_t SettingsReader::integer(const std::string &key, std::int64_t low, std::int64_t high)
 {
-    if (!m_state->find(key))
-        m_state->add(SettingsErrc::MissingKey, key, rangeText(low, high), std::nullopt);
+    m_state->ask(key, rangeText(low, high), required);
+    m_state->require(key, rangeText(low, high));
     return integer(key, low, high, low);
 }
 
 bool SettingsReader::boolean(const std::string &key, bool fallback)
 {
+    m_state->ask(key, "true, false", fallback ? "true" : "false");
     return m_state->scalar<bool>(key, "true or false").value_or(fallback);
 }
 
 std::vector<std::string> SettingsReader::list(const std::string &key)
 {
+    m_state->ask(key, "list", "empty");
     const auto node = m_state->find(key);
     if (!node)
         return {};
@@ -252,6 +363,14 @@
     m_state->add(error, key, hint, m_state->find(key));
 }
 
+std::vector<SettingsKey> SettingsReader::keys() const
+{
+    std::vector<SettingsKey> keys;
+    for (const auto &[name, key] : m_state->asked)
+        keys.push_back(key);
+    return keys;
+}
+
 std::vector<SettingsFault> SettingsReader::finish()
 {
     if (m_state->root.IsMap())
@@ -259,4 +378,21 @@
     return m_state->faults;
 }
 
+bool isIpNumber(const std::string &text)
+{
+    boost::system::error_code error;
+    boost::asio::ip::make_address(text, error);
+    return !error;
+}
+
+bool isIdentifier(const std::string &text)
+{
+    constexpr std::size_t maxLength = 64;
+    const auto allowed = [](char c) {
+        return (c >= 'a' && c <= 'z') || (c >= '0' && c <= '9') || c == '.' || c == '-' || c == '_';
+    };
+    return !text.empty() && text.size() <= maxLength
+           && std::all_of(text.begin(), text.end(), allowed);
+}
+
 } // namespace bilberry
--- /dev/null
+++ b/packages/base/tests/base_test.cpp
@@ -0,0 +1,186 @@
+#include "bilberry/base/boundedring.h"
+#include "bilberry/base/digest.h"
+#include "bilberry/base/log.h"
+#include "bilberry/base/result.h"
+#include "bilberry/base/settings.h"
+
+#include <boost/json.hpp>
+#include <catch2/catch.hpp>
+
+#include <iostream>
+#include <memory>
+#include <sstream>
+#include <thread>
+
+using namespace bilberry;
+
+namespace {
+
+/// Collects what the process writes to standard error.
+class CapturedErrors
+{
+public:
+    CapturedErrors() : m_before(std::cerr.rdbuf(m_text.rdbuf())) {}
+    ~CapturedErrors() { std::cerr.rdbuf(m_before); }
+
+    std::vector<std::string> lines() const
+    {
+        std::istringstream in(m_text.str());
+        std::vector<std::string> lines;
+        for (std::string line; std::getline(in, line);)
+            lines.push_back(line);
+        return lines;
+    }
+
+private:
+    std::ostringstream m_text;
+    std::streambuf *m_before;
+};
+
+} // namespace
+
+SCENARIO("a result holds a value or a typed error")
+{
+    const Result<int> good = 4;
+    const Result<int> bad = SettingsErrc::MissingKey;
+    const auto half = [](int value) -> Result<int> {
+        if (value % 2 != 0)
+            return SettingsErrc::OutOfRange;
+        return value / 2;
+    };
+    THEN("value and error exclude each other")
+    {
+        CHECK((good.ok() && !good.error()));
+        CHECK((!bad.ok() && bad.error() == SettingsErrc::MissingKey));
+        CHECK(bad.valueOr(7) == 7);
+        CHECK(good.valueOr(7) == 4);
+    }
+    THEN("steps are chained until the first error")
+    {
+        CHECK(good.andThen(half).value() == 2);
+        CHECK(good.map([](int value) { return value + 1; }).andThen(half).error()
+              == SettingsErrc::OutOfRange);
+        CHECK(bad.andThen(half).error() == SettingsErrc::MissingKey);
+    }
+}
+
+SCENARIO("a bounded ring hands items over in order")
+{
+    int wakes = 0;
+    BoundedRing<std::unique_ptr<int>> ring(2, [&] { ++wakes; });
+    std::vector<std::unique_ptr<int>> out;
+    GIVEN("a full ring")
+    {
+        REQUIRE(ring.push(std::make_unique<int>(1)));
+        REQUIRE(ring.push(std::make_unique<int>(2)));
+        THEN("the consumer was woken once, and a further item stays with its producer")
+        {
+            CHECK(wakes == 1);
+            auto third = std::make_unique<int>(3);
+            CHECK_FALSE(ring.push(std::move(third)));
+            CHECK(third);
+        }
+        WHEN("it is drained")
+        {
+            ring.drain(out);
+            THEN("the items are in order and there is room again")
+            {
+                REQUIRE(out.size() == 2);
+                CHECK((*out[0] == 1 && *out[1] == 2));
+                CHECK(ring.push(std::make_unique<int>(3)));
+                CHECK(wakes == 2);
+            }
+        }
+        WHEN("a producer waits for room")
+        {
+            bool added = false;
+            std::thread producer([&] { added = ring.pushOrWait(std::make_unique<int>(3)); });
+            AND_WHEN("the ring is drained")
+            {
+                std::size_t received = 0;
+                while (received < 3) {
+                    ring.drain(out);
+                    received += out.size();
+                }
+                producer.join();
+                THEN("its item arrives")
+                {
+                    CHECK(added);
+                }
+            }
+            AND_WHEN("the ring is closed")
+            {
+                ring.close();
+                producer.join();
+                THEN("the wait ends without the item")
+                {
+                    CHECK_FALSE(added);
+                }
+            }
+        }
+    }
+}
+
+SCENARIO("digests and random identifiers")
+{
+    CHECK(sha256Hex("abc") == "ba7816bf8f01cfea414140de5dae2223b00361a396177a9cb410ff61f20015ad");
+    CHECK(sha256Hex("") == "e3b0c44298fc1c149afbf4c8996fb92427ae41e4649b934ca495991b7852b855");
+    CHECK(equalConstantTime("abc", "abc"));
+    CHECK_FALSE(equalConstantTime("abc", "abd"));
+    CHECK_FALSE(equalConstantTime("abc", "ab"));
+    CHECK(randomToken().size() == 32);
+    CHECK(randomToken() != randomToken());
+    CHECK(randomId() != randomId());
+}
+
+SCENARIO("log lines carry the prefix of their part")
+{
+    const CapturedErrors captured;
+    GIVEN("the text format")
+    {
+        setUpLogging({LogLevel::Info, LogFormat::Text});
+        Log log("router.links");
+        log.debug("Hidden.");
+        log.warning("Agent model-a left.");
+        THEN("a line has time, level, part and sentence; lower levels are left out")
+        {
+            const auto lines = captured.lines();
+            REQUIRE(lines.size() == 1);
+            CHECK(lines[0].find("WARN  [router.links] Agent model-a left.") != std::string::npos);
+        }
+    }
+    GIVEN("the JSON format")
+    {
+        setUpLogging({LogLevel::Info, LogFormat::Json});
+        Log("agent").error("A \"quoted\" name.");
+        THEN("a line is one object")
+        {
+            const auto lines = captured.lines();
+            REQUIRE(lines.size() == 1);
+            const auto line = boost::json::parse(lines[0]).as_object();
+            CHECK(line.at("part").as_string() == "agent");
+            CHECK(line.at("level").as_string() == "ERROR");
+            CHECK(line.at("message").as_string() == "A \"quoted\" name.");
+            CHECK(line.at("time").as_string().size() > 20);
+        }
+    }
+}
+
+SCENARIO("a part that logs in a storm is cut")
+{
+    const CapturedErrors captured;
+    setUpLogging({LogLevel::Info, LogFormat::Text});
+    Log noisy("noisy");
+    Log quiet("quiet");
+    constexpr std::size_t storm = 10000;
+    const TimePoint start = Clock::now();
+    for (std::size_t i = 0; i < storm; ++i)
+        noisy.warning("The same again.");
+    quiet.info("Still heard.");
+    // The bound is per second, so that it holds on a slow machine too.
+    const auto seconds = static_cast<std::size_t>(
+            std::chrono::duration_cast<std::chrono::seconds>(Clock::now() - start).count());
+    constexpr std::size_t linesPerSecond = 21;
+    CHECK(captured.lines().size() <= linesPerSecond * (seconds + 2) + 1);
+    CHECK(captured.lines().back().find("[quiet] Still heard.") != std::string::npos);
+}
--- /dev/null
+++ b/packages/base/tests/settings_test.cpp
@@ -0,0 +1,139 @@
+#include "bilberry/base/settings.h"
+
+#include <catch2/catch.hpp>
+
+using namespace bilberry;
+
+namespace {
+
+/// What a small program would read.
+std::vector<SettingsFault> faultsOf(const std::string &text)
+{
+    SettingsReader reader(text, "t.yaml");
+    reader.identifier("name");
+    reader.address("listen.address");
+    reader.port("listen.port");
+    reader.choice("role", {"router", "agent"});
+    reader.choice("log.level", {"info", "error"}, "info");
+    reader.number("weights.big", 0.5, 10, 1);
+    reader.integer("weights.small", 1, 5, 2);
+    reader.boolean("fast", false);
+    reader.list("peers");
+    return reader.finish();
+}
+
+const std::string sound = "name: n\nrole: agent\nlisten: { address: 127.0.0.1, port: 80 }\n";
+
+struct FaultCase
+{
+    const char *title;
+    std::string text;
+    SettingsErrc error;
+    int line;
+    const char *key;
+};
+
+const std::vector<FaultCase> faultCases = {
+        {"malformed YAML", "name: [", SettingsErrc::Malformed, 1, ""},
+        {"no map", "- a", SettingsErrc::WrongType, 1, ""},
+        {"unknown key", sound + "nam: x", SettingsErrc::UnknownKey, 4, "nam"},
+        {"unknown nested key", sound + "log:\n  lever: info", SettingsErrc::UnknownKey, 5,
+         "log.lever"},
+        {"duplicate key", sound + "name: m", SettingsErrc::DuplicateKey, 4, "name"},
+        {"duplicate nested key", sound + "log:\n  level: info\n  level: info",
+         SettingsErrc::DuplicateKey, 6, "log.level"},
+        {"unknown word", sound + "log: { level: loud }", SettingsErrc::UnknownValue, 4,
+         "log.level"},
+        {"number for a list", sound + "peers: 5", SettingsErrc::WrongType, 4, "peers"},
+        {"map in a list", sound + "peers:\n- {}", SettingsErrc::WrongType, 5, "peers"},
+        {"text for a number", sound + "weights: { big: x }", SettingsErrc::WrongType, 4,
+         "weights.big"},
+        {"text for a section", sound + "weights: x", SettingsErrc::UnknownKey, 4, "weights"},
+        {"fraction for a whole number", sound + "weights: { small: 1.5 }", SettingsErrc::WrongType,
+         4, "weights.small"},
+        {"below the range", sound + "weights: { big: 0.4 }", SettingsErrc::OutOfRange, 4,
+         "weights.big"},
+        {"above the range", sound + "weights: { small: 6 }", SettingsErrc::OutOfRange, 4,
+         "weights.small"},
+        {"not a number", sound + "weights: { big: .nan }", SettingsErrc::OutOfRange, 4,
+         "weights.big"},
+        {"word for a boolean", sound + "fast: maybe", SettingsErrc::WrongType, 4, "fast"},
+        {"host name", "name: n\nrole: agent\nlisten: { address: localhost, port: 80 }",
+         SettingsErrc::NotAnAddress, 3, "listen.address"},
+        {"port 0", "name: n\nrole: agent\nlisten: { address: ::1, port: 0 }",
+         SettingsErrc::OutOfRange, 3, "listen.port"},
+        {"port too high", "name: n\nrole: agent\nlisten: { address: ::1, port: 65536 }",
+         SettingsErrc::OutOfRange, 3, "listen.port"},
+        {"missing key in a section", "name: n\nrole: agent\nlisten: { address: ::1 }",
+         SettingsErrc::MissingKey, 3, "listen.port"},
+        {"missing key", "role: agent\nlisten: { address: ::1, port: 80 }", SettingsErrc::MissingKey,
+         1, "name"},
+        {"missing role", "name: n\nlisten: { address: ::1, port: 80 }", SettingsErrc::MissingKey, 1,
+         "role"},
+        {"capital letters in an identifier",
+         "name: N\nrole: agent\nlisten: { address: ::1, port: 80 }", SettingsErrc::NotAnIdentifier,
+         1, "name"},
+};
+
+} // namespace
+
+SCENARIO("a settings file is checked in full")
+{
+    GIVEN("a sound file")
+    {
+        THEN("there is no fault")
+        {
+            CHECK(faultsOf(sound).empty());
+        }
+    }
+    for (const FaultCase &row : faultCases) {
+        GIVEN(std::string("a file with a fault: ") + row.title)
+        {
+            const auto faults = faultsOf(row.text);
+            THEN("it is the only one reported, with file, line and key")
+            {
+                REQUIRE(faults.size() == 1);
+                CHECK(faults[0].error == row.error);
+                CHECK(faults[0].file == "t.yaml");
+                CHECK(faults[0].line == row.line);
+                CHECK(faults[0].key == row.key);
+            }
+        }
+    }
+    GIVEN("a file with several faults")
+    {
+        const auto faults = faultsOf("nam: x\nweights: { big: 99 }\nlisten: { port: x }\n");
+        THEN("all are reported")
+        {
+            // name, role and listen.address are missing, three keys are wrong.
+            CHECK(faults.size() == 6);
+        }
+        THEN("each is one line of text")
+        {
+            CHECK(faults.back().text() == "t.yaml:1: nam: unknown key");
+        }
+    }
+    GIVEN("a file that does not exist")
+    {
+        SettingsReader reader("/nonexistent/settings.yaml");
+        reader.text("name");
+        THEN("that is the only fault")
+        {
+            const auto faults = reader.finish();
+            REQUIRE(faults.size() == 1);
+            CHECK(faults[0].error == SettingsErrc::Unreadable);
+        }
+    }
+}
+
+SCENARIO("a reader describes its keys")
+{
+    SettingsReader reader("{}", "t.yaml");
+    reader.port("port");
+    reader.number("ratio", 0.5, 1e9, 2);
+    reader.choice("mode", {"a", "b"}, "a");
+    CHECK(reader.keys()
+          == std::vector<SettingsKey>{{"mode", "a, b", "a"},
+                                      {"port", "1 to 65535", "required"},
+                                      {"ratio", "0.5 to 1000000000", "2"}});
+}
--- a/packages/daemon/src/daemon.cpp
+++ b/packages/daemon/src/daemon.cpp
@@ -1,5 +1,7 @@
 #include "daemon.h"
 
+#include "daemonsettings.h"
+
 #include "bilberry/agent/agent.h"
 #include "bilberry/base/log.h"
 #include "bilberry/router/router.h"
@@ -13,46 +15,6 @@
 
 namespace {
 
-enum class Role { Router, Agent };
-
-/// Everything that the settings file says.
-struct DaemonSettings
-{
-    Role role = Role::Router;
-    LogSettings log;
-    router::RouterSettings router;
-    agent::AgentSettings agent;
-};
-
-LogSettings readLog(SettingsReader &reader)
-{
-    LogSettings log;
-    const std::string level
-            = reader.choice("log.level", {"debug", "info", "warning", "error"}, "info");
-    if (level == "debug")
-        log.level = LogLevel::Debug;
-    else if (level == "warning")
-        log.level = LogLevel::Warning;
-    else if (level == "error")
-        log.level = LogLevel::Error;
-    if (reader.choice("log.format", {"text", "json"}, "text") == "json")
-        log.format = LogFormat::Json;
-    return log;
-}
-
-DaemonSettings readSettings(SettingsReader &reader)
-{
-    DaemonSettings settings;
-    settings.log = readLog(reader);
-    if (reader.choice("role", {"router", "agent"}, "router") == "agent") {
-        settings.role = Role::Agent;
-        settings.agent = agent::readAgentSettings(reader);
-    } else {
-        settings.router = router::readRouterSettings(reader);
-    }
-    return settings;
-}
-
 /// Blocks the stop signals in every thread, so that sigwait() receives them.
 sigset_t blockStopSignals()
 {
--- /dev/null
+++ b/packages/daemon/src/daemonsettings.cpp
@@ -0,0 +1,38 @@
+#include "daemonsettings.h"
+
+namespace bilberry::daemon {
+
+namespace {
+
+LogSettings readLog(SettingsReader &reader)
+{
+    LogSettings log;
+    const std::string level
+            = reader.choice("log.level", {"debug", "info", "warning", "error"}, "info");
+    if (level == "debug")
+        log.level = LogLevel::Debug;
+    else if (level == "warning")
+        log.level = LogLevel::Warning;
+    else if (level == "error")
+        log.level = LogLevel::Error;
+    if (reader.choice("log.format", {"text", "json"}, "text") == "json")
+        log.format = LogFormat::Json;
+    return log;
+}
+
+} // namespace
+
+DaemonSettings readSettings(SettingsReader &reader)
+{
+    DaemonSettings settings;
+    settings.log = readLog(reader);
+    if (reader.choice("role", {"router", "agent"}) == "agent") {
+        settings.role = Role::Agent;
+        settings.agent = agent::readAgentSettings(reader);
+    } else {
+        settings.router = router::readRouterSettings(reader);
+    }
+    return settings;
+}
+
+} // namespace bilberry::daemon
--- a/packages/model/src/configuration.cpp
+++ b/packages/model/src/configuration.cpp
@@ -1,6 +1,7 @@
 #include "bilberry/model/configuration.h"
 
 #include "bilberry/base/digest.h"
+#include "bilberry/base/settings.h"
 
 #include <algorithm>
 #include <cmath>
@@ -9,18 +10,8 @@
 
 namespace {
 
-constexpr std::size_t maxIdentifierLength = 64;
 constexpr std::size_t digestLength = 64;
 
-bool isIdentifier(const std::string &text)
-{
-    const auto allowed = [](char c) {
-        return (c >= 'a' && c <= 'z') || (c >= '0' && c <= '9') || c == '.' || c == '-' || c == '_';
-    };
-    return !text.empty() && text.size() <= maxIdentifierLength
-           && std::all_of(text.begin(), text.end(), allowed);
-}
-
 bool isDigest(const std::string &text)
 {
     return text.size() == digestLength
--- a/packages/router/src/routersettings.cpp
+++ b/packages/router/src/routersettings.cpp
@@ -2,18 +2,12 @@
 
 #include <charconv>
 #include <optional>
+#include <set>
 
 namespace bilberry::router {
 
 namespace {
 
-constexpr std::int64_t highestPort = 65535;
-
-std::uint16_t port(SettingsReader &reader, const std::string &key)
-{
-    return static_cast<std::uint16_t>(reader.integer(key, 1, highestPort));
-}
-
 Duration milliseconds(SettingsReader &reader, const std::string &key, std::int64_t low,
                       std::int64_t high, Duration fallback)
 {
@@ -54,7 +48,7 @@
         return std::nullopt;
     const auto port = parsePort(parts[1]);
     const auto adminPort = parsePort(parts[2]);
-    if (!port || !adminPort)
+    if (!port || !adminPort || !isIpNumber(parts[0]))
         return std::nullopt;
     platform::Vm vm;
     vm.name = text.substr(0, at);
@@ -73,7 +67,8 @@
         if (vm)
             result.push_back(*vm);
         else
-            reader.fault(SettingsErrc::UnknownValue, key, "name@address:port:adminPort");
+            reader.fault(SettingsErrc::UnknownValue, key,
+                         text + " is not name@address:port:adminPort with an IP number");
     }
     return result;
 }
@@ -99,19 +94,35 @@
     limits.idleLimit = milliseconds(reader, "callers.idleLimitMs", 100, 3600000, limits.idleLimit);
 }
 
+/// Rules between several keys.
+void checkTogether(SettingsReader &reader, const RouterSettings &settings)
+{
+    if (settings.callerPort != 0 && settings.callerPort == settings.adminPort)
+        reader.fault(SettingsErrc::Contradiction, "listen.adminPort",
+                     "listen.callerPort has the same number");
+    std::set<std::string> names;
+    for (const platform::Vm &peer : settings.peers) {
+        if (!names.insert(peer.name).second)
+            reader.fault(SettingsErrc::Contradiction, "peers", peer.name + " stands twice");
+    }
+    if (settings.callers.idleLimit < settings.callers.headLimit)
+        reader.fault(SettingsErrc::Contradiction, "callers.idleLimitMs",
+                     "shorter than callers.headLimitMs");
+}
+
 } // namespace
 
 RouterSettings readRouterSettings(SettingsReader &reader)
 {
     RouterSettings settings;
-    settings.router = RouterId(reader.text("name"));
-    settings.zone = ZoneId(reader.text("zone"));
-    settings.listenAddress = reader.text("listen.address");
-    settings.callerPort = port(reader, "listen.callerPort");
-    settings.gossipPort = port(reader, "listen.gossipPort");
-    settings.adminPort = port(reader, "listen.adminPort");
-    settings.platform.address = reader.text("platform.address");
-    settings.platform.port = port(reader, "platform.port");
+    settings.router = RouterId(reader.identifier("name"));
+    settings.zone = ZoneId(reader.identifier("zone"));
+    settings.listenAddress = reader.address("listen.address");
+    settings.callerPort = reader.port("listen.callerPort");
+    settings.gossipPort = reader.port("listen.gossipPort");
+    settings.adminPort = reader.port("listen.adminPort");
+    settings.platform.address = reader.address("platform.address");
+    settings.platform.port = reader.port("platform.port");
     settings.platform.callLimit
             = milliseconds(reader, "platform.callLimitMs", 50, 60000, settings.platform.callLimit);
     settings.platform.callsPerSecond = reader.number("platform.callsPerSecond", 1, 1000, 50);
@@ -133,6 +144,7 @@
     settings.watchers = static_cast<std::size_t>(reader.integer("platform.watchers", 1, 1000, 3));
     settings.freshness.proofLimit = milliseconds(reader, "island.proofLimitMs", 500, 60000,
                                                  settings.freshness.proofLimit);
+    checkTogether(reader, settings);
     return settings;
 }
 
