Keep doubles exact in shards; end route prefixes at path segments

Cause: two faults found by the new model tests, which failed first. (1) Boost.JSON 1.81 reads a double with an error in its last bit (rapidcheck), so a decoded configuration differed from the accepted one. (2) Prefix /v1 took requests for /v10, and /v1/orders those for /v1/ordersheet, with the wrong repeatability. Ruled out: precise parsing, which Boost.JSON 1.81 has no option for. Change: doubles are written as shortest exact texts; a prefix matches up to '/', '?' or the end.

--- a/packages/model/src/configuration.cpp
+++ b/packages/model/src/configuration.cpp
@@ -18,6 +18,17 @@
            && text.find_first_not_of("0123456789abcdef") == std::string::npos;
 }
 
+/// A prefix ends at the end of a path segment, so that "/v1" does not match "/v10".
+bool matches(std::string_view prefix, std::string_view path)
+{
+    if (!path.starts_with(prefix))
+        return false;
+    if (path.size() == prefix.size() || prefix.ends_with('/'))
+        return true;
+    const char next = path[prefix.size()];
+    return next == '/' || next == '?';
+}
+
 void checkIdentifier(const std::string &id, const std::string &subject, ModelFaults &faults)
 {
     if (!isIdentifier(id))
@@ -116,7 +127,7 @@
 {
     const Route *best = nullptr;
     for (const auto &[prefix, route] : m_parts.routes) {
-        if (path.starts_with(prefix) && (!best || prefix.size() > best->prefix.size()))
+        if (matches(prefix, path) && (!best || prefix.size() > best->prefix.size()))
             best = &route;
     }
     return best;
--- a/packages/model/src/configurationcodec.cpp
+++ b/packages/model/src/configurationcodec.cpp
@@ -4,6 +4,8 @@
 
 #include <boost/json.hpp>
 
+#include <array>
+#include <charconv>
 #include <cstdio>
 
 namespace bilberry {
@@ -60,6 +62,26 @@
     return value.as_string() == "never" ? Repeatability::Never : Repeatability::ByMethod;
 }
 
+/// Writes a number as text: Boost.JSON's reader may miss a double by its last bit, and a
+/// configuration that changes on its way would differ from the accepted one.
+std::string exactText(double value)
+{
+    constexpr std::size_t longest = 32;
+    std::array<char, longest> text{};
+    const auto end = std::to_chars(text.data(), text.data() + text.size(), value).ptr;
+    return {text.data(), end};
+}
+
+double exactNumber(const json::value &value)
+{
+    const json::string &text = value.as_string();
+    double number = 0.0;
+    const auto parsed = std::from_chars(text.data(), text.data() + text.size(), number);
+    if (parsed.ec != std::errc() || parsed.ptr != text.data() + text.size())
+        throw std::system_error(make_error_code(ModelErrc::MalformedDocument));
+    return number;
+}
+
 json::object encode(const BackendPool &pool)
 {
     json::array zones;
@@ -70,9 +92,9 @@
             {"fullLimit", pool.fullLimit},
             {"queueLimit", pool.queueLimit},
             {"costUnit", toText(pool.costUnit)},
-            {"tokenCost", pool.tokenCost},
-            {"firstByteMilliseconds", pool.objective.firstByteMilliseconds},
-            {"goodFraction", pool.objective.goodFraction}};
+            {"tokenCost", exactText(pool.tokenCost)},
+            {"firstByteMilliseconds", exactText(pool.objective.firstByteMilliseconds)},
+            {"goodFraction", exactText(pool.objective.goodFraction)}};
 }
 
 BackendPool decodePool(const std::string &id, const json::value &value)
@@ -85,9 +107,9 @@
     pool.fullLimit = value.at("fullLimit").to_number<std::uint32_t>();
     pool.queueLimit = value.at("queueLimit").to_number<std::uint32_t>();
     pool.costUnit = toCostUnit(value.at("costUnit"));
-    pool.tokenCost = value.at("tokenCost").to_number<double>();
-    pool.objective.firstByteMilliseconds = value.at("firstByteMilliseconds").to_number<double>();
-    pool.objective.goodFraction = value.at("goodFraction").to_number<double>();
+    pool.tokenCost = exactNumber(value.at("tokenCost"));
+    pool.objective.firstByteMilliseconds = exactNumber(value.at("firstByteMilliseconds"));
+    pool.objective.goodFraction = exactNumber(value.at("goodFraction"));
     return pool;
 }
 
@@ -96,14 +118,14 @@
     json::array digests;
     for (const std::string &digest : customer.keyDigests)
         digests.emplace_back(digest);
-    return {{"share", customer.share}, {"keyDigests", digests}};
+    return {{"share", exactText(customer.share)}, {"keyDigests", digests}};
 }
 
 Customer decodeCustomer(const std::string &id, const json::value &value)
 {
     Customer customer;
     customer.id = CustomerId(id);
-    customer.share = value.at("share").to_number<double>();
+    customer.share = exactNumber(value.at("share"));
     for (const json::value &digest : value.at("keyDigests").as_array())
         customer.keyDigests.push_back(json::value_to<std::string>(digest));
     return customer;
--- /dev/null
+++ b/packages/model/tests/configuration_test.cpp
@@ -0,0 +1,99 @@
+#include "generators.h"
+
+#include "bilberry/model/configurationcodec.h"
+
+#include <catch2/catch.hpp>
+
+using namespace bilberry;
+using namespace bilberry::tests;
+
+TEST_CASE("a configuration survives its shards and its single text")
+{
+    REQUIRE(rc::check([] {
+        const auto parts = *anyParts();
+        const auto revision = *rc::gen::arbitrary<Revision>();
+        const auto shards = encodeShards(parts);
+        RC_ASSERT(decodeShards(shards) == Result<ConfigurationParts>(parts));
+        const auto head = makeHead(revision, "token", shards);
+        RC_ASSERT(decodeHead(encodeHead(head)) == Result<ConfigurationHead>(head));
+        const auto configuration = Configuration::create(revision, parts);
+        RC_ASSERT(configuration.ok());
+        RC_ASSERT(decodeConfiguration(encodeConfiguration(configuration.value())) == configuration);
+    }));
+}
+
+TEST_CASE("a change of one customer rewrites one shard")
+{
+    REQUIRE(rc::check([] {
+        auto parts = *anyParts();
+        RC_PRE(!parts.customers.empty());
+        const auto before = encodeShards(parts);
+        parts.customers.begin()->second.share += 1;
+        const auto after = encodeShards(parts);
+        int changed = 0;
+        for (const auto &[name, text] : before)
+            changed += after.at(name) == text ? 0 : 1;
+        RC_ASSERT(changed == 1);
+    }));
+}
+
+SCENARIO("malformed documents are refused with a type")
+{
+    for (const char *text :
+         {"", "{", "[]", "{}", R"({"revision":-1,"shards":{}})", R"({"revision":1,"shards":[]})",
+          R"({"revision":1,"shards":{}})", R"({"revision":1,"shards":{"fleet":"{}"}})",
+          R"({"revision":"1","requestToken":"t","digests":{}})"}) {
+        INFO(text);
+        CHECK(decodeConfiguration(text).error() == ModelErrc::MalformedDocument);
+        CHECK(decodeHead(text).error() == ModelErrc::MalformedDocument);
+    }
+}
+
+SCENARIO("a configuration answers questions about requests")
+{
+    ConfigurationParts parts;
+    parts.zones[ZoneId("a")] = {ZoneId("a"), true};
+    parts.zones[ZoneId("b")] = {ZoneId("b"), false};
+    for (const char *id : {"models", "orders"}) {
+        parts.pools[PoolId(id)].id = PoolId(id);
+        parts.pools[PoolId(id)].zones = {ZoneId("a")};
+    }
+    parts.routes["/v1"] = {"/v1", PoolId("models"), Repeatability::ByMethod};
+    parts.routes["/v1/orders"] = {"/v1/orders", PoolId("orders"), Repeatability::Never};
+    const std::string digest = sha256Hex("key");
+    parts.customers[CustomerId("c")] = {CustomerId("c"), 1.0, {digest}};
+    const auto configuration = Configuration::create(1, parts).value();
+
+    THEN("the longest prefix wins")
+    {
+        CHECK(configuration.routeFor("/v1/chat")->pool == PoolId("models"));
+        CHECK(configuration.routeFor("/v1/orders/7")->pool == PoolId("orders"));
+        CHECK(configuration.routeFor("/v2") == nullptr);
+    }
+    THEN("a route of a path segment does not match a longer segment")
+    {
+        CHECK(configuration.routeFor("/v1/orders?pallet=2")->pool == PoolId("orders"));
+        CHECK(configuration.routeFor("/v1/ordersheet")->pool == PoolId("models"));
+        CHECK(configuration.routeFor("/v10") == nullptr);
+    }
+    THEN("a customer is known by the digest of its key only")
+    {
+        CHECK(configuration.customerByKey(digest)->id == CustomerId("c"));
+        CHECK(configuration.customerByKey("key") == nullptr);
+        CHECK(configuration.customerByKey("") == nullptr);
+    }
+    THEN("an unknown zone counts as out of service")
+    {
+        CHECK_FALSE(configuration.zoneIsOut(ZoneId("a")));
+        CHECK(configuration.zoneIsOut(ZoneId("b")));
+        CHECK(configuration.zoneIsOut(ZoneId("c")));
+    }
+    THEN("repeatability follows the route, then HTTP")
+    {
+        CHECK(mayRepeat(parts.routes["/v1"], "GET"));
+        CHECK(mayRepeat(parts.routes["/v1"], "PUT"));
+        CHECK_FALSE(mayRepeat(parts.routes["/v1"], "POST"));
+        CHECK_FALSE(mayRepeat(parts.routes["/v1"], "PATCH"));
+        CHECK_FALSE(mayRepeat(parts.routes["/v1/orders"], "GET"));
+    }
+}
