Check release notes in full, write them, derive them from a difference

Cause: a repeated YAML key silently replaced the earlier entry, shares and limits were only checked against the platform's configuration, and faults of apply had no line. Change: duplicate entries, own rules of added entries and list shapes are faults with line and subject; a withdrawn pool or zone that is still named is StillReferenced; writeReleaseNote() and noteBetween().

--- a/packages/model/include/bilberry/model/releasenote.h
+++ b/packages/model/include/bilberry/model/releasenote.h
@@ -59,6 +59,7 @@
     std::set<PoolId> withdrawnPools;
     std::set<CustomerId> withdrawnCustomers;
     std::set<std::string> withdrawnRoutes;
+    std::map<std::string, int> lines; ///< by subject, such as "zone a": where the text names it
     bool operator==(const ReleaseNote &) const = default;
 };
 
@@ -78,6 +79,10 @@
 /// @param text YAML
 ParsedReleaseNote parseReleaseNote(const std::string &text);
 
+/// Writes parts as a release note that adds all of them.
+/// @return YAML; parsed and applied to nothing it gives the same parts
+std::string writeReleaseNote(const ConfigurationParts &parts);
+
 /// One line of a plan.
 struct PlannedChange
 {
@@ -97,6 +102,10 @@
 /// @param parts the parts before
 AppliedNote applyNote(const ReleaseNote &note, const ConfigurationParts &parts);
 
+/// Derives the note that leads from one configuration to another.
+/// @return a note for which applyNote(note, before) gives `after`
+ReleaseNote noteBetween(const ConfigurationParts &before, const ConfigurationParts &after);
+
 /// @return what differs between two configurations, ordered by subject
 std::vector<PlannedChange> difference(const ConfigurationParts &before,
                                       const ConfigurationParts &after);
--- a/packages/model/src/releasenote.cpp
+++ b/packages/model/src/releasenote.cpp
@@ -145,6 +145,63 @@
     }
 }
 
+ZoneChange changeTo(const AvailabilityZone &zone)
+{
+    return {zone.inService};
+}
+
+PoolChange changeTo(const BackendPool &pool)
+{
+    return {pool.zones,    pool.coldLimit, pool.fullLimit, pool.queueLimit,
+            pool.costUnit, pool.tokenCost, pool.objective};
+}
+
+CustomerChange changeTo(const Customer &customer)
+{
+    return {customer.share, customer.keyDigests};
+}
+
+RouteChange changeTo(const Route &route)
+{
+    return {route.pool, route.repeatability};
+}
+
+/// Sorts the entries of one kind into the sections of a note.
+/// @param added holds all entries afterwards; those that existed before are moved out
+template <typename Key, typename Entry, typename Change>
+void sections(const std::map<Key, Entry> &before, std::map<Key, Entry> &added,
+              std::map<Key, Change> &changed, std::set<Key> &withdrawn)
+{
+    for (const auto &[key, entry] : before) {
+        const auto now = added.find(key);
+        if (now == added.end()) {
+            withdrawn.insert(key);
+            continue;
+        }
+        if (!(now->second == entry))
+            changed[key] = changeTo(now->second);
+        added.erase(now);
+    }
+}
+
+/// Reports withdrawn zones and pools that remaining entries still name.
+void checkReferences(const ReleaseNote &note, const ConfigurationParts &result, ModelFaults &faults)
+{
+    std::set<std::string> named;
+    for (const auto &[id, pool] : result.pools) {
+        for (const ZoneId &zone : pool.zones) {
+            if (note.withdrawnZones.contains(zone) && !result.zones.contains(zone))
+                named.insert("zone " + zone.text());
+        }
+    }
+    for (const auto &[prefix, route] : result.routes) {
+        if (note.withdrawnPools.contains(route.pool) && !result.pools.contains(route.pool))
+            named.insert("pool " + route.pool.text());
+    }
+    for (const std::string &subject : named)
+        faults.push_back({ModelErrc::StillReferenced, subject});
+}
+
 } // namespace
 
 AppliedNote applyNote(const ReleaseNote &note, const ConfigurationParts &parts)
@@ -159,6 +216,7 @@
                   result.customers, faults);
     applySections("route", note.added.routes, note.changedRoutes, note.withdrawnRoutes,
                   result.routes, faults);
+    checkReferences(note, result, faults);
     const ModelFaults broken = check(result);
     faults.insert(faults.end(), broken.begin(), broken.end());
     if (!faults.empty())
@@ -166,6 +224,18 @@
     return result;
 }
 
+ReleaseNote noteBetween(const ConfigurationParts &before, const ConfigurationParts &after)
+{
+    ReleaseNote note;
+    note.added = after;
+    sections(before.zones, note.added.zones, note.changedZones, note.withdrawnZones);
+    sections(before.pools, note.added.pools, note.changedPools, note.withdrawnPools);
+    sections(before.customers, note.added.customers, note.changedCustomers,
+             note.withdrawnCustomers);
+    sections(before.routes, note.added.routes, note.changedRoutes, note.withdrawnRoutes);
+    return note;
+}
+
 std::vector<PlannedChange> difference(const ConfigurationParts &before,
                                       const ConfigurationParts &after)
 {
--- a/packages/model/src/releasenoteparser.cpp
+++ b/packages/model/src/releasenoteparser.cpp
@@ -1,5 +1,7 @@
 #include "bilberry/model/releasenote.h"
 
+#include "bilberry/base/settings.h"
+
 #include <yaml-cpp/yaml.h>
 
 #include <functional>
@@ -49,6 +51,7 @@
     {
         if (!expectMap(node, path))
             return;
+        checkUnique(node, path);
         for (const auto &part : node) {
             const std::string kind = part.first.as<std::string>();
             const auto reader = readers.find(kind);
@@ -56,14 +59,43 @@
             if (reader == readers.end())
                 fault(ModelErrc::UnknownField, part.first, subject);
             else if (expectMap(part.second, subject))
-                entries(part.second, reader->second);
+                entries(part.second, subject, reader->second);
         }
     }
 
-    static void entries(const YAML::Node &map, const EntryReader &reader)
+    void entries(const YAML::Node &map, const std::string &path, const EntryReader &reader)
     {
-        for (const auto &entry : map)
-            reader(entry.first.as<std::string>(), entry.second);
+        checkUnique(map, path);
+        const std::string kind = path.substr(path.find('.') + 1);
+        for (const auto &entry : map) {
+            const std::string key = entry.first.as<std::string>();
+            const std::string subject = singular(kind) + " " + key;
+            m_note.lines.emplace(subject, entry.first.Mark().line + 1);
+            reader(key, entry.second);
+        }
+    }
+
+    static std::string singular(const std::string &kind) { return kind.substr(0, kind.size() - 1); }
+
+    /// yaml-cpp keeps both entries of a repeated key.
+    void checkUnique(const YAML::Node &map, const std::string &path)
+    {
+        std::set<std::string> seen;
+        for (const auto &entry : map) {
+            const std::string key = entry.first.as<std::string>();
+            if (!seen.insert(key).second)
+                fault(ModelErrc::DuplicateEntry, entry.first, path + "." + key);
+        }
+    }
+
+    /// Reports the rules that one entry breaks by itself.
+    template <typename Entry>
+    void checkEntry(const Entry &entry, const YAML::Node &node)
+    {
+        ModelFaults faults;
+        check(entry, faults);
+        for (const ModelFault &broken : faults)
+            fault(broken.error, node, broken.subject);
     }
 
     /// Reads the fields of one entry; the reader returns false for an unknown field.
@@ -71,6 +103,7 @@
     {
         if (!expectMap(node, subject))
             return;
+        checkUnique(node, subject);
         for (const auto &field : node) {
             const std::string name = field.first.as<std::string>();
             try {
@@ -97,6 +130,7 @@
     {
         if (!expectMap(root, "release note"))
             return;
+        checkUnique(root, "release note");
         for (const auto &part : root) {
             const std::string name = part.first.as<std::string>();
             if (name == "added")
@@ -123,6 +157,8 @@
     {
         const ZoneId id(key);
         const ZoneChange change = zoneChange(value, "zone " + key);
+        if (!isIdentifier(key))
+            fault(ModelErrc::InvalidIdentifier, value, "zone " + key);
         m_note.added.zones[id] = {id, change.inService.value_or(true)};
     }
 
@@ -139,6 +175,7 @@
         pool.costUnit = change.costUnit.value_or(defaults.costUnit);
         pool.tokenCost = change.tokenCost.value_or(defaults.tokenCost);
         pool.objective = change.objective.value_or(defaults.objective);
+        checkEntry(pool, value);
         m_note.added.pools[pool.id] = pool;
     }
 
@@ -146,8 +183,10 @@
     {
         const CustomerId id(key);
         const CustomerChange change = customerChange(value, "customer " + key);
-        m_note.added.customers[id] = {id, change.share.value_or(1.0),
-                                      change.keyDigests.value_or(std::vector<std::string>())};
+        const Customer customer{id, change.share.value_or(1.0),
+                                change.keyDigests.value_or(std::vector<std::string>())};
+        checkEntry(customer, value);
+        m_note.added.customers[id] = customer;
     }
 
     void addRoute(const std::string &key, const YAML::Node &value)
@@ -155,6 +194,8 @@
         const RouteChange change = routeChange(value, "route " + key);
         if (!change.pool)
             fault(ModelErrc::UnknownPool, value, "route " + key);
+        if (!key.starts_with('/'))
+            fault(ModelErrc::InvalidPrefix, value, "route " + key);
         m_note.added.routes[key] = {key, change.pool.value_or(PoolId()),
                                     change.repeatability.value_or(Repeatability::ByMethod)};
     }
@@ -170,16 +211,22 @@
                   [this](auto &key, auto &value) {
                       m_note.changedPools[PoolId(key)] = poolChange(value, "pool " + key);
                   }},
-                 {"customers",
-                  [this](auto &key, auto &value) {
-                      m_note.changedCustomers[CustomerId(key)]
-                              = customerChange(value, "customer " + key);
-                  }},
+                 {"customers", [this](auto &key, auto &value) { changeCustomer(key, value); }},
                  {"routes", [this](auto &key, auto &value) {
                       m_note.changedRoutes[key] = routeChange(value, "route " + key);
                   }}});
     }
 
+    void changeCustomer(const std::string &key, const YAML::Node &value)
+    {
+        const CustomerId id(key);
+        const CustomerChange change = customerChange(value, "customer " + key);
+        const Customer checked{id, change.share.value_or(1.0),
+                               change.keyDigests.value_or(std::vector<std::string>())};
+        checkEntry(checked, value);
+        m_note.changedCustomers[id] = change;
+    }
+
     ZoneChange zoneChange(const YAML::Node &node, const std::string &subject)
     {
         ZoneChange change;
@@ -227,6 +274,8 @@
     static std::vector<ZoneId> zoneList(const YAML::Node &node)
     {
         std::vector<ZoneId> zones;
+        if (!node.IsSequence())
+            throw YAML::BadConversion(node.Mark());
         for (const YAML::Node &zone : node)
             zones.emplace_back(zone.as<std::string>());
         return zones;
@@ -285,6 +334,7 @@
     {
         if (!expectMap(node, "withdrawn"))
             return;
+        checkUnique(node, "withdrawn");
         for (const auto &part : node) {
             const std::string kind = part.first.as<std::string>();
             if (!withdraw(kind, part.second))
@@ -294,22 +344,37 @@
 
     bool withdraw(const std::string &kind, const YAML::Node &names)
     {
-        const auto list = names.as<std::vector<std::string>>();
-        for (const std::string &name : list) {
-            if (kind == "zones")
-                m_note.withdrawnZones.emplace(name);
-            else if (kind == "pools")
-                m_note.withdrawnPools.emplace(name);
-            else if (kind == "customers")
-                m_note.withdrawnCustomers.emplace(name);
-            else if (kind == "routes")
-                m_note.withdrawnRoutes.insert(name);
-            else
-                return false;
-        }
+        const std::map<std::string, std::function<bool(const std::string &)>> writers = {
+                {"zones", [&](auto &key) { return m_note.withdrawnZones.emplace(key).second; }},
+                {"pools", [&](auto &key) { return m_note.withdrawnPools.emplace(key).second; }},
+                {"customers",
+                 [&](auto &key) { return m_note.withdrawnCustomers.emplace(key).second; }},
+                {"routes", [&](auto &key) { return m_note.withdrawnRoutes.insert(key).second; }},
+        };
+        const auto writer = writers.find(kind);
+        if (writer == writers.end())
+            return false;
+        if (!names.IsSequence() && !names.IsNull())
+            fault(ModelErrc::MalformedDocument, names,
+                  "withdrawn." + kind + " is expected to be a list");
+        for (const YAML::Node &node : names)
+            withdrawOne(singular(kind), node, writer->second);
         return true;
     }
 
+    void withdrawOne(const std::string &kind, const YAML::Node &node,
+                     const std::function<bool(const std::string &)> &writer)
+    {
+        if (!node.IsScalar()) {
+            fault(ModelErrc::MalformedDocument, node, "withdrawn " + kind);
+            return;
+        }
+        const std::string subject = kind + " " + node.as<std::string>();
+        m_note.lines.emplace(subject, node.Mark().line + 1);
+        if (!writer(node.as<std::string>()))
+            fault(ModelErrc::DuplicateEntry, node, subject);
+    }
+
     ReleaseNote m_note;
     std::vector<ReleaseNoteFault> m_faults;
 };
