--- a/packages/ctl/src/ctl.h
+++ b/packages/ctl/src/ctl.h
@@ -10,7 +10,7 @@
     ExitFailure = 1,    ///< the platform can't be reached; nothing was changed
     ExitUsage = 2,      ///< faults in the command line or the release note; nothing was changed
     ExitConflict = 3,   ///< another operator's change came first; nothing was changed
-    ExitNotInForce = 4, ///< accepted, but not in force everywhere in time
+    ExitNotInForce = 4, ///< accepted, but not in force everywhere in time; or daemons are silent
     ExitUnknown = 5,    ///< the change may or may not have been accepted
 };
 
--- a/packages/ctl/src/fleetclient.cpp
+++ b/packages/ctl/src/fleetclient.cpp
@@ -2,6 +2,7 @@
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
+#include <boost/json.hpp>
 
 #include <optional>
 
@@ -18,8 +19,44 @@
     result.emplace(co_await std::move(operation));
 }
 
+DaemonStatus readStatus(const DaemonAnswer &answer)
+{
+    DaemonStatus daemon{answer.vm, answer.response.error(), {}};
+    if (!answer.response)
+        return daemon;
+    boost::system::error_code error;
+    boost::json::value value = boost::json::parse(answer.response.value().body, error);
+    if (error || !value.is_object())
+        daemon.error = make_error_code(platform::PlatformErrc::Malformed);
+    else
+        daemon.status = std::move(value.as_object());
+    return daemon;
+}
+
 } // namespace
 
+std::uint64_t DaemonStatus::number(const char *key) const
+{
+    const boost::json::value *value = status.if_contains(key);
+    boost::system::error_code error;
+    if (!value || !value->is_number())
+        return 0;
+    const auto whole = value->to_number<std::uint64_t>(error);
+    return error ? 0 : whole;
+}
+
+std::string DaemonStatus::text(const char *key) const
+{
+    const boost::json::value *value = status.if_contains(key);
+    return value && value->is_string() ? std::string(value->as_string()) : std::string();
+}
+
+bool DaemonStatus::flag(const char *key) const
+{
+    const boost::json::value *value = status.if_contains(key);
+    return value && value->is_bool() && value->as_bool();
+}
+
 FleetClient::FleetClient(const platform::PlatformSettings &settings)
     : m_store(platform::makeHttpObjectStore(m_context, settings, [](const char *) {})),
       m_configurations(*m_store)
@@ -53,6 +90,22 @@
     return wait(m_store->vms());
 }
 
+Result<std::vector<platform::Vm>> FleetClient::daemons(const std::vector<platform::Vm> &given)
+{
+    if (!given.empty())
+        return given;
+    return vms();
+}
+
+std::vector<DaemonStatus> FleetClient::statusAll(const std::vector<platform::Vm> &vms,
+                                                 Duration limit)
+{
+    std::vector<DaemonStatus> statuses;
+    for (const DaemonAnswer &answer : callAll(vms, "/v1/status", {"GET", ""}, limit))
+        statuses.push_back(readStatus(answer));
+    return statuses;
+}
+
 std::vector<DaemonAnswer> FleetClient::callAll(const std::vector<platform::Vm> &vms,
                                                const std::string &path,
                                                const admin::AdminRequest &request, Duration limit)
--- a/packages/ctl/src/fleetclient.h
+++ b/packages/ctl/src/fleetclient.h
@@ -5,6 +5,8 @@
 #include "bilberry/platform/configurationstore.h"
 #include "bilberry/platform/httpobjectstore.h"
 
+#include <boost/json/object.hpp>
+
 #include <memory>
 #include <string>
 #include <vector>
@@ -18,6 +20,24 @@
     Result<admin::AdminResponse> response;
 };
 
+/// A daemon and its status.
+struct DaemonStatus
+{
+    platform::Vm vm;
+    std::error_code error; ///< why there is no status
+    boost::json::object status;
+
+    bool answered() const { return !error; }
+    /// @return revision in force; 0 when unknown
+    Revision revision() const { return number("revision"); }
+    /// @return a whole number of the status; 0 when absent
+    std::uint64_t number(const char *key) const;
+    /// @return a text of the status; empty when absent
+    std::string text(const char *key) const;
+    /// @return a truth value of the status; false when absent
+    bool flag(const char *key) const;
+};
+
 /// The platform and the daemons, called one after the other; each method blocks.
 class FleetClient
 {
@@ -30,6 +50,13 @@
                                                    const std::string &requestToken);
     Result<std::vector<platform::Vm>> vms();
 
+    /// @param given daemons named by the operator
+    /// @return these, or the platform's list when there are none
+    Result<std::vector<platform::Vm>> daemons(const std::vector<platform::Vm> &given);
+
+    /// Asks all daemons for their status at once.
+    std::vector<DaemonStatus> statusAll(const std::vector<platform::Vm> &vms, Duration limit);
+
     /// Calls all daemons at once.
     /// @param path of the admin server
     std::vector<DaemonAnswer> callAll(const std::vector<platform::Vm> &vms, const std::string &path,
