Share one read buffer among the links of a thread

Cause: capacitybench showed 72 KiB for an idle link; FrameLink owned a 64 KiB buffer. At 290 links a router would spend 21 MB of its 32 MB on them. Ruled out: sockets and Asio's own state (9 KiB stay without the buffer). Change: a link waits until its socket is readable and reads into the thread's buffer.

--- a/packages/wire/include/bilberry/wire/framelink.h
+++ b/packages/wire/include/bilberry/wire/framelink.h
@@ -7,7 +7,6 @@
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/steady_timer.hpp>
 
-#include <array>
 #include <functional>
 #include <memory>
 #include <system_error>
@@ -44,19 +43,17 @@
     void close();
 
 private:
-    void read();
-    void received(std::size_t size);
+    void waitForBytes();
+    void readAvailable();
+    void takeMessages();
     void write();
     void watchSilence();
     void fail(std::error_code error);
 
-    static constexpr std::size_t readSize = 64U << 10U;
-
     boost::asio::ip::tcp::socket m_socket;
     boost::asio::steady_timer m_silenceTimer;
     FrameLinkHooks m_hooks;
     FrameReader m_reader;
-    std::array<char, readSize> m_input{};
     std::string m_waiting; ///< frames that follow the ones being written
     std::string m_writing;
     TimePoint m_receivedAt;
--- a/packages/wire/src/framelink.cpp
+++ b/packages/wire/src/framelink.cpp
@@ -2,6 +2,8 @@
 
 #include <boost/asio/write.hpp>
 
+#include <array>
+
 namespace bilberry::wire {
 
 namespace asio = boost::asio;
@@ -11,6 +13,7 @@
 /// Both ends send heartbeats well within this time.
 constexpr Duration silenceLimit = std::chrono::seconds(4);
 constexpr Duration silenceCheckPeriod = std::chrono::seconds(1);
+constexpr std::size_t readSize = 64U << 10U;
 constexpr std::size_t maxWaitingBytes = 64U << 20U;
 
 } // namespace
@@ -29,11 +32,12 @@
 {
     boost::system::error_code ignored;
     m_socket.set_option(asio::ip::tcp::no_delay(true), ignored);
+    m_socket.non_blocking(true, ignored);
 }
 
 void FrameLink::start()
 {
-    read();
+    waitForBytes();
     watchSilence();
 }
 
@@ -61,22 +65,38 @@
     m_silenceTimer.cancel();
 }
 
-void FrameLink::read()
+void FrameLink::waitForBytes()
 {
-    m_socket.async_read_some(
-            asio::buffer(m_input),
-            [self = shared_from_this()](boost::system::error_code error, std::size_t size) {
-                if (error)
-                    self->fail(error);
-                else
-                    self->received(size);
-            });
+    m_socket.async_wait(asio::ip::tcp::socket::wait_read,
+                        [self = shared_from_this()](boost::system::error_code error) {
+                            if (error)
+                                self->fail(error);
+                            else
+                                self->readAvailable();
+                        });
+}
+
+void FrameLink::readAvailable()
+{
+    // One buffer for all links of a thread: an idle link holds none.
+    thread_local std::array<char, readSize> input;
+    boost::system::error_code error;
+    const std::size_t size = m_socket.read_some(asio::buffer(input), error);
+    if (error && error != asio::error::would_block) {
+        fail(error);
+        return;
+    }
+    if (size > 0) {
+        m_receivedAt = Clock::now();
+        m_reader.append({input.data(), size});
+        takeMessages();
+    }
+    if (!m_closed)
+        waitForBytes();
 }
 
-void FrameLink::received(std::size_t size)
+void FrameLink::takeMessages()
 {
-    m_receivedAt = Clock::now();
-    m_reader.append({m_input.data(), size});
     while (!m_closed) {
         auto next = m_reader.next();
         if (!next) {
@@ -85,11 +105,9 @@
         }
         auto message = std::move(next).value();
         if (!message)
-            break;
+            return;
         m_hooks.received(std::move(*message));
     }
-    if (!m_closed)
-        read();
 }
 
 void FrameLink::write()
