Keep inherited requests counted while new ones start

Cause: after a restart of the agent, a load report made just before a new request reached the server hid one inherited request, so that one more started than the cold server bears. Ruled out: trusting only the first report (the slot would never be free again). Change: a report with starts since the one before lowers the count only when five in a row agree; the health check after a broken connection is passed on only when it shows a crash, so that reports keep their distance.

--- a/packages/agent/src/backendclient.cpp
+++ b/packages/agent/src/backendclient.cpp
@@ -168,7 +168,9 @@
         if (outcome == BackendOutcome::Broken && !running->stopped) {
             std::unique_ptr<Stream> probe;
             const BackendHealth health = co_await self->checkHealth(probe);
-            if (health.reachable || health.gone)
+            const bool restarted
+                    = health.reachable && health.serverIncarnation != self->lastIncarnation;
+            if (health.gone || restarted)
                 self->onEvent(health);
         }
         if (running->stream && self->idle.size() < maxIdleConnections)
@@ -262,6 +264,8 @@
         for (;;) {
             const BackendHealth health = co_await self->checkHealth(self->healthStream);
             failures = health.reachable ? 0 : failures + 1;
+            if (health.reachable)
+                self->lastIncarnation = health.serverIncarnation;
             if (health.reachable || health.gone || failures >= failuresToUnreachable)
                 self->onEvent(health);
             boost::system::error_code error;
@@ -307,6 +311,7 @@
     std::unordered_map<AttemptId, std::shared_ptr<Running>> attempts;
     std::vector<std::unique_ptr<Stream>> idle;
     std::unique_ptr<Stream> healthStream;
+    std::uint64_t lastIncarnation = 0; ///< of the server, by the last regular health check
 };
 
 BackendClient::BackendClient(asio::io_context &context, const AgentSettings &settings,
--- a/packages/decision/include/bilberry/decision/admissioncontrol.h
+++ b/packages/decision/include/bilberry/decision/admissioncontrol.h
@@ -107,6 +107,7 @@
 private:
     std::uint32_t used() const;
     bool hasRoom() const { return used() < m_window.size(); }
+    void updateInherited(std::uint32_t others);
     void start(const AdmissionRequest &request);
     void hold(const AdmissionRequest &request);
 
@@ -116,6 +117,9 @@
     bool m_open = false;
     bool m_heardReport = false;
     std::uint32_t m_inherited = 0; ///< requests of an earlier life that still run
+    bool m_startedSinceReport = false;
+    std::uint32_t m_doubtfulReports = 0; ///< in a row, with starts before each
+    std::uint32_t m_doubtfulOthers = 0;  ///< largest number of others that they show
     double m_virtualTime = 0.0;
     std::unordered_map<AttemptId, AdmissionRequest> m_running;
     std::multimap<double, AdmissionRequest> m_held;
--- a/packages/decision/src/admissioncontrol.cpp
+++ b/packages/decision/src/admissioncontrol.cpp
@@ -1,9 +1,16 @@
 #include "bilberry/decision/admissioncontrol.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace bilberry::decision {
 
+namespace {
+
+constexpr std::uint32_t reportsToBelieve = 5;
+
+} // namespace
+
 AdmissionControl::AdmissionControl(AdmissionSettings settings)
     : m_settings(settings), m_window(settings.limits),
       m_grants(settings.grantLifetime, settings.firstGrant)
@@ -24,6 +31,7 @@
 void AdmissionControl::start(const AdmissionRequest &request)
 {
     m_running.emplace(request.attempt, request);
+    m_startedSinceReport = true;
     m_virtualTime = std::max(m_virtualTime, request.virtualTime);
 }
 
@@ -130,10 +138,25 @@
 {
     m_window.reported(cold);
     const auto own = static_cast<std::uint32_t>(m_running.size());
-    const std::uint32_t others = running > own ? running - own : 0;
-    // Only the first report can show requests of an earlier life; later ones lag behind starts.
-    m_inherited = m_heardReport ? std::min(m_inherited, others) : others;
-    m_heardReport = true;
+    updateInherited(running > own ? running - own : 0);
+    m_startedSinceReport = false;
+}
+
+void AdmissionControl::updateInherited(std::uint32_t others)
+{
+    // Only the first report can show requests of an earlier life.
+    if (!std::exchange(m_heardReport, true)) {
+        m_inherited = others;
+        return;
+    }
+    // A report may be older than the latest starts, which would then hide inherited requests. While
+    // there are starts between all reports, several that agree are believed.
+    m_doubtfulOthers = std::max(m_doubtfulOthers, others);
+    if (m_startedSinceReport && ++m_doubtfulReports < reportsToBelieve)
+        return;
+    m_inherited = std::min(m_inherited, m_startedSinceReport ? m_doubtfulOthers : others);
+    m_doubtfulOthers = 0;
+    m_doubtfulReports = 0;
 }
 
 AdmissionLoad AdmissionControl::load() const
