Wait for unwritten answers in a graceful shutdown

Ruled out: a longer fixed delay (no bound is long enough for a slow caller). Change: the router waits until no caller's exchange is open, the agent until its links have nothing to send; both within the drain limit. The unwritten rest was found by reading; no test showed it, as the kernel's buffers hide it on loopback.

--- a/packages/agent/include/bilberry/agent/routerlinks.h
+++ b/packages/agent/include/bilberry/agent/routerlinks.h
@@ -28,6 +28,9 @@
 
     /// Starts accepting.
     void start();
+    /// @return true when nothing waits to be sent on any link
+    bool idle() const;
+
     void send(decision::LinkId link, const wire::LinkMessage &message);
 
 private:
--- a/packages/agent/src/agent.cpp
+++ b/packages/agent/src/agent.cpp
@@ -114,16 +114,23 @@
         });
     }
 
-    /// Runs a function on the core's thread and waits for its result.
+    /// Runs a function on a duty's thread and waits for its result.
     template <typename F>
-    auto onCore(F function) -> decltype(function())
+    static auto on(Duty &duty, F function) -> decltype(function())
     {
         std::packaged_task<decltype(function())()> task(std::move(function));
         auto result = task.get_future();
-        asio::post(coreDuty.context(), [&task] { task(); });
+        asio::post(duty.context(), [&task] { task(); });
         return result.get();
     }
 
+    /// @return true when nothing runs and all answers were sent
+    bool idle()
+    {
+        return on(coreDuty, [this] { return core.idle(); })
+               && on(linkDuty, [this] { return links.idle(); });
+    }
+
     std::map<std::string, admin::AdminHandler> handlers()
     {
         return {{"/healthz",
@@ -139,19 +146,19 @@
 
     admin::AdminResponse ready()
     {
-        const bool accepting = onCore([this] { return core.load().accepting; });
+        const bool accepting = on(coreDuty, [this] { return core.load().accepting; });
         return {accepting ? 200U : 503U, "{}"};
     }
 
     admin::AdminResponse metricsPage()
     {
-        onCore([this] { metrics.update(core); });
+        on(coreDuty, [this] { metrics.update(core); });
         return {200, metrics.text(), "text/plain; version=0.0.4"};
     }
 
     admin::AdminResponse status()
     {
-        return {200, onCore([this] { return statusText(settings, core); })};
+        return {200, on(coreDuty, [this] { return statusText(settings, core); })};
     }
 
     admin::AdminResponse configuration(const admin::AdminRequest &request)
@@ -160,10 +167,10 @@
             const Result<Configuration> offered = decodeConfiguration(request.body);
             if (!offered)
                 return {400, "{}"};
-            onCore([&] { core.offerConfiguration(offered.value(), Clock::now()); });
+            on(coreDuty, [&] { core.offerConfiguration(offered.value(), Clock::now()); });
             return {200, "{}"};
         }
-        const ConfigurationPtr present = onCore([this] { return core.configuration(); });
+        const ConfigurationPtr present = on(coreDuty, [this] { return core.configuration(); });
         if (!present)
             return {404, "{}"};
         return {200, encodeConfiguration(*present)};
@@ -205,11 +212,14 @@
 void Agent::stop()
 {
     m_parts->log.info("Graceful shutdown started.");
-    m_parts->onCore([this] { m_parts->core.drain(Clock::now()); });
+    Parts::on(m_parts->coreDuty, [this] { m_parts->core.drain(Clock::now()); });
     const TimePoint deadline = Clock::now() + m_parts->settings.drainLimit;
-    while (Clock::now() < deadline && !m_parts->onCore([this] { return m_parts->core.idle(); }))
+    while (Clock::now() < deadline && !m_parts->idle())
         std::this_thread::sleep_for(tickPeriod);
+    // The last answers may still be in the ring when the links have nothing to send.
     std::this_thread::sleep_for(lastWordsDelay);
+    while (Clock::now() < deadline && !m_parts->idle())
+        std::this_thread::sleep_for(tickPeriod);
     m_parts->closeRings();
     m_parts->adminDuty.stop();
     m_parts->linkDuty.stop();
--- a/packages/agent/src/routerlinks.cpp
+++ b/packages/agent/src/routerlinks.cpp
@@ -1,5 +1,7 @@
 #include "bilberry/agent/routerlinks.h"
 
+#include <algorithm>
+
 namespace bilberry::agent {
 
 namespace asio = boost::asio;
@@ -50,6 +52,12 @@
     link->start();
 }
 
+bool RouterLinks::idle() const
+{
+    return std::all_of(m_links.begin(), m_links.end(),
+                       [](const auto &entry) { return entry.second->idle(); });
+}
+
 void RouterLinks::send(decision::LinkId link, const wire::LinkMessage &message)
 {
     const auto found = m_links.find(link);
--- a/packages/router/include/bilberry/router/callerserver.h
+++ b/packages/router/include/bilberry/router/callerserver.h
@@ -32,6 +32,8 @@
 
     /// Refuses new requests and closes idle connections.
     void drain();
+    /// @return true when no caller waits for an answer or the rest of one
+    bool idle() const;
 
 private:
     struct State;
--- a/packages/router/src/callerserver.cpp
+++ b/packages/router/src/callerserver.cpp
@@ -469,6 +469,11 @@
     m_state->configuration = std::move(configuration);
 }
 
+bool CallerServer::idle() const
+{
+    return m_state->exchanges.empty();
+}
+
 void CallerServer::drain()
 {
     m_state->draining = true;
--- a/packages/router/src/router.cpp
+++ b/packages/router/src/router.cpp
@@ -135,6 +135,13 @@
         ring.pushOrWait(std::move(item));
     }
 
+    /// @return true when no request is left, and every answer was written to its caller
+    bool idle()
+    {
+        return on(callerDuty, [this] { return callers.idle(); })
+               && on(coreDuty, [this] { return core.idle(); });
+    }
+
     void closeRings()
     {
         coreRing.close();
@@ -447,7 +454,7 @@
     Parts::on(parts.callerDuty, [&] { parts.callers.drain(); });
     Parts::on(parts.gossipDuty, [&] { parts.coordinator.leave(Clock::now()); });
     const TimePoint deadline = Clock::now() + parts.settings.drainLimit;
-    while (Clock::now() < deadline && !Parts::on(parts.coreDuty, [&] { return parts.core.idle(); }))
+    while (Clock::now() < deadline && !parts.idle())
         std::this_thread::sleep_for(drainPoll);
     std::this_thread::sleep_for(lastWordsDelay);
     parts.closeRings();
--- a/packages/wire/include/bilberry/wire/framelink.h
+++ b/packages/wire/include/bilberry/wire/framelink.h
@@ -40,6 +40,9 @@
     /// Sends a message after those before it.
     void send(const LinkMessage &message);
 
+    /// @return true when nothing waits to be sent
+    bool idle() const { return m_waiting.empty() && m_writing.empty(); }
+
     /// Closes without a call of the closed hook.
     void close();
 
