Smooth the rate that remote service is extrapolated with

Cause: a rate was the change between two reports; a single dispatch 100 ms after the last report passed for a rate of 1500 ms/s and more and was extrapolated for up to a second. Change: exponentially weighted mean with a time constant of 1 s, weighted by time. Test: serviceaggregator_test failed before (largest rate 1500 in place of below 600).

--- a/packages/decision/src/serviceaggregator.cpp
+++ b/packages/decision/src/serviceaggregator.cpp
@@ -1,9 +1,28 @@
 #include "bilberry/decision/serviceaggregator.h"
 
 #include <algorithm>
+#include <cmath>
 
 namespace bilberry::decision {
 
+namespace {
+
+/// A single dispatch or correction between two reports must not pass for a lasting rate.
+constexpr double rateTimeConstantMs = 1000.0;
+
+/// @param rate so far, a second
+/// @return exponentially weighted mean, weighted by time
+double smoothedRate(double rate, double change, Duration span)
+{
+    const double spanMs = toMilliseconds(span);
+    if (spanMs <= 0.0)
+        return rate + std::max(0.0, change * 1000.0 / rateTimeConstantMs);
+    const double kept = std::exp(-spanMs / rateTimeConstantMs);
+    return std::max(0.0, kept * rate + (1.0 - kept) * change * 1000.0 / spanMs);
+}
+
+} // namespace
+
 void ServiceAggregator::report(const ReportOrigin &origin, std::uint64_t sequence,
                                const OwnService &counter, TimePoint now)
 {
@@ -16,10 +35,9 @@
     Counter &state = known->second;
     if (!isFirst && sequence <= state.sequence)
         return;
-    const double seconds = toMilliseconds(now - state.at) / 1000.0;
-    constexpr double shortestSpan = 0.02;
-    if (!isFirst && seconds >= shortestSpan)
-        state.rate = std::max(0.0, (counter.normalised - state.normalised) / seconds);
+    if (!isFirst)
+        state.rate
+                = smoothedRate(state.rate, counter.normalised - state.normalised, now - state.at);
     state.sequence = sequence;
     state.normalised = counter.normalised;
     state.at = now;
--- /dev/null
+++ b/packages/decision/tests/serviceaggregator_test.cpp
@@ -0,0 +1,106 @@
+#include "bilberry/decision/serviceaggregator.h"
+
+#include <catch2/catch.hpp>
+#include <rapidcheck.h>
+
+#include <random>
+
+using namespace bilberry;
+using namespace bilberry::decision;
+
+namespace {
+
+const ServiceKey key{PoolId("models"), CustomerId("kitchen")};
+const ReportOrigin first{RouterId("router-0"), 1};
+const ReportOrigin second{RouterId("router-1"), 2};
+const ReportOrigin third{RouterId("router-2"), 3};
+
+TimePoint at(double ms)
+{
+    return TimePoint{} + fromMilliseconds(ms);
+}
+
+OwnService counter(double normalised, double offset = 0.0)
+{
+    return {key, normalised, offset, true};
+}
+
+} // namespace
+
+SCENARIO("an aggregator sums what the other routers served")
+{
+    GIVEN("counters of two routers")
+    {
+        ServiceAggregator aggregator({});
+        aggregator.report(first, 1, counter(100.0), at(0.0));
+        aggregator.report(second, 1, counter(40.0, 7.0), at(0.0));
+
+        THEN("it answers only when all routers had time to report")
+        {
+            CHECK_FALSE(aggregator.totalFor(key, first, at(500.0)));
+            REQUIRE(aggregator.totalFor(key, first, at(1000.0)));
+        }
+        THEN("a receiver's own counter is left out, the largest offset holds")
+        {
+            CHECK(aggregator.totalFor(key, first, at(1000.0))->normalised == Approx(40.0));
+            CHECK(aggregator.totalFor(key, third, at(1000.0))->normalised == Approx(140.0));
+            CHECK(aggregator.totalFor(key, first, at(1000.0))->offset == Approx(7.0));
+        }
+        WHEN("a router restarts empty")
+        {
+            aggregator.report({RouterId("router-1"), 9}, 1, counter(5.0), at(2000.0));
+
+            THEN("what its earlier life served stays counted, also long after")
+            {
+                CHECK(aggregator.totalFor(key, first, at(2000.0))->normalised == Approx(45.0));
+                aggregator.report(first, 2, counter(100.0), at(15000.0));
+                aggregator.expire(at(15000.0));
+                CHECK(aggregator.totalFor(key, first, at(15000.0))->normalised == Approx(45.0));
+            }
+        }
+    }
+    GIVEN("a router that serves 300 ms a second in requests of 150 ms, and reports every 100 ms")
+    {
+        ServiceAggregator aggregator({});
+        double largest = 0.0;
+        for (int i = 0; i < 50; ++i) {
+            const TimePoint now = at(100.0 * i);
+            aggregator.report(first, i + 1, counter(150.0 * (i / 5)), now);
+            if (i >= 20)
+                largest = std::max(largest, aggregator.totalFor(key, second, now)->ratePerSecond);
+        }
+
+        THEN("one dispatch is not taken for a lasting rate")
+        {
+            CHECK(largest < 600.0);
+            CHECK(aggregator.totalFor(key, second, at(4900.0))->ratePerSecond > 150.0);
+        }
+    }
+}
+
+TEST_CASE("reports may be lost, repeated and reordered")
+{
+    REQUIRE(rc::check("the newest report of each origin decides", [] {
+        const auto steps = *rc::gen::nonEmpty<std::vector<std::uint8_t>>();
+        std::vector<std::pair<std::uint64_t, double>> sent;
+        double total = 0.0;
+        for (std::size_t i = 0; i < steps.size(); ++i)
+            sent.emplace_back(i + 1, total += steps[i]);
+        auto arrived = sent;
+        const auto last = sent.back();
+        for (const auto &report : sent) {
+            if (*rc::gen::arbitrary<bool>())
+                arrived.push_back(report);
+        }
+        std::shuffle(arrived.begin(), arrived.end(), std::mt19937(*rc::gen::arbitrary<unsigned>()));
+        ServiceAggregator aggregator({});
+        for (const auto &[sequence, value] : arrived) {
+            const bool lost = sequence != last.first && *rc::gen::arbitrary<bool>();
+            if (!lost)
+                aggregator.report(first, sequence, counter(value), at(0.0));
+        }
+        const auto sum = aggregator.totalFor(key, second, at(1000.0));
+        RC_ASSERT(sum.has_value());
+        RC_ASSERT(sum->normalised == last.second);
+    }));
+}
