Tell only those agents of a changed demand that did not just hear it

Change: the time of the last word is kept for each agent; the periodic refresh skips agents that heard within 250 ms and stays due for them.

--- a/benchmark/experiment/experiment.cpp
+++ b/benchmark/experiment/experiment.cpp
@@ -121,13 +121,24 @@
     result.zoneMove = measureService(calls);
 }
 
-ModeResult runMode(const std::string &deploymentName, const std::string &mode, Duration length,
-                   bool streamed)
+struct RunSettings
+{
+    std::string deployment;
+    Duration length{};
+    bool streamed = true;
+    std::vector<std::string> routerSettings; ///< "section.key=value"
+};
+
+ModeResult runMode(const RunSettings &settings, const std::string &mode)
 {
     ModeResult result;
     result.mode = mode;
-    Deployment deployment = makeDeployment(deploymentName, mode);
-    deployment.streamed = streamed;
+    Deployment deployment = makeDeployment(settings.deployment, mode);
+    deployment.streamed = settings.streamed;
+    for (const std::string &line : settings.routerSettings) {
+        const std::size_t equals = line.find('=');
+        deployment.plan.routerSettings[line.substr(0, equals)] = line.substr(equals + 1);
+    }
     tests::Fleet fleet(deployment.plan);
     if (!fleet.start()) {
         std::fputs("The fleet did not start.\n", stderr);
@@ -137,7 +148,7 @@
     for (std::size_t i = 0; i < fleet.routerCount(); ++i)
         ports.push_back(fleet.callerPort(i));
     LoadGenerator load(deployment, ports);
-    measureSaturated(fleet, deployment, load, length, result);
+    measureSaturated(fleet, deployment, load, settings.length, result);
     measureZoneMove(fleet, load, result);
     return result;
 }
@@ -229,20 +240,25 @@
             "modes", "fairness modes, comma separated",
             cxxopts::value<std::vector<std::string>>()->default_value("fleet,local,fifo"))(
             "whole", "answers of the model servers come in one piece, at their end")(
-            "json", "print JSON")("help", "print this help");
+            "set", "router setting, section.key=value; may be repeated",
+            cxxopts::value<std::vector<std::string>>()->default_value(""))("json", "print JSON")(
+            "help", "print this help");
     const auto parsed = options.parse(argc, argv);
     if (parsed.count("help") > 0) {
         std::cout << options.help();
         return 0;
     }
-    const auto deployment = parsed["deployment"].as<std::string>();
+    RunSettings settings;
+    settings.deployment = parsed["deployment"].as<std::string>();
+    settings.length = std::chrono::seconds(parsed["seconds"].as<int>());
+    settings.streamed = parsed.count("whole") == 0;
+    if (parsed.count("set") > 0)
+        settings.routerSettings = parsed["set"].as<std::vector<std::string>>();
     std::vector<ModeResult> results;
     for (const std::string &mode : parsed["modes"].as<std::vector<std::string>>())
-        results.push_back(runMode(deployment, mode,
-                                  std::chrono::seconds(parsed["seconds"].as<int>()),
-                                  parsed.count("whole") == 0));
+        results.push_back(runMode(settings, mode));
     if (parsed.count("json") == 0) {
-        printTable(makeDeployment(deployment, "fleet"), results);
+        printTable(makeDeployment(settings.deployment, "fleet"), results);
         return 0;
     }
     boost::json::array modes;
--- a/packages/router/include/bilberry/router/routercore.h
+++ b/packages/router/include/bilberry/router/routercore.h
@@ -159,6 +159,7 @@
         Incarnation incarnation = 0;
         PoolId pool;
         ZoneId zone;
+        TimePoint demandAt{}; ///< when it was last told of this router's demand
     };
 
     RouterSettings m_settings;
--- a/packages/router/src/routercore.cpp
+++ b/packages/router/src/routercore.cpp
@@ -182,6 +182,7 @@
     message.headers = request.submit.headers;
     message.body = request.submit.body;
     message.demand = demand(key.pool, now);
+    m_agents[server].demandAt = now;
     m_hooks.send(server, std::move(message));
 }
 
@@ -249,8 +250,10 @@
 void RouterCore::returnGrant(const ServerId &server, std::uint64_t grant, TimePoint now)
 {
     const auto agent = m_agents.find(server);
-    if (agent != m_agents.end())
-        m_hooks.send(server, wire::GrantReturn{grant, demand(agent->second.pool, now)});
+    if (agent == m_agents.end())
+        return;
+    agent->second.demandAt = now;
+    m_hooks.send(server, wire::GrantReturn{grant, demand(agent->second.pool, now)});
 }
 
 void RouterCore::claimOpened(const ClaimOpened &opened, TimePoint now)
@@ -299,7 +302,7 @@
 
 void RouterCore::agentUp(const wire::AgentHello &hello, TimePoint now)
 {
-    m_agents[hello.server] = {hello.incarnation, hello.pool, hello.zone};
+    m_agents[hello.server] = {hello.incarnation, hello.pool, hello.zone, {}};
     takeLoad(hello.server, hello.load);
     PoolQueue &queue = poolQueue(hello.pool);
     queue.demandStale = queue.demandStale || !queue.queue.empty();
@@ -567,11 +570,20 @@
 void RouterCore::refreshDemand(const PoolId &pool, PoolQueue &queue, TimePoint now)
 {
     const wire::Demand present = demand(pool, now);
+    // Dispatches carry the demand, so that busy agents know it already.
+    const bool tellAll = !queue.demandStands || present.waiting == 0;
     queue.demandStale = false;
     queue.demandStands = present.waiting > 0;
     queue.demandAt = now;
-    for (const ServerId &server : m_placement.agents(pool))
+    for (const ServerId &server : m_placement.agents(pool)) {
+        Agent &agent = m_agents[server];
+        if (!tellAll && now - agent.demandAt < demandGap) {
+            queue.demandStale = true;
+            continue;
+        }
+        agent.demandAt = now;
         m_hooks.send(server, wire::Demand(present));
+    }
 }
 
 void RouterCore::refreshDemands(TimePoint now)
