Report idle customers rarely, and unreported ones by their whole service

Cause: each change between waiting and idle was due at once, so that light customers, which wait a moment for each request, took part of the report budget twice a request; a customer that was never reported went last, however large its service. Ruled out: the answers' share of the bytes (fixed by the format). Change: idle customers report a change of ten quanta; the flag alone isn't reported (aggregators don't use it); an unreported customer ranks by its whole counter.

--- a/packages/decision/include/bilberry/decision/reportplanner.h
+++ b/packages/decision/include/bilberry/decision/reportplanner.h
@@ -16,7 +16,10 @@
     std::size_t bytesPerCounter = 80; ///< cost of one counter and its total
     Duration shortestGap = std::chrono::milliseconds(100); ///< between two reports
     Duration longestSilence = std::chrono::seconds(1);     ///< of a customer with waiting work
-    double quantum = 100.0; ///< change that is worth a report, normalised milliseconds
+    /// Change that is worth a report, normalised milliseconds, while the customer waits.
+    double quantum = 100.0;
+    /// Factor on the quantum while it doesn't wait: its service matters when it waits again.
+    double idleFactor = 10.0;
     bool operator==(const ReportSettings &) const = default;
 };
 
@@ -39,7 +42,6 @@
     {
         double normalised = 0.0;
         double offset = 0.0;
-        bool backlogged = false;
         TimePoint at{};
     };
     struct Candidate
--- a/packages/decision/src/reportplanner.cpp
+++ b/packages/decision/src/reportplanner.cpp
@@ -21,13 +21,18 @@
 double ReportPlanner::changeOf(const OwnService &service, TimePoint now) const
 {
     const auto found = m_reported.find(service.key);
-    if (found == m_reported.end())
-        return service.normalised != 0.0 || service.backlogged ? m_settings.quantum : 0.0;
+    if (found == m_reported.end()) {
+        const bool known = service.normalised != 0.0 || service.backlogged;
+        return known ? std::max(std::abs(service.normalised), m_settings.quantum) : 0.0;
+    }
     const Reported &last = found->second;
     const double change = std::max(std::abs(service.normalised - last.normalised),
                                    std::abs(service.offset - last.offset));
-    const bool due = service.backlogged != last.backlogged
-                     || (service.backlogged && now - last.at >= m_settings.longestSilence);
+    if (!service.backlogged)
+        return change / m_settings.idleFactor;
+    // The answer to a report tells what the other routers served, so that a waiting customer
+    // needs one now and then without any change.
+    const bool due = now - last.at >= m_settings.longestSilence;
     return due ? std::max(change, m_settings.quantum) : change;
 }
 
@@ -52,7 +57,7 @@
             break;
         const OwnService &service = *candidate.service;
         planned.push_back(service);
-        m_reported[service.key] = {service.normalised, service.offset, service.backlogged, now};
+        m_reported[service.key] = {service.normalised, service.offset, now};
     }
     if (planned.empty())
         return planned;
--- /dev/null
+++ b/packages/decision/tests/reportplanner_test.cpp
@@ -0,0 +1,97 @@
+#include "bilberry/decision/reportplanner.h"
+
+#include <catch2/catch.hpp>
+#include <rapidcheck.h>
+
+using namespace bilberry;
+using namespace bilberry::decision;
+
+namespace {
+
+TimePoint at(double ms)
+{
+    return TimePoint{} + std::chrono::hours(1) + fromMilliseconds(ms);
+}
+
+OwnService service(const std::string &customer, double normalised, bool backlogged)
+{
+    return {{PoolId("models"), CustomerId(customer)}, normalised, 0.0, backlogged};
+}
+
+} // namespace
+
+SCENARIO("a report is sent when it is worth its bytes")
+{
+    GIVEN("a reported customer")
+    {
+        struct Case
+        {
+            const char *name;
+            double change;
+            bool backlogged;
+            double afterMs;
+            bool reported;
+        };
+        const Case cases[] = {
+                {"waits, changed by a quantum", 100.0, true, 200.0, true},
+                {"waits, changed by less", 99.0, true, 200.0, false},
+                {"waits, unchanged for long", 0.0, true, 1000.0, true},
+                {"stopped waiting, changed by less", 50.0, false, 200.0, false},
+                {"doesn't wait, changed by a quantum", 100.0, false, 2000.0, false},
+                {"doesn't wait, changed by much", 1000.0, false, 200.0, true},
+                {"changed at once after the last report", 5000.0, true, 10.0, false},
+        };
+        for (const Case &example : cases) {
+            DYNAMIC_SECTION(example.name)
+            {
+                ReportPlanner planner({});
+                REQUIRE(planner.plan({service("kitchen", 10.0, true)}, at(0.0)).size() == 1);
+                const auto planned = planner.plan(
+                        {service("kitchen", 10.0 + example.change, example.backlogged)},
+                        at(example.afterMs));
+                CHECK(planned.size() == (example.reported ? 1U : 0U));
+            }
+        }
+    }
+    GIVEN("more changes than the budget carries")
+    {
+        ReportSettings settings;
+        settings.bytesPerSecond = 400.0;
+        ReportPlanner planner(settings);
+        std::vector<OwnService> own;
+        for (int i = 1; i <= 20; ++i)
+            own.push_back(service("customer-" + std::to_string(i), 0.0, true));
+        for (int round = 0; round < 20; ++round)
+            planner.plan(own, at(2000.0 * round));
+        for (int i = 0; i < 20; ++i)
+            own[i].normalised = 1000.0 * (i + 1);
+
+        THEN("the largest changes go first")
+        {
+            const auto planned = planner.plan(own, at(60000.0));
+            REQUIRE(planned.size() == 4);
+            CHECK(planned.front().key.customer.text() == "customer-20");
+            CHECK(planned.back().key.customer.text() == "customer-17");
+        }
+    }
+}
+
+TEST_CASE("reports stay within their byte budget")
+{
+    REQUIRE(rc::check("any changes over ten seconds", [] {
+        const ReportSettings settings;
+        ReportPlanner planner(settings);
+        std::vector<OwnService> own;
+        for (int i = 0; i < 30; ++i)
+            own.push_back(service("customer-" + std::to_string(i), 0.0, true));
+        std::size_t bytes = 0;
+        for (int step = 0; step < 100; ++step) {
+            for (OwnService &of : own)
+                of.normalised += *rc::gen::inRange(0, 400);
+            const auto planned = planner.plan(own, at(100.0 * step));
+            if (!planned.empty())
+                bytes += settings.bytesPerReport + planned.size() * settings.bytesPerCounter;
+        }
+        RC_ASSERT(static_cast<double>(bytes) <= settings.bytesPerSecond * (10.0 + 1.0));
+    }));
+}
