Bound the age of proofs by an echo of the receiver's own message

Cause: a proof's age was taken as it stood in a datagram or frame. Time in buffers, on the way, in a paused process or in a ring between two threads was not counted, so that a process could hold an old proof for a fresh one. Answers to an earlier incarnation's probes were taken too, and a platform answer that came before the watch's limit counted as age 0.

Ruled out: clocks compared between processes; a limit on the delay (not known).

Change: a router takes proofs only from answers to its own probes, and adds the time since the probe; agents number their hellos and heartbeats, routers echo the newest number and how long they held it. Numbers start at the random incarnation. Proofs cross rings as time points. Ages are rounded up.

--- a/packages/agent/include/bilberry/agent/agentcore.h
+++ b/packages/agent/include/bilberry/agent/agentcore.h
@@ -6,6 +6,7 @@
 #include "bilberry/base/log.h"
 #include "bilberry/decision/admissioncontrol.h"
 #include "bilberry/decision/costestimator.h"
+#include "bilberry/decision/echoclock.h"
 #include "bilberry/decision/quarantine.h"
 #include "bilberry/model/configuration.h"
 
@@ -104,7 +105,9 @@
     void event(BackendEnd &end, TimePoint now);
     void event(BackendHealth &health, TimePoint now);
 
-    void takeStamp(decision::LinkId link, const wire::ConfigurationStamp &stamp, TimePoint now);
+    /// @param sinceMade longest possible time since the router made the stamp, if it is bounded
+    void takeStamp(decision::LinkId link, const wire::ConfigurationStamp &stamp,
+                   std::optional<Duration> sinceMade, TimePoint now);
     wire::ConfigurationStamp stamp(TimePoint now) const;
     std::optional<wire::RefusalReason> closedReason(TimePoint now) const;
     void refuse(decision::LinkId link, AttemptId attempt, wire::RefusalReason reason);
@@ -124,6 +127,7 @@
     decision::AdmissionControl m_admission;
     decision::Quarantine m_quarantine{{}};
     decision::Freshness m_freshness;
+    decision::EchoClock m_echoes;
     decision::CostHook m_cost;
     ConfigurationPtr m_configuration;
     std::map<decision::LinkId, Link> m_links;
--- a/packages/agent/src/agentcore.cpp
+++ b/packages/agent/src/agentcore.cpp
@@ -25,7 +25,7 @@
 AgentCore::AgentCore(AgentSettings settings, Incarnation incarnation, AgentHooks hooks)
     : m_settings(std::move(settings)), m_incarnation(incarnation), m_hooks(std::move(hooks)),
       m_admission({{}, std::chrono::seconds(2), m_settings.ahead}),
-      m_freshness(m_settings.freshness), m_cost(decision::makeCostHook({}))
+      m_freshness(m_settings.freshness), m_echoes(incarnation), m_cost(decision::makeCostHook({}))
 {
 }
 
@@ -33,7 +33,7 @@
 {
     m_links[link] = {};
     m_hooks.send(link, wire::AgentHello{m_settings.server, m_incarnation, m_settings.pool,
-                                        m_settings.zone, stamp(now), load()});
+                                        m_settings.zone, stamp(now), load(), m_echoes.sent(now)});
 }
 
 void AgentCore::linkDown(decision::LinkId link, TimePoint now)
@@ -74,12 +74,13 @@
 {
     m_links[link].router = message.router;
     m_links[link].greeted = true;
-    takeStamp(link, message.stamp, now);
+    takeStamp(link, message.stamp, std::nullopt, now);
 }
 
 void AgentCore::handle(decision::LinkId link, wire::RouterHeartbeat &message, TimePoint now)
 {
-    takeStamp(link, message.stamp, now);
+    const Duration held = std::chrono::milliseconds(message.heldMs);
+    takeStamp(link, message.stamp, m_echoes.sinceMade(message.echo, held, now), now);
 }
 
 void AgentCore::handle(decision::LinkId link, wire::Demand &message, TimePoint)
@@ -188,7 +189,7 @@
 }
 
 void AgentCore::takeStamp(decision::LinkId link, const wire::ConfigurationStamp &stamp,
-                          TimePoint now)
+                          std::optional<Duration> sinceMade, TimePoint now)
 {
     const Revision own = m_configuration ? m_configuration->revision() : 0;
     Link &sender = m_links[link];
@@ -196,11 +197,16 @@
         sender.asked = true;
         m_hooks.send(link, wire::ConfigurationRequest{});
     }
+    // A stamp may have waited in a buffer, for example while this process was paused; without a
+    // bound on that time it proves nothing.
+    if (!sinceMade)
+        return;
     constexpr std::uint32_t noProof = 0xffffffffU;
     if (stamp.proofAgeMs != noProof)
-        m_freshness.proof(stamp.revision, std::chrono::milliseconds(stamp.proofAgeMs), now);
+        m_freshness.proof(stamp.revision, std::chrono::milliseconds(stamp.proofAgeMs) + *sinceMade,
+                          now);
     if (stamp.frozen && stamp.revision <= own)
-        m_freshness.frozen(now);
+        m_freshness.frozen(now - *sinceMade);
 }
 
 wire::ConfigurationStamp AgentCore::stamp(TimePoint now) const
@@ -208,7 +214,7 @@
     wire::ConfigurationStamp stamp;
     stamp.revision = m_configuration ? m_configuration->revision() : 0;
     const auto age = m_freshness.proofAge(now);
-    stamp.proofAgeMs = age ? static_cast<std::uint32_t>(toMilliseconds(*age)) : 0xffffffffU;
+    stamp.proofAgeMs = age ? wire::ageMilliseconds(*age) : 0xffffffffU;
     return stamp;
 }
 
@@ -405,8 +411,9 @@
         return;
     m_heartbeatAt = now;
     m_sentLoad = present;
+    const std::uint64_t sequence = m_echoes.sent(now);
     for (const auto &[link, state] : m_links)
-        m_hooks.send(link, wire::AgentHeartbeat{stamp(now), present});
+        m_hooks.send(link, wire::AgentHeartbeat{stamp(now), present, sequence});
 }
 
 void AgentCore::drain(TimePoint now)
--- a/packages/decision/include/bilberry/decision/freshness.h
+++ b/packages/decision/include/bilberry/decision/freshness.h
@@ -33,11 +33,12 @@
     void inForce(Revision revision);
 
     /// Somebody proved a revision to be the newest one.
-    /// @param age how long ago the platform was asked
+    /// @param age how long ago the platform was asked; never understated
     void proof(Revision revision, Duration age, TimePoint now);
 
-    /// A connected majority can't reach the platform: no order can have been accepted.
-    void frozen(TimePoint now);
+    /// A connected majority could not reach the platform at that time: no order can have been
+    /// accepted.
+    void frozen(TimePoint at);
 
     /// @return age of the newest proof for the revision in force
     std::optional<Duration> proofAge(TimePoint now) const;
--- a/packages/decision/src/freshness.cpp
+++ b/packages/decision/src/freshness.cpp
@@ -21,9 +21,10 @@
         m_provenAt = at;
 }
 
-void Freshness::frozen(TimePoint now)
+void Freshness::frozen(TimePoint at)
 {
-    m_frozenAt = now;
+    if (!m_frozenAt || at > *m_frozenAt)
+        m_frozenAt = at;
 }
 
 std::optional<Duration> Freshness::proofAge(TimePoint now) const
--- a/packages/router/include/bilberry/router/agentlinks.h
+++ b/packages/router/include/bilberry/router/agentlinks.h
@@ -30,7 +30,8 @@
     void send(const ServerId &server, const wire::LinkMessage &message);
 
     /// Sends the stamp to all agents.
-    void setStamp(const wire::ConfigurationStamp &stamp);
+    /// @param madeAt when the stamp's age was right
+    void setStamp(const wire::ConfigurationStamp &stamp, TimePoint madeAt);
     void setConfiguration(const ConfigurationPtr &configuration);
 
     /// @return servers whose agents said hello
@@ -46,10 +47,14 @@
         bool greeted = false;
         Duration backoff{};
         std::uint64_t generation = 0; ///< tells the links of a target apart
+        std::uint64_t echo = 0;       ///< number of the agent's newest heartbeat or hello
+        TimePoint echoAt{};           ///< when it arrived
     };
 
     void connect(const std::string &name);
     void connected(const std::string &name, boost::asio::ip::tcp::socket socket);
+    void sendHeartbeat(const Target &target);
+    wire::ConfigurationStamp stampNow() const;
     void retryLater(const std::string &name);
     void received(const std::string &name, std::uint64_t generation, wire::LinkMessage &&message);
     void closed(const std::string &name, std::uint64_t generation, std::error_code error);
@@ -58,6 +63,8 @@
     wire::RouterHello m_hello;
     AgentLinksHooks m_hooks;
     Log m_log{"router.links"};
+    wire::ConfigurationStamp m_stamp;
+    TimePoint m_stampedAt{};
     std::string m_document; ///< encoded configuration for agents
     std::map<std::string, Target> m_targets;
     std::map<ServerId, std::string> m_nameOf;
--- a/packages/router/include/bilberry/router/coordinator.h
+++ b/packages/router/include/bilberry/router/coordinator.h
@@ -2,6 +2,7 @@
 #define BILBERRY_ROUTER_COORDINATOR_H
 
 #include "bilberry/base/log.h"
+#include "bilberry/decision/echoclock.h"
 #include "bilberry/decision/membership.h"
 #include "bilberry/decision/serviceaggregator.h"
 #include "bilberry/router/routersettings.h"
@@ -21,8 +22,8 @@
                        bool aggregatorChanged)>
             remoteService;
     std::function<void(const wire::QuarantineNotice &)> quarantine;
-    /// The stamp for the agents changed or is due again.
-    std::function<void(const wire::ConfigurationStamp &)> stamp;
+    /// The stamp for the agents changed or is due again; it was made at the given time.
+    std::function<void(const wire::ConfigurationStamp &, TimePoint)> stamp;
     /// A peer has a newer configuration.
     std::function<void(const RouterId &)> fetchConfiguration;
     /// Whether this router shall watch the configuration at the platform.
@@ -47,7 +48,8 @@
     /// A revision was put in force here.
     void inForce(Revision revision, TimePoint now);
     /// The platform proved a revision to be the newest.
-    void proof(Revision revision, Duration age, TimePoint now);
+    /// @param at when the platform was asked
+    void proof(Revision revision, TimePoint at, TimePoint now);
     /// A call to the platform failed.
     void platformFailed() { m_platformReachable = false; }
     /// The router is shutting down.
@@ -68,7 +70,7 @@
     void handle(const wire::QuarantineGossip &gossip, TimePoint now);
 
     wire::GossipSender self() const;
-    void takeStamp(const RouterId &from, const wire::ConfigurationStamp &stamp, TimePoint now);
+    void hintRevision(const RouterId &from, const wire::ConfigurationStamp &stamp);
     RouterId ownerOf(const decision::ServiceKey &key) const;
     void refreshOwners(TimePoint now);
     void aggregate(const wire::ServiceReport &report, TimePoint now);
@@ -82,6 +84,7 @@
     Log m_log{"router.coordinator"};
     decision::Membership m_membership;
     decision::Freshness m_freshness;
+    decision::EchoClock m_echoes; ///< numbers the probes
     decision::ServiceAggregator m_aggregator{{}};
     decision::ReportPlanner m_planner;
     std::vector<std::string> m_live;
--- a/packages/router/include/bilberry/router/platformduty.h
+++ b/packages/router/include/bilberry/router/platformduty.h
@@ -18,7 +18,8 @@
 struct PlatformDutyHooks
 {
     std::function<void(ConfigurationPtr)> configuration;
-    std::function<void(Revision, Duration age)> proof;
+    /// The revision was the newest one at the given time.
+    std::function<void(Revision, TimePoint at)> proof;
     std::function<void()> failed;
     std::function<void(const std::vector<platform::Vm> &)> vms;
     std::function<void(ClaimOpened &&)> claimOpened;
--- a/packages/router/src/agentlinks.cpp
+++ b/packages/router/src/agentlinks.cpp
@@ -14,6 +14,9 @@
 constexpr Duration firstBackoff = std::chrono::milliseconds(100);
 constexpr Duration longestBackoff = std::chrono::seconds(2);
 
+constexpr Duration frozenLimit = std::chrono::seconds(1);
+constexpr std::uint32_t noProof = 0xffffffffU;
+
 /// Agents need no customers: neither their keys nor their shares.
 std::string encodeForAgents(const Configuration &configuration)
 {
@@ -101,7 +104,9 @@
     target.generation = generation;
     target.link = std::make_shared<wire::FrameLink>(std::move(socket), std::move(hooks));
     target.link->start();
-    target.link->send(m_hello);
+    wire::RouterHello hello = m_hello;
+    hello.stamp = stampNow();
+    target.link->send(hello);
 }
 
 void AgentLinks::retryLater(const std::string &name)
@@ -128,10 +133,13 @@
     Target &target = found->second;
     if (auto *hello = std::get_if<wire::AgentHello>(&message)) {
         target.greeted = true;
+        target.echo = hello->sequence;
+        target.echoAt = Clock::now();
         target.backoff = {};
         target.server = hello->server;
         m_nameOf[target.server] = name;
         m_hooks.up(std::move(*hello));
+        sendHeartbeat(target);
         return;
     }
     if (std::holds_alternative<wire::ConfigurationRequest>(message)) {
@@ -139,6 +147,10 @@
             target.link->send(wire::ConfigurationOffer{m_document});
         return;
     }
+    if (const auto *heartbeat = std::get_if<wire::AgentHeartbeat>(&message)) {
+        target.echo = heartbeat->sequence;
+        target.echoAt = Clock::now();
+    }
     if (target.greeted)
         m_hooks.received(target.server, std::move(message));
 }
@@ -169,11 +181,33 @@
         link->send(message);
 }
 
-void AgentLinks::setStamp(const wire::ConfigurationStamp &stamp)
+void AgentLinks::setStamp(const wire::ConfigurationStamp &stamp, TimePoint madeAt)
 {
-    m_hello.stamp = stamp;
+    m_stamp = stamp;
+    m_stampedAt = madeAt;
     for (const ServerId &server : linked())
-        send(server, wire::RouterHeartbeat{stamp});
+        sendHeartbeat(m_targets.at(m_nameOf.at(server)));
+}
+
+wire::ConfigurationStamp AgentLinks::stampNow() const
+{
+    wire::ConfigurationStamp stamp = m_stamp;
+    if (stamp.proofAgeMs != noProof)
+        stamp.proofAgeMs += wire::ageMilliseconds(Clock::now() - m_stampedAt);
+    // The word carries no age of its own, so that only a present one is passed on.
+    stamp.frozen = stamp.frozen && Clock::now() - m_stampedAt <= frozenLimit;
+    return stamp;
+}
+
+void AgentLinks::sendHeartbeat(const Target &target)
+{
+    // A failing send resets the target's link; the copy keeps it alive until then.
+    const std::shared_ptr<wire::FrameLink> link = target.link;
+    if (!link)
+        return;
+    const auto held = std::chrono::floor<std::chrono::milliseconds>(Clock::now() - target.echoAt);
+    link->send(wire::RouterHeartbeat{stampNow(), target.echo,
+                                     static_cast<std::uint32_t>(held.count())});
 }
 
 void AgentLinks::setConfiguration(const ConfigurationPtr &configuration)
--- a/packages/router/src/coordinator.cpp
+++ b/packages/router/src/coordinator.cpp
@@ -25,7 +25,7 @@
 Coordinator::Coordinator(const RouterSettings &settings, Incarnation incarnation,
                          CoordinatorHooks hooks)
     : m_settings(settings), m_incarnation(incarnation), m_hooks(std::move(hooks)),
-      m_membership(settings.router, {}), m_freshness(settings.freshness),
+      m_membership(settings.router, {}), m_freshness(settings.freshness), m_echoes(incarnation),
       m_planner(settings.reports), m_live{settings.router.text()}
 {
     std::vector<platform::Vm> vms = settings.peers;
@@ -63,22 +63,25 @@
                        now);
     m_hooks.send(probe.sender.router,
                  wire::ProbeAck{self(), probe.sequence, stamp(now), m_platformReachable});
-    takeStamp(probe.sender.router, probe.stamp, now);
+    hintRevision(probe.sender.router, probe.stamp);
 }
 
 void Coordinator::handle(const wire::ProbeAck &ack, TimePoint now)
 {
     m_membership.heard(ack.sender.router, ack.sender.incarnation, ack.platformReachable, now);
-    takeStamp(ack.sender.router, ack.stamp, now);
+    hintRevision(ack.sender.router, ack.stamp);
+    // A datagram may wait in a buffer, for example while this process is paused. Only the answer
+    // to a probe of known age bounds that time, so that proofs travel in answers alone.
+    const auto sinceMade = m_echoes.sinceMade(ack.sequence, Duration(), now);
+    if (sinceMade && ack.stamp.proofAgeMs != noProof)
+        m_freshness.proof(ack.stamp.revision,
+                          std::chrono::milliseconds(ack.stamp.proofAgeMs) + *sinceMade, now);
 }
 
-void Coordinator::takeStamp(const RouterId &from, const wire::ConfigurationStamp &stamp,
-                            TimePoint now)
+void Coordinator::hintRevision(const RouterId &from, const wire::ConfigurationStamp &stamp)
 {
     if (stamp.revision > m_freshness.revision())
         m_hooks.fetchConfiguration(from);
-    if (stamp.proofAgeMs != noProof)
-        m_freshness.proof(stamp.revision, std::chrono::milliseconds(stamp.proofAgeMs), now);
 }
 
 void Coordinator::handle(const wire::ServiceReport &report, TimePoint now)
@@ -188,10 +191,10 @@
     sendProbes(now);
 }
 
-void Coordinator::proof(Revision revision, Duration age, TimePoint now)
+void Coordinator::proof(Revision revision, TimePoint at, TimePoint now)
 {
     m_platformReachable = true;
-    m_freshness.proof(revision, age, now);
+    m_freshness.proof(revision, now - at, now);
 }
 
 void Coordinator::leave(TimePoint now)
@@ -205,7 +208,7 @@
     wire::ConfigurationStamp stamp;
     stamp.revision = m_freshness.revision();
     const auto age = m_freshness.proofAge(now);
-    stamp.proofAgeMs = age ? static_cast<std::uint32_t>(toMilliseconds(*age)) : noProof;
+    stamp.proofAgeMs = age ? wire::ageMilliseconds(*age) : noProof;
     stamp.frozen = m_membership.frozenMajority(m_linked, m_platformReachable, now);
     return stamp;
 }
@@ -213,10 +216,13 @@
 void Coordinator::sendProbes(TimePoint now)
 {
     m_probedAt = now;
-    ++m_sequence;
-    wire::Probe probe{
-            self(),   m_sequence, stamp(now), m_platformReachable, m_membership.reachable(now),
-            m_linked, m_leaving};
+    wire::Probe probe{self(),
+                      m_echoes.sent(now),
+                      stamp(now),
+                      m_platformReachable,
+                      m_membership.reachable(now),
+                      m_linked,
+                      m_leaving};
     const std::vector<RouterId> peers = m_membership.peers();
     const std::size_t count = std::min(maxProbes, peers.size());
     for (std::size_t i = 0; i < count; ++i)
@@ -227,7 +233,7 @@
 void Coordinator::sendStamp(TimePoint now)
 {
     m_stampedAt = now;
-    m_hooks.stamp(stamp(now));
+    m_hooks.stamp(stamp(now), now);
 }
 
 void Coordinator::decideWatch(TimePoint now)
--- a/packages/router/src/platformduty.cpp
+++ b/packages/router/src/platformduty.cpp
@@ -123,10 +123,11 @@
         loaded = co_await m_configurations.load();
     else
         loaded = co_await m_configurations.watch(m_headVersion, watchLimit);
-    const Duration elapsed = Clock::now() - start;
     if (loaded.error() == PlatformErrc::NotChanged) {
-        // The platform answered after the wait, so that only the rest is the proof's age.
-        m_hooks.proof(m_revision, std::max(Duration(), elapsed - watchLimit));
+        // The platform looks again at the end of the wait. An answer that came earlier tells of
+        // no time after the call's start.
+        const bool waited = Clock::now() - start >= watchLimit;
+        m_hooks.proof(m_revision, waited ? start + watchLimit : start);
         co_return;
     }
     if (!loaded) {
@@ -138,7 +139,7 @@
     m_headVersion = loaded.value().version;
     offer(loaded.value().configuration);
     if (loaded.value().configuration->revision() == m_revision)
-        m_hooks.proof(m_revision, elapsed);
+        m_hooks.proof(m_revision, start);
     if (m_headVersion == 0)
         co_await pause(idlePause);
 }
--- a/packages/router/src/router.cpp
+++ b/packages/router/src/router.cpp
@@ -52,13 +52,17 @@
     ServerId server;
     wire::LinkMessage message;
 };
-using LinksEvent = std::variant<AgentSend, wire::ConfigurationStamp, ConfigurationPtr,
-                                std::vector<platform::Vm>>;
+struct Stamp
+{
+    wire::ConfigurationStamp stamp;
+    TimePoint madeAt;
+};
+using LinksEvent = std::variant<AgentSend, Stamp, ConfigurationPtr, std::vector<platform::Vm>>;
 
 struct Proof
 {
     Revision revision = 0;
-    Duration age{};
+    TimePoint at;
 };
 struct PlatformFailed
 {
@@ -174,8 +178,8 @@
         hooks.quarantine = [this](const wire::QuarantineNotice &notice) {
             push<CoreEvent>(coreRing, notice);
         };
-        hooks.stamp = [this](const wire::ConfigurationStamp &stamp) {
-            push<LinksEvent>(linksRing, stamp);
+        hooks.stamp = [this](const wire::ConfigurationStamp &stamp, TimePoint madeAt) {
+            push<LinksEvent>(linksRing, Stamp{stamp, madeAt});
         };
         hooks.fetchConfiguration = [this](const RouterId &router) {
             push<PlatformEvent>(platformRing, FetchFrom{router});
@@ -211,8 +215,8 @@
             push<LinksEvent>(linksRing, configuration);
             push<GossipEvent>(gossipRing, InForce{configuration->revision()});
         };
-        hooks.proof = [this](Revision revision, Duration age) {
-            push<GossipEvent>(gossipRing, Proof{revision, age});
+        hooks.proof = [this](Revision revision, TimePoint at) {
+            push<GossipEvent>(gossipRing, Proof{revision, at});
         };
         hooks.failed = [this] { push<GossipEvent>(gossipRing, PlatformFailed{}); };
         hooks.vms = [this](const std::vector<platform::Vm> &vms) {
@@ -250,8 +254,8 @@
     {
         if (auto *send = std::get_if<AgentSend>(&event))
             links.send(send->server, send->message);
-        else if (auto *stamp = std::get_if<wire::ConfigurationStamp>(&event))
-            links.setStamp(*stamp);
+        else if (auto *stamp = std::get_if<Stamp>(&event))
+            links.setStamp(stamp->stamp, stamp->madeAt);
         else if (auto *configuration = std::get_if<ConfigurationPtr>(&event))
             links.setConfiguration(*configuration);
         else
@@ -266,7 +270,7 @@
         else if (auto *notice = std::get_if<wire::QuarantineNotice>(&event))
             coordinator.spreadQuarantine({*notice}, now);
         else if (auto *proof = std::get_if<Proof>(&event))
-            coordinator.proof(proof->revision, proof->age, now);
+            coordinator.proof(proof->revision, proof->at, now);
         else if (std::holds_alternative<PlatformFailed>(event))
             coordinator.platformFailed();
         else if (auto *linked = std::get_if<LinkedServers>(&event))
--- a/packages/wire/include/bilberry/wire/linkmessages.h
+++ b/packages/wire/include/bilberry/wire/linkmessages.h
@@ -1,6 +1,7 @@
 #ifndef BILBERRY_WIRE_LINKMESSAGES_H
 #define BILBERRY_WIRE_LINKMESSAGES_H
 
+#include "bilberry/base/time.h"
 #include "bilberry/model/ids.h"
 
 #include <cstdint>
@@ -30,6 +31,13 @@
     bool operator==(const ConfigurationStamp &) const = default;
 };
 
+/// @param age of a proof
+/// @return whole milliseconds, never less than the age
+constexpr std::uint32_t ageMilliseconds(Duration age)
+{
+    return static_cast<std::uint32_t>(std::chrono::ceil<std::chrono::milliseconds>(age).count());
+}
+
 // Router to agent.
 
 /// First message of a router.
@@ -46,6 +54,8 @@
 struct RouterHeartbeat
 {
     ConfigurationStamp stamp;
+    std::uint64_t echo = 0;   ///< number of the agent's newest message; 0 for none
+    std::uint32_t heldMs = 0; ///< how long ago that message arrived
     bool operator==(const RouterHeartbeat &) const = default;
 };
 
@@ -144,6 +154,7 @@
     ZoneId zone;
     ConfigurationStamp stamp;
     ServerLoad load;
+    std::uint64_t sequence = 0; ///< repeated by the router's heartbeats
     bool operator==(const AgentHello &) const = default;
 };
 
@@ -151,6 +162,7 @@
 {
     ConfigurationStamp stamp;
     ServerLoad load;
+    std::uint64_t sequence = 0; ///< repeated by the router's heartbeats
     bool operator==(const AgentHeartbeat &) const = default;
 };
 
