--- a/packages/wire/include/bilberry/wire/linkmessages.h
+++ b/packages/wire/include/bilberry/wire/linkmessages.h
@@ -76,6 +76,7 @@
     CustomerId customer;
     double virtualTime = 0.0;      ///< of the customer before this request
     std::uint64_t fingerprint = 0; ///< same for a repeated request
+    bool mayRepeat = true;         ///< false: runs to its end even when the link breaks
     std::string method;
     std::string target;
     Headers headers;
@@ -99,6 +100,9 @@
     bool operator==(const Cancel &) const = default;
 };
 
+/// Credit for an answer that nobody waits for any more.
+constexpr std::uint32_t unlimitedCredit = 0xffffffffU;
+
 /// The caller took bytes: as many more may be sent.
 struct AnswerCredit
 {
@@ -107,11 +111,12 @@
     bool operator==(const AnswerCredit &) const = default;
 };
 
-/// A fingerprint that is refused because it crashed servers.
+/// A request that was in flight when servers crashed. Receivers unite the crashes with those that
+/// they know, so that repeated and reordered notices do no harm.
 struct QuarantineNotice
 {
     std::uint64_t fingerprint = 0;
-    std::uint32_t crashes = 0;
+    std::vector<CrashId> crashes;
     bool operator==(const QuarantineNotice &) const = default;
 };
 
@@ -138,7 +143,7 @@
     std::uint32_t window = 0;  ///< requests that the server may run at once
     std::uint32_t running = 0; ///< requests that it runs
     std::uint32_t held = 0;    ///< admitted requests waiting at the agent, and open grants
-    double virtualTime = 0.0;  ///< largest virtual time that the agent has served
+    double virtualTime = 0.0;  ///< how far service is in virtual time
     bool cold = false;
     bool accepting = false; ///< false: leaving, zone out, unhealthy or cut off
     bool contended = false; ///< demand of some router stands
