--- a/packages/admin/include/bilberry/admin/adminserver.h
+++ b/packages/admin/include/bilberry/admin/adminserver.h
@@ -37,7 +37,8 @@
     /// Listens at once; throws std::system_error when the address can't be used.
     /// @param context event loop that the handlers run on
     /// @param address IP number
-    /// @param handlers by path
+    /// @param handlers by path for GET, by "METHOD path" for other methods; an unknown path is
+    /// answered with 404, another method of a known path with 405
     AdminServer(boost::asio::io_context &context, const std::string &address, std::uint16_t port,
                 std::map<std::string, AdminHandler> handlers);
     ~AdminServer();
--- a/packages/admin/src/adminserver.cpp
+++ b/packages/admin/src/adminserver.cpp
@@ -4,6 +4,7 @@
 #include <boost/asio/detached.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/redirect_error.hpp>
+#include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/core/tcp_stream.hpp>
@@ -20,6 +21,7 @@
 constexpr std::size_t maxBodySize = 16U << 20U;
 constexpr auto connectionLimit = std::chrono::seconds(30);
 constexpr std::size_t maxConnections = 64;
+constexpr auto acceptRetryDelay = std::chrono::milliseconds(100);
 
 } // namespace
 
@@ -34,10 +36,13 @@
     AdminResponse answer(const http::request<http::string_body> &request) const
     {
         const std::string target(request.target().substr(0, request.target().find('?')));
-        const auto handler = handlers.find(target);
-        if (handler == handlers.end())
+        const std::string method(request.method_string());
+        if (!handlers.contains(target))
             return {404, "{}"};
-        return handler->second({std::string(request.method_string()), request.body()});
+        const auto handler = handlers.find(method == "GET" ? target : method + " " + target);
+        if (handler == handlers.end())
+            return {405, "{}"};
+        return handler->second({method, request.body()});
     }
 
     asio::awaitable<void> serve(beast::tcp_stream stream)
@@ -68,6 +73,14 @@
         --connections;
     }
 
+    /// Waits before the next accept, which fails at once while the process has no descriptor left.
+    asio::awaitable<void> pause()
+    {
+        boost::system::error_code ignored;
+        asio::steady_timer timer(context, acceptRetryDelay);
+        co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
+    }
+
     asio::awaitable<void> accept()
     {
         const auto self = shared_from_this();
@@ -78,6 +91,8 @@
                                            asio::redirect_error(asio::use_awaitable, error));
             if (!acceptor.is_open())
                 co_return;
+            if (error)
+                co_await pause();
             if (error || connections >= maxConnections)
                 continue;
             ++connections;
--- a/packages/agent/src/agent.cpp
+++ b/packages/agent/src/agent.cpp
@@ -134,6 +134,8 @@
                 {"/metrics", [this](const auto &) { return metricsPage(); }},
                 {"/v1/status", [this](const auto &) { return status(); }},
                 {"/v1/configuration",
+                 [this](const admin::AdminRequest &request) { return configuration(request); }},
+                {"PUT /v1/configuration",
                  [this](const admin::AdminRequest &request) { return configuration(request); }}};
     }
 
--- a/packages/agent/src/agentmetrics.cpp
+++ b/packages/agent/src/agentmetrics.cpp
@@ -53,6 +53,9 @@
                         .Help("Requests refused before they ran, by reason")
                         .Register(m_registry))
 {
+    // A series that is absent until the first refusal can't be alarmed on.
+    for (int reason = 0; reason <= static_cast<int>(wire::RefusalReason::Cancelled); ++reason)
+        m_refused.Add({{"reason", toText(static_cast<wire::RefusalReason>(reason))}});
 }
 
 void AgentMetrics::addControlBytes(std::size_t bytes)
--- a/packages/router/src/router.cpp
+++ b/packages/router/src/router.cpp
@@ -350,6 +350,8 @@
                 {"/v1/status", [this](const Request &) { return status(); }},
                 {"/v1/burn", [this](const Request &) { return burn(); }},
                 {"/v1/configuration",
+                 [this](const Request &request) { return configuration(request); }},
+                {"PUT /v1/configuration",
                  [this](const Request &request) { return configuration(request); }}};
     }
 
--- a/packages/router/src/routermetrics.cpp
+++ b/packages/router/src/routermetrics.cpp
@@ -79,6 +79,9 @@
       m_service(gauges(m_registry, "bilberry_service_ms", "Service charged by this router")),
       m_waiting(gauges(m_registry, "bilberry_requests_waiting", "Requests waiting, by pool"))
 {
+    // A series that is absent until the first refusal can't be alarmed on.
+    for (int kind = 0; kind <= static_cast<int>(RefusalKind::ServerFailed); ++kind)
+        m_refused.Add({{"kind", toText(static_cast<RefusalKind>(kind))}});
 }
 
 void RouterMetrics::addControlBytes(const char *kind, std::size_t bytes)
