Bound what a peer's bytes can allocate

Cause: cereal takes container lengths from the body and allocates before it reads. Also flags were loaded as raw bytes into bool and enumerators were not checked; a decoded message was copied once.

Change: one bounded input archive that refuses lengths beyond the bytes left, grows lists element by element, and refuses flags but 0 and 1, numbers that are not finite and unknown enumerators; decoded messages are moved.

--- a/packages/wire/src/codec.cpp
+++ b/packages/wire/src/codec.cpp
@@ -1,11 +1,9 @@
 #include "bilberry/wire/codec.h"
 
+#include "boundedarchive.h"
 #include "serialization.h"
 
 #include <boost/endian/conversion.hpp>
-#include <cereal/archives/portable_binary.hpp>
-#include <cereal/types/string.hpp>
-#include <cereal/types/vector.hpp>
 
 #include <array>
 #include <istream>
@@ -39,19 +37,6 @@
     std::string &m_out;
 };
 
-/// Reads from bytes that stay where they are.
-class ViewSource : public std::streambuf
-{
-public:
-    explicit ViewSource(std::string_view bytes)
-    {
-        char *begin = const_cast<char *>(bytes.data());
-        setg(begin, begin, begin + bytes.size());
-    }
-
-    bool atEnd() const { return gptr() == egptr(); }
-};
-
 template <typename Variant>
 void appendBody(const Variant &message, std::string &out)
 {
@@ -61,8 +46,18 @@
     std::visit([&](const auto &alternative) { archive(alternative); }, message);
 }
 
-/// Decodes the alternative with the given index. A length inside the body is bounded by cereal's
-/// allocation only, so every container is preceded by a check against the body's size.
+/// @return false for an enumerator that this version does not know
+template <typename Message>
+bool hasKnownEnumerators(const Message &message)
+{
+    if constexpr (std::is_same_v<Message, Refusal>)
+        return message.reason <= RefusalReason::Cancelled;
+    else if constexpr (std::is_same_v<Message, AnswerEnd>)
+        return message.end <= AttemptEnd::ServerCrash;
+    return true;
+}
+
+/// Decodes the alternative with the given index.
 template <typename Variant, std::size_t Index = 0>
 Result<Variant> decodeAlternative(std::size_t index, std::string_view body)
 {
@@ -72,11 +67,13 @@
         ViewSource source(body);
         std::istream stream(&source);
         try {
-            cereal::PortableBinaryInputArchive archive(stream);
+            BoundedInputArchive archive(stream, source);
             std::variant_alternative_t<Index, Variant> message;
             archive(message);
-            if (!source.atEnd())
+            if (source.remaining() > 0)
                 return WireErrc::TrailingBytes;
+            if (!hasKnownEnumerators(message))
+                return WireErrc::Malformed;
             return Variant(std::move(message));
         } catch (const std::exception &) {
             return WireErrc::Malformed;
@@ -126,14 +123,16 @@
         return Next();
     const auto type = static_cast<std::uint8_t>(bytes[5]);
     const std::string_view body = bytes.substr(frameHeaderSize, length - frameHeaderSize);
-    const Result<LinkMessage> message = decodeAlternative<LinkMessage>(type, body);
+    Result<LinkMessage> message = decodeAlternative<LinkMessage>(type, body);
     m_start += length;
     constexpr std::size_t compactAbove = 64U << 10U;
     if (m_start > compactAbove) {
         m_buffer.erase(0, m_start);
         m_start = 0;
     }
-    return message.map([](const LinkMessage &decoded) { return Next(decoded); });
+    if (!message)
+        return message.error();
+    return Next(std::move(message).value());
 }
 
 std::string encodeDatagram(const GossipMessage &message)
--- /dev/null
+++ b/packages/wire/tests/codec_test.cpp
@@ -0,0 +1,230 @@
+#include "bilberry/wire/codec.h"
+
+#include "randommessage.h"
+
+#include <catch2/catch.hpp>
+#include <rapidcheck.h>
+
+#include <sys/resource.h>
+
+using namespace bilberry;
+using namespace bilberry::wire;
+
+namespace {
+
+constexpr std::size_t linkMessages = std::variant_size_v<LinkMessage>;
+constexpr std::size_t gossipMessages = std::variant_size_v<GossipMessage>;
+
+/// Largest resident memory of the process so far, in bytes.
+std::size_t peakMemory()
+{
+    rusage usage{};
+    getrusage(RUSAGE_SELF, &usage);
+    return static_cast<std::size_t>(usage.ru_maxrss) << 10U;
+}
+
+/// What a reader makes of bytes.
+struct ReadResult
+{
+    std::vector<LinkMessage> messages;
+    std::error_code error;
+};
+
+ReadResult readAll(std::string_view bytes, std::size_t piece)
+{
+    FrameReader reader;
+    ReadResult result;
+    for (std::size_t at = 0; at < bytes.size() && !result.error; at += piece) {
+        reader.append(bytes.substr(at, piece));
+        for (;;) {
+            auto next = reader.next();
+            result.error = next.error();
+            if (!next || !next.value())
+                break;
+            result.messages.push_back(*std::move(next).value());
+        }
+    }
+    return result;
+}
+
+std::string frameOf(std::size_t length, std::uint8_t version, std::uint8_t type,
+                    const std::string &body)
+{
+    std::string frame;
+    for (int shift = 24; shift >= 0; shift -= 8)
+        frame.push_back(static_cast<char>(length >> static_cast<unsigned>(shift)));
+    frame.push_back(static_cast<char>(version));
+    frame.push_back(static_cast<char>(type));
+    return frame + body;
+}
+
+std::string frameOf(std::uint8_t type, const std::string &body)
+{
+    return frameOf(frameHeaderSize + body.size(), protocolVersion, type, body);
+}
+
+/// A little-endian archive: its mark, then the bytes.
+std::string body(std::uint64_t first)
+{
+    std::string text(1, '\1');
+    for (unsigned shift = 0; shift < 64; shift += 8)
+        text.push_back(static_cast<char>(first >> shift));
+    return text;
+}
+
+template <typename Message>
+std::uint8_t typeOf()
+{
+    return static_cast<std::uint8_t>(LinkMessage(Message()).index());
+}
+
+struct BadFrame
+{
+    const char *name;
+    std::string bytes;
+    WireErrc expected;
+};
+
+std::string changed(const LinkMessage &message, std::size_t fromEnd, char value)
+{
+    std::string frame = encodeFrame(message);
+    frame[frame.size() - fromEnd] = value;
+    return frame;
+}
+
+/// Damages valid bytes in one of several ways.
+std::string damage(std::string bytes, RandomMessage &random)
+{
+    const std::size_t changes = random.below(6);
+    for (std::size_t i = 0; i < changes && !bytes.empty(); ++i)
+        bytes[random.below(bytes.size())] = static_cast<char>(random.below(256));
+    if (random.below(4) == 0)
+        bytes.resize(random.below(bytes.size() + 1));
+    if (random.below(4) == 0)
+        bytes.insert(random.below(bytes.size() + 1), std::string(random.below(9), '\xff'));
+    return bytes;
+}
+
+} // namespace
+
+SCENARIO("every message survives the wire")
+{
+    THEN("link messages are the same after it, however the bytes are cut")
+    {
+        CHECK(rc::check([](std::uint64_t seed) {
+            RandomMessage random(seed);
+            std::vector<LinkMessage> sent;
+            std::string bytes;
+            for (std::size_t i = 0; i < linkMessages; ++i) {
+                sent.push_back(random.make<LinkMessage>(i));
+                bytes += encodeFrame(sent.back());
+            }
+            const ReadResult read = readAll(bytes, 1 + random.below(200));
+            RC_ASSERT(!read.error);
+            RC_ASSERT(read.messages == sent);
+        }));
+    }
+    THEN("datagrams are the same after it")
+    {
+        CHECK(rc::check([](std::uint64_t seed) {
+            RandomMessage random(seed);
+            for (std::size_t i = 0; i < gossipMessages; ++i) {
+                const auto sent = random.make<GossipMessage>(i);
+                const auto read = decodeDatagram(encodeDatagram(sent));
+                RC_ASSERT(read.ok());
+                RC_ASSERT(read.value() == sent);
+            }
+        }));
+    }
+}
+
+SCENARIO("a frame that is no message is refused with its reason")
+{
+    const std::string good = encodeFrame(Started{7});
+    const std::string goodBody = good.substr(frameHeaderSize);
+    const std::uint8_t started = typeOf<Started>();
+    const std::uint8_t offer = typeOf<ConfigurationOffer>();
+    const std::uint8_t demand = typeOf<Demand>();
+    const BadFrame rows[] = {
+            {"oversized", frameOf(maxFrameSize + 1, 1, started, ""), WireErrc::Oversized},
+            {"largest length", frameOf(0xffffffffU, 1, started, ""), WireErrc::Oversized},
+            {"length below the header", frameOf(5, 1, started, ""), WireErrc::Malformed},
+            {"zeros", std::string(64, '\0'), WireErrc::Malformed},
+            {"other version", frameOf(good.size(), 2, started, goodBody), WireErrc::WrongVersion},
+            {"version 0", frameOf(good.size(), 0, started, goodBody), WireErrc::WrongVersion},
+            {"unknown type", frameOf(linkMessages, goodBody), WireErrc::UnknownType},
+            {"type 255", frameOf(255, goodBody), WireErrc::UnknownType},
+            {"empty body", frameOf(started, ""), WireErrc::Malformed},
+            {"short body", frameOf(started, goodBody.substr(0, 5)), WireErrc::Malformed},
+            {"trailing byte", frameOf(started, goodBody + "x"), WireErrc::TrailingBytes},
+            {"string of 2^30", frameOf(offer, body(1ULL << 30U)), WireErrc::Malformed},
+            {"string of 2^40", frameOf(offer, body(1ULL << 40U)), WireErrc::Malformed},
+            {"string of 2^64 - 1", frameOf(offer, body(~0ULL)), WireErrc::Malformed},
+            {"list of 2^28",
+             frameOf(demand, "\1" + std::string(4, '\0') + body(1U << 28U).substr(1)),
+             WireErrc::Malformed},
+            {"reason out of range", changed(Refusal{1, RefusalReason::Full, {}}, 24, '\x50'),
+             WireErrc::Malformed},
+            {"flag that is no flag", changed(AgentHeartbeat{}, 1, '\x7f'), WireErrc::Malformed},
+            {"text", "GET / HTTP/1.1\r\nHost: a\r\n\r\n", WireErrc::Oversized},
+    };
+    const std::size_t before = peakMemory();
+    for (const BadFrame &row : rows) {
+        GIVEN(row.name)
+        {
+            const ReadResult read = readAll(row.bytes, row.bytes.size());
+            CHECK(read.messages.empty());
+            CHECK(read.error == row.expected);
+            CHECK(peakMemory() - before < 4 * maxFrameSize);
+        }
+    }
+}
+
+SCENARIO("a list that fills a frame takes memory in proportion")
+{
+    GIVEN("a count of elements that the largest frame's zeros seem to hold")
+    {
+        const std::size_t size = maxFrameSize - 64;
+        const std::string fields = "\1" + std::string(8, '\0') + std::string(2, '\0')
+                                   + body(size).substr(1) + std::string(size, '\0');
+        const std::size_t before = peakMemory();
+        const std::string frame = frameOf(typeOf<AnswerHead>(), fields);
+        const ReadResult read = readAll(frame, frame.size());
+
+        THEN("it is refused within a few frames' memory")
+        {
+            CHECK(read.error == WireErrc::Malformed);
+            CHECK(peakMemory() - before < 16 * maxFrameSize);
+        }
+    }
+}
+
+SCENARIO("damaged and random bytes end in a message or a typed error")
+{
+    GIVEN("frames and datagrams damaged at random, from a fixed seed")
+    {
+        RandomMessage random(20261204);
+        const std::size_t before = peakMemory();
+        std::size_t refused = 0;
+        std::size_t accepted = 0;
+        for (int round = 0; round < 20000; ++round) {
+            const LinkMessage message = random.make<LinkMessage>(random.below(linkMessages));
+            const std::string frame = damage(encodeFrame(message), random);
+            const ReadResult read = readAll(frame, frame.size() + 1);
+            const GossipMessage gossip = random.make<GossipMessage>(random.below(gossipMessages));
+            const auto datagram = decodeDatagram(damage(encodeDatagram(gossip), random));
+            for (const std::error_code &error : {read.error, datagram.error()}) {
+                refused += error ? 1 : 0;
+                accepted += error ? 0 : 1;
+                if (error)
+                    REQUIRE(error.category() == make_error_code(WireErrc::Malformed).category());
+            }
+        }
+        THEN("both happened, and the memory stayed bounded")
+        {
+            CHECK(refused > 1000);
+            CHECK(accepted > 1000);
+            CHECK(peakMemory() - before < 4 * maxFrameSize);
+        }
+    }
+}
