Judge a server's latency by its logarithm, and whole answers apart

Cause: plain answers come at their end, so that their first byte varies with the request (100:1). Change: recent against usual logarithm of the latency, counted apart for streamed and whole answers.

--- a/packages/agent/include/bilberry/agent/agentcore.h
+++ b/packages/agent/include/bilberry/agent/agentcore.h
@@ -109,6 +109,7 @@
     void refuse(decision::LinkId link, AttemptId attempt, wire::RefusalReason reason);
     void refuseHeld(wire::RefusalReason reason);
     void start(AttemptId attempt, Attempt &state, TimePoint now);
+    static decision::AnswerKind kindOf(const Attempt &attempt, TimePoint now);
     void finish(AttemptId attempt, wire::AttemptEnd end, TimePoint now);
     void serverCrashed(TimePoint now);
     bool suspectRuns() const;
--- a/packages/agent/src/agentcore.cpp
+++ b/packages/agent/src/agentcore.cpp
@@ -318,6 +318,14 @@
     }
 }
 
+decision::AnswerKind AgentCore::kindOf(const Attempt &attempt, TimePoint now)
+{
+    // Most of a streamed answer's time comes after its first byte.
+    const bool streamed = attempt.chunks > 1 && attempt.firstByteAt
+                          && now - *attempt.firstByteAt > *attempt.firstByteAt - attempt.startedAt;
+    return streamed ? decision::AnswerKind::Streamed : decision::AnswerKind::Whole;
+}
+
 void AgentCore::finish(AttemptId attempt, wire::AttemptEnd end, TimePoint now)
 {
     const Attempt state = m_attempts[attempt];
@@ -326,7 +334,7 @@
     std::optional<Duration> firstByte;
     if (good && state.firstByteAt)
         firstByte = *state.firstByteAt - state.startedAt;
-    m_admission.finished(attempt, firstByte);
+    m_admission.finished(attempt, firstByte, kindOf(state, now));
     if (good)
         ++m_counts.completed;
     const double cost = m_cost({now - state.startedAt, state.chunks});
--- a/packages/decision/include/bilberry/decision/admissioncontrol.h
+++ b/packages/decision/include/bilberry/decision/admissioncontrol.h
@@ -83,7 +83,8 @@
 
     /// A request ended.
     /// @param firstByte time to the first byte of a good answer, nothing for a bad one
-    void finished(AttemptId attempt, std::optional<Duration> firstByte);
+    void finished(AttemptId attempt, std::optional<Duration> firstByte,
+                  AnswerKind kind = AnswerKind::Streamed);
 
     /// Takes a held request out.
     /// @return false when it is not held
--- a/packages/decision/include/bilberry/decision/admissionwindow.h
+++ b/packages/decision/include/bilberry/decision/admissionwindow.h
@@ -14,6 +14,12 @@
     bool operator==(const WindowLimits &) const = default;
 };
 
+/// How an answer arrived; tells what its first byte says of the server.
+enum class AnswerKind {
+    Streamed, ///< in parts over time: the first byte is independent of the request's length
+    Whole,    ///< at once: the first byte comes at the end, so that it varies with the request
+};
+
 /// How many requests a backend server may run at once. Starts at the cold limit, grows with each
 /// good completion, and falls back at once when the server turns cold.
 class AdmissionWindow
@@ -26,7 +32,7 @@
 
     /// A request ended well.
     /// @param firstByte time from start to the first byte of the answer
-    void completed(Duration firstByte);
+    void completed(Duration firstByte, AnswerKind kind = AnswerKind::Streamed);
 
     /// The server restarted, reports a cold start, or failed.
     void turnedCold();
@@ -39,10 +45,23 @@
     bool cold() const { return m_cold; }
 
 private:
+    /// Logarithm of the latency, recently and usually. Logarithms, because costs of requests vary
+    /// by factors: a rare long request moves the mean of the latency, but hardly that of its
+    /// logarithm.
+    struct Trend
+    {
+        double recent = 0.0;
+        double usual = 0.0;
+        std::uint64_t samples = 0;
+
+        void add(double latencyMs, double recentWeight);
+        double rise() const { return recent - usual; }
+    };
+
     WindowLimits m_limits;
     double m_size;
-    double m_bestFirstByteMs = 0.0;   ///< 0: unknown
-    double m_recentFirstByteMs = 0.0; ///< moving average
+    Trend m_streamed;
+    Trend m_whole;
     bool m_cold = true;
     bool m_reportedCold = false;
 };
--- a/packages/decision/src/admissioncontrol.cpp
+++ b/packages/decision/src/admissioncontrol.cpp
@@ -104,10 +104,11 @@
     return issued;
 }
 
-void AdmissionControl::finished(AttemptId attempt, std::optional<Duration> firstByte)
+void AdmissionControl::finished(AttemptId attempt, std::optional<Duration> firstByte,
+                                AnswerKind kind)
 {
     if (m_running.erase(attempt) > 0 && firstByte)
-        m_window.completed(*firstByte);
+        m_window.completed(*firstByte, kind);
 }
 
 bool AdmissionControl::removeHeld(AttemptId attempt)
--- a/packages/decision/src/admissionwindow.cpp
+++ b/packages/decision/src/admissionwindow.cpp
@@ -1,20 +1,22 @@
 #include "bilberry/decision/admissionwindow.h"
 
 #include <algorithm>
+#include <cmath>
 
 namespace bilberry::decision {
 
 namespace {
 
-constexpr double averageWeight = 0.2;
-/// Latency up to this multiple of the best seen lets the window grow.
-constexpr double growTolerance = 2.0;
-/// Latency above this multiple of the best seen means that the server turned cold.
-constexpr double coldTolerance = 8.0;
-/// Differences below this are noise, whatever their ratio.
-constexpr double noiseMs = 50.0;
-/// The best latency seen is forgotten slowly, so that it follows a change of load.
-constexpr double bestDrift = 1.001;
+/// The first byte of a streamed answer says more of the server than that of a whole one.
+constexpr double streamedWeight = 0.4;
+constexpr double wholeWeight = 0.2;
+constexpr double usualWeight = 0.01;
+/// Rise of the logarithm up to which the window grows: a factor of two.
+const double growRise = std::log(2.0);
+/// Rise of the logarithm that means a server turned cold: a factor of eight.
+const double coldRise = std::log(8.0);
+/// Added to each latency, so that jitter of very short ones passes for no rise.
+constexpr double noiseMs = 20.0;
 
 } // namespace
 
@@ -28,22 +30,27 @@
     m_size = m_cold ? lowest : std::clamp(m_size, lowest, highest);
 }
 
-void AdmissionWindow::completed(Duration firstByte)
+void AdmissionWindow::Trend::add(double latencyMs, double recentWeight)
 {
-    const double latency = toMilliseconds(firstByte);
-    if (m_bestFirstByteMs == 0.0) {
-        m_bestFirstByteMs = latency;
-        m_recentFirstByteMs = latency;
-    }
-    m_bestFirstByteMs = std::min(m_bestFirstByteMs * bestDrift, latency);
-    m_recentFirstByteMs += averageWeight * (latency - m_recentFirstByteMs);
+    const double value = std::log(latencyMs + noiseMs);
+    ++samples;
+    const double start = 1.0 / static_cast<double>(samples);
+    recent += std::max(recentWeight, start) * (value - recent);
+    usual += std::max(usualWeight, start) * (value - usual);
+}
+
+void AdmissionWindow::completed(Duration firstByte, AnswerKind kind)
+{
+    const bool streamed = kind == AnswerKind::Streamed;
+    Trend &trend = streamed ? m_streamed : m_whole;
+    trend.add(toMilliseconds(firstByte), streamed ? streamedWeight : wholeWeight);
     if (m_reportedCold)
         return;
-    if (m_recentFirstByteMs > coldTolerance * m_bestFirstByteMs + noiseMs) {
+    if (trend.rise() > coldRise) {
         turnedCold();
         return;
     }
-    if (m_recentFirstByteMs > growTolerance * m_bestFirstByteMs + noiseMs)
+    if (trend.rise() > growRise)
         return;
     m_size = std::min<double>(m_limits.full, m_size + 1.0 / m_size);
     m_cold = size() <= m_limits.cold && m_limits.cold < m_limits.full;
@@ -53,7 +60,8 @@
 {
     m_cold = true;
     m_size = m_limits.cold;
-    m_recentFirstByteMs = m_bestFirstByteMs;
+    m_streamed.recent = m_streamed.usual;
+    m_whole.recent = m_whole.usual;
 }
 
 void AdmissionWindow::reported(bool cold)
