Count the damaged bytes of the frame test from the front

Cause: wire_tests failed after a merge: AgentHeartbeat gained a sequence at its end, so that the last byte is no longer the flag that the test damages. Ruled out: a fault of the decoder (any value is allowed in the sequence). Change: the rows name the byte by its place from the front: the refusal's reason and the stamp's flag, as before. Result: wire_tests fails before (2 checks) and passes after.

--- a/packages/wire/tests/codec_test.cpp
+++ b/packages/wire/tests/codec_test.cpp
@@ -85,10 +85,11 @@
     WireErrc expected;
 };
 
-std::string changed(const LinkMessage &message, std::size_t fromEnd, char value)
+std::string changed(const LinkMessage &message, std::size_t offset, char value)
 {
+    // The body starts with one byte that tells its byte order.
     std::string frame = encodeFrame(message);
-    frame[frame.size() - fromEnd] = value;
+    frame.at(frameHeaderSize + 1 + offset) = value;
     return frame;
 }
 
@@ -163,9 +164,9 @@
             {"list of 2^28",
              frameOf(demand, "\1" + std::string(4, '\0') + body(1U << 28U).substr(1)),
              WireErrc::Malformed},
-            {"reason out of range", changed(Refusal{1, RefusalReason::Full, {}}, 24, '\x50'),
+            {"reason out of range", changed(Refusal{1, RefusalReason::Full, {}}, 8, '\x50'),
              WireErrc::Malformed},
-            {"flag that is no flag", changed(AgentHeartbeat{}, 1, '\x7f'), WireErrc::Malformed},
+            {"flag that is no flag", changed(AgentHeartbeat{}, 12, '\x7f'), WireErrc::Malformed},
             {"text", "GET / HTTP/1.1\r\nHost: a\r\n\r\n", WireErrc::Oversized},
     };
     const std::size_t before = peakMemory();
