Never block the cores on a full ring

Cause: core and I/O duties both waited for room in each other's rings, so that two full rings opposite each other stood for ever. Ruled out: larger rings (rarer, not impossible) and unbounded ones (memory). Change: I/O duties wait for the core, the core waits for nobody. A link or caller whose message does not fit in is closed, counted (bilberry_ring_overflows_total) and logged; a claim that can't be asked for is refused; commands to the backend duty wait in the core, bounded by the running requests. Calls between gossip and platform duties no longer use rings. An end of a caller and its credit are never lost. ringCapacity is a setting; the event types of the router have a file of their own.

--- a/packages/agent/include/bilberry/agent/agentsettings.h
+++ b/packages/agent/include/bilberry/agent/agentsettings.h
@@ -25,6 +25,7 @@
     Duration answerLimit = std::chrono::minutes(10); ///< longest silence of a running request
     Duration drainLimit = std::chrono::minutes(10);  ///< longest graceful shutdown
     std::uint32_t ahead = 1;                         ///< grants beyond the window
+    std::size_t ringCapacity = 65536;                ///< items between two duties
     decision::FreshnessSettings freshness;
     bool operator==(const AgentSettings &) const = default;
 };
--- a/packages/agent/include/bilberry/agent/routerlinks.h
+++ b/packages/agent/include/bilberry/agent/routerlinks.h
@@ -28,6 +28,9 @@
 
     /// Starts accepting.
     void start();
+    /// Closes a link; the down hook follows at once.
+    void drop(decision::LinkId link);
+
     /// @return true when nothing waits to be sent on any link
     bool idle() const;
 
--- a/packages/agent/src/agent.cpp
+++ b/packages/agent/src/agent.cpp
@@ -10,7 +10,9 @@
 
 #include "agentmetrics.h"
 
+#include <deque>
 #include <future>
+#include <set>
 
 namespace bilberry::agent {
 
@@ -18,7 +20,6 @@
 
 namespace {
 
-constexpr std::size_t ringCapacity = 65536;
 constexpr Duration tickPeriod = std::chrono::milliseconds(50);
 constexpr Duration lastWordsDelay = std::chrono::milliseconds(200);
 
@@ -49,17 +50,18 @@
 {
     explicit Parts(const AgentSettings &settings)
         : settings(settings),
-          coreRing(coreDuty, ringCapacity, [this](CoreEvent &&event) { handle(event); }),
-          linkRing(linkDuty, ringCapacity,
+          coreRing(coreDuty, settings.ringCapacity, [this](CoreEvent &&event) { handle(event); }),
+          linkRing(linkDuty, settings.ringCapacity,
                    [this](LinkSend &&send) { links.send(send.link, send.message); }),
-          backendRing(backendDuty, ringCapacity,
+          backendRing(backendDuty, settings.ringCapacity,
                       [this](BackendCommand &&command) { backend.command(std::move(command)); }),
           core(settings, randomId(),
                {[this](decision::LinkId link, wire::LinkMessage &&message) {
-                    push<LinkSend>(linkRing, {link, std::move(message)});
+                    sendOrDrop(link, std::move(message));
                 },
                 [this](BackendCommand &&command) {
-                    push<BackendCommand>(backendRing, std::move(command));
+                    unsentCommands.push_back(std::move(command));
+                    sendCommands();
                 }}),
           links(linkDuty.context(), settings.listenAddress, settings.listenPort,
                 {[this](decision::LinkId link) { push<CoreEvent>(coreRing, LinkUp{link}); },
@@ -75,14 +77,33 @@
     {
     }
 
-    /// A full ring means that a duty is far behind. Losing a message could lose a request, so the
-    /// producer waits for room.
+    /// A full ring means that the core is far behind. Losing a message could lose a request, so
+    /// the producer waits for room. The core itself never waits, so that it always makes room.
     template <typename T>
     static void push(DutyRing<T> &ring, T item)
     {
         ring.pushOrWait(std::move(item));
     }
 
+    /// On the core's thread. A router that misses a message can't go on with this link.
+    void sendOrDrop(decision::LinkId link, wire::LinkMessage &&message)
+    {
+        if (dropped.contains(link) || linkRing.push({link, std::move(message)}))
+            return;
+        metrics.addOverflow();
+        log.warning("The ring of the links is full; a router link is closed.");
+        dropped.insert(link);
+        asio::post(linkDuty.context(), [this, link] { links.drop(link); });
+    }
+
+    /// On the core's thread. What does not fit in stays here; running requests and their credit
+    /// bound it.
+    void sendCommands()
+    {
+        while (!unsentCommands.empty() && backendRing.push(std::move(unsentCommands.front())))
+            unsentCommands.pop_front();
+    }
+
     void closeRings()
     {
         coreRing.close();
@@ -96,13 +117,19 @@
         if (auto *up = std::get_if<LinkUp>(&event))
             core.linkUp(up->link, now);
         else if (auto *down = std::get_if<LinkDown>(&event))
-            core.linkDown(down->link, now);
+            linkDown(down->link, now);
         else if (auto *received = std::get_if<LinkReceived>(&event))
             core.received(received->link, std::move(received->message), now);
         else
             core.backend(std::get<BackendEvent>(std::move(event)), now);
     }
 
+    void linkDown(decision::LinkId link, TimePoint now)
+    {
+        core.linkDown(link, now);
+        dropped.erase(link);
+    }
+
     void tick()
     {
         tickTimer.expires_after(tickPeriod);
@@ -110,6 +137,7 @@
             if (error)
                 return;
             core.tick(Clock::now());
+            sendCommands();
             tick();
         });
     }
@@ -186,6 +214,8 @@
     DutyRing<CoreEvent> coreRing;
     DutyRing<LinkSend> linkRing;
     DutyRing<BackendCommand> backendRing;
+    std::set<decision::LinkId> dropped; ///< links that are being closed
+    std::deque<BackendCommand> unsentCommands;
     AgentCore core;
     RouterLinks links;
     BackendClient backend;
--- a/packages/agent/src/agentmetrics.cpp
+++ b/packages/agent/src/agentmetrics.cpp
@@ -41,6 +41,11 @@
                              .Help("Bytes of control messages sent")
                              .Register(m_registry)
                              .Add({})),
+      m_overflows(prometheus::BuildCounter()
+                          .Name("bilberry_ring_overflows_total")
+                          .Help("Messages that a full ring did not take")
+                          .Register(m_registry)
+                          .Add({})),
       m_started(gauge(m_registry, "bilberry_agent_started", "Requests started on the server")),
       m_completed(gauge(m_registry, "bilberry_agent_completed", "Requests answered in full")),
       m_crashes(gauge(m_registry, "bilberry_agent_crashes", "Crashes of the server")),
--- a/packages/agent/src/agentmetrics.h
+++ b/packages/agent/src/agentmetrics.h
@@ -20,6 +20,9 @@
     /// Counts control bytes sent; may be called on any thread.
     void addControlBytes(std::size_t bytes);
 
+    /// Counts a message that the full ring of the links did not take; may be called on any thread.
+    void addOverflow() { m_overflows.Increment(); }
+
     /// Takes the core's numbers over.
     void update(const AgentCore &core);
 
@@ -29,6 +32,7 @@
 private:
     prometheus::Registry m_registry;
     prometheus::Counter &m_controlBytes;
+    prometheus::Counter &m_overflows;
     prometheus::Gauge &m_started;
     prometheus::Gauge &m_completed;
     prometheus::Gauge &m_crashes;
--- a/packages/agent/src/agentsettings.cpp
+++ b/packages/agent/src/agentsettings.cpp
@@ -33,6 +33,8 @@
     settings.answerLimit = milliseconds(reader, "backend.answerLimitMs", 100, 3600000, 600000);
     settings.drainLimit = milliseconds(reader, "drainLimitMs", 0, 3600000, 600000);
     settings.ahead = static_cast<std::uint32_t>(reader.integer("ahead", 0, 64, 1));
+    settings.ringCapacity
+            = static_cast<std::size_t>(reader.integer("ringCapacity", 8, 1 << 20, 65536));
     settings.freshness.proofLimit = milliseconds(reader, "island.proofLimitMs", 500, 60000, 3000);
     const std::string policy = reader.choice("island.policy", {"stop", "serve"}, "stop");
     settings.freshness.island
--- a/packages/agent/src/routerlinks.cpp
+++ b/packages/agent/src/routerlinks.cpp
@@ -52,6 +52,16 @@
     link->start();
 }
 
+void RouterLinks::drop(decision::LinkId link)
+{
+    const auto found = m_links.find(link);
+    if (found == m_links.end())
+        return;
+    found->second->close();
+    m_links.erase(found);
+    m_hooks.down(link);
+}
+
 bool RouterLinks::idle() const
 {
     return std::all_of(m_links.begin(), m_links.end(),
--- a/packages/router/include/bilberry/router/agentlinks.h
+++ b/packages/router/include/bilberry/router/agentlinks.h
@@ -27,6 +27,8 @@
 
     /// Opens links to new agents and closes those to agents that left the list.
     void setAgents(const std::vector<platform::Vm> &agents);
+    /// Closes the link to an agent and connects again; the down hook follows at once.
+    void drop(const ServerId &server);
     void send(const ServerId &server, const wire::LinkMessage &message);
 
     /// Sends the stamp to all agents.
--- a/packages/router/include/bilberry/router/callerserver.h
+++ b/packages/router/include/bilberry/router/callerserver.h
@@ -28,6 +28,8 @@
     /// Starts accepting.
     void start();
     void reply(CallerReply &&reply);
+    /// Cuts a caller off whose answer can't be passed on.
+    void cutOff(RequestId request);
     void setConfiguration(ConfigurationPtr configuration);
 
     /// Refuses new requests and closes idle connections.
--- a/packages/router/include/bilberry/router/routersettings.h
+++ b/packages/router/include/bilberry/router/routersettings.h
@@ -50,6 +50,7 @@
     Duration queueTimeLimit = std::chrono::seconds(30); ///< longest wait for a slot
     Duration drainLimit = std::chrono::minutes(10);     ///< longest graceful shutdown
     Duration listPeriod = std::chrono::seconds(2);      ///< between two reads of the VM list
+    std::size_t ringCapacity = 65536;                   ///< items between two duties
     std::size_t watchers = 3;    ///< routers that watch the configuration at the platform
     double catchUpCap = 60000.0; ///< see LedgerSettings
     decision::ReportSettings reports;
--- a/packages/router/src/agentlinks.cpp
+++ b/packages/router/src/agentlinks.cpp
@@ -158,6 +158,19 @@
     retryLater(name);
 }
 
+void AgentLinks::drop(const ServerId &server)
+{
+    const auto found = m_nameOf.find(server);
+    if (found == m_nameOf.end())
+        return;
+    const std::string name = found->second;
+    const Target &target = m_targets[name];
+    if (!target.link)
+        return;
+    target.link->close();
+    closed(name, target.generation, std::make_error_code(std::errc::no_buffer_space));
+}
+
 void AgentLinks::send(const ServerId &server, const wire::LinkMessage &message)
 {
     const auto name = m_nameOf.find(server);
--- a/packages/router/src/callerserver.cpp
+++ b/packages/router/src/callerserver.cpp
@@ -458,12 +458,22 @@
 {
     const RequestId id = std::visit([](const auto &part) { return part.request; }, reply);
     const auto found = m_state->exchanges.find(id);
-    if (found == m_state->exchanges.end())
+    if (found == m_state->exchanges.end() || found->second->callerGone)
         return;
     found->second->replies.push_back(std::move(reply));
     found->second->wake.cancel();
 }
 
+void CallerServer::cutOff(RequestId request)
+{
+    const auto found = m_state->exchanges.find(request);
+    if (found == m_state->exchanges.end())
+        return;
+    found->second->callerGone = true;
+    found->second->replies.clear();
+    found->second->wake.cancel();
+}
+
 void CallerServer::setConfiguration(ConfigurationPtr configuration)
 {
     m_state->configuration = std::move(configuration);
--- a/packages/router/src/router.cpp
+++ b/packages/router/src/router.cpp
@@ -11,11 +11,13 @@
 #include "bilberry/router/platformduty.h"
 #include "bilberry/router/routercore.h"
 
+#include "routerevents.h"
 #include "routermetrics.h"
 
 #include <atomic>
 #include <future>
 #include <random>
+#include <set>
 
 namespace bilberry::router {
 
@@ -23,69 +25,11 @@
 
 namespace {
 
-constexpr std::size_t ringCapacity = 65536;
 constexpr Duration coreTick = std::chrono::milliseconds(20);
 constexpr Duration gossipTick = std::chrono::milliseconds(50);
 constexpr Duration lastWordsDelay = std::chrono::milliseconds(200);
 constexpr Duration drainPoll = std::chrono::milliseconds(50);
 
-struct AgentDown
-{
-    ServerId server;
-};
-struct AgentReceived
-{
-    ServerId server;
-    wire::LinkMessage message;
-};
-struct RemoteTotal
-{
-    decision::ServiceKey key;
-    decision::RemoteService remote;
-    bool aggregatorChanged = false;
-};
-using CoreEvent = std::variant<CallerEvent, ClaimOpened, wire::AgentHello, AgentDown, AgentReceived,
-                               ConfigurationPtr, RemoteTotal, wire::QuarantineNotice>;
-
-struct AgentSend
-{
-    ServerId server;
-    wire::LinkMessage message;
-};
-using LinksEvent = std::variant<AgentSend, wire::ConfigurationStamp, ConfigurationPtr,
-                                std::vector<platform::Vm>>;
-
-struct Proof
-{
-    Revision revision = 0;
-    Duration age{};
-};
-struct PlatformFailed
-{
-};
-struct LinkedServers
-{
-    std::vector<ServerId> servers;
-};
-struct InForce
-{
-    Revision revision = 0;
-};
-using GossipEvent = std::variant<std::vector<decision::OwnService>, wire::QuarantineNotice, Proof,
-                                 PlatformFailed, LinkedServers, InForce, std::vector<platform::Vm>>;
-
-struct FetchFrom
-{
-    RouterId router;
-};
-struct Watch
-{
-    bool watch = true;
-};
-using PlatformEvent = std::variant<ClaimCommand, FetchFrom, Watch, ConfigurationPtr>;
-
-using ServerEvent = std::variant<CallerReply, ConfigurationPtr>;
-
 decision::RandomHook makeRandom()
 {
     return [engine = std::mt19937_64(randomId())](std::size_t bound) mutable {
@@ -99,13 +43,15 @@
 {
     explicit Parts(const RouterSettings &settings)
         : settings(settings), incarnation(randomId()),
-          coreRing(coreDuty, ringCapacity, [this](CoreEvent &&event) { onCoreEvent(event); }),
-          linksRing(linksDuty, ringCapacity, [this](LinksEvent &&event) { onLinksEvent(event); }),
-          gossipRing(gossipDuty, ringCapacity,
+          coreRing(coreDuty, settings.ringCapacity,
+                   [this](CoreEvent &&event) { onCoreEvent(event); }),
+          linksRing(linksDuty, settings.ringCapacity,
+                    [this](LinksEvent &&event) { onLinksEvent(event); }),
+          gossipRing(gossipDuty, settings.ringCapacity,
                      [this](GossipEvent &&event) { onGossipEvent(event); }),
-          platformRing(platformDuty, ringCapacity,
+          platformRing(platformDuty, settings.ringCapacity,
                        [this](PlatformEvent &&event) { onPlatformEvent(event); }),
-          callerRing(callerDuty, ringCapacity,
+          callerRing(callerDuty, settings.ringCapacity,
                      [this](ServerEvent &&event) { onServerEvent(event); }),
           core(settings, incarnation, coreHooks(), makeRandom()),
           coordinator(settings, incarnation, coordinatorHooks()),
@@ -120,13 +66,22 @@
                   [this](std::size_t bytes) { metrics.addControlBytes("gossip", bytes); }),
           platform(platformDuty.context(), settings, platformHooks()),
           callers(callerDuty.context(), settings,
-                  [this](CallerEvent &&event) { return coreRing.push(std::move(event)); }),
+                  [this](CallerEvent &&event) { return callerEvent(std::move(event)); }),
           admin(adminDuty.context(), settings.listenAddress, settings.adminPort, handlers()),
           coreTimer(coreDuty.context()), gossipTimer(gossipDuty.context())
     {
         gossip.setPeers(settings.peers);
     }
 
+    /// A new request may be refused; what follows it must not get lost.
+    bool callerEvent(CallerEvent &&event)
+    {
+        if (std::holds_alternative<Submit>(event))
+            return coreRing.push(std::move(event));
+        coreRing.pushOrWait(std::move(event));
+        return true;
+    }
+
     /// A full ring means that a duty is far behind. Losing a message could lose a request, so the
     /// producer waits for room.
     template <typename T>
@@ -142,6 +97,58 @@
                && on(coreDuty, [this] { return core.idle(); });
     }
 
+    // The outputs of the core never wait: two duties that wait for each other would stand for ever.
+
+    /// An agent that misses a message can't go on with this link.
+    void sendOrDrop(const ServerId &server, wire::LinkMessage &&message)
+    {
+        if (dropped.contains(server) || linksRing.push(AgentSend{server, std::move(message)}))
+            return;
+        metrics.addOverflow("links");
+        log.warning("The ring of the links is full; the link to an agent is closed.");
+        dropped.insert(server);
+        asio::post(linksDuty.context(), [this, server] { links.drop(server); });
+    }
+
+    /// A caller that misses a part can't get the whole answer.
+    void replyOrCutOff(CallerReply &&reply)
+    {
+        const RequestId request = std::visit([](const auto &part) { return part.request; }, reply);
+        if (callerRing.push(std::move(reply)))
+            return;
+        metrics.addOverflow("callers");
+        log.warning("The ring of the callers is full; a caller is cut off.");
+        asio::post(callerDuty.context(), [this, request] { callers.cutOff(request); });
+    }
+
+    /// A claim that is not asked for is refused; one that is not ended stays until its clean-up.
+    void claimOrRefuse(ClaimCommand &&command)
+    {
+        const auto *open = std::get_if<OpenClaim>(&command);
+        const RequestId request = open ? open->request : 0;
+        if (platformRing.push(std::move(command)))
+            return;
+        metrics.addOverflow("platform");
+        log.warning("The ring of the platform is full; a claim is not written.");
+        if (!open)
+            return;
+        asio::post(coreDuty.context(), [this, request] {
+            core.claimOpened({request, ClaimResult::Refused, ""}, Clock::now());
+        });
+    }
+
+    void agentUp(const wire::AgentHello &hello, TimePoint now)
+    {
+        dropped.erase(hello.server);
+        core.agentUp(hello, now);
+    }
+
+    void agentDown(const ServerId &server, TimePoint now)
+    {
+        core.agentDown(server, now);
+        dropped.erase(server);
+    }
+
     void closeRings()
     {
         coreRing.close();
@@ -155,15 +162,13 @@
     {
         RouterHooks hooks;
         hooks.send = [this](const ServerId &server, wire::LinkMessage &&message) {
-            push<LinksEvent>(linksRing, AgentSend{server, std::move(message)});
-        };
-        hooks.reply
-                = [this](CallerReply &&reply) { push<ServerEvent>(callerRing, std::move(reply)); };
-        hooks.claim = [this](ClaimCommand &&command) {
-            push<PlatformEvent>(platformRing, std::move(command));
+            sendOrDrop(server, std::move(message));
         };
+        hooks.reply = [this](CallerReply &&reply) { replyOrCutOff(std::move(reply)); };
+        hooks.claim = [this](ClaimCommand &&command) { claimOrRefuse(std::move(command)); };
         hooks.quarantined = [this](const wire::QuarantineNotice &notice) {
-            push<GossipEvent>(gossipRing, notice);
+            if (!gossipRing.push(notice))
+                metrics.addOverflow("gossip");
         };
         return hooks;
     }
@@ -182,12 +187,16 @@
             push<CoreEvent>(coreRing, notice);
         };
         hooks.stamp = [this](const wire::ConfigurationStamp &stamp) {
-            push<LinksEvent>(linksRing, stamp);
+            // A lost stamp is followed by the next one.
+            if (!linksRing.push(stamp))
+                metrics.addOverflow("links");
         };
         hooks.fetchConfiguration = [this](const RouterId &router) {
-            push<PlatformEvent>(platformRing, FetchFrom{router});
+            asio::post(platformDuty.context(), [this, router] { platform.fetchFrom(router); });
+        };
+        hooks.watch = [this](bool watch) {
+            asio::post(platformDuty.context(), [this, watch] { platform.setWatch(watch); });
         };
-        hooks.watch = [this](bool watch) { push<PlatformEvent>(platformRing, Watch{watch}); };
         return hooks;
     }
 
@@ -242,9 +251,9 @@
         else if (auto *opened = std::get_if<ClaimOpened>(&event))
             core.claimOpened(*opened, now);
         else if (auto *hello = std::get_if<wire::AgentHello>(&event))
-            core.agentUp(*hello, now);
+            agentUp(*hello, now);
         else if (auto *down = std::get_if<AgentDown>(&event))
-            core.agentDown(down->server, now);
+            agentDown(down->server, now);
         else if (auto *configuration = std::get_if<ConfigurationPtr>(&event))
             core.setConfiguration(*configuration, now);
         else if (auto *total = std::get_if<RemoteTotal>(&event))
@@ -294,10 +303,6 @@
     {
         if (auto *claim = std::get_if<ClaimCommand>(&event))
             platform.claim(std::move(*claim));
-        else if (auto *fetch = std::get_if<FetchFrom>(&event))
-            platform.fetchFrom(fetch->router);
-        else if (auto *watch = std::get_if<Watch>(&event))
-            platform.setWatch(watch->watch);
         else
             platform.offer(std::get<ConfigurationPtr>(std::move(event)));
     }
@@ -416,6 +421,7 @@
     DutyRing<GossipEvent> gossipRing;
     DutyRing<PlatformEvent> platformRing;
     DutyRing<ServerEvent> callerRing;
+    std::set<ServerId> dropped; ///< links that are being closed; of the core's thread
     RouterCore core;
     Coordinator coordinator;
     AgentLinks links;
--- /dev/null
+++ b/packages/router/src/routerevents.h
@@ -0,0 +1,64 @@
+#ifndef BILBERRY_ROUTER_ROUTEREVENTS_H
+#define BILBERRY_ROUTER_ROUTEREVENTS_H
+
+#include "bilberry/decision/serviceledger.h"
+#include "bilberry/model/configuration.h"
+#include "bilberry/platform/objectstore.h"
+#include "bilberry/router/callerevents.h"
+#include "bilberry/router/claimevents.h"
+
+/// What the rings between the duties of a router carry.
+namespace bilberry::router {
+
+struct AgentDown
+{
+    ServerId server;
+};
+struct AgentReceived
+{
+    ServerId server;
+    wire::LinkMessage message;
+};
+struct RemoteTotal
+{
+    decision::ServiceKey key;
+    decision::RemoteService remote;
+    bool aggregatorChanged = false;
+};
+using CoreEvent = std::variant<CallerEvent, ClaimOpened, wire::AgentHello, AgentDown, AgentReceived,
+                               ConfigurationPtr, RemoteTotal, wire::QuarantineNotice>;
+
+struct AgentSend
+{
+    ServerId server;
+    wire::LinkMessage message;
+};
+using LinksEvent = std::variant<AgentSend, wire::ConfigurationStamp, ConfigurationPtr,
+                                std::vector<platform::Vm>>;
+
+struct Proof
+{
+    Revision revision = 0;
+    Duration age{};
+};
+struct PlatformFailed
+{
+};
+struct LinkedServers
+{
+    std::vector<ServerId> servers;
+};
+struct InForce
+{
+    Revision revision = 0;
+};
+using GossipEvent = std::variant<std::vector<decision::OwnService>, wire::QuarantineNotice, Proof,
+                                 PlatformFailed, LinkedServers, InForce, std::vector<platform::Vm>>;
+
+using PlatformEvent = std::variant<ClaimCommand, ConfigurationPtr>;
+
+using ServerEvent = std::variant<CallerReply, ConfigurationPtr>;
+
+} // namespace bilberry::router
+
+#endif
--- a/packages/router/src/routermetrics.cpp
+++ b/packages/router/src/routermetrics.cpp
@@ -64,6 +64,8 @@
             counters(m_registry, "bilberry_control_bytes_total", "Bytes of control messages sent")),
       m_platformCalls(
               counters(m_registry, "bilberry_platform_calls_total", "Calls to the platform")),
+      m_overflows(counters(m_registry, "bilberry_ring_overflows_total",
+                           "Items that a full ring did not take")),
       m_submitted(gauges(m_registry, "bilberry_requests_submitted", "Requests of known customers")
                           .Add({})),
       m_answered(gauges(m_registry, "bilberry_requests_answered", "Requests answered in full")
@@ -91,6 +93,11 @@
     m_platformCalls.Add({{"kind", kind}}).Increment();
 }
 
+void RouterMetrics::addOverflow(const char *ring)
+{
+    m_overflows.Add({{"ring", ring}}).Increment();
+}
+
 void RouterMetrics::update(const RouterCore &core)
 {
     const RouterCounts &counts = core.counts();
--- a/packages/router/src/routermetrics.h
+++ b/packages/router/src/routermetrics.h
@@ -23,6 +23,9 @@
     /// Counts a call to the platform; may be called on any thread.
     void addPlatformCall(const char *kind);
 
+    /// Counts an item that a full ring did not take; may be called on any thread.
+    void addOverflow(const char *ring);
+
     /// Takes the core's numbers over.
     void update(const RouterCore &core);
 
@@ -33,6 +36,7 @@
     prometheus::Registry m_registry;
     prometheus::Family<prometheus::Counter> &m_controlBytes;
     prometheus::Family<prometheus::Counter> &m_platformCalls;
+    prometheus::Family<prometheus::Counter> &m_overflows;
     prometheus::Gauge &m_submitted;
     prometheus::Gauge &m_answered;
     prometheus::Gauge &m_retries;
