--- /dev/null
+++ b/packages/router/tests/wholeanswer_test.cpp
@@ -0,0 +1,234 @@
+#include "bilberry/router/routercore.h"
+
+#include <catch2/catch.hpp>
+#include <rapidcheck.h>
+
+#include <sstream>
+
+using namespace bilberry;
+using namespace bilberry::router;
+
+namespace {
+
+const PoolId pool("models");
+const ServerId server("model-a");
+const ServerId otherServer("model-b");
+constexpr Incarnation agentLife = 5;
+
+ConfigurationPtr configuration()
+{
+    ConfigurationParts parts;
+    parts.zones.emplace(ZoneId("a"), AvailabilityZone{});
+    BackendPool rules;
+    rules.id = pool;
+    rules.zones = {ZoneId("a")};
+    parts.pools.emplace(pool, rules);
+    Customer customer;
+    customer.id = CustomerId("kitchen");
+    parts.customers.emplace(customer.id, customer);
+    return std::make_shared<const Configuration>(
+            Configuration::create(1, std::move(parts)).value());
+}
+
+/// A router core that is linked to two agents; replies are kept as words for each request.
+struct Bench
+{
+    Bench() : core(RouterSettings{}, 1000, hooks(), [](std::size_t) { return std::size_t{0}; })
+    {
+        core.setConfiguration(configuration(), now);
+        for (const ServerId &name : {server, otherServer})
+            core.agentUp({name, agentLife, pool, ZoneId("a"), {}, load(name)}, now);
+    }
+
+    RouterHooks hooks()
+    {
+        RouterHooks result;
+        result.send = [this](const ServerId &to, wire::LinkMessage &&message) {
+            if (const auto *dispatch = std::get_if<wire::Dispatch>(&message))
+                attempts.push_back(dispatch->attempt);
+            sent.emplace_back(to, std::move(message));
+        };
+        result.reply = [this](CallerReply &&reply) { note(reply); };
+        result.claim = [this](ClaimCommand &&command) { claims.push_back(std::move(command)); };
+        result.quarantined = [](const wire::QuarantineNotice &) {};
+        return result;
+    }
+
+    /// Only the first server has room, so that requests go there.
+    static wire::ServerLoad load(const ServerId &name)
+    {
+        wire::ServerLoad result;
+        result.window = name == server ? 100 : 0;
+        result.accepting = true;
+        return result;
+    }
+
+    AttemptId submit(RequestId request, bool mayRepeat = false)
+    {
+        Submit message;
+        message.request = request;
+        message.customer = CustomerId("kitchen");
+        message.pool = pool;
+        message.mayRepeat = mayRepeat;
+        message.body = std::to_string(request);
+        core.caller(std::move(message), now);
+        return attempts.back();
+    }
+
+    void note(const CallerReply &reply)
+    {
+        std::visit([this](const auto &part) { replies[part.request] += word(part) + ' '; }, reply);
+    }
+
+    static std::string word(const ReplyHead &) { return "head"; }
+    static std::string word(const ReplyChunk &chunk) { return chunk.data; }
+    static std::string word(const ReplyEnd &end) { return end.complete ? "end" : "cut"; }
+    static std::string word(const ReplyRefusal &refusal)
+    {
+        return refusal.outcome == RequestOutcome::Unknown ? "unknown" : "not-run";
+    }
+
+    /// Delivers frames: H head, a number the chunk of that number, E and a number the end with that
+    /// count, T a truncated end; before them: x another attempt, s another server.
+    void deliver(const std::string &frames, AttemptId attempt)
+    {
+        std::istringstream words(frames);
+        for (std::string text; words >> text;) {
+            const bool stray = text[0] == 'x';
+            const bool crossed = text[0] == 's';
+            const std::string frame = stray || crossed ? text.substr(1) : text;
+            core.received(crossed ? otherServer : server, make(frame, attempt + (stray ? 7 : 0)),
+                          now);
+        }
+    }
+
+    static wire::LinkMessage make(const std::string &frame, AttemptId attempt)
+    {
+        const auto number = [](const std::string &digits) {
+            return static_cast<std::uint32_t>(std::stoul(digits));
+        };
+        if (frame == "H")
+            return wire::AnswerHead{attempt, 200, {}};
+        if (frame == "T")
+            return wire::AnswerEnd{attempt, wire::AttemptEnd::Truncated, 1, 1.0, load(server)};
+        if (frame[0] == 'E')
+            return wire::AnswerEnd{attempt, wire::AttemptEnd::Complete, number(frame.substr(1)),
+                                   1.0, load(server)};
+        return wire::AnswerChunk{attempt, number(frame), frame};
+    }
+
+    template <typename T>
+    std::vector<T> sentOf() const
+    {
+        std::vector<T> found;
+        for (const auto &[to, message] : sent) {
+            if (const T *match = std::get_if<T>(&message))
+                found.push_back(*match);
+        }
+        return found;
+    }
+
+    TimePoint now{std::chrono::seconds(100)};
+    std::vector<AttemptId> attempts;
+    std::vector<std::pair<ServerId, wire::LinkMessage>> sent;
+    std::vector<ClaimCommand> claims;
+    std::map<RequestId, std::string> replies;
+    RouterCore core;
+};
+
+} // namespace
+
+TEST_CASE("an answer is passed on once, in order and whole, or not closed as complete")
+{
+    struct Case
+    {
+        const char *name;
+        const char *frames;
+        const char *replies;
+        std::uint64_t dropped;
+    };
+    const Case cases[] = {
+            {"in order", "H 0 1 E2", "head 0 1 end ", 0},
+            {"duplicated", "H H 0 0 1 1 E2 E2", "head 0 1 end ", 4},
+            {"late after the end", "H 0 E1 0 1 H", "head 0 end ", 3},
+            {"another attempt's parts", "H x0 0 xE1 xH E1", "head 0 end ", 3},
+            {"another server's parts", "H s0 0 sE1 sH E1", "head 0 end ", 3},
+            {"a part is missing", "H 0 2 E3", "head 0 cut ", 1},
+            {"the last part is missing", "H 0 E2", "head 0 cut ", 0},
+            {"the server broke off", "H 0 T", "head 0 cut ", 0},
+            {"no head", "0 E1", "unknown ", 1},
+            {"an end only", "E0", "unknown ", 0},
+            {"broken off before the head", "T", "unknown ", 0},
+    };
+    for (const Case &c : cases) {
+        DYNAMIC_SECTION(c.name)
+        {
+            Bench bench;
+            bench.deliver(c.frames, bench.submit(1));
+            CHECK(bench.replies[1] == c.replies);
+            CHECK(bench.core.counts().droppedParts == c.dropped);
+            CHECK(bench.core.idle());
+        }
+    }
+}
+
+TEST_CASE("shuffled and repeated frames of two answers never mix or look complete wrongly")
+{
+    REQUIRE(rc::check([](const std::vector<std::pair<bool, std::uint8_t>> &steps) {
+        static const std::vector<std::string> frames
+                = {"H", "0", "1", "2", "E3", "s0", "x1", "sE3"};
+        Bench bench;
+        const std::array<AttemptId, 2> attempts = {bench.submit(1), bench.submit(2)};
+        for (const auto &[second, frame] : steps)
+            bench.deliver(frames[frame % frames.size()], attempts[second ? 1 : 0]);
+        for (const RequestId request : {1U, 2U}) {
+            const std::string &reply = bench.replies[request];
+            const bool complete = reply.ends_with("end ");
+            RC_ASSERT(!complete || reply == "head 0 1 2 end ");
+            RC_ASSERT(std::string("head 0 1 2 ").starts_with(reply) || complete
+                      || reply.ends_with("cut ") || reply == "unknown ");
+        }
+    }));
+}
+
+SCENARIO("a caller goes away while its request runs")
+{
+    struct Case
+    {
+        const char *name;
+        bool mayRepeat;
+        std::size_t cancels;
+        std::size_t credits;
+    };
+    const Case cases[] = {{"may be repeated: it is cancelled", true, 1, 0},
+                          {"may not: it runs to its end and waits for no credit", false, 0, 1}};
+    for (const Case &c : cases) {
+        DYNAMIC_SECTION(c.name)
+        {
+            Bench bench;
+            const AttemptId attempt = bench.submit(1, c.mayRepeat);
+            bench.core.caller(CallerGone{1}, bench.now);
+            CHECK(bench.sentOf<wire::Cancel>().size() == c.cancels);
+            CHECK(bench.sentOf<wire::AnswerCredit>().size() == c.credits);
+            bench.deliver("H 0 E1", attempt);
+            CHECK(bench.replies[1].empty());
+            CHECK(bench.core.idle());
+        }
+    }
+}
+
+TEST_CASE("retries stay within a tenth of the requests and the reserve when all attempts fail")
+{
+    Bench bench;
+    constexpr std::size_t requests = 200;
+    for (RequestId request = 1; request <= requests; ++request)
+        bench.submit(request, true);
+    for (std::size_t i = 0; i < bench.attempts.size(); ++i) {
+        bench.deliver("T", bench.attempts[i]);
+        bench.core.received(server, wire::Grant{i + 1, 2000, Bench::load(server)}, bench.now);
+    }
+    CHECK(bench.core.counts().retries <= requests / 10 + 10);
+    CHECK(bench.core.idle());
+    for (RequestId request = 1; request <= requests; ++request)
+        CHECK(bench.replies[request] == "unknown ");
+}
