Let rings take memory by use, not by bound

Cause: a ring's slots were used in turn, so that a busy process touched all 65536 slots of each ring (about 250 bytes each), and the items of the last batch stayed until the next one. Ruled out: missing flow control (memory stays flat while the callers don't read). Change: the ring is a vector that the consumer swaps out; the bound is checked as before. A batch is cleared after it is handled.

--- a/packages/base/include/bilberry/base/boundedring.h
+++ b/packages/base/include/bilberry/base/boundedring.h
@@ -1,8 +1,6 @@
 #ifndef BILBERRY_BASE_BOUNDEDRING_H
 #define BILBERRY_BASE_BOUNDEDRING_H
 
-#include <boost/circular_buffer.hpp>
-
 #include <condition_variable>
 #include <cstddef>
 #include <functional>
@@ -21,7 +19,7 @@
     /// @param capacity largest number of items held
     /// @param wake called by the pushing thread when the ring stops being empty
     BoundedRing(std::size_t capacity, std::function<void()> wake)
-        : m_items(capacity), m_wake(std::move(wake))
+        : m_capacity(capacity), m_wake(std::move(wake))
     {
     }
 
@@ -33,7 +31,7 @@
         bool wasEmpty = false;
         {
             const std::lock_guard lock(m_mutex);
-            if (m_items.full())
+            if (m_items.size() >= m_capacity)
                 return false;
             wasEmpty = m_items.empty();
             m_items.push_back(std::move(item));
@@ -50,7 +48,7 @@
         bool wasEmpty = false;
         {
             std::unique_lock lock(m_mutex);
-            m_room.wait(lock, [this] { return m_closed || !m_items.full(); });
+            m_room.wait(lock, [this] { return m_closed || m_items.size() < m_capacity; });
             if (m_closed)
                 return false;
             wasEmpty = m_items.empty();
@@ -75,9 +73,7 @@
     {
         out.clear();
         const std::lock_guard lock(m_mutex);
-        for (T &item : m_items)
-            out.push_back(std::move(item));
-        m_items.clear();
+        out.swap(m_items);
         m_room.notify_all();
     }
 
@@ -85,7 +81,8 @@
     std::mutex m_mutex;
     std::condition_variable m_room;
     bool m_closed = false;
-    boost::circular_buffer<T> m_items;
+    std::size_t m_capacity;
+    std::vector<T> m_items; ///< grows with the use, so that a large bound costs no memory
     std::function<void()> m_wake;
 };
 
--- a/packages/base/include/bilberry/base/duty.h
+++ b/packages/base/include/bilberry/base/duty.h
@@ -78,6 +78,7 @@
         m_ring.drain(m_batch);
         for (T &item : m_batch)
             m_handler(std::move(item));
+        m_batch.clear();
     }
 
     Duty &m_duty;
--- /dev/null
+++ b/tests/integration/slowcaller_test.cpp
@@ -0,0 +1,151 @@
+#include "support/fleet.h"
+
+#include "bilberry/base/digest.h"
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/read.hpp>
+#include <boost/asio/write.hpp>
+#include <catch2/catch.hpp>
+
+#include <fstream>
+
+using namespace bilberry;
+using namespace bilberry::tests;
+
+namespace {
+
+namespace asio = boost::asio;
+
+constexpr int callers = 4;
+constexpr std::size_t chunkCount = 1000;
+constexpr std::size_t chunkBytes = 50000;
+/// Of the memory that control may take in a process; each answer is larger.
+constexpr std::size_t growthLimit = 32U << 20U;
+
+std::string note()
+{
+    return "added:\n"
+           "  zones: { a: {} }\n"
+           "  pools:\n"
+           "    models: { zones: [a], coldLimit: 8, fullLimit: 8 }\n"
+           "  customers:\n"
+           "    kitchen: { share: 1, keyDigests: ["
+           + sha256Hex("kitchen-key")
+           + "] }\n"
+             "  routes:\n"
+             "    /v1: { pool: models, repeatable: always }\n"
+             "    /book: { pool: models }\n";
+}
+
+/// A caller that reads only when told to.
+class SlowCaller
+{
+public:
+    SlowCaller(std::uint16_t port, const std::string &target) : m_socket(m_context)
+    {
+        m_socket.connect({asio::ip::address_v4::loopback(), port});
+        asio::write(m_socket,
+                    asio::buffer("POST " + target
+                                 + " HTTP/1.1\r\nHost: x\r\nContent-Length: 0\r\n"
+                                   "Connection: close\r\nX-Api-Key: kitchen-key\r\nX-Tag: slow\r\n"
+                                   "X-Chunks: "
+                                 + std::to_string(chunkCount)
+                                 + "\r\nX-Bytes: " + std::to_string(chunkBytes) + "\r\n\r\n"));
+    }
+
+    /// Reads to the end of the connection.
+    std::string readAll()
+    {
+        std::string text;
+        boost::system::error_code error;
+        asio::read(m_socket, asio::dynamic_buffer(text), error);
+        return text;
+    }
+
+    void close() { m_socket.close(); }
+
+private:
+    asio::io_context m_context;
+    asio::ip::tcp::socket m_socket;
+};
+
+std::size_t residentBytes(const Process &process)
+{
+    std::ifstream status("/proc/" + std::to_string(process.id()) + "/statm");
+    std::size_t total = 0;
+    std::size_t resident = 0;
+    status >> total >> resident;
+    constexpr std::size_t pageBytes = 4096;
+    return resident * pageBytes;
+}
+
+} // namespace
+
+SCENARIO("slow callers don't fill the memory of router and agent")
+{
+    GIVEN("callers that don't read large answers")
+    {
+        FleetPlan plan;
+        plan.binaries = BILBERRY_BIN;
+        plan.routers = {"a"};
+        plan.servers = {{"model-a", "models", "a"}};
+        plan.releaseNote = note();
+        Fleet fleet(plan);
+        REQUIRE(fleet.start());
+        BackendStandin &server = fleet.backend("model-a");
+        const std::size_t routerBefore = residentBytes(fleet.router(0));
+        const std::size_t agentBefore = residentBytes(fleet.agent("model-a"));
+        const auto bounded = [&] {
+            return residentBytes(fleet.router(0)) < routerBefore + growthLimit
+                   && residentBytes(fleet.agent("model-a")) < agentBefore + growthLimit;
+        };
+
+        WHEN("they begin to read late")
+        {
+            std::vector<std::unique_ptr<SlowCaller>> slow;
+            for (int i = 0; i < callers; ++i)
+                slow.push_back(std::make_unique<SlowCaller>(fleet.callerPort(0), "/v1/chat"));
+            REQUIRE(eventually([&] { return server.running() == callers; }));
+            CHECK_FALSE(eventually([&] { return !bounded(); }, std::chrono::seconds(2)));
+            CHECK(server.running() == callers);
+
+            THEN("each gets its whole answer, and memory stays bounded")
+            {
+                for (const auto &caller : slow) {
+                    const std::string text = caller->readAll();
+                    CHECK(text.size() > chunkCount * chunkBytes);
+                    CHECK(text.ends_with("0\r\n\r\n"));
+                    CHECK(bounded());
+                }
+            }
+        }
+        WHEN("the caller of a request that may not be repeated goes away in the middle")
+        {
+            SlowCaller booking(fleet.callerPort(0), "/book");
+            REQUIRE(eventually([&] { return server.running() == 1; }));
+            booking.close();
+            THEN("the request runs to its end, and its slot is free again")
+            {
+                CHECK(eventually([&] { return server.completed() == 1; },
+                                 std::chrono::seconds(20)));
+                CHECK(eventually([&] {
+                    return fleet.admin(fleet.agentAdminPort("model-a"), "/metrics")
+                                   .find("bilberry_agent_running 0")
+                           != std::string::npos;
+                }));
+            }
+        }
+        WHEN("the caller of a request that may be repeated goes away in the middle")
+        {
+            SlowCaller chat(fleet.callerPort(0), "/v1/chat");
+            REQUIRE(eventually([&] { return server.running() == 1; }));
+            chat.close();
+            THEN("the server is relieved of it")
+            {
+                CHECK(eventually([&] { return server.running() == 0; }));
+                CHECK(server.completed() == 0);
+            }
+        }
+    }
+}
