--- a/packages/decision/include/bilberry/decision/admissioncontrol.h
+++ b/packages/decision/include/bilberry/decision/admissioncontrol.h
@@ -120,7 +120,7 @@
     bool m_startedSinceReport = false;
     std::uint32_t m_doubtfulReports = 0; ///< in a row, with starts before each
     std::uint32_t m_doubtfulOthers = 0;  ///< largest number of others that they show
-    double m_virtualTime = 0.0;
+    double m_virtualTime = 0.0; ///< of the last grant, or the largest one started without a grant
     std::unordered_map<AttemptId, AdmissionRequest> m_running;
     std::multimap<double, AdmissionRequest> m_held;
 };
--- a/packages/decision/src/admissioncontrol.cpp
+++ b/packages/decision/src/admissioncontrol.cpp
@@ -32,7 +32,10 @@
 {
     m_running.emplace(request.attempt, request);
     m_startedSinceReport = true;
-    m_virtualTime = std::max(m_virtualTime, request.virtualTime);
+    // While work waits, the grants tell how far service is: the largest virtual time would set
+    // customers back that come and go.
+    if (request.grant == 0)
+        m_virtualTime = std::max(m_virtualTime, request.virtualTime);
 }
 
 void AdmissionControl::hold(const AdmissionRequest &request)
@@ -95,6 +98,7 @@
         const auto grant = m_grants.issue(now);
         if (!grant)
             break;
+        m_virtualTime = grant->virtualTime;
         issued.push_back(*grant);
     }
     return issued;
