--- /dev/null
+++ b/packages/agent/src/agentanswers.cpp
@@ -0,0 +1,111 @@
+#include "bilberry/agent/agentcore.h"
+
+#include <algorithm>
+
+/// The part of the core that follows requests on the backend server, to their end or its crash.
+namespace bilberry::agent {
+
+void AgentCore::event(BackendHead &head, TimePoint now)
+{
+    const auto found = m_attempts.find(head.attempt);
+    if (found == m_attempts.end())
+        return;
+    found->second.firstByteAt = now;
+    send(found->second.link, wire::AnswerHead{head.attempt, head.status, std::move(head.headers)});
+}
+
+void AgentCore::event(BackendChunk &chunk, TimePoint)
+{
+    const auto found = m_attempts.find(chunk.attempt);
+    if (found == m_attempts.end())
+        return;
+    send(found->second.link,
+         wire::AnswerChunk{chunk.attempt, found->second.chunks++, std::move(chunk.data)});
+}
+
+void AgentCore::event(BackendEnd &end, TimePoint now)
+{
+    const auto found = m_attempts.find(end.attempt);
+    if (found == m_attempts.end())
+        return;
+    switch (end.outcome) {
+    case BackendOutcome::NotSent: {
+        const decision::LinkId link = found->second.link;
+        m_attempts.erase(found);
+        m_admission.finished(end.attempt, std::nullopt);
+        refuse(link, end.attempt, wire::RefusalReason::ServerDown);
+        return;
+    }
+    case BackendOutcome::Complete:
+        m_quarantine.completed(found->second.fingerprint);
+        finish(end.attempt, wire::AttemptEnd::Complete, now);
+        return;
+    case BackendOutcome::Broken:
+        m_health.broke(found->second.fingerprint);
+        finish(end.attempt, wire::AttemptEnd::Truncated, now);
+        return;
+    case BackendOutcome::Stopped:
+        finish(end.attempt, wire::AttemptEnd::Cancelled, now);
+        return;
+    }
+}
+
+void AgentCore::finish(AttemptId attempt, wire::AttemptEnd end, TimePoint now)
+{
+    const Attempt state = m_attempts[attempt];
+    m_attempts.erase(attempt);
+    const bool good = end == wire::AttemptEnd::Complete;
+    std::optional<Duration> firstByte;
+    if (good && state.firstByteAt)
+        firstByte = *state.firstByteAt - state.startedAt;
+    m_admission.finished(attempt, firstByte);
+    if (good)
+        ++m_counts.completed;
+    const double cost = m_cost({now - state.startedAt, state.chunks});
+    send(state.link, wire::AnswerEnd{attempt, end, state.chunks, cost, load()});
+}
+
+void AgentCore::event(BackendHealth &health, TimePoint now)
+{
+    if (m_health.report(health, now))
+        serverCrashed(now);
+    if (health.reachable)
+        m_admission.serverReported(health.cold, health.running);
+    updateOpen(now);
+}
+
+void AgentCore::serverCrashed(TimePoint now)
+{
+    ++m_counts.crashes;
+    ++m_crashes;
+    m_log.warning("The backend server crashed or restarted.");
+    m_admission.serverCrashed();
+    std::vector<decision::Fingerprint> inFlight = m_health.takeBroken();
+    std::vector<AttemptId> running;
+    for (const auto &[attempt, state] : m_attempts) {
+        if (!state.started)
+            continue;
+        inFlight.push_back(state.fingerprint);
+        running.push_back(attempt);
+    }
+    m_quarantine.crashed({m_incarnation, m_crashes}, inFlight, now);
+    for (const auto &[link, state] : m_links) {
+        for (const decision::Fingerprint fingerprint : inFlight) {
+            m_hooks.send(link,
+                         wire::QuarantineNotice{fingerprint, m_quarantine.crashes(fingerprint)});
+        }
+    }
+    for (const AttemptId attempt : running) {
+        m_hooks.backend(StopRequest{attempt});
+        finish(attempt, wire::AttemptEnd::ServerCrash, now);
+    }
+}
+
+bool AgentCore::suspectRuns() const
+{
+    return std::any_of(m_attempts.begin(), m_attempts.end(), [this](const auto &entry) {
+        return m_quarantine.suspects(entry.second.fingerprint);
+    });
+}
+
+} // namespace bilberry::agent
