Drop a repeated dispatch instead of refusing it; test truncated answers

Cause: a repeated Dispatch frame of a running attempt was answered by a refusal, which says 'not run'. Change: it is dropped and counted.

--- a/packages/agent/include/bilberry/agent/agentcore.h
+++ b/packages/agent/include/bilberry/agent/agentcore.h
@@ -29,6 +29,7 @@
     std::uint64_t started = 0;
     std::uint64_t completed = 0;
     std::uint64_t crashes = 0;
+    std::uint64_t repeatedDispatches = 0; ///< of attempts that are here already; dropped
     std::map<wire::RefusalReason, std::uint64_t> refused;
 };
 
--- a/packages/agent/src/agentcore.cpp
+++ b/packages/agent/src/agentcore.cpp
@@ -91,6 +91,10 @@
 
 void AgentCore::handle(decision::LinkId link, wire::Dispatch &message, TimePoint now)
 {
+    if (m_attempts.contains(message.attempt)) {
+        ++m_counts.repeatedDispatches;
+        return;
+    }
     m_admission.setDemand(link, message.demand.waiting, message.demand.nextVirtualTimes);
     if (m_quarantine.refuses(message.fingerprint)) {
         m_admission.giveBack(message.grant, link);
@@ -104,7 +108,7 @@
     }
     const bool otherLife
             = message.agentIncarnation != 0 && message.agentIncarnation != m_incarnation;
-    if (otherLife || m_attempts.contains(message.attempt)) {
+    if (otherLife) {
         refuse(link, message.attempt, wire::RefusalReason::StaleGrant);
         return;
     }
--- a/packages/agent/tests/agentcore_test.cpp
+++ b/packages/agent/tests/agentcore_test.cpp
@@ -202,6 +202,25 @@
     }
 }
 
+SCENARIO("a repeated dispatch is no refusal of the attempt that runs")
+{
+    Bench bench;
+    GIVEN("a running attempt")
+    {
+        bench.dispatch(1);
+        WHEN("its dispatch comes again")
+        {
+            bench.dispatch(1);
+            THEN("it is dropped: a refusal would say that the attempt did not run")
+            {
+                CHECK_FALSE(bench.refusal());
+                CHECK(bench.commanded<RunRequest>().size() == 1);
+                CHECK(bench.core.counts().repeatedDispatches == 1);
+            }
+        }
+    }
+}
+
 SCENARIO("a leaving server gets no new work")
 {
     Bench bench;
--- a/tests/integration/crashingrequest_test.cpp
+++ b/tests/integration/crashingrequest_test.cpp
@@ -69,6 +69,24 @@
         };
         REQUIRE(eventually(busy));
 
+        WHEN("a request makes its server break the answer off, again and again")
+        {
+            Call broken = request("broken", "20");
+            broken.headers["X-Chunks"] = "10";
+            broken.headers["X-Truncate"] = "1";
+
+            THEN("the answer never looks whole, and the server did not crash")
+            {
+                for (int i = 0; i < 4; ++i) {
+                    const Answer answer = fleet.call(0, broken);
+                    CHECK(answer.status == 0);
+                    CHECK(answer.body.find("data: broken 0") != std::string::npos);
+                }
+                CHECK(fleet.runs("broken") == 4);
+                for (std::future<Answer> &innocent : innocents)
+                    CHECK(innocent.get().status == 200);
+            }
+        }
         WHEN("one more request crashes each server that runs it")
         {
             const Answer first = fleet.call(0, crasher());
