Refuse ambiguous and bad input of callers

Cause: a slow sender was cut off without an answer, because the stream's own limit closes the socket; a close with unread bytes reset the connection and lost the refusal; framing that another server may read otherwise (Transfer-Encoding other than chunked, in HTTP/1.0, two encodings, no or two Host fields), dot segments, fields named in Connection and two idempotency keys were let through; /v1evil matched the route /v1; a refused HEAD carried a body; a connection over the limit got no answer; a truncated answer to HTTP/1.0 ended like a whole one; a caller that went away behind a pipelined request was not noticed; CallerGone and CallerDrained were lost when the core's ring was full; the agent waited for the body of an answer to HEAD.

Ruled out: waiting for room in the core's ring; the core waits for the callers' ring, so both threads could block on each other. Such events are offered again instead.

Change: request checks in callerrequest, ReadLimit, lingering close, reset of truncated answers, pipelined bytes taken into the buffer while a caller waits; routeFor matches at segment ends; the stand-in sends no body to HEAD.

--- a/packages/agent/src/backendclient.cpp
+++ b/packages/agent/src/backendclient.cpp
@@ -191,15 +191,17 @@
                                    asio::redirect_error(asio::use_awaitable, error));
         if (error)
             co_return BackendOutcome::Broken;
-        co_return co_await receive(request.attempt, running);
+        co_return co_await receive(request.attempt, running, message.method());
     }
 
-    asio::awaitable<BackendOutcome> receive(AttemptId attempt, Running &running)
+    asio::awaitable<BackendOutcome> receive(AttemptId attempt, Running &running, http::verb method)
     {
         Stream &stream = *running.stream;
         beast::flat_buffer buffer;
         AnswerParser parser;
         parser.body_limit(boost::none);
+        // The length in an answer to HEAD is that of the body left out.
+        parser.skip(method == http::verb::head);
         boost::system::error_code error;
         co_await http::async_read_header(stream, buffer, parser,
                                          asio::redirect_error(asio::use_awaitable, error));
--- a/packages/model/src/configuration.cpp
+++ b/packages/model/src/configuration.cpp
@@ -121,11 +121,23 @@
     }
 }
 
+namespace {
+
+/// A prefix matches whole segments: /v1 covers /v1 and /v1/chat, not /v1evil.
+bool covers(std::string_view prefix, std::string_view path)
+{
+    if (!path.starts_with(prefix))
+        return false;
+    return prefix.ends_with('/') || path.size() == prefix.size() || path[prefix.size()] == '/';
+}
+
+} // namespace
+
 const Route *Configuration::routeFor(std::string_view path) const
 {
     const Route *best = nullptr;
     for (const auto &[prefix, route] : m_parts.routes) {
-        if (path.starts_with(prefix) && (!best || prefix.size() > best->prefix.size()))
+        if (covers(prefix, path) && (!best || prefix.size() > best->prefix.size()))
             best = &route;
     }
     return best;
--- a/packages/router/src/callerserver.cpp
+++ b/packages/router/src/callerserver.cpp
@@ -4,6 +4,9 @@
 #include "bilberry/base/log.h"
 #include "bilberry/router/problem.h"
 
+#include "callerrequest.h"
+#include "readlimit.h"
+
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/ip/tcp.hpp>
@@ -14,8 +17,10 @@
 #include <boost/beast/core/tcp_stream.hpp>
 #include <boost/beast/http.hpp>
 
+#include <array>
 #include <charconv>
 #include <deque>
+#include <sstream>
 #include <unordered_map>
 
 namespace bilberry::router {
@@ -26,18 +31,17 @@
 
 namespace {
 
-using Stream = beast::tcp_stream;
 using RequestParser = http::request_parser<http::string_body>;
-using HttpRequest = http::request<http::string_body>;
 
 constexpr char outcomeHeader[] = "Bilberry-Outcome";
-constexpr char costHintHeader[] = "Bilberry-Cost-Hint";
-constexpr char idempotencyHeader[] = "Idempotency-Key";
-constexpr char apiKeyHeader[] = "X-Api-Key";
-constexpr std::size_t maxIdempotencyKey = 256;
 /// Bytes taken by the caller that are worth a credit message.
 constexpr std::uint32_t creditStep = 64U << 10U;
 constexpr auto writeLimit = std::chrono::seconds(60);
+/// For bytes that arrive after the last answer of a connection.
+constexpr auto lingerLimit = std::chrono::seconds(1);
+constexpr std::size_t lingerBytes = 4U << 20U;
+/// Until an event is offered again that found the core's ring full.
+constexpr auto unsentRetryDelay = std::chrono::milliseconds(5);
 
 /// Replies that wait to be written to one caller.
 struct Exchange
@@ -54,59 +58,13 @@
     return std::holds_alternative<ReplyEnd>(reply) || std::holds_alternative<ReplyRefusal>(reply);
 }
 
-/// Headers that end at this router or that it sets itself.
-bool staysHere(http::field field, beast::string_view name)
-{
-    switch (field) {
-    case http::field::authorization:
-    case http::field::connection:
-    case http::field::content_length:
-    case http::field::expect:
-    case http::field::host:
-    case http::field::keep_alive:
-    case http::field::proxy_authorization:
-    case http::field::proxy_connection:
-    case http::field::te:
-    case http::field::trailer:
-    case http::field::transfer_encoding:
-    case http::field::upgrade:
-        return true;
-    default:
-        return beast::iequals(name, apiKeyHeader) || beast::iequals(name, costHintHeader);
-    }
-}
-
-std::string presentedKey(const HttpRequest &request)
-{
-    constexpr std::string_view scheme = "Bearer ";
-    const std::string_view authorization = request[http::field::authorization];
-    if (authorization.starts_with(scheme))
-        return std::string(authorization.substr(scheme.size()));
-    return std::string(request[apiKeyHeader]);
-}
-
-std::optional<double> costHint(const HttpRequest &request)
-{
-    const std::string_view text = request[costHintHeader];
-    double hint = 0.0;
-    const auto parsed = std::from_chars(text.data(), text.data() + text.size(), hint);
-    if (text.empty() || parsed.ec != std::errc() || !(hint > 0.0))
-        return std::nullopt;
-    return hint;
-}
-
-bool hasNoBody(std::uint16_t status, http::verb method)
-{
-    return method == http::verb::head || status == 204 || status == 304;
-}
-
 RefusalKind refusalFor(const boost::system::error_code &error)
 {
     if (error == http::error::header_limit)
         return RefusalKind::HeadTooLarge;
     if (error == http::error::body_limit)
         return RefusalKind::BodyTooLarge;
-    if (error == beast::error::timeout)
+    if (error == asio::error::operation_aborted)
         return RefusalKind::SlowSender;
     return RefusalKind::MalformedRequest;
 }
@@ -119,7 +77,7 @@
         : context(context), limits(settings.callers),
           acceptor(context, asio::ip::tcp::endpoint(asio::ip::make_address(settings.listenAddress),
                                                     settings.callerPort)),
-          onEvent(std::move(onEvent)), lastRequest(randomId())
+          onEvent(std::move(onEvent)), lastRequest(randomId()), unsentTimer(context)
     {
     }
 
@@ -134,6 +92,8 @@
                                                  asio::redirect_error(asio::use_awaitable, error));
             if (!self->acceptor.is_open())
                 co_return;
+            if (!error && self->connections >= self->limits.connections)
+                refuseConnection(socket);
             if (error || self->connections >= self->limits.connections)
                 continue;
             socket.set_option(asio::ip::tcp::no_delay(true), error);
@@ -145,35 +105,76 @@
 
     static asio::awaitable<void> serve(std::shared_ptr<State> self, std::shared_ptr<Stream> stream)
     {
-        beast::flat_buffer buffer;
+        const auto buffer = std::make_shared<beast::flat_buffer>();
         bool keepAlive = true;
         while (keepAlive)
             keepAlive = co_await self->serveOne(stream, buffer);
-        boost::system::error_code ignored;
-        stream->socket().shutdown(asio::ip::tcp::socket::shutdown_send, ignored);
+        co_await linger(*stream);
         stream->close();
         --self->connections;
     }
 
+    /// Closes the sending side and drops what still arrives for a moment: a close with unread
+    /// bytes would reset the connection, and the caller could lose the refusal.
+    static asio::awaitable<void> linger(Stream &stream)
+    {
+        boost::system::error_code error;
+        stream.socket().shutdown(asio::ip::tcp::socket::shutdown_send, error);
+        std::array<char, 4096> dropped{};
+        stream.expires_after(lingerLimit);
+        for (std::size_t total = 0; !error && total < lingerBytes;)
+            total += co_await stream.async_read_some(
+                    asio::buffer(dropped), asio::redirect_error(asio::use_awaitable, error));
+    }
+
+    /// Resets the connection, so that an answer without a length can't look complete.
+    static void cut(Stream &stream)
+    {
+        boost::system::error_code ignored;
+        stream.socket().set_option(asio::socket_base::linger(true, 0), ignored);
+        stream.close();
+    }
+
+    /// Tells a caller beyond the limit so, without waiting.
+    static void refuseConnection(asio::ip::tcp::socket &socket)
+    {
+        const Problem problem
+                = makeProblem({0, RefusalKind::Overloaded, RequestOutcome::NotRun, 1, ""});
+        http::response<http::string_body> response(http::status(problem.status), 11);
+        describe(response, problem, RequestOutcome::NotRun, 1);
+        response.keep_alive(false);
+        response.prepare_payload();
+        std::ostringstream text;
+        text << response;
+        boost::system::error_code ignored;
+        socket.non_blocking(true, ignored);
+        socket.write_some(asio::buffer(text.str()), ignored);
+        socket.shutdown(asio::ip::tcp::socket::shutdown_send, ignored);
+    }
+
     // One request.
 
     /// @return true when another request may follow on the connection
-    asio::awaitable<bool> serveOne(std::shared_ptr<Stream> stream, beast::flat_buffer &buffer)
+    asio::awaitable<bool> serveOne(std::shared_ptr<Stream> stream,
+                                   std::shared_ptr<beast::flat_buffer> buffer)
     {
-        if (buffer.size() == 0 && !co_await waitForBytes(*stream))
+        if (buffer->size() == 0 && !co_await waitForBytes(stream))
             co_return false;
         RequestParser parser;
         parser.header_limit(static_cast<std::uint32_t>(limits.headBytes));
         parser.body_limit(limits.bodyBytes);
         boost::system::error_code error;
-        stream->expires_after(limits.headLimit);
-        co_await http::async_read_header(*stream, buffer, parser,
-                                         asio::redirect_error(asio::use_awaitable, error));
+        stream->expires_never();
+        {
+            const ReadLimit limit(stream, limits.headLimit);
+            co_await http::async_read_header(*stream, *buffer, parser,
+                                             asio::redirect_error(asio::use_awaitable, error));
+        }
         if (error == http::error::end_of_stream)
             co_return false;
         if (!error) {
-            stream->expires_after(limits.bodyLimit);
-            co_await http::async_read(*stream, buffer, parser,
+            const ReadLimit limit(stream, limits.bodyLimit);
+            co_await http::async_read(*stream, *buffer, parser,
                                       asio::redirect_error(asio::use_awaitable, error));
         }
         if (error) {
@@ -187,61 +188,32 @@
         if (refusal) {
             const ReplyRefusal reply{0, *refusal, RequestOutcome::NotRun,
                                      *refusal == RefusalKind::NoConfiguration ? 1U : 0U, ""};
-            co_return co_await refuse(*stream, reply, request.keep_alive());
+            co_return co_await refuse(*stream, reply, request.keep_alive(), request.method());
         }
-        co_return co_await exchange(stream, request, std::move(submit));
+        co_return co_await exchange(stream, buffer, request, std::move(submit));
     }
 
-    asio::awaitable<bool> waitForBytes(Stream &stream)
+    asio::awaitable<bool> waitForBytes(std::shared_ptr<Stream> stream)
     {
         boost::system::error_code error;
-        asio::steady_timer timer(context, limits.idleLimit);
-        timer.async_wait([&stream](boost::system::error_code cancelled) {
-            if (!cancelled)
-                stream.close();
-        });
-        co_await stream.socket().async_wait(asio::ip::tcp::socket::wait_read,
-                                            asio::redirect_error(asio::use_awaitable, error));
-        timer.cancel();
+        const ReadLimit limit(stream, limits.idleLimit);
+        co_await stream->socket().async_wait(asio::ip::tcp::socket::wait_read,
+                                             asio::redirect_error(asio::use_awaitable, error));
         co_return !error && !draining;
     }
 
     std::optional<RefusalKind> check(const HttpRequest &request, Submit &submit) const
     {
+        if (!isWellFormed(request))
+            return RefusalKind::MalformedRequest;
         if (draining)
             return RefusalKind::Stopping;
-        const std::string key = presentedKey(request);
-        if (key.empty())
-            return RefusalKind::MissingKey;
-        if (!configuration || configuration->revision() == 0)
-            return RefusalKind::NoConfiguration;
-        const Customer *customer = configuration->customerByKey(sha256Hex(key));
-        if (!customer)
-            return RefusalKind::UnknownKey;
-        const std::string target(request.target());
-        const Route *route = configuration->routeFor(target.substr(0, target.find('?')));
-        if (!route)
-            return RefusalKind::UnknownRoute;
-        if (request[idempotencyHeader].size() > maxIdempotencyKey)
-            return RefusalKind::MalformedRequest;
-        submit.customer = customer->id;
-        submit.pool = route->pool;
-        submit.method = std::string(request.method_string());
-        submit.mayRepeat = bilberry::mayRepeat(*route, submit.method);
-        submit.idempotencyKey = std::string(request[idempotencyHeader]);
-        submit.costHint = costHint(request);
-        submit.target = target;
-        for (const auto &field : request.base()) {
-            if (!staysHere(field.name(), field.name_string()))
-                submit.headers.push_back(
-                        {std::string(field.name_string()), std::string(field.value())});
-        }
-        submit.body = request.body();
-        return std::nullopt;
+        return authorize(request, configuration.get(), submit);
     }
 
-    asio::awaitable<bool> exchange(std::shared_ptr<Stream> stream, const HttpRequest &request,
-                                   Submit submit)
+    asio::awaitable<bool> exchange(std::shared_ptr<Stream> stream,
+                                   std::shared_ptr<beast::flat_buffer> buffer,
+                                   const HttpRequest &request, Submit submit)
     {
         const RequestId id = ++lastRequest;
         submit.request = id;
@@ -250,10 +222,10 @@
         if (!onEvent(std::move(submit))) {
             exchanges.erase(id);
             const ReplyRefusal refusal{id, RefusalKind::Overloaded, RequestOutcome::NotRun, 1, ""};
-            co_return co_await refuse(*stream, refusal, request.keep_alive());
+            co_return co_await refuse(*stream, refusal, request.keep_alive(), request.method());
         }
         stream->expires_never();
-        asio::co_spawn(context, watchCaller(shared_from_this(), id, stream, exchange),
+        asio::co_spawn(context, watchCaller(shared_from_this(), id, stream, exchange, buffer),
                        asio::detached);
         const bool keepAlive = co_await answer(*stream, request, id, *exchange);
         exchanges.erase(id);
@@ -263,23 +235,31 @@
         co_return keepAlive;
     }
 
-    /// Notices a caller that closes its connection while it waits.
+    /// Notices a caller that closes its connection while it waits. Pipelined requests are taken
+    /// into the buffer, so that an end behind them is seen; beyond one head's size the caller is no
+    /// longer watched.
     static asio::awaitable<void> watchCaller(std::shared_ptr<State> self, RequestId id,
                                              std::shared_ptr<Stream> stream,
-                                             std::shared_ptr<Exchange> exchange)
+                                             std::shared_ptr<Exchange> exchange,
+                                             std::shared_ptr<beast::flat_buffer> buffer)
     {
-        boost::system::error_code error;
-        co_await stream->socket().async_wait(asio::ip::tcp::socket::wait_read,
-                                             asio::redirect_error(asio::use_awaitable, error));
-        if (error || !self->exchanges.contains(id))
-            co_return;
-        char byte = 0;
-        stream->socket().non_blocking(true, error);
-        const std::size_t size = stream->socket().receive(
-                asio::buffer(&byte, 1), asio::ip::tcp::socket::message_peek, error);
-        // A pipelined request is no goodbye; the caller is then no longer watched.
-        if (!error && size > 0)
-            co_return;
+        for (;;) {
+            boost::system::error_code error;
+            co_await stream->socket().async_wait(asio::ip::tcp::socket::wait_read,
+                                                 asio::redirect_error(asio::use_awaitable, error));
+            if (error || !self->exchanges.contains(id))
+                co_return;
+            if (buffer->size() >= self->limits.headBytes)
+                co_return;
+            stream->socket().non_blocking(true, error);
+            const std::size_t room = self->limits.headBytes - buffer->size();
+            const std::size_t size = stream->socket().read_some(buffer->prepare(room), error);
+            if (error == asio::error::would_block)
+                continue;
+            if (error || size == 0)
+                break;
+            buffer->commit(size);
+        }
         exchange->callerGone = true;
         exchange->wake.cancel();
     }
@@ -303,7 +283,7 @@
         }
         if (auto *refusal = std::get_if<ReplyRefusal>(&exchange.replies.front())) {
             const ReplyRefusal reply = std::move(*refusal);
-            co_return co_await refuse(stream, reply, request.keep_alive());
+            co_return co_await refuse(stream, reply, request.keep_alive(), request.method());
         }
         const ReplyHead head = std::get<ReplyHead>(std::move(exchange.replies.front()));
         exchange.replies.pop_front();
@@ -329,8 +309,11 @@
                                       const ReplyHead &head, Exchange &exchange)
     {
         const auto *end = std::get_if<ReplyEnd>(&exchange.replies.back());
-        if (!end || !end->complete)
-            co_return false;
+        if (!end || !end->complete) {
+            const ReplyRefusal refusal{head.request, RefusalKind::ServerFailed,
+                                       RequestOutcome::Unknown, 0, ""};
+            co_return co_await refuse(stream, refusal, request.keep_alive(), request.method());
+        }
         auto response = makeHead<http::string_body>(request, head);
         for (CallerReply &reply : exchange.replies) {
             if (auto *chunk = std::get_if<ReplyChunk>(&reply))
@@ -369,13 +352,15 @@
                 co_await writeData(stream, data, chunked, error);
                 undeclared += static_cast<std::uint32_t>(data.size());
                 if (!error && undeclared >= creditStep)
-                    static_cast<void>(onEvent(CallerDrained{id, std::exchange(undeclared, 0)}));
+                    tell(CallerDrained{id, std::exchange(undeclared, 0)});
                 continue;
             }
             const auto *end = std::get_if<ReplyEnd>(&exchange.replies.front());
-            // An answer that broke off must not look complete: the connection is cut.
-            if (!end || !end->complete)
+            // An answer that broke off must not look complete.
+            if (!end || !end->complete) {
+                cut(stream);
                 co_return false;
+            }
             if (chunked)
                 co_await asio::async_write(stream, http::make_chunk_last(),
                                            asio::redirect_error(asio::use_awaitable, error));
@@ -410,19 +395,54 @@
         return data;
     }
 
-    void tellGone(RequestId id) { static_cast<void>(onEvent(CallerGone{id})); }
+    void tellGone(RequestId id) { tell(CallerGone{id}); }
 
-    asio::awaitable<bool> refuse(Stream &stream, ReplyRefusal refusal, bool keepAlive)
+    /// Hands an event over that must not be lost. Waiting for room could block this thread and the
+    /// core's on each other, so the event is offered again later. Both kinds are small, and there
+    /// is one of them for each piece of an answer that the core sent before.
+    template <typename Event>
+    void tell(const Event &event)
+    {
+        if (unsent.empty() && onEvent(Event(event)))
+            return;
+        unsent.emplace_back(event);
+        if (unsent.size() == 1)
+            retryUnsent();
+    }
+
+    void retryUnsent()
+    {
+        unsentTimer.expires_after(unsentRetryDelay);
+        unsentTimer.async_wait([self = shared_from_this()](boost::system::error_code error) {
+            if (error)
+                return;
+            while (!self->unsent.empty() && self->onEvent(CallerEvent(self->unsent.front())))
+                self->unsent.pop_front();
+            if (!self->unsent.empty())
+                self->retryUnsent();
+        });
+    }
+
+    static void describe(http::response<http::string_body> &response, const Problem &problem,
+                         RequestOutcome outcome, std::uint32_t retryAfterSeconds)
     {
-        const Problem problem = makeProblem(refusal);
-        http::response<http::string_body> response(http::status(problem.status), 11);
         response.set(http::field::content_type, "application/problem+json");
-        response.set(outcomeHeader, toText(refusal.outcome));
-        if (refusal.retryAfterSeconds > 0)
-            response.set(http::field::retry_after, std::to_string(refusal.retryAfterSeconds));
+        response.set(outcomeHeader, toText(outcome));
+        if (retryAfterSeconds > 0)
+            response.set(http::field::retry_after, std::to_string(retryAfterSeconds));
         response.body() = problem.body;
+    }
+
+    asio::awaitable<bool> refuse(Stream &stream, ReplyRefusal refusal, bool keepAlive,
+                                 http::verb method = http::verb::unknown)
+    {
+        const Problem problem = makeProblem(refusal);
+        http::response<http::string_body> response(http::status(problem.status), 11);
+        describe(response, problem, refusal.outcome, refusal.retryAfterSeconds);
         response.keep_alive(keepAlive);
         response.prepare_payload();
+        if (method == http::verb::head)
+            response.body().clear();
         boost::system::error_code error;
         stream.expires_after(writeLimit);
         co_await http::async_write(stream, response,
@@ -435,6 +455,8 @@
     asio::ip::tcp::acceptor acceptor;
     EventHook onEvent;
     RequestId lastRequest;
+    asio::steady_timer unsentTimer;
+    std::deque<CallerEvent> unsent; ///< events that found the core's ring full
     std::size_t connections = 0;
     bool draining = false;
     ConfigurationPtr configuration;
--- a/tests/support/backendstandin.cpp
+++ b/tests/support/backendstandin.cpp
@@ -160,6 +160,8 @@
                 = std::string(request["X-Tag"])
                   + std::string(static_cast<std::size_t>(number(request, "X-Bytes", 0)), 'x');
         response.prepare_payload();
+        if (request.method() == http::verb::head)
+            response.body().clear();
         boost::system::error_code error;
         co_await http::async_write(stream, response,
                                    asio::redirect_error(asio::use_awaitable, error));
--- /dev/null
+++ b/tests/support/rawcaller.h
@@ -0,0 +1,46 @@
+#ifndef BILBERRY_TESTS_RAWCALLER_H
+#define BILBERRY_TESTS_RAWCALLER_H
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+
+#include <cstdint>
+#include <string>
+
+namespace bilberry::tests {
+
+/// What came on a connection until it ended.
+struct RawAnswer
+{
+    std::string text;
+    bool closed = false; ///< the peer closed in an orderly way
+    bool reset = false;  ///< the peer reset the connection
+
+    /// @return status of the first answer, 0 when there is none
+    int status() const;
+    /// @return number of answers
+    std::size_t answers() const;
+    bool contains(const std::string &part) const { return text.find(part) != std::string::npos; }
+};
+
+/// A connection that sends any bytes; each call blocks for 20 seconds at the most.
+class RawCaller
+{
+public:
+    explicit RawCaller(std::uint16_t port);
+
+    void send(const std::string &bytes);
+    /// Reads until the text holds a part or the connection ends.
+    RawAnswer readUntil(const std::string &part);
+    /// Reads until the connection ends.
+    RawAnswer readAll() { return readUntil(""); }
+    void close();
+
+private:
+    boost::asio::io_context m_context;
+    boost::asio::ip::tcp::socket m_socket;
+};
+
+} // namespace bilberry::tests
+
+#endif
