--- a/packages/platform/src/httpobjectstore.cpp
+++ b/packages/platform/src/httpobjectstore.cpp
@@ -27,6 +27,8 @@
 
 constexpr std::size_t maxIdleConnections = 8;
 constexpr std::size_t maxAnswerSize = 64U << 20U;
+/// Largest value that the platform holds, in bytes.
+constexpr std::size_t maxValueSize = 1U << 20U;
 
 /// Whether an unanswered call leaves the outcome open.
 enum class CallEffect { Read, Write };
@@ -107,8 +109,7 @@
         return PlatformErrc::TooLarge;
     case http::status::too_many_requests:
         return PlatformErrc::RateLimited;
-    case http::status::service_unavailable:
-        return PlatformErrc::Unavailable;
+    // A 503 may come from a gateway that lost the answer to a write.
     default:
         return effect == CallEffect::Write ? PlatformErrc::OutcomeUnknown
                                            : PlatformErrc::Unavailable;
@@ -179,6 +180,8 @@
 
     Awaitable<Result<ObjectVersion>> create(std::string name, std::string value) override
     {
+        if (value.size() > maxValueSize)
+            co_return PlatformErrc::TooLarge;
         HttpRequest request = objectRequest(http::verb::put, name);
         request.set(http::field::if_none_match, "*");
         request.body() = std::move(value);
@@ -190,6 +193,8 @@
     Awaitable<Result<ObjectVersion>> update(std::string name, ObjectVersion expected,
                                             std::string value) override
     {
+        if (value.size() > maxValueSize)
+            co_return PlatformErrc::TooLarge;
         HttpRequest request = objectRequest(http::verb::put, name);
         request.set(http::field::if_match, quoted(expected));
         request.body() = std::move(value);
@@ -258,6 +263,22 @@
         request.set(http::field::host, m_settings.address);
         request.prepare_payload();
         const TimePoint deadline = Clock::now() + limit;
+        bool reused = !m_idle.empty();
+        auto response = co_await send(request, deadline, effect);
+        // The platform may close an idle connection just as it is used again.
+        while (!response && reused && effect == CallEffect::Read && Clock::now() < deadline) {
+            reused = !m_idle.empty();
+            response = co_await send(request, deadline, effect);
+        }
+        if (response
+            && http::to_status_class(response.value().result()) != http::status_class::successful)
+            co_return errorOf(response.value(), effect);
+        co_return response;
+    }
+
+    Awaitable<Result<HttpResponse>> send(const HttpRequest &request, TimePoint deadline,
+                                         CallEffect effect)
+    {
         auto stream = co_await connection(deadline);
         if (!stream)
             co_return PlatformErrc::Unavailable;
@@ -265,9 +286,6 @@
         auto response = co_await exchange(*stream, request, effect);
         if (response && response.value().keep_alive() && m_idle.size() < maxIdleConnections)
             m_idle.push_back(std::move(stream));
-        if (response
-            && http::to_status_class(response.value().result()) != http::status_class::successful)
-            co_return errorOf(response.value(), effect);
         co_return response;
     }
 
