--- a/packages/model/src/configuration.cpp
+++ b/packages/model/src/configuration.cpp
@@ -1,6 +1,7 @@
 #include "bilberry/model/configuration.h"
 
 #include "bilberry/base/digest.h"
+#include "bilberry/base/settings.h"
 
 #include <algorithm>
 #include <cmath>
@@ -9,24 +10,25 @@
 
 namespace {
 
-constexpr std::size_t maxIdentifierLength = 64;
 constexpr std::size_t digestLength = 64;
 
-bool isIdentifier(const std::string &text)
-{
-    const auto allowed = [](char c) {
-        return (c >= 'a' && c <= 'z') || (c >= '0' && c <= '9') || c == '.' || c == '-' || c == '_';
-    };
-    return !text.empty() && text.size() <= maxIdentifierLength
-           && std::all_of(text.begin(), text.end(), allowed);
-}
-
 bool isDigest(const std::string &text)
 {
     return text.size() == digestLength
            && text.find_first_not_of("0123456789abcdef") == std::string::npos;
 }
 
+/// A prefix ends at the end of a path segment, so that "/v1" does not match "/v10".
+bool matches(std::string_view prefix, std::string_view path)
+{
+    if (!path.starts_with(prefix))
+        return false;
+    if (path.size() == prefix.size() || prefix.ends_with('/'))
+        return true;
+    const char next = path[prefix.size()];
+    return next == '/' || next == '?';
+}
+
 void checkIdentifier(const std::string &id, const std::string &subject, ModelFaults &faults)
 {
     if (!isIdentifier(id))
@@ -121,23 +123,11 @@
     }
 }
 
-namespace {
-
-/// A prefix matches whole segments: /v1 covers /v1 and /v1/chat, not /v1evil.
-bool covers(std::string_view prefix, std::string_view path)
-{
-    if (!path.starts_with(prefix))
-        return false;
-    return prefix.ends_with('/') || path.size() == prefix.size() || path[prefix.size()] == '/';
-}
-
-} // namespace
-
 const Route *Configuration::routeFor(std::string_view path) const
 {
     const Route *best = nullptr;
     for (const auto &[prefix, route] : m_parts.routes) {
-        if (covers(prefix, path) && (!best || prefix.size() > best->prefix.size()))
+        if (matches(prefix, path) && (!best || prefix.size() > best->prefix.size()))
             best = &route;
     }
     return best;
--- a/packages/router/src/routercore.cpp
+++ b/packages/router/src/routercore.cpp
@@ -3,6 +3,8 @@
 #include "bilberry/base/digest.h"
 #include "bilberry/decision/rendezvous.h"
 
+#include <algorithm>
+
 namespace bilberry::router {
 
 namespace {
@@ -120,7 +122,8 @@
         return;
     Request &request = found->second;
     request.callerGone = true;
-    if (request.stage == Stage::Queued && !request.claimHeld) {
+    if (request.stage == Stage::Queued) {
+        finishClaim(request, false);
         const PoolId pool = request.submit.pool;
         const CustomerId customer = request.submit.customer;
         poolQueue(pool).queue.remove(gone.request);
@@ -128,10 +131,14 @@
         m_requests.erase(found);
         return;
     }
+    if (request.stage != Stage::Running)
+        return;
     // A request that may not be repeated runs to its end: cutting it off would leave its outcome
-    // open.
-    if (request.stage == Stage::Running && request.submit.mayRepeat)
+    // open. Nobody reads its answer, so that it must not wait for credit.
+    if (request.submit.mayRepeat)
         m_hooks.send(request.server, wire::Cancel{request.attempt});
+    else
+        m_hooks.send(request.server, wire::AnswerCredit{request.attempt, wire::unlimitedCredit});
 }
 
 void RouterCore::event(CallerDrained &drained, TimePoint)
@@ -167,7 +174,8 @@
     m_requestOf[request.attempt] = id;
     m_charges.dispatch(request.attempt, key, share(request.submit.customer),
                        m_estimator.estimate(key, request.submit.costHint));
-    m_ledger.raiseFrontier(key.pool, virtualTime);
+    if (grant == 0)
+        m_ledger.raiseFrontier(key.pool, virtualTime);
     m_placement.noteDispatch(server);
     wire::Dispatch message;
     message.attempt = request.attempt;
@@ -176,11 +184,16 @@
     message.customer = request.submit.customer;
     message.virtualTime = virtualTime;
     message.fingerprint = request.fingerprint;
+    message.mayRepeat = request.submit.mayRepeat;
     message.method = request.submit.method;
     message.target = request.submit.target;
     message.headers = request.submit.headers;
     message.body = request.submit.body;
     message.demand = demand(key.pool, now);
+    // The agent runs a suspect apart from others, so it has to know before.
+    if (m_quarantine.suspects(request.fingerprint))
+        m_hooks.send(server, wire::QuarantineNotice{request.fingerprint,
+                                                    m_quarantine.crashes(request.fingerprint)});
     m_hooks.send(server, std::move(message));
 }
 
@@ -326,7 +339,10 @@
     const Agent &agent = m_agents[server];
     m_placement.update(server, {agent.pool, agent.zone, load.window, load.running, load.held,
                                 load.accepting, load.contended});
-    m_ledger.raiseFrontier(agent.pool, load.virtualTime);
+    if (load.contended)
+        m_ledger.setFrontier(agent.pool, load.virtualTime);
+    else
+        m_ledger.raiseFrontier(agent.pool, load.virtualTime);
 }
 
 void RouterCore::handle(const ServerId &server, wire::AgentHeartbeat &message, TimePoint)
@@ -515,13 +531,26 @@
 void RouterCore::handle(const ServerId &, wire::QuarantineNotice &message, TimePoint now)
 {
     const bool before = m_quarantine.refuses(message.fingerprint);
-    m_quarantine.merge(message.fingerprint, message.crashes, now);
-    m_hooks.quarantined(message);
-    if (before || !m_quarantine.refuses(message.fingerprint))
+    const bool changed = m_quarantine.merge(message.fingerprint, message.crashes, now);
+    const wire::QuarantineNotice known{message.fingerprint,
+                                       m_quarantine.crashes(message.fingerprint)};
+    const bool reached = !before && m_quarantine.refuses(message.fingerprint);
+    // All routers linked to the agent hear of the crash. Only the one whose request it was passes
+    // the suspicion on, so that a crash costs one round of gossip for each request.
+    if (changed && (reached || runs(message.fingerprint)))
+        m_hooks.quarantined(known);
+    if (!reached)
         return;
     m_log.warning("A request is in quarantine after it crashed servers.");
     for (const auto &[server, agent] : m_agents)
-        m_hooks.send(server, wire::QuarantineNotice(message));
+        m_hooks.send(server, wire::QuarantineNotice(known));
+}
+
+bool RouterCore::runs(decision::Fingerprint fingerprint) const
+{
+    return std::any_of(m_requests.begin(), m_requests.end(), [&](const auto &entry) {
+        return entry.second.stage == Stage::Running && entry.second.fingerprint == fingerprint;
+    });
 }
 
 void RouterCore::mergeQuarantine(const wire::QuarantineNotice &notice, TimePoint now)
@@ -530,8 +559,10 @@
     m_quarantine.merge(notice.fingerprint, notice.crashes, now);
     if (before || !m_quarantine.refuses(notice.fingerprint))
         return;
+    const wire::QuarantineNotice known{notice.fingerprint,
+                                       m_quarantine.crashes(notice.fingerprint)};
     for (const auto &[server, agent] : m_agents)
-        m_hooks.send(server, wire::QuarantineNotice(notice));
+        m_hooks.send(server, wire::QuarantineNotice(known));
 }
 
 std::vector<wire::QuarantineNotice> RouterCore::quarantineEntries() const
