Check an offered configuration against the platform

Cause: any configuration with a higher revision that came through PUT /v1/configuration or from a peer was put in force, also one that the platform never accepted; being the highest it stayed. A watch that ended without a change proved the revision in force, not the one that the head names.

Ruled out: a read of the head for each fetch from a peer (reads would grow with the fleet).

Change: an operator's offer, and a peer's revision without a proof, lead to one read of the head after a random delay of up to 200 ms, in which the watch or a proved peer mostly brings it. A proof comes from the platform alone, so a proved revision is taken from a peer at once; the proof now travels with the news. Without the platform the sender is trusted, as a comment says. An agent takes an operator's word only while no router is linked.

--- a/packages/agent/include/bilberry/agent/agentcore.h
+++ b/packages/agent/include/bilberry/agent/agentcore.h
@@ -47,6 +47,9 @@
     /// Heartbeats, expiry and changes of state; called every 50 ms.
     void tick(TimePoint now);
 
+    /// @return whether some router's link is up
+    bool hasRouter() const { return !m_links.empty(); }
+
     /// Puts a configuration in force unless it is older than the present one.
     void offerConfiguration(const Configuration &configuration, TimePoint now);
 
--- a/packages/agent/src/agent.cpp
+++ b/packages/agent/src/agent.cpp
@@ -160,7 +160,12 @@
             const Result<Configuration> offered = decodeConfiguration(request.body);
             if (!offered)
                 return {400, "{}"};
-            onCore([&] { core.offerConfiguration(offered.value(), Clock::now()); });
+            // Routers ask the platform before they pass a configuration on; an agent can't, and
+            // takes an operator's word only while no router is linked.
+            onCore([&] {
+                if (!core.hasRouter())
+                    core.offerConfiguration(offered.value(), Clock::now());
+            });
             return {200, "{}"};
         }
         const ConfigurationPtr present = onCore([this] { return core.configuration(); });
--- a/packages/router/include/bilberry/router/coordinator.h
+++ b/packages/router/include/bilberry/router/coordinator.h
@@ -24,8 +24,8 @@
     std::function<void(const wire::QuarantineNotice &)> quarantine;
     /// The stamp for the agents changed or is due again; it was made at the given time.
     std::function<void(const wire::ConfigurationStamp &, TimePoint)> stamp;
-    /// A peer has a newer configuration.
-    std::function<void(const RouterId &)> fetchConfiguration;
+    /// A peer has a newer configuration, with or without a proof from the platform.
+    std::function<void(const RouterId &, bool proven)> fetchConfiguration;
     /// Whether this router shall watch the configuration at the platform.
     std::function<void(bool)> watch;
 };
@@ -46,7 +46,8 @@
     void spreadQuarantine(const std::vector<wire::QuarantineNotice> &notices, TimePoint now);
 
     /// A revision was put in force here.
-    void inForce(Revision revision, TimePoint now);
+    /// @param provenAt when the platform named it as the newest one, if it did
+    void inForce(Revision revision, std::optional<TimePoint> provenAt, TimePoint now);
     /// The platform proved a revision to be the newest.
     /// @param at when the platform was asked
     void proof(Revision revision, TimePoint at, TimePoint now);
--- a/packages/router/include/bilberry/router/platformduty.h
+++ b/packages/router/include/bilberry/router/platformduty.h
@@ -11,13 +11,16 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 
 namespace bilberry::router {
 
 /// What the platform's duty tells the others; all calls come on its event loop.
 struct PlatformDutyHooks
 {
-    std::function<void(ConfigurationPtr)> configuration;
+    /// A configuration is in force from now on.
+    /// @param provenAt when the platform named it as the newest one, if it did
+    std::function<void(ConfigurationPtr, std::optional<TimePoint> provenAt)> configuration;
     /// The revision was the newest one at the given time.
     std::function<void(Revision, TimePoint at)> proof;
     std::function<void()> failed;
@@ -40,9 +43,10 @@
     void setWatch(bool watch) { m_watch = watch; }
 
     /// Takes the newer configuration of a peer.
-    void fetchFrom(const RouterId &peer);
+    /// @param proven whether the peer has a proof from the platform for it
+    void fetchFrom(const RouterId &peer, bool proven);
 
-    /// Puts a configuration in force that a peer or an operator handed over.
+    /// Takes a configuration that an operator handed over, after a look at the platform.
     void offer(ConfigurationPtr configuration);
 
     /// Hands a command to the claims.
@@ -52,7 +56,10 @@
     platform::Awaitable<void> watchLoop();
     platform::Awaitable<void> watchOnce();
     platform::Awaitable<void> listLoop();
-    platform::Awaitable<void> fetch(admin::AdminEndpoint endpoint);
+    platform::Awaitable<void> fetch(admin::AdminEndpoint endpoint, bool proven);
+    platform::Awaitable<void> check(ConfigurationPtr configuration);
+    void take(const platform::AcceptedConfiguration &accepted, TimePoint askedAt);
+    void putInForce(ConfigurationPtr configuration, std::optional<TimePoint> provenAt);
     platform::Awaitable<void> pause(Duration duration);
 
     boost::asio::io_context &m_context;
@@ -63,7 +70,8 @@
     platform::ConfigurationStore m_configurations;
     ClaimDesk m_claims;
     platform::ObjectVersion m_headVersion = 0;
-    Revision m_revision = 0;
+    Revision m_headRevision = 0; ///< that the head of m_headVersion names
+    Revision m_revision = 0;     ///< in force
     bool m_watch = true;
     bool m_fetching = false;
     std::map<RouterId, admin::AdminEndpoint> m_peers;
--- a/packages/router/src/coordinator.cpp
+++ b/packages/router/src/coordinator.cpp
@@ -81,7 +81,7 @@
 void Coordinator::hintRevision(const RouterId &from, const wire::ConfigurationStamp &stamp)
 {
     if (stamp.revision > m_freshness.revision())
-        m_hooks.fetchConfiguration(from);
+        m_hooks.fetchConfiguration(from, stamp.proofAgeMs != noProof);
 }
 
 void Coordinator::handle(const wire::ServiceReport &report, TimePoint now)
@@ -184,9 +184,12 @@
         m_hooks.send(router, wire::QuarantineGossip{self(), notices});
 }
 
-void Coordinator::inForce(Revision revision, TimePoint now)
+void Coordinator::inForce(Revision revision, std::optional<TimePoint> provenAt, TimePoint now)
 {
     m_freshness.inForce(revision);
+    // The proof goes out with the news, so that peers need not ask the platform themselves.
+    if (provenAt)
+        proof(revision, *provenAt, now);
     sendStamp(now);
     sendProbes(now);
 }
--- a/packages/router/src/platformduty.cpp
+++ b/packages/router/src/platformduty.cpp
@@ -20,6 +20,7 @@
 constexpr Duration idlePause = std::chrono::milliseconds(200);
 constexpr Duration firstBackoff = std::chrono::milliseconds(100);
 constexpr Duration longestBackoff = std::chrono::seconds(1);
+constexpr Duration checkDelay = std::chrono::milliseconds(200);
 constexpr Duration fetchLimit = std::chrono::seconds(2);
 
 } // namespace
@@ -70,7 +71,7 @@
         // The platform looks again at the end of the wait. An answer that came earlier tells of
         // no time after the call's start.
         const bool waited = Clock::now() - start >= watchLimit;
-        m_hooks.proof(m_revision, waited ? start + watchLimit : start);
+        m_hooks.proof(m_headRevision, waited ? start + watchLimit : start);
         co_return;
     }
     if (!loaded) {
@@ -79,21 +80,56 @@
         co_await pause(firstBackoff + longestBackoff * static_cast<long>(randomId() % 100) / 100);
         co_return;
     }
-    m_headVersion = loaded.value().version;
-    offer(loaded.value().configuration);
-    if (loaded.value().configuration->revision() == m_revision)
-        m_hooks.proof(m_revision, start);
+    take(loaded.value(), start);
     if (m_headVersion == 0)
         co_await pause(idlePause);
 }
 
-void PlatformDuty::offer(ConfigurationPtr configuration)
+void PlatformDuty::take(const platform::AcceptedConfiguration &accepted, TimePoint askedAt)
+{
+    m_headVersion = accepted.version;
+    m_headRevision = accepted.configuration->revision();
+    putInForce(accepted.configuration, askedAt);
+    m_hooks.proof(m_headRevision, askedAt);
+}
+
+void PlatformDuty::putInForce(ConfigurationPtr configuration, std::optional<TimePoint> provenAt)
 {
     if (configuration->revision() <= m_revision)
         return;
     m_revision = configuration->revision();
     m_log.info("Configuration revision " + std::to_string(m_revision) + " is in force.");
-    m_hooks.configuration(std::move(configuration));
+    m_hooks.configuration(std::move(configuration), provenAt);
+}
+
+void PlatformDuty::offer(ConfigurationPtr configuration)
+{
+    if (configuration->revision() > m_revision)
+        asio::co_spawn(m_context, check(std::move(configuration)), asio::detached);
+}
+
+platform::Awaitable<void> PlatformDuty::check(ConfigurationPtr configuration)
+{
+    // Mostly the watch or a peer with a proof is faster, and the platform is not asked at all.
+    co_await pause(checkDelay * static_cast<long>(randomId() % 100) / 100);
+    if (configuration->revision() <= m_revision)
+        co_return;
+    const TimePoint start = Clock::now();
+    const auto loaded = co_await m_configurations.load();
+    if (loaded) {
+        // A head behind the offer means that the platform never accepted it, or that the read is
+        // stale. The watch brings it in the second case.
+        if (loaded.value().configuration->revision() >= m_headRevision)
+            take(loaded.value(), start);
+        if (configuration->revision() > m_revision)
+            m_log.warning("Revision " + std::to_string(configuration->revision())
+                          + " was offered, but the platform does not know it.");
+        co_return;
+    }
+    // Without the platform the sender is trusted: it is an operator's client or a router, within
+    // the network that serves the operators' port. An accepted order must reach a fleet whose
+    // platform failed right after it; a false revision would stay until a higher one.
+    putInForce(std::move(configuration), std::nullopt);
 }
 
 platform::Awaitable<void> PlatformDuty::listLoop()
@@ -111,16 +147,16 @@
     }
 }
 
-void PlatformDuty::fetchFrom(const RouterId &peer)
+void PlatformDuty::fetchFrom(const RouterId &peer, bool proven)
 {
     const auto endpoint = m_peers.find(peer);
     if (m_fetching || endpoint == m_peers.end())
         return;
     m_fetching = true;
-    asio::co_spawn(m_context, fetch(endpoint->second), asio::detached);
+    asio::co_spawn(m_context, fetch(endpoint->second, proven), asio::detached);
 }
 
-platform::Awaitable<void> PlatformDuty::fetch(admin::AdminEndpoint endpoint)
+platform::Awaitable<void> PlatformDuty::fetch(admin::AdminEndpoint endpoint, bool proven)
 {
     const std::string path = "/v1/configuration";
     const admin::AdminRequest request{"GET", ""};
@@ -128,9 +164,15 @@
     m_fetching = false;
     if (!response || response.value().status != 200)
         co_return;
-    const Result<Configuration> configuration = decodeConfiguration(response.value().body);
-    if (configuration)
-        offer(std::make_shared<const Configuration>(configuration.value()));
+    const Result<Configuration> decoded = decodeConfiguration(response.value().body);
+    if (!decoded)
+        co_return;
+    auto configuration = std::make_shared<const Configuration>(decoded.value());
+    // A proof comes from the platform alone, so that a revision with a proof was accepted.
+    if (proven)
+        putInForce(std::move(configuration), std::nullopt);
+    else
+        offer(std::move(configuration));
 }
 
 } // namespace bilberry::router
--- a/packages/router/src/router.cpp
+++ b/packages/router/src/router.cpp
@@ -74,6 +74,7 @@
 struct InForce
 {
     Revision revision = 0;
+    std::optional<TimePoint> provenAt;
 };
 using GossipEvent = std::variant<std::vector<decision::OwnService>, wire::QuarantineNotice, Proof,
                                  PlatformFailed, LinkedServers, InForce, std::vector<platform::Vm>>;
@@ -81,6 +82,7 @@
 struct FetchFrom
 {
     RouterId router;
+    bool proven = false;
 };
 struct Watch
 {
@@ -181,8 +183,8 @@
         hooks.stamp = [this](const wire::ConfigurationStamp &stamp, TimePoint madeAt) {
             push<LinksEvent>(linksRing, Stamp{stamp, madeAt});
         };
-        hooks.fetchConfiguration = [this](const RouterId &router) {
-            push<PlatformEvent>(platformRing, FetchFrom{router});
+        hooks.fetchConfiguration = [this](const RouterId &router, bool proven) {
+            push<PlatformEvent>(platformRing, FetchFrom{router, proven});
         };
         hooks.watch = [this](bool watch) { push<PlatformEvent>(platformRing, Watch{watch}); };
         return hooks;
@@ -209,12 +211,13 @@
     PlatformDutyHooks platformHooks()
     {
         PlatformDutyHooks hooks;
-        hooks.configuration = [this](ConfigurationPtr configuration) {
-            push<CoreEvent>(coreRing, configuration);
-            push<ServerEvent>(callerRing, configuration);
-            push<LinksEvent>(linksRing, configuration);
-            push<GossipEvent>(gossipRing, InForce{configuration->revision()});
-        };
+        hooks.configuration
+                = [this](ConfigurationPtr configuration, std::optional<TimePoint> provenAt) {
+                      push<CoreEvent>(coreRing, configuration);
+                      push<ServerEvent>(callerRing, configuration);
+                      push<LinksEvent>(linksRing, configuration);
+                      push<GossipEvent>(gossipRing, InForce{configuration->revision(), provenAt});
+                  };
         hooks.proof = [this](Revision revision, TimePoint at) {
             push<GossipEvent>(gossipRing, Proof{revision, at});
         };
@@ -276,7 +279,7 @@
         else if (auto *linked = std::get_if<LinkedServers>(&event))
             coordinator.setLinkedServers(std::move(linked->servers));
         else if (auto *inForce = std::get_if<InForce>(&event))
-            coordinator.inForce(inForce->revision, now);
+            coordinator.inForce(inForce->revision, inForce->provenAt, now);
         else
             setVms(std::get<std::vector<platform::Vm>>(event));
     }
@@ -292,7 +295,7 @@
         if (auto *claim = std::get_if<ClaimCommand>(&event))
             platform.claim(std::move(*claim));
         else if (auto *fetch = std::get_if<FetchFrom>(&event))
-            platform.fetchFrom(fetch->router);
+            platform.fetchFrom(fetch->router, fetch->proven);
         else if (auto *watch = std::get_if<Watch>(&event))
             platform.setWatch(watch->watch);
         else
--- a/packages/router/tests/coordinator_test.cpp
+++ b/packages/router/tests/coordinator_test.cpp
@@ -45,7 +45,7 @@
         };
         hooks.stamp = [](const wire::ConfigurationStamp &, TimePoint) {};
         hooks.fetchConfiguration
-                = [this, index](const RouterId &from) { fetch(index, indexOf(from)); };
+                = [this, index](const RouterId &from, bool) { fetch(index, indexOf(from)); };
         hooks.watch = [this, index](bool watch) { m_nodes[index]->watches = watch; };
         Node &node = *m_nodes[index];
         node.revision = 0;
@@ -160,17 +160,17 @@
     void fetch(std::size_t index, std::size_t from)
     {
         if (connected(index, from) && !m_nodes[from]->paused)
-            putInForce(index, m_nodes[from]->revision);
+            putInForce(index, m_nodes[from]->revision, std::nullopt);
     }
 
-    void putInForce(std::size_t index, Revision revision)
+    void putInForce(std::size_t index, Revision revision, std::optional<TimePoint> provenAt)
     {
         Node &node = *m_nodes[index];
         if (revision <= node.revision)
             return;
         node.revision = revision;
         const Revision before = node.coordinator->stamp(m_now).revision;
-        node.coordinator->inForce(revision, m_now);
+        node.coordinator->inForce(revision, provenAt, m_now);
         node.reverted = node.reverted || node.coordinator->stamp(m_now).revision < before;
     }
 
@@ -191,7 +191,7 @@
         if (node.watches && node.platformCut)
             node.coordinator->platformFailed();
         if (node.watches && !node.platformCut) {
-            putInForce(index, head());
+            putInForce(index, head(), m_now);
             node.coordinator->proof(head(), m_now, m_now);
         }
         node.coordinator->tick(m_now);
