Notice a dead link to an agent within 4 s, and follow a replaced VM

Cause: silence was checked once a second against 4 s, so that a half-open link lived up to 5 s. A connection attempt had no time limit and outlived a new address in the list: a VM that was replaced under its name stayed without a link until the system gave the old address up, after minutes.

Change: the silence timer expires at the limit itself, 3.5 s; an attempt ends after 2 s, and at once when the address changes; attempts are numbered, so that a late one is dropped. A working link is kept while the list lags, as before.

--- a/packages/router/include/bilberry/router/agentlinks.h
+++ b/packages/router/include/bilberry/router/agentlinks.h
@@ -47,14 +47,17 @@
         bool greeted = false;
         Duration backoff{};
         std::uint64_t generation = 0; ///< tells the links of a target apart
+        std::uint64_t attempt = 0;    ///< tells its connection attempts apart
         std::uint64_t echo = 0;       ///< number of the agent's newest heartbeat or hello
         TimePoint echoAt{};           ///< when it arrived
     };
 
     void connect(const std::string &name);
-    void connected(const std::string &name, boost::asio::ip::tcp::socket socket);
+    void connected(const std::string &name, std::uint64_t attempt,
+                   boost::asio::ip::tcp::socket socket);
     void sendHeartbeat(const Target &target);
     wire::ConfigurationStamp stampNow() const;
+    void connectFailed(const std::string &name, std::uint64_t attempt);
     void retryLater(const std::string &name);
     void received(const std::string &name, std::uint64_t generation, wire::LinkMessage &&message);
     void closed(const std::string &name, std::uint64_t generation, std::error_code error);
--- a/packages/router/src/agentlinks.cpp
+++ b/packages/router/src/agentlinks.cpp
@@ -14,6 +14,8 @@
 constexpr Duration firstBackoff = std::chrono::milliseconds(100);
 constexpr Duration longestBackoff = std::chrono::seconds(2);
 
+/// Longest wait for a connection; a VM that is gone answers nothing.
+constexpr Duration connectLimit = std::chrono::seconds(2);
 constexpr Duration frozenLimit = std::chrono::seconds(1);
 constexpr std::uint32_t noProof = 0xffffffffU;
 
@@ -58,8 +60,10 @@
         m_targets.erase(name);
     for (const auto &[name, vm] : wanted) {
         Target &target = m_targets[name];
+        const bool moved = target.vm.address != vm.address || target.vm.port != vm.port;
         target.vm = vm;
-        if (!target.link && !target.connecting)
+        // A working link to an old address is kept until it fails; an attempt is not.
+        if (!target.link && (moved || !target.connecting))
             connect(name);
     }
 }
@@ -73,23 +77,41 @@
     const auto address = asio::ip::make_address(found->second.vm.address, error);
     if (error) {
         m_log.warning("Agent " + name + " has an address that is no IP number.");
+        found->second.connecting = false;
         return;
     }
     found->second.connecting = true;
+    const std::uint64_t attempt = ++m_lastGeneration;
+    found->second.attempt = attempt;
     const auto socket = std::make_shared<asio::ip::tcp::socket>(m_context);
+    const auto timer = std::make_shared<asio::steady_timer>(m_context, connectLimit);
+    timer->async_wait([socket](boost::system::error_code error) {
+        boost::system::error_code ignored;
+        if (!error)
+            socket->close(ignored);
+    });
     socket->async_connect({address, found->second.vm.port},
-                          [this, name, socket](boost::system::error_code failure) {
-                              if (failure)
-                                  retryLater(name);
+                          [this, name, attempt, socket, timer](boost::system::error_code failure) {
+                              timer->cancel();
+                              if (failure || !socket->is_open())
+                                  connectFailed(name, attempt);
                               else
-                                  connected(name, std::move(*socket));
+                                  connected(name, attempt, std::move(*socket));
                           });
 }
 
-void AgentLinks::connected(const std::string &name, asio::ip::tcp::socket socket)
+void AgentLinks::connectFailed(const std::string &name, std::uint64_t attempt)
 {
     const auto found = m_targets.find(name);
-    if (found == m_targets.end())
+    if (found != m_targets.end() && found->second.attempt == attempt)
+        retryLater(name);
+}
+
+void AgentLinks::connected(const std::string &name, std::uint64_t attempt,
+                           asio::ip::tcp::socket socket)
+{
+    const auto found = m_targets.find(name);
+    if (found == m_targets.end() || found->second.attempt != attempt)
         return;
     const std::uint64_t generation = ++m_lastGeneration;
     wire::FrameLinkHooks hooks;
@@ -118,8 +140,9 @@
     target.connecting = true;
     target.backoff = std::clamp(target.backoff * 2, firstBackoff, longestBackoff);
     const auto timer = std::make_shared<asio::steady_timer>(m_context, jittered(target.backoff));
-    timer->async_wait([this, name, timer](boost::system::error_code error) {
-        if (!error)
+    timer->async_wait([this, name, timer, attempt = target.attempt](boost::system::error_code) {
+        const auto waiting = m_targets.find(name);
+        if (waiting != m_targets.end() && waiting->second.attempt == attempt)
             connect(name);
     });
 }
--- /dev/null
+++ b/packages/router/tests/agentlinks_test.cpp
@@ -0,0 +1,229 @@
+#include "bilberry/router/agentlinks.h"
+
+#include "support/faultproxy.h"
+#include "support/fleet.h"
+
+#include <boost/asio/post.hpp>
+
+#include <catch2/catch.hpp>
+
+#include <future>
+#include <mutex>
+
+using namespace bilberry;
+using namespace bilberry::router;
+using namespace std::chrono_literals;
+
+namespace {
+
+namespace asio = boost::asio;
+
+/// A link that says nothing for so long is no longer used.
+constexpr Duration noticeLimit = 4s;
+
+/// Accepts links, says hello and sends heartbeats, on a thread of its own.
+class AgentStandin
+{
+public:
+    AgentStandin()
+        : m_acceptor(m_duty.context(), {asio::ip::address_v4::loopback(), 0}),
+          m_timer(m_duty.context())
+    {
+        accept();
+        beat();
+        m_duty.start();
+    }
+    ~AgentStandin() { m_duty.stop(); }
+
+    std::uint16_t port() const { return m_acceptor.local_endpoint().port(); }
+    std::uint64_t echo() const { return m_echo; }
+
+private:
+    void accept()
+    {
+        m_acceptor.async_accept([this](boost::system::error_code error, auto socket) {
+            if (error)
+                return;
+            wire::FrameLinkHooks hooks;
+            hooks.received = [this](wire::LinkMessage &&message) {
+                if (const auto *heartbeat = std::get_if<wire::RouterHeartbeat>(&message))
+                    m_echo = heartbeat->echo;
+            };
+            hooks.closed = [](std::error_code) {};
+            hooks.controlSent = [](std::size_t) {};
+            m_links.push_back(
+                    std::make_shared<wire::FrameLink>(std::move(socket), std::move(hooks)));
+            m_links.back()->start();
+            wire::AgentHello hello;
+            hello.server = ServerId("model-a");
+            hello.sequence = ++m_sequence;
+            m_links.back()->send(hello);
+            accept();
+        });
+    }
+
+    void beat()
+    {
+        m_timer.expires_after(500ms);
+        m_timer.async_wait([this](boost::system::error_code error) {
+            if (error)
+                return;
+            wire::AgentHeartbeat heartbeat;
+            heartbeat.sequence = ++m_sequence;
+            for (const auto &link : m_links)
+                link->send(heartbeat);
+            beat();
+        });
+    }
+
+    Duty m_duty{"agent"};
+    asio::ip::tcp::acceptor m_acceptor;
+    asio::steady_timer m_timer;
+    std::vector<std::shared_ptr<wire::FrameLink>> m_links;
+    std::uint64_t m_sequence = 100;
+    std::atomic<std::uint64_t> m_echo = 0;
+};
+
+/// The links under test on their own event loop.
+class Links
+{
+public:
+    Links()
+        : m_links(m_duty.context(), {RouterId("router"), 1, ZoneId("a"), {}},
+                  {[this](wire::AgentHello &&) { m_up = true; },
+                   [this](const ServerId &) { m_up = false; },
+                   [](const ServerId &, wire::LinkMessage &&) {}, [](std::size_t) {}})
+    {
+        m_duty.start();
+    }
+    ~Links() { m_duty.stop(); }
+
+    void setAgent(std::uint16_t port)
+    {
+        run([this, port] {
+            platform::Vm vm;
+            vm.name = "model-a";
+            vm.role = platform::VmRole::Agent;
+            vm.address = "127.0.0.1";
+            vm.port = port;
+            m_links.setAgents({vm});
+        });
+    }
+    void setStamp()
+    {
+        run([this] { m_links.setStamp({}, Clock::now()); });
+    }
+    void setNoAgents()
+    {
+        run([this] { m_links.setAgents({}); });
+    }
+    bool up() const { return m_up; }
+
+private:
+    void run(std::function<void()> function)
+    {
+        std::promise<void> done;
+        asio::post(m_duty.context(), [&] {
+            function();
+            done.set_value();
+        });
+        done.get_future().wait();
+    }
+
+    std::atomic<bool> m_up = false;
+    Duty m_duty{"links"};
+    AgentLinks m_links;
+};
+
+/// A port that completes no further connection.
+class DeafPort
+{
+public:
+    DeafPort() : m_acceptor(m_context)
+    {
+        m_acceptor.open(asio::ip::tcp::v4());
+        m_acceptor.bind({asio::ip::address_v4::loopback(), 0});
+        m_acceptor.listen(0);
+        for (int i = 0; i < 4; ++i) {
+            m_fillers.emplace_back(m_context);
+            m_fillers.back().async_connect(m_acceptor.local_endpoint(),
+                                           [](boost::system::error_code) {});
+        }
+        m_context.run_for(100ms);
+    }
+    std::uint16_t port() const { return m_acceptor.local_endpoint().port(); }
+
+private:
+    asio::io_context m_context;
+    asio::ip::tcp::acceptor m_acceptor;
+    std::vector<asio::ip::tcp::socket> m_fillers;
+};
+
+} // namespace
+
+SCENARIO("a link to an agent is given up in time and opened again")
+{
+    GIVEN("an agent behind a proxy")
+    {
+        AgentStandin agent;
+        tests::TcpProxy proxy(agent.port());
+        Links links;
+        links.setAgent(proxy.port());
+        REQUIRE(tests::eventually([&] { return links.up(); }));
+
+        THEN("heartbeats echo the agent's newest message")
+        {
+            CHECK(tests::eventually([&] {
+                links.setStamp();
+                return agent.echo() > 101;
+            }));
+        }
+        WHEN("the link becomes half-open")
+        {
+            proxy.faults().mute = true;
+            THEN("it is noticed in time, and mended afterwards")
+            {
+                CHECK(tests::eventually([&] { return !links.up(); }, noticeLimit));
+                proxy.faults().mute = false;
+                CHECK(tests::eventually([&] { return links.up(); }));
+            }
+        }
+        WHEN("the VM is replaced by one of the same name and another address")
+        {
+            const DeafPort gone;
+            links.setAgent(gone.port());
+            THEN("the working link is kept, and the new address is used after it")
+            {
+                CHECK(links.up());
+                proxy.faults().cut = true;
+                CHECK(tests::eventually([&] { return !links.up(); }, noticeLimit));
+                links.setAgent(agent.port());
+                CHECK(tests::eventually([&] { return links.up(); }));
+            }
+        }
+        WHEN("the lagging list leaves the agent out")
+        {
+            links.setNoAgents();
+            THEN("the working link stays")
+            {
+                links.setStamp();
+                CHECK(links.up());
+            }
+        }
+    }
+    GIVEN("an agent's address that no longer answers")
+    {
+        const DeafPort gone;
+        AgentStandin agent;
+        Links links;
+        links.setAgent(gone.port());
+        WHEN("the list shows the replacement's address")
+        {
+            links.setAgent(agent.port());
+            THEN("the link comes up without waiting for the old address")
+            {
+                CHECK(tests::eventually([&] { return links.up(); }));
+            }
+        }
+    }
+}
--- a/packages/wire/src/framelink.cpp
+++ b/packages/wire/src/framelink.cpp
@@ -8,9 +8,9 @@
 
 namespace {
 
-/// Both ends send heartbeats well within this time.
-constexpr Duration silenceLimit = std::chrono::seconds(4);
-constexpr Duration silenceCheckPeriod = std::chrono::seconds(1);
+/// Both ends send heartbeats well within this time. A dead link is noticed within 4 s, with half a
+/// second to spare for a busy machine.
+constexpr Duration silenceLimit = std::chrono::milliseconds(3500);
 constexpr std::size_t maxWaitingBytes = 64U << 20U;
 
 } // namespace
@@ -108,11 +108,11 @@
 
 void FrameLink::watchSilence()
 {
-    m_silenceTimer.expires_after(silenceCheckPeriod);
+    m_silenceTimer.expires_at(m_receivedAt + silenceLimit);
     m_silenceTimer.async_wait([self = shared_from_this()](boost::system::error_code error) {
         if (error || self->m_closed)
             return;
-        if (Clock::now() - self->m_receivedAt > silenceLimit)
+        if (Clock::now() - self->m_receivedAt >= silenceLimit)
             self->fail(std::make_error_code(std::errc::timed_out));
         else
             self->watchSilence();
