Let reachability and membership age

Cause: a router called the platform reachable until a call failed; a call that hangs takes 3 s, as long as agents wait for a proof, so that they could stop before the word 'frozen' came. The lists of a peer whose probes are lost were kept while its answers came. Routers that left the list were kept for ever, and an empty list made any process a majority.

Change: the platform counts as reachable for half of the proof's limit after its last answer; a peer's lists count as long as its last probe is recent; unlisted silent routers are forgotten after a minute; an empty list is not taken over.

--- a/packages/decision/include/bilberry/decision/membership.h
+++ b/packages/decision/include/bilberry/decision/membership.h
@@ -27,6 +27,8 @@
 {
     /// A peer that was not heard for longer is no longer used.
     Duration silenceLimit = std::chrono::milliseconds(1500);
+    /// A router that is in no list is forgotten after this time.
+    Duration forgetLimit = std::chrono::minutes(1);
     bool operator==(const MembershipSettings &) const = default;
 };
 
@@ -66,14 +68,19 @@
     bool frozenMajority(const std::vector<ServerId> &linkedServers, bool platformReachable,
                         TimePoint now) const;
 
+    /// Forgets routers that left the list and are silent.
+    void expire(TimePoint now);
+
 private:
     struct Peer
     {
         PeerReport report;
         TimePoint heardAt{};
+        TimePoint reportedAt{}; ///< of the report's lists
     };
 
     bool isLive(const Peer &peer, TimePoint now) const;
+    bool isReported(const Peer &peer, TimePoint now) const;
 
     RouterId m_self;
     MembershipSettings m_settings;
--- a/packages/decision/src/membership.cpp
+++ b/packages/decision/src/membership.cpp
@@ -12,6 +12,12 @@
 
 void Membership::setKnown(std::set<RouterId> routers, std::set<ServerId> servers)
 {
+    // A fleet without routers or servers would make any process a majority.
+    if (routers.empty() || servers.empty()) {
+        m_routers.merge(routers);
+        m_servers.merge(servers);
+        return;
+    }
     m_routers = std::move(routers);
     m_servers = std::move(servers);
 }
@@ -19,7 +25,7 @@
 void Membership::heard(const PeerReport &report, TimePoint now)
 {
     if (report.router != m_self)
-        m_peers[report.router] = {report, now};
+        m_peers[report.router] = {report, now, now};
 }
 
 void Membership::heard(const RouterId &router, Incarnation incarnation, bool platformReachable,
@@ -34,6 +40,19 @@
     peer.heardAt = now;
 }
 
+void Membership::expire(TimePoint now)
+{
+    std::erase_if(m_peers, [&](const auto &entry) {
+        const auto &[router, peer] = entry;
+        return !m_routers.contains(router) && now - peer.heardAt > m_settings.forgetLimit;
+    });
+}
+
+bool Membership::isReported(const Peer &peer, TimePoint now) const
+{
+    return now - peer.reportedAt <= m_settings.silenceLimit;
+}
+
 bool Membership::isLive(const Peer &peer, TimePoint now) const
 {
     return now - peer.heardAt <= m_settings.silenceLimit;
@@ -99,6 +118,9 @@
         const PeerReport &report = peer->second.report;
         if (report.platformReachable)
             return false;
+        // Answers to probes keep a peer live, but its lists come with its own probes only.
+        if (!isReported(peer->second, now))
+            continue;
         for (const RouterId &router : report.reachablePeers)
             visit(router);
         servers.insert(report.reachableServers.begin(), report.reachableServers.end());
--- /dev/null
+++ b/packages/decision/tests/membership_test.cpp
@@ -0,0 +1,169 @@
+#include "bilberry/decision/membership.h"
+
+#include <catch2/catch.hpp>
+#include <rapidcheck.h>
+
+using namespace bilberry;
+using namespace bilberry::decision;
+using namespace std::chrono_literals;
+
+namespace {
+
+const TimePoint start{1h};
+
+template <typename Id>
+std::vector<Id> named(const std::string &prefix, std::initializer_list<int> numbers)
+{
+    std::vector<Id> result;
+    for (const int number : numbers)
+        result.emplace_back(prefix + std::to_string(number));
+    return result;
+}
+
+std::vector<RouterId> routers(std::initializer_list<int> numbers)
+{
+    return named<RouterId>("r", numbers);
+}
+
+std::vector<ServerId> servers(std::initializer_list<int> numbers)
+{
+    return named<ServerId>("s", numbers);
+}
+
+template <typename Id>
+std::set<Id> setOf(const std::vector<Id> &ids)
+{
+    return {ids.begin(), ids.end()};
+}
+
+/// Router 0's view: routers 0 to 2 and servers 0 to 3 are known, seven processes in all.
+Membership view()
+{
+    Membership membership(RouterId("r0"), {});
+    membership.setKnown(setOf(routers({0, 1, 2})), setOf(servers({0, 1, 2, 3})));
+    return membership;
+}
+
+struct Case
+{
+    const char *name;
+    std::vector<PeerReport> heard;
+    std::vector<ServerId> linked;
+    bool platform = false;
+    bool frozen = false;
+};
+
+} // namespace
+
+SCENARIO("only a connected majority without the platform calls the configuration frozen")
+{
+    const auto table = GENERATE(values<Case>({
+            {"one router alone", {}, {}, false, false},
+            {"one router with two of four agents", {}, servers({0, 1}), false, false},
+            {"one router with three of four agents", {}, servers({0, 1, 2}), false, true},
+            {"the same with the platform", {}, servers({0, 1, 2}), true, false},
+            {"agents in no list don't count", {}, servers({0, 1, 7, 8, 9}), false, false},
+            {"agents of a peer count",
+             {{RouterId("r1"), 1, false, false, {}, servers({2, 3})}},
+             servers({0, 1}),
+             false,
+             true},
+            {"agents that both reach count once",
+             {{RouterId("r1"), 1, false, false, {}, servers({0})}},
+             servers({0}),
+             false,
+             false},
+            {"a peer reaches the platform",
+             {{RouterId("r1"), 1, true, false, {}, servers({2, 3})}},
+             servers({0, 1}),
+             false,
+             false},
+            {"routers in no list don't count",
+             {{RouterId("r8"), 1, false, false, {}, {}}, {RouterId("r9"), 1, false, false, {}, {}}},
+             servers({0, 1}),
+             false,
+             false},
+    }));
+    GIVEN(table.name)
+    {
+        Membership membership = view();
+        for (const PeerReport &report : table.heard)
+            membership.heard(report, start);
+        THEN("the word follows the connected processes, and ends with silence")
+        {
+            CHECK(membership.frozenMajority(table.linked, table.platform, start) == table.frozen);
+            if (!table.heard.empty())
+                CHECK_FALSE(membership.frozenMajority(table.linked, table.platform, start + 2s));
+        }
+        THEN("an empty list changes nothing")
+        {
+            membership.setKnown({}, {});
+            CHECK(membership.frozenMajority(table.linked, table.platform, start) == table.frozen);
+        }
+    }
+}
+
+SCENARIO("a router is used while it is heard, and forgotten when it left the list")
+{
+    GIVEN("a known and an unknown router that were heard")
+    {
+        Membership membership = view();
+        membership.heard({RouterId("r1"), 5, false, false, {}, servers({0, 1, 2, 3})}, start);
+        membership.heard({RouterId("r9"), 6, false, false, {}, {}}, start);
+        CHECK(membership.live(start) == std::vector<std::string>{"r0", "r1", "r9"});
+
+        THEN("silence ends their use, and only the unknown one is forgotten")
+        {
+            CHECK(membership.live(start + 2s) == std::vector<std::string>{"r0"});
+            membership.expire(start + 2min);
+            CHECK(membership.incarnation(RouterId("r1")) == 5);
+            CHECK(membership.incarnation(RouterId("r9")) == 0);
+        }
+        THEN("one-way loss of its probes ends the use of its lists")
+        {
+            REQUIRE(membership.frozenMajority({}, false, start));
+            membership.heard(RouterId("r1"), 5, false, start + 2s);
+            CHECK(membership.live(start + 2s) == std::vector<std::string>{"r0", "r1"});
+            CHECK_FALSE(membership.frozenMajority({}, false, start + 2s));
+        }
+        THEN("a leaving router is no longer live, but still reachable")
+        {
+            membership.heard({RouterId("r1"), 5, false, true, {}, {}}, start);
+            CHECK(membership.live(start) == std::vector<std::string>{"r0", "r9"});
+            CHECK(membership.reachable(start).size() == 2);
+        }
+    }
+}
+
+TEST_CASE("two sides of a partition are never both a frozen majority")
+{
+    REQUIRE(rc::check("at most one side is a majority", [] {
+        const int routerCount = *rc::gen::inRange(1, 6);
+        const int serverCount = *rc::gen::inRange(1, 8);
+        std::set<RouterId> allRouters;
+        std::set<ServerId> allServers;
+        std::vector<RouterId> routerOf[2];
+        std::vector<ServerId> serverOf[2];
+        for (int i = 0; i < routerCount; ++i) {
+            const RouterId router("r" + std::to_string(i));
+            allRouters.insert(router);
+            routerOf[*rc::gen::inRange(0, 2)].push_back(router);
+        }
+        for (int i = 0; i < serverCount; ++i) {
+            const ServerId server("s" + std::to_string(i));
+            allServers.insert(server);
+            serverOf[*rc::gen::inRange(0, 2)].push_back(server);
+        }
+        int majorities = 0;
+        for (int side = 0; side < 2; ++side) {
+            if (routerOf[side].empty())
+                continue;
+            Membership membership(routerOf[side].front(), {});
+            membership.setKnown(allRouters, allServers);
+            for (const RouterId &peer : routerOf[side])
+                membership.heard({peer, 1, false, false, routerOf[side], serverOf[side]}, start);
+            majorities += membership.frozenMajority(serverOf[side], false, start) ? 1 : 0;
+        }
+        RC_ASSERT(majorities <= 1);
+    }));
+}
--- a/packages/router/include/bilberry/router/coordinator.h
+++ b/packages/router/include/bilberry/router/coordinator.h
@@ -52,7 +52,7 @@
     /// @param at when the platform was asked
     void proof(Revision revision, TimePoint at, TimePoint now);
     /// A call to the platform failed.
-    void platformFailed() { m_platformReachable = false; }
+    void platformFailed() { m_platformAnsweredAt.reset(); }
     /// The router is shutting down.
     void leave(TimePoint now);
 
@@ -61,7 +61,8 @@
 
     wire::ConfigurationStamp stamp(TimePoint now) const;
     std::vector<std::string> liveRouters(TimePoint now) const { return m_membership.live(now); }
-    bool platformReachable() const { return m_platformReachable; }
+    /// @return whether the platform answered this router lately
+    bool platformReachable(TimePoint now) const;
 
 private:
     void handle(const wire::Probe &probe, TimePoint now);
@@ -91,7 +92,7 @@
     std::vector<std::string> m_live;
     std::map<decision::ServiceKey, RouterId> m_lastOwner; ///< whose totals are in force
     std::vector<ServerId> m_linked;
-    bool m_platformReachable = false;
+    std::optional<TimePoint> m_platformAnsweredAt;
     bool m_leaving = false;
     std::uint64_t m_sequence = 0;
     std::size_t m_nextProbe = 0;
--- a/packages/router/src/coordinator.cpp
+++ b/packages/router/src/coordinator.cpp
@@ -62,7 +62,7 @@
                         probe.leaving, probe.reachablePeers, probe.reachableServers},
                        now);
     m_hooks.send(probe.sender.router,
-                 wire::ProbeAck{self(), probe.sequence, stamp(now), m_platformReachable});
+                 wire::ProbeAck{self(), probe.sequence, stamp(now), platformReachable(now)});
     hintRevision(probe.sender.router, probe.stamp);
 }
 
@@ -196,10 +196,18 @@
 
 void Coordinator::proof(Revision revision, TimePoint at, TimePoint now)
 {
-    m_platformReachable = true;
+    m_platformAnsweredAt = now;
     m_freshness.proof(revision, now - at, now);
 }
 
+bool Coordinator::platformReachable(TimePoint now) const
+{
+    // A call that hangs says nothing until its limit. Half of the proof's limit leaves the other
+    // half to tell peers and agents that the configuration is frozen.
+    return m_platformAnsweredAt
+           && now - *m_platformAnsweredAt <= m_settings.freshness.proofLimit / 2;
+}
+
 void Coordinator::leave(TimePoint now)
 {
     m_leaving = true;
@@ -212,7 +220,7 @@
     stamp.revision = m_freshness.revision();
     const auto age = m_freshness.proofAge(now);
     stamp.proofAgeMs = age ? wire::ageMilliseconds(*age) : noProof;
-    stamp.frozen = m_membership.frozenMajority(m_linked, m_platformReachable, now);
+    stamp.frozen = m_membership.frozenMajority(m_linked, platformReachable(now), now);
     return stamp;
 }
 
@@ -222,7 +230,7 @@
     wire::Probe probe{self(),
                       m_echoes.sent(now),
                       stamp(now),
-                      m_platformReachable,
+                      platformReachable(now),
                       m_membership.reachable(now),
                       m_linked,
                       m_leaving};
@@ -263,6 +271,7 @@
     if (now - m_expiredAt >= expirePeriod) {
         m_expiredAt = now;
         m_aggregator.expire(now);
+        m_membership.expire(now);
     }
 }
 
