Answer routers that the lagging list leaves out

Cause: gossip from a router that the list does not show yet could not be answered, so that it had no proof through its peers and no service totals until the list came; addresses of routers that left were kept for ever.

Change: the address of an unlisted sender is learned from its datagram until the next list; a list replaces the addresses; a list without routers changes nothing.

--- a/packages/router/include/bilberry/router/gossipsocket.h
+++ b/packages/router/include/bilberry/router/gossipsocket.h
@@ -25,17 +25,22 @@
 
     /// Starts receiving.
     void start();
-    void setPeers(const std::vector<platform::Vm> &routers);
+    /// Replaces the addresses. A list without routers changes nothing.
+    void setPeers(const std::vector<platform::Vm> &vms);
+
+    /// Sends to a listed router, or to one that the lagging list leaves out and that was heard.
     void send(const RouterId &router, const wire::GossipMessage &message);
 
 private:
     void receive();
+    void learnSender(const wire::GossipMessage &message);
 
     boost::asio::ip::udp::socket m_socket;
     ReceiveHook m_onReceive;
     std::function<void(std::size_t)> m_onSent;
     Log m_log{"router.gossip"};
     std::map<RouterId, boost::asio::ip::udp::endpoint> m_peers;
+    std::map<RouterId, boost::asio::ip::udp::endpoint> m_learned; ///< not listed, heard lately
     std::array<char, 65536> m_buffer{};
     boost::asio::ip::udp::endpoint m_from;
 };
--- a/packages/router/src/gossipsocket.cpp
+++ b/packages/router/src/gossipsocket.cpp
@@ -4,6 +4,12 @@
 
 namespace asio = boost::asio;
 
+namespace {
+
+constexpr std::size_t maxLearned = 1024;
+
+} // namespace
+
 GossipSocket::GossipSocket(asio::io_context &context, const std::string &address,
                            std::uint16_t port, ReceiveHook onReceive,
                            std::function<void(std::size_t)> onSent)
@@ -18,21 +24,30 @@
     receive();
 }
 
-void GossipSocket::setPeers(const std::vector<platform::Vm> &routers)
+void GossipSocket::setPeers(const std::vector<platform::Vm> &vms)
 {
-    for (const platform::Vm &vm : routers) {
+    std::map<RouterId, asio::ip::udp::endpoint> peers;
+    for (const platform::Vm &vm : vms) {
         boost::system::error_code error;
         const auto address = asio::ip::make_address(vm.address, error);
         if (!error && vm.role == platform::VmRole::Router)
-            m_peers[RouterId(vm.name)] = {address, vm.port};
+            peers[RouterId(vm.name)] = {address, vm.port};
     }
+    if (peers.empty())
+        return;
+    m_peers = std::move(peers);
+    // Live routers are learned again within a probe's period; others must not pile up.
+    m_learned.clear();
 }
 
 void GossipSocket::send(const RouterId &router, const wire::GossipMessage &message)
 {
-    const auto peer = m_peers.find(router);
-    if (peer == m_peers.end())
-        return;
+    auto peer = m_peers.find(router);
+    if (peer == m_peers.end()) {
+        peer = m_learned.find(router);
+        if (peer == m_learned.end())
+            return;
+    }
     const std::string datagram = wire::encodeDatagram(message);
     // A datagram that does not leave at once is lost like one that is lost on its way.
     boost::system::error_code ignored;
@@ -40,6 +55,14 @@
     m_onSent(datagram.size());
 }
 
+void GossipSocket::learnSender(const wire::GossipMessage &message)
+{
+    const RouterId sender = std::visit(
+            [](const auto &alternative) { return alternative.sender.router; }, message);
+    if (!m_peers.contains(sender) && m_learned.size() < maxLearned)
+        m_learned[sender] = m_from;
+}
+
 void GossipSocket::receive()
 {
     m_socket.async_receive_from(
@@ -49,10 +72,12 @@
                     return;
                 if (!error) {
                     auto message = wire::decodeDatagram({m_buffer.data(), size});
-                    if (message)
+                    if (message) {
+                        learnSender(message.value());
                         m_onReceive(std::move(message).value());
-                    else
+                    } else {
                         m_log.warning("Datagram refused: " + message.error().message() + ".");
+                    }
                 }
                 receive();
             });
