Hold the word 'frozen' back while any neighbour has a fresh proof

Cause: reachability is no equivalence. A router cut off from the platform and its peers, but linked to a majority of the agents, called the configuration frozen although one of these agents heard routers that reach the platform; the agent of a zone that was taken out then went on without end.

Ruled out: counting an agent on one side only (a router can't know which).

Change: agents' heartbeats carry their proof to the coordinator, as peers' probes and answers do; 'frozen' is not said while any of them is younger than half of the limit, or is for a newer revision.

--- a/packages/router/include/bilberry/router/coordinator.h
+++ b/packages/router/include/bilberry/router/coordinator.h
@@ -51,6 +51,8 @@
     /// The platform proved a revision to be the newest.
     /// @param at when the platform was asked
     void proof(Revision revision, TimePoint at, TimePoint now);
+    /// An agent told its revision and proof.
+    void agentStamp(const wire::ConfigurationStamp &stamp, TimePoint now);
     /// A call to the platform failed.
     void platformFailed() { m_platformAnsweredAt.reset(); }
     /// The router is shutting down.
@@ -72,6 +74,8 @@
     void handle(const wire::QuarantineGossip &gossip, TimePoint now);
 
     wire::GossipSender self() const;
+    bool isFrozen(TimePoint now) const;
+    void noteProof(const wire::ConfigurationStamp &stamp, TimePoint now);
     void hintRevision(const RouterId &from, const wire::ConfigurationStamp &stamp);
     RouterId ownerOf(const decision::ServiceKey &key) const;
     void refreshOwners(TimePoint now);
@@ -93,6 +97,8 @@
     std::map<decision::ServiceKey, RouterId> m_lastOwner; ///< whose totals are in force
     std::vector<ServerId> m_linked;
     std::optional<TimePoint> m_platformAnsweredAt;
+    Revision m_newestProven = 0;                 ///< that any process told
+    std::optional<TimePoint> m_newestProofKnown; ///< time of the newest proof that any told
     bool m_leaving = false;
     std::uint64_t m_sequence = 0;
     std::size_t m_nextProbe = 0;
--- a/packages/router/src/coordinator.cpp
+++ b/packages/router/src/coordinator.cpp
@@ -64,12 +64,14 @@
     m_hooks.send(probe.sender.router,
                  wire::ProbeAck{self(), probe.sequence, stamp(now), platformReachable(now)});
     hintRevision(probe.sender.router, probe.stamp);
+    noteProof(probe.stamp, now);
 }
 
 void Coordinator::handle(const wire::ProbeAck &ack, TimePoint now)
 {
     m_membership.heard(ack.sender.router, ack.sender.incarnation, ack.platformReachable, now);
     hintRevision(ack.sender.router, ack.stamp);
+    noteProof(ack.stamp, now);
     // A datagram may wait in a buffer, for example while this process is paused. Only the answer
     // to a probe of known age bounds that time, so that proofs travel in answers alone.
     const auto sinceMade = m_echoes.sinceMade(ack.sequence, Duration(), now);
@@ -214,13 +216,40 @@
     sendProbes(now);
 }
 
+void Coordinator::agentStamp(const wire::ConfigurationStamp &stamp, TimePoint now)
+{
+    noteProof(stamp, now);
+}
+
+void Coordinator::noteProof(const wire::ConfigurationStamp &stamp, TimePoint now)
+{
+    if (stamp.proofAgeMs == noProof)
+        return;
+    m_newestProven = std::max(m_newestProven, stamp.revision);
+    // Time on the way makes the proof seem younger here, which only delays the word "frozen".
+    const TimePoint at = now - std::chrono::milliseconds(stamp.proofAgeMs);
+    if (!m_newestProofKnown || at > *m_newestProofKnown)
+        m_newestProofKnown = at;
+}
+
+bool Coordinator::isFrozen(TimePoint now) const
+{
+    // Reachability is no equivalence: an agent or a peer may reach both this router and one that
+    // reaches the platform. Its proof shows that orders can be accepted beyond this view.
+    if (m_newestProven > m_freshness.revision())
+        return false;
+    if (m_newestProofKnown && now - *m_newestProofKnown <= m_settings.freshness.proofLimit / 2)
+        return false;
+    return m_membership.frozenMajority(m_linked, platformReachable(now), now);
+}
+
 wire::ConfigurationStamp Coordinator::stamp(TimePoint now) const
 {
     wire::ConfigurationStamp stamp;
     stamp.revision = m_freshness.revision();
     const auto age = m_freshness.proofAge(now);
     stamp.proofAgeMs = age ? wire::ageMilliseconds(*age) : noProof;
-    stamp.frozen = m_membership.frozenMajority(m_linked, platformReachable(now), now);
+    stamp.frozen = isFrozen(now);
     return stamp;
 }
 
--- a/packages/router/src/router.cpp
+++ b/packages/router/src/router.cpp
@@ -76,8 +76,13 @@
     Revision revision = 0;
     std::optional<TimePoint> provenAt;
 };
-using GossipEvent = std::variant<std::vector<decision::OwnService>, wire::QuarantineNotice, Proof,
-                                 PlatformFailed, LinkedServers, InForce, std::vector<platform::Vm>>;
+struct AgentStamp
+{
+    wire::ConfigurationStamp stamp;
+};
+using GossipEvent
+        = std::variant<AgentStamp, std::vector<decision::OwnService>, wire::QuarantineNotice, Proof,
+                       PlatformFailed, LinkedServers, InForce, std::vector<platform::Vm>>;
 
 struct FetchFrom
 {
@@ -202,6 +207,8 @@
             push<GossipEvent>(gossipRing, LinkedServers{links.linked()});
         };
         hooks.received = [this](const ServerId &server, wire::LinkMessage &&message) {
+            if (const auto *heartbeat = std::get_if<wire::AgentHeartbeat>(&message))
+                push<GossipEvent>(gossipRing, AgentStamp{heartbeat->stamp});
             push<CoreEvent>(coreRing, AgentReceived{server, std::move(message)});
         };
         hooks.controlSent = [this](std::size_t bytes) { metrics.addControlBytes("link", bytes); };
@@ -272,6 +279,8 @@
             coordinator.setOwnService(*own, now);
         else if (auto *notice = std::get_if<wire::QuarantineNotice>(&event))
             coordinator.spreadQuarantine({*notice}, now);
+        else if (auto *agent = std::get_if<AgentStamp>(&event))
+            coordinator.agentStamp(agent->stamp, now);
         else if (auto *proof = std::get_if<Proof>(&event))
             coordinator.proof(proof->revision, proof->at, now);
         else if (std::holds_alternative<PlatformFailed>(event))
--- /dev/null
+++ b/tests/integration/zoneisland_test.cpp
@@ -0,0 +1,120 @@
+#include "support/partition.h"
+
+#include "bilberry/base/digest.h"
+
+#include <catch2/catch.hpp>
+
+#include <future>
+
+using namespace bilberry;
+using namespace bilberry::tests;
+using namespace std::chrono_literals;
+
+namespace {
+
+/// From the acceptance of the order to the last start in the zone.
+constexpr Duration bound = 5s;
+/// Starts are watched for so long after the bound.
+constexpr Duration watched = 4s;
+constexpr char headObject[] = "configuration/head";
+
+FleetPlan plan()
+{
+    FleetPlan plan;
+    plan.binaries = BILBERRY_BIN;
+    plan.routers = {"a", "b", "b"};
+    plan.servers = {{"model-a", "models", "a"}, {"model-b", "models", "b"}};
+    plan.releaseNote = "added:\n"
+                       "  zones: { a: {}, b: {} }\n"
+                       "  pools:\n"
+                       "    models: { zones: [a, b], coldLimit: 4, fullLimit: 8 }\n"
+                       "  customers:\n"
+                       "    kitchen: { share: 1, keyDigests: ["
+                       + sha256Hex("kitchen-key")
+                       + "] }\n"
+                         "  routes:\n"
+                         "    /v1: { pool: models, repeatable: always }\n";
+    return plan;
+}
+
+std::string vmLine(const std::string &name, std::uint16_t port, std::uint16_t adminPort)
+{
+    return "  - " + name + "@127.0.0.1:" + std::to_string(port) + ":" + std::to_string(adminPort)
+           + "\n";
+}
+
+std::size_t startsSince(Fleet &fleet, const std::string &server, TimePoint since)
+{
+    std::size_t count = 0;
+    for (const JournalEntry &entry : fleet.backend(server).journal())
+        count += entry.startedAt >= since ? 1 : 0;
+    return count;
+}
+
+Call request()
+{
+    Call request;
+    request.target = "/v1/chat";
+    request.headers = {{"X-Api-Key", "kitchen-key"}, {"X-Tag", "steady"}, {"X-Ms", "10"}};
+    request.limit = 2s;
+    return request;
+}
+
+} // namespace
+
+SCENARIO("an island in a zone that is taken out stops by itself")
+{
+    // The direct link to the other zone's agent makes the island a majority of the processes that
+    // it is connected to, although that agent hears routers that reach the platform.
+    const bool reachesOtherAgent = GENERATE(false, true);
+    GIVEN("a router of the zone with its own way to the zone's agent, "
+          << (reachesOtherAgent ? "and to the other agent" : "and to no other agent"))
+    {
+        std::unique_ptr<PartitionedFleet> all;
+        FleetPlan islandPlan = plan();
+        islandPlan.routerLines = [&](const Fleet &fleet, std::size_t router) -> std::string {
+            if (router != 0)
+                return "";
+            const std::uint16_t otherPort
+                    = reachesOtherAgent ? fleet.agentPort("model-b") : all->agentProxy("model-b");
+            return "peers:\n" + vmLine("router-1", all->gossipProxy(1), all->adminProxy("router-1"))
+                   + vmLine("router-2", all->gossipProxy(2), all->adminProxy("router-2"))
+                   + "agents:\n"
+                   + vmLine("model-a", fleet.agentPort("model-a"), all->adminProxy("model-a"))
+                   + vmLine("model-b", otherPort, all->adminProxy("model-b"));
+        };
+        all = std::make_unique<PartitionedFleet>(islandPlan);
+        Fleet &fleet = all->fleet();
+        all->platformOf(0).cut = true;
+        REQUIRE(all->start());
+        const SteadyLoad load(fleet, request());
+
+        WHEN("the island is cut off and operators take the zone out")
+        {
+            for (std::size_t router = 0; router < 3; ++router)
+                all->gossipTo(router).cut = true;
+            all->agentLinks("model-a").mute = true;
+            if (!reachesOtherAgent)
+                all->agentLinks("model-b").cut = true;
+            for (const char *name : {"router-0", "model-a", "router-1", "router-2"})
+                all->adminOf(name).cut = true;
+            const std::string head = fleet.platform().value(headObject);
+            auto order = std::async(std::launch::async, [&] {
+                return fleet.ctl({"--timeout", "1", "apply",
+                                  fleet.write("out.yaml",
+                                              "changed:\n  zones: { a: { inService: false } }\n")});
+            });
+            REQUIRE(eventually([&] { return fleet.platform().value(headObject) != head; }));
+            const TimePoint accepted = Clock::now();
+            std::this_thread::sleep_until(accepted + bound + watched);
+
+            THEN("the zone's agent starts nothing after the bound")
+            {
+                CHECK(order.get().exitCode == 4);
+                CHECK(startsSince(fleet, "model-a", accepted + bound) == 0);
+                if (reachesOtherAgent)
+                    CHECK(startsSince(fleet, "model-b", accepted + bound) > 0);
+            }
+        }
+    }
+}
--- a/tests/support/partition.h
+++ b/tests/support/partition.h
@@ -26,6 +26,13 @@
     ProxyFaults &platformOf(std::size_t router) { return m_platform.at(router)->faults(); }
     /// Datagrams towards the router; what it sends passes the proxies of its peers.
     ProxyFaults &gossipTo(std::size_t router) { return m_gossip.at(router)->faults(); }
+    /// Ports of the proxies, for settings that name them.
+    std::uint16_t gossipProxy(std::size_t router) const { return m_gossip.at(router)->port(); }
+    std::uint16_t agentProxy(const std::string &server) const
+    {
+        return m_agents.at(server)->port();
+    }
+    std::uint16_t adminProxy(const std::string &name) const { return m_admin.at(name)->port(); }
     ProxyFaults &agentLinks(const std::string &server) { return m_agents.at(server)->faults(); }
     /// The HTTP port for operators and for fetches of the configuration.
     ProxyFaults &adminOf(const std::string &name) { return m_admin.at(name)->faults(); }
