Leave reachability lists out of probes while a proof is fresh

Cause: each probe carried the names of all linked servers and heard routers, which only the word 'frozen' needs; the lists grow with the fleet.

Change: the lists go out once the sender's proof is older than half of the limit, the moment from which 'frozen' can be said.

--- a/packages/router/src/coordinator.cpp
+++ b/packages/router/src/coordinator.cpp
@@ -256,13 +256,14 @@
 void Coordinator::sendProbes(TimePoint now)
 {
     m_probedAt = now;
-    wire::Probe probe{self(),
-                      m_echoes.sent(now),
-                      stamp(now),
-                      platformReachable(now),
-                      m_membership.reachable(now),
-                      m_linked,
-                      m_leaving};
+    wire::Probe probe{self(), m_echoes.sent(now), stamp(now), platformReachable(now), {},
+                      {},     m_leaving};
+    // The lists serve the word "frozen" alone, which nobody says while a proof is fresh.
+    const auto age = m_freshness.proofAge(now);
+    if (!age || *age > m_settings.freshness.proofLimit / 2) {
+        probe.reachablePeers = m_membership.reachable(now);
+        probe.reachableServers = m_linked;
+    }
     const std::vector<RouterId> peers = m_membership.peers();
     const std::size_t count = std::min(maxProbes, peers.size());
     for (std::size_t i = 0; i < count; ++i)
--- a/packages/wire/include/bilberry/wire/gossipmessages.h
+++ b/packages/wire/include/bilberry/wire/gossipmessages.h
@@ -22,9 +22,11 @@
     std::uint64_t sequence = 0;
     ConfigurationStamp stamp;
     bool platformReachable = false;
-    std::vector<RouterId> reachablePeers;   ///< routers heard from lately
-    std::vector<ServerId> reachableServers; ///< servers whose agents are linked
-    bool leaving = false;                   ///< the router is shutting down
+    /// Routers heard from lately; left out while the sender has a fresh proof.
+    std::vector<RouterId> reachablePeers;
+    /// Servers whose agents are linked; left out likewise.
+    std::vector<ServerId> reachableServers;
+    bool leaving = false; ///< the router is shutting down
     bool operator==(const Probe &) const = default;
 };
 
--- /dev/null
+++ b/tests/integration/controltraffic_test.cpp
@@ -0,0 +1,103 @@
+#include "support/fleet.h"
+
+#include "bilberry/base/digest.h"
+
+#include <catch2/catch.hpp>
+
+#include <cstdlib>
+#include <sstream>
+#include <thread>
+
+using namespace bilberry;
+using namespace bilberry::tests;
+using namespace std::chrono_literals;
+
+namespace {
+
+/// Control bytes that a daemon may send in a second.
+constexpr double bytesPerSecond = 3000.0;
+/// Calls to the platform that a router may make in a second; its default setting.
+constexpr double callsPerSecond = 50.0;
+constexpr Duration watched = 5s;
+constexpr int routers = 4;
+constexpr int servers = 13;
+
+FleetPlan plan()
+{
+    FleetPlan plan;
+    plan.binaries = BILBERRY_BIN;
+    std::string zones;
+    for (int i = 0; i < routers; ++i) {
+        plan.routers.push_back("z" + std::to_string(i));
+        zones += (i > 0 ? ", z" : "z") + std::to_string(i);
+    }
+    for (int i = 0; i < servers; ++i)
+        plan.servers.push_back({"model-" + std::to_string(i), "models", plan.routers[i % routers]});
+    plan.releaseNote = "added:\n  zones: { z0: {}, z1: {}, z2: {}, z3: {} }\n  pools:\n    models: "
+                       "{ zones: ["
+                       + zones
+                       + "], coldLimit: 4, fullLimit: 8 }\n  customers:\n    lodge: { share: 1, "
+                         "keyDigests: ["
+                       + sha256Hex("lodge-key")
+                       + "] }\n  routes:\n    /v1: { pool: models, repeatable: always }\n";
+    return plan;
+}
+
+/// @return sum of all rows of a counter on a metrics page
+double sumOf(const std::string &page, const std::string &counter)
+{
+    double sum = 0.0;
+    std::istringstream lines(page);
+    for (std::string line; std::getline(lines, line);) {
+        if (line.starts_with(counter))
+            sum += std::stod(line.substr(line.rfind(' ')));
+    }
+    return sum;
+}
+
+std::map<std::string, double> controlBytes(const Fleet &fleet)
+{
+    std::map<std::string, double> bytes;
+    for (const platform::Vm &vm : fleet.vms())
+        bytes[vm.name] = sumOf(fleet.admin(vm.adminPort, "/metrics"), "bilberry_control_bytes");
+    return bytes;
+}
+
+} // namespace
+
+SCENARIO("an idle fleet of today's size stays within its control budget")
+{
+    GIVEN("four routers and thirteen servers")
+    {
+        Fleet fleet(plan());
+        REQUIRE(fleet.start());
+        const char *trouble = GENERATE("nothing", "a platform that answers few calls");
+        WHEN("some seconds pass with " << trouble)
+        {
+            if (std::string(trouble) != "nothing")
+                fleet.platform().faults().callsPerSecond = 2;
+            const TimePoint from = Clock::now();
+            const auto before = controlBytes(fleet);
+            const std::uint64_t callsBefore = fleet.platform().calls();
+            std::this_thread::sleep_until(from + watched);
+            const auto after = controlBytes(fleet);
+            const std::uint64_t calls = fleet.platform().calls() - callsBefore;
+            const double seconds = toMilliseconds(Clock::now() - from) / 1000.0;
+            THEN("no daemon sends more than its budget, and the platform is not called more often")
+            {
+                for (const auto &[name, bytes] : after) {
+                    INFO(name);
+                    CHECK(bytes > 0);
+                    CHECK((bytes - before.at(name)) / seconds < bytesPerSecond);
+                }
+                CHECK(static_cast<double>(calls) / seconds < routers * callsPerSecond);
+                if (std::getenv("BILBERRY_KEEP"))
+                    WARN("router " << (after.at("router-0") - before.at("router-0")) / seconds
+                                   << " B/s, agent "
+                                   << (after.at("model-0") - before.at("model-0")) / seconds
+                                   << " B/s, platform " << static_cast<double>(calls) / seconds
+                                   << " calls/s");
+            }
+        }
+    }
+}
