Send reachability lists in every second probe of an outage

Change: while the platform is not proved, lists go out once a second; peers keep the last lists for 1.5 s as before. A short report of another incarnation no longer keeps the earlier one's state, such as leaving.

--- a/packages/decision/src/membership.cpp
+++ b/packages/decision/src/membership.cpp
@@ -34,6 +34,8 @@
     if (router == m_self)
         return;
     Peer &peer = m_peers[router];
+    if (peer.report.incarnation != incarnation)
+        peer = {};
     peer.report.router = router;
     peer.report.incarnation = incarnation;
     peer.report.platformReachable = platformReachable;
--- a/packages/decision/tests/membership_test.cpp
+++ b/packages/decision/tests/membership_test.cpp
@@ -131,6 +131,8 @@
             membership.heard({RouterId("r1"), 5, false, true, {}, {}}, start);
             CHECK(membership.live(start) == std::vector<std::string>{"r0", "r9"});
             CHECK(membership.reachable(start).size() == 2);
+            membership.heard(RouterId("r1"), 6, false, start);
+            CHECK(membership.live(start).size() == 3); // its next incarnation stays
         }
     }
 }
--- a/packages/router/include/bilberry/router/coordinator.h
+++ b/packages/router/include/bilberry/router/coordinator.h
@@ -103,6 +103,7 @@
     std::uint64_t m_sequence = 0;
     std::size_t m_nextProbe = 0;
     TimePoint m_probedAt{};
+    TimePoint m_listedAt{};
     TimePoint m_stampedAt{};
     TimePoint m_expiredAt{};
 };
--- a/packages/router/src/coordinator.cpp
+++ b/packages/router/src/coordinator.cpp
@@ -9,6 +9,8 @@
 namespace {
 
 constexpr Duration probePeriod = std::chrono::milliseconds(500);
+/// Every second probe carries lists, well within the time that peers count on them.
+constexpr Duration listPeriod = std::chrono::milliseconds(900);
 constexpr Duration stampPeriod = std::chrono::milliseconds(500);
 constexpr Duration expirePeriod = std::chrono::seconds(1);
 /// Peers probed in one period.
@@ -58,9 +60,14 @@
 
 void Coordinator::handle(const wire::Probe &probe, TimePoint now)
 {
-    m_membership.heard({probe.sender.router, probe.sender.incarnation, probe.platformReachable,
-                        probe.leaving, probe.reachablePeers, probe.reachableServers},
-                       now);
+    const bool withLists = !probe.reachablePeers.empty() || !probe.reachableServers.empty();
+    if (withLists || probe.leaving)
+        m_membership.heard({probe.sender.router, probe.sender.incarnation, probe.platformReachable,
+                            probe.leaving, probe.reachablePeers, probe.reachableServers},
+                           now);
+    else
+        m_membership.heard(probe.sender.router, probe.sender.incarnation, probe.platformReachable,
+                           now);
     m_hooks.send(probe.sender.router,
                  wire::ProbeAck{self(), probe.sequence, stamp(now), platformReachable(now)});
     hintRevision(probe.sender.router, probe.stamp);
@@ -260,7 +267,9 @@
                       {},     m_leaving};
     // The lists serve the word "frozen" alone, which nobody says while a proof is fresh.
     const auto age = m_freshness.proofAge(now);
-    if (!age || *age > m_settings.freshness.proofLimit / 2) {
+    const bool needed = !age || *age > m_settings.freshness.proofLimit / 2;
+    if (needed && now - m_listedAt > listPeriod) {
+        m_listedAt = now;
         probe.reachablePeers = m_membership.reachable(now);
         probe.reachableServers = m_linked;
     }
--- a/tests/integration/controltraffic_test.cpp
+++ b/tests/integration/controltraffic_test.cpp
@@ -71,11 +71,13 @@
     {
         Fleet fleet(plan());
         REQUIRE(fleet.start());
-        const char *trouble = GENERATE("nothing", "a platform that answers few calls");
+        const char *trouble = GENERATE("nothing", "a platform that answers few calls",
+                                       "a platform that is down");
         WHEN("some seconds pass with " << trouble)
         {
-            if (std::string(trouble) != "nothing")
-                fleet.platform().faults().callsPerSecond = 2;
+            fleet.platform().faults().callsPerSecond
+                    = std::string(trouble) == "a platform that answers few calls" ? 2 : 100000;
+            fleet.platform().faults().down = std::string(trouble) == "a platform that is down";
             const TimePoint from = Clock::now();
             const auto before = controlBytes(fleet);
             const std::uint64_t callsBefore = fleet.platform().calls();
