--- a/packages/agent/src/agent.cpp
+++ b/packages/agent/src/agent.cpp
@@ -197,7 +197,12 @@
             const Result<Configuration> offered = decodeConfiguration(request.body);
             if (!offered)
                 return {400, "{}"};
-            on(coreDuty, [&] { core.offerConfiguration(offered.value(), Clock::now()); });
+            // Routers ask the platform before they pass a configuration on; an agent can't, and
+            // takes an operator's word only while no router is linked.
+            on(coreDuty, [&] {
+                if (!core.hasRouter())
+                    core.offerConfiguration(offered.value(), Clock::now());
+            });
             return {200, "{}"};
         }
         const ConfigurationPtr present = on(coreDuty, [this] { return core.configuration(); });
--- a/packages/router/include/bilberry/router/coordinator.h
+++ b/packages/router/include/bilberry/router/coordinator.h
@@ -24,8 +24,8 @@
     std::function<void(const wire::QuarantineNotice &)> quarantine;
     /// The stamp for the agents changed or is due again; it was made at the given time.
     std::function<void(const wire::ConfigurationStamp &, TimePoint)> stamp;
-    /// A peer has a newer configuration.
-    std::function<void(const RouterId &)> fetchConfiguration;
+    /// A peer has a newer configuration, with or without a proof from the platform.
+    std::function<void(const RouterId &, bool proven)> fetchConfiguration;
     /// Whether this router shall watch the configuration at the platform.
     std::function<void(bool)> watch;
 };
@@ -46,12 +46,15 @@
     void spreadQuarantine(const std::vector<wire::QuarantineNotice> &notices, TimePoint now);
 
     /// A revision was put in force here.
-    void inForce(Revision revision, TimePoint now);
+    /// @param provenAt when the platform named it as the newest one, if it did
+    void inForce(Revision revision, std::optional<TimePoint> provenAt, TimePoint now);
     /// The platform proved a revision to be the newest.
     /// @param at when the platform was asked
     void proof(Revision revision, TimePoint at, TimePoint now);
+    /// An agent told its revision and proof.
+    void agentStamp(const wire::ConfigurationStamp &stamp, TimePoint now);
     /// A call to the platform failed.
-    void platformFailed() { m_platformReachable = false; }
+    void platformFailed() { m_platformAnsweredAt.reset(); }
     /// The router is shutting down.
     void leave(TimePoint now);
 
@@ -60,7 +63,8 @@
 
     wire::ConfigurationStamp stamp(TimePoint now) const;
     std::vector<std::string> liveRouters(TimePoint now) const { return m_membership.live(now); }
-    bool platformReachable() const { return m_platformReachable; }
+    /// @return whether the platform answered this router lately
+    bool platformReachable(TimePoint now) const;
 
 private:
     void handle(const wire::Probe &probe, TimePoint now);
@@ -70,6 +74,8 @@
     void handle(const wire::QuarantineGossip &gossip, TimePoint now);
 
     wire::GossipSender self() const;
+    bool isFrozen(TimePoint now) const;
+    void noteProof(const wire::ConfigurationStamp &stamp, TimePoint now);
     void hintRevision(const RouterId &from, const wire::ConfigurationStamp &stamp);
     RouterId ownerOf(const decision::ServiceKey &key) const;
     void refreshOwners(TimePoint now);
@@ -90,11 +96,14 @@
     std::vector<std::string> m_live;
     std::map<decision::ServiceKey, RouterId> m_lastOwner; ///< whose totals are in force
     std::vector<ServerId> m_linked;
-    bool m_platformReachable = false;
+    std::optional<TimePoint> m_platformAnsweredAt;
+    Revision m_newestProven = 0;                 ///< that any process told
+    std::optional<TimePoint> m_newestProofKnown; ///< time of the newest proof that any told
     bool m_leaving = false;
     std::uint64_t m_sequence = 0;
     std::size_t m_nextProbe = 0;
     TimePoint m_probedAt{};
+    TimePoint m_listedAt{};
     TimePoint m_stampedAt{};
     TimePoint m_expiredAt{};
 };
--- a/packages/router/src/coordinator.cpp
+++ b/packages/router/src/coordinator.cpp
@@ -9,6 +9,8 @@
 namespace {
 
 constexpr Duration probePeriod = std::chrono::milliseconds(500);
+/// Every second probe carries lists, well within the time that peers count on them.
+constexpr Duration listPeriod = std::chrono::milliseconds(900);
 constexpr Duration stampPeriod = std::chrono::milliseconds(500);
 constexpr Duration expirePeriod = std::chrono::seconds(1);
 /// Peers probed in one period.
@@ -58,18 +60,25 @@
 
 void Coordinator::handle(const wire::Probe &probe, TimePoint now)
 {
-    m_membership.heard({probe.sender.router, probe.sender.incarnation, probe.platformReachable,
-                        probe.leaving, probe.reachablePeers, probe.reachableServers},
-                       now);
+    const bool withLists = !probe.reachablePeers.empty() || !probe.reachableServers.empty();
+    if (withLists || probe.leaving)
+        m_membership.heard({probe.sender.router, probe.sender.incarnation, probe.platformReachable,
+                            probe.leaving, probe.reachablePeers, probe.reachableServers},
+                           now);
+    else
+        m_membership.heard(probe.sender.router, probe.sender.incarnation, probe.platformReachable,
+                           now);
     m_hooks.send(probe.sender.router,
-                 wire::ProbeAck{self(), probe.sequence, stamp(now), m_platformReachable});
+                 wire::ProbeAck{self(), probe.sequence, stamp(now), platformReachable(now)});
     hintRevision(probe.sender.router, probe.stamp);
+    noteProof(probe.stamp, now);
 }
 
 void Coordinator::handle(const wire::ProbeAck &ack, TimePoint now)
 {
     m_membership.heard(ack.sender.router, ack.sender.incarnation, ack.platformReachable, now);
     hintRevision(ack.sender.router, ack.stamp);
+    noteProof(ack.stamp, now);
     // A datagram may wait in a buffer, for example while this process is paused. Only the answer
     // to a probe of known age bounds that time, so that proofs travel in answers alone.
     const auto sinceMade = m_echoes.sinceMade(ack.sequence, Duration(), now);
@@ -81,7 +90,7 @@
 void Coordinator::hintRevision(const RouterId &from, const wire::ConfigurationStamp &stamp)
 {
     if (stamp.revision > m_freshness.revision())
-        m_hooks.fetchConfiguration(from);
+        m_hooks.fetchConfiguration(from, stamp.proofAgeMs != noProof);
 }
 
 void Coordinator::handle(const wire::ServiceReport &report, TimePoint now)
@@ -184,45 +193,86 @@
         m_hooks.send(router, wire::QuarantineGossip{self(), notices});
 }
 
-void Coordinator::inForce(Revision revision, TimePoint now)
+void Coordinator::inForce(Revision revision, std::optional<TimePoint> provenAt, TimePoint now)
 {
     m_freshness.inForce(revision);
+    // The proof goes out with the news, so that peers need not ask the platform themselves.
+    if (provenAt)
+        proof(revision, *provenAt, now);
     sendStamp(now);
     sendProbes(now);
 }
 
 void Coordinator::proof(Revision revision, TimePoint at, TimePoint now)
 {
-    m_platformReachable = true;
+    m_platformAnsweredAt = now;
     m_freshness.proof(revision, now - at, now);
 }
 
+bool Coordinator::platformReachable(TimePoint now) const
+{
+    // A call that hangs says nothing until its limit. Half of the proof's limit leaves the other
+    // half to tell peers and agents that the configuration is frozen.
+    return m_platformAnsweredAt
+           && now - *m_platformAnsweredAt <= m_settings.freshness.proofLimit / 2;
+}
+
 void Coordinator::leave(TimePoint now)
 {
     m_leaving = true;
     sendProbes(now);
 }
 
+void Coordinator::agentStamp(const wire::ConfigurationStamp &stamp, TimePoint now)
+{
+    noteProof(stamp, now);
+}
+
+void Coordinator::noteProof(const wire::ConfigurationStamp &stamp, TimePoint now)
+{
+    if (stamp.proofAgeMs == noProof)
+        return;
+    m_newestProven = std::max(m_newestProven, stamp.revision);
+    // Time on the way makes the proof seem younger here, which only delays the word "frozen".
+    const TimePoint at = now - std::chrono::milliseconds(stamp.proofAgeMs);
+    if (!m_newestProofKnown || at > *m_newestProofKnown)
+        m_newestProofKnown = at;
+}
+
+bool Coordinator::isFrozen(TimePoint now) const
+{
+    // Reachability is no equivalence: an agent or a peer may reach both this router and one that
+    // reaches the platform. Its proof shows that orders can be accepted beyond this view.
+    if (m_newestProven > m_freshness.revision())
+        return false;
+    if (m_newestProofKnown && now - *m_newestProofKnown <= m_settings.freshness.proofLimit / 2)
+        return false;
+    return m_membership.frozenMajority(m_linked, platformReachable(now), now);
+}
+
 wire::ConfigurationStamp Coordinator::stamp(TimePoint now) const
 {
     wire::ConfigurationStamp stamp;
     stamp.revision = m_freshness.revision();
     const auto age = m_freshness.proofAge(now);
     stamp.proofAgeMs = age ? wire::ageMilliseconds(*age) : noProof;
-    stamp.frozen = m_membership.frozenMajority(m_linked, m_platformReachable, now);
+    stamp.frozen = isFrozen(now);
     return stamp;
 }
 
 void Coordinator::sendProbes(TimePoint now)
 {
     m_probedAt = now;
-    wire::Probe probe{self(),
-                      m_echoes.sent(now),
-                      stamp(now),
-                      m_platformReachable,
-                      m_membership.reachable(now),
-                      m_linked,
-                      m_leaving};
+    wire::Probe probe{self(), m_echoes.sent(now), stamp(now), platformReachable(now), {},
+                      {},     m_leaving};
+    // The lists serve the word "frozen" alone, which nobody says while a proof is fresh.
+    const auto age = m_freshness.proofAge(now);
+    const bool needed = !age || *age > m_settings.freshness.proofLimit / 2;
+    if (needed && now - m_listedAt > listPeriod) {
+        m_listedAt = now;
+        probe.reachablePeers = m_membership.reachable(now);
+        probe.reachableServers = m_linked;
+    }
     const std::vector<RouterId> peers = m_membership.peers();
     const std::size_t count = std::min(maxProbes, peers.size());
     for (std::size_t i = 0; i < count; ++i)
@@ -260,6 +310,7 @@
     if (now - m_expiredAt >= expirePeriod) {
         m_expiredAt = now;
         m_aggregator.expire(now);
+        m_membership.expire(now);
     }
 }
 
--- a/packages/router/src/router.cpp
+++ b/packages/router/src/router.cpp
@@ -191,8 +191,9 @@
             if (!linksRing.push(Stamp{stamp, madeAt}))
                 metrics.addOverflow("links");
         };
-        hooks.fetchConfiguration = [this](const RouterId &router) {
-            asio::post(platformDuty.context(), [this, router] { platform.fetchFrom(router); });
+        hooks.fetchConfiguration = [this](const RouterId &router, bool proven) {
+            asio::post(platformDuty.context(),
+                       [this, router, proven] { platform.fetchFrom(router, proven); });
         };
         hooks.watch = [this](bool watch) {
             asio::post(platformDuty.context(), [this, watch] { platform.setWatch(watch); });
@@ -212,6 +213,8 @@
             push<GossipEvent>(gossipRing, LinkedServers{links.linked()});
         };
         hooks.received = [this](const ServerId &server, wire::LinkMessage &&message) {
+            if (const auto *heartbeat = std::get_if<wire::AgentHeartbeat>(&message))
+                push<GossipEvent>(gossipRing, AgentStamp{heartbeat->stamp});
             push<CoreEvent>(coreRing, AgentReceived{server, std::move(message)});
         };
         hooks.controlSent = [this](std::size_t bytes) { metrics.addControlBytes("link", bytes); };
@@ -221,12 +224,13 @@
     PlatformDutyHooks platformHooks()
     {
         PlatformDutyHooks hooks;
-        hooks.configuration = [this](ConfigurationPtr configuration) {
-            push<CoreEvent>(coreRing, configuration);
-            push<ServerEvent>(callerRing, configuration);
-            push<LinksEvent>(linksRing, configuration);
-            push<GossipEvent>(gossipRing, InForce{configuration->revision()});
-        };
+        hooks.configuration
+                = [this](ConfigurationPtr configuration, std::optional<TimePoint> provenAt) {
+                      push<CoreEvent>(coreRing, configuration);
+                      push<ServerEvent>(callerRing, configuration);
+                      push<LinksEvent>(linksRing, configuration);
+                      push<GossipEvent>(gossipRing, InForce{configuration->revision(), provenAt});
+                  };
         hooks.proof = [this](Revision revision, TimePoint at) {
             push<GossipEvent>(gossipRing, Proof{revision, at});
         };
@@ -281,6 +285,8 @@
             coordinator.setOwnService(*own, now);
         else if (auto *notice = std::get_if<wire::QuarantineNotice>(&event))
             coordinator.spreadQuarantine({*notice}, now);
+        else if (auto *agent = std::get_if<AgentStamp>(&event))
+            coordinator.agentStamp(agent->stamp, now);
         else if (auto *proof = std::get_if<Proof>(&event))
             coordinator.proof(proof->revision, proof->at, now);
         else if (std::holds_alternative<PlatformFailed>(event))
@@ -288,7 +294,7 @@
         else if (auto *linked = std::get_if<LinkedServers>(&event))
             coordinator.setLinkedServers(std::move(linked->servers));
         else if (auto *inForce = std::get_if<InForce>(&event))
-            coordinator.inForce(inForce->revision, now);
+            coordinator.inForce(inForce->revision, inForce->provenAt, now);
         else
             setVms(std::get<std::vector<platform::Vm>>(event));
     }
--- a/packages/router/src/routerevents.h
+++ b/packages/router/src/routerevents.h
@@ -7,6 +7,8 @@
 #include "bilberry/router/callerevents.h"
 #include "bilberry/router/claimevents.h"
 
+#include <optional>
+
 /// What the rings between the duties of a router carry.
 namespace bilberry::router {
 
@@ -55,9 +57,15 @@
 struct InForce
 {
     Revision revision = 0;
+    std::optional<TimePoint> provenAt;
+};
+struct AgentStamp
+{
+    wire::ConfigurationStamp stamp;
 };
-using GossipEvent = std::variant<std::vector<decision::OwnService>, wire::QuarantineNotice, Proof,
-                                 PlatformFailed, LinkedServers, InForce, std::vector<platform::Vm>>;
+using GossipEvent
+        = std::variant<AgentStamp, std::vector<decision::OwnService>, wire::QuarantineNotice, Proof,
+                       PlatformFailed, LinkedServers, InForce, std::vector<platform::Vm>>;
 
 using PlatformEvent = std::variant<ClaimCommand, ConfigurationPtr>;
 
