--- /dev/null
+++ b/packages/router/tests/callerserver_test.cpp
@@ -0,0 +1,124 @@
+#include "bilberry/router/callerserver.h"
+
+#include "support/fleet.h"
+#include "support/rawcaller.h"
+
+#include "bilberry/base/digest.h"
+#include "bilberry/base/duty.h"
+
+#include <catch2/catch.hpp>
+
+#include <atomic>
+#include <mutex>
+
+using namespace bilberry;
+using namespace bilberry::router;
+using tests::eventually;
+using tests::RawCaller;
+
+namespace {
+
+ConfigurationPtr configuration()
+{
+    ConfigurationParts parts;
+    const ZoneId zone("a");
+    parts.zones[zone].id = zone;
+    const PoolId pool("models");
+    parts.pools[pool].id = pool;
+    parts.pools[pool].zones = {zone};
+    const CustomerId customer("kitchen");
+    parts.customers[customer].id = customer;
+    parts.customers[customer].keyDigests = {sha256Hex("kitchen-key")};
+    parts.routes["/v1"].prefix = "/v1";
+    parts.routes["/v1"].pool = pool;
+    return std::make_shared<const Configuration>(Configuration::create(1, parts).value());
+}
+
+/// A core whose ring can be full.
+struct Core
+{
+    bool take(CallerEvent &&event)
+    {
+        if (full) {
+            ++refused;
+            return false;
+        }
+        const std::lock_guard lock(mutex);
+        events.push_back(std::move(event));
+        return true;
+    }
+
+    template <typename Event>
+    std::vector<Event> all()
+    {
+        const std::lock_guard lock(mutex);
+        std::vector<Event> found;
+        for (const CallerEvent &event : events) {
+            if (const auto *match = std::get_if<Event>(&event))
+                found.push_back(*match);
+        }
+        return found;
+    }
+
+    std::atomic<bool> full = false;
+    std::atomic<int> refused = 0;
+    std::mutex mutex;
+    std::vector<CallerEvent> events;
+};
+
+} // namespace
+
+SCENARIO("the core hears of callers also when its ring was full")
+{
+    GIVEN("a caller whose request the core has")
+    {
+        Core core;
+        Duty duty("callers");
+        RouterSettings settings;
+        settings.listenAddress = "127.0.0.1";
+        settings.callerPort = tests::freePort();
+        CallerServer server(duty.context(), settings,
+                            [&](CallerEvent &&event) { return core.take(std::move(event)); });
+        server.setConfiguration(configuration());
+        server.start();
+        duty.start();
+        RawCaller caller(settings.callerPort);
+        caller.send("GET /v1/a HTTP/1.1\r\nHost: a\r\nX-Api-Key: kitchen-key\r\n\r\n");
+        REQUIRE(eventually([&] { return core.all<Submit>().size() == 1; }));
+        const RequestId id = core.all<Submit>().front().request;
+
+        WHEN("the caller goes away while the ring is full")
+        {
+            core.full = true;
+            caller.close();
+            REQUIRE(eventually([&] { return core.refused > 0; }));
+            CHECK(core.all<CallerGone>().empty());
+            core.full = false;
+
+            THEN("the core hears of it afterwards, once")
+            {
+                REQUIRE(eventually([&] { return !core.all<CallerGone>().empty(); }));
+                CHECK(core.all<CallerGone>().size() == 1);
+                CHECK(core.all<CallerGone>().front().request == id);
+            }
+        }
+        WHEN("the caller takes parts of its answer while the ring is full")
+        {
+            constexpr std::size_t part = 100000;
+            core.full = true;
+            boost::asio::post(duty.context(), [&] {
+                server.reply(ReplyHead{id, 200, {}});
+                server.reply(ReplyChunk{id, std::string(part, 'x')});
+            });
+            REQUIRE(eventually([&] { return core.refused > 0; }));
+            core.full = false;
+
+            THEN("their credit reaches the core")
+            {
+                REQUIRE(eventually([&] { return !core.all<CallerDrained>().empty(); }));
+                CHECK(core.all<CallerDrained>().front().bytes == part);
+            }
+        }
+        duty.stop();
+    }
+}
