Count a silent router's service once

Cause: a counter silent for 10 s was added to the retired sum and dropped; the router's next report brought the same cumulative counter again, so that its service counted twice. A customer silent everywhere for 10 s lost the service of ended lives. Change: a counter retires only when its router reports in another life; a customer is forgotten after an hour without reports. Test: serviceaggregator_test, two cases failed before (180 and 0 in place of 140), pass now.

--- a/packages/decision/include/bilberry/decision/serviceaggregator.h
+++ b/packages/decision/include/bilberry/decision/serviceaggregator.h
@@ -24,8 +24,12 @@
 {
     /// A new owner of a customer answers only after this time, when all routers have reported.
     Duration settleTime = std::chrono::milliseconds(1000);
-    /// Counters of a life that is silent for longer become part of the retired sum.
+    /// The counter of a life that is silent for longer becomes part of the retired sum when its
+    /// router reports in another life. A router that merely has nothing to report keeps its
+    /// counter: it is cumulative and would be counted twice when it reports again.
     Duration retireAfter = std::chrono::seconds(10);
+    /// A customer without any report for so long is forgotten.
+    Duration forgetAfter = std::chrono::hours(1);
     bool operator==(const AggregatorSettings &) const = default;
 };
 
@@ -44,7 +48,7 @@
     std::optional<RemoteService> totalFor(const ServiceKey &key, const ReportOrigin &receiver,
                                           TimePoint now) const;
 
-    /// Retires silent origins and forgets keys without origins.
+    /// Retires ended lives and forgets customers without reports.
     void expire(TimePoint now);
 
     /// Forgets all keys that this router no longer owns.
@@ -70,6 +74,8 @@
         std::map<ReportOrigin, Counter> counters;
     };
 
+    void retireEndedLives(Key &key, TimePoint now) const;
+
     AggregatorSettings m_settings;
     std::map<ServiceKey, Key> m_keys;
 };
--- a/packages/decision/src/serviceaggregator.cpp
+++ b/packages/decision/src/serviceaggregator.cpp
@@ -41,19 +41,37 @@
     return total;
 }
 
-void ServiceAggregator::expire(TimePoint now)
+void ServiceAggregator::retireEndedLives(Key &key, TimePoint now) const
 {
-    for (auto &[key, state] : m_keys) {
-        for (auto counter = state.counters.begin(); counter != state.counters.end();) {
-            if (now - counter->second.reckoning.reportedAt() <= m_settings.retireAfter) {
-                ++counter;
-                continue;
-            }
-            state.retired += counter->second.reckoning.reported();
-            counter = state.counters.erase(counter);
+    const auto silence
+            = [now](const Counter &counter) { return now - counter.reckoning.reportedAt(); };
+    for (auto entry = key.counters.begin(); entry != key.counters.end();) {
+        // Lives of one router are neighbours in the map's order.
+        const auto next = std::next(entry);
+        const auto sameRouter = [&](const auto &other) {
+            return other != key.counters.end() && other->first.router == entry->first.router
+                   && silence(other->second) < silence(entry->second);
+        };
+        const bool replaced = sameRouter(next)
+                              || (entry != key.counters.begin() && sameRouter(std::prev(entry)));
+        if (replaced && silence(entry->second) > m_settings.retireAfter) {
+            key.retired += entry->second.reckoning.reported();
+            key.counters.erase(entry);
         }
+        entry = next;
     }
-    std::erase_if(m_keys, [](const auto &entry) { return entry.second.counters.empty(); });
+}
+
+void ServiceAggregator::expire(TimePoint now)
+{
+    for (auto &[name, key] : m_keys)
+        retireEndedLives(key, now);
+    std::erase_if(m_keys, [&](const auto &entry) {
+        const auto &counters = entry.second.counters;
+        return std::all_of(counters.begin(), counters.end(), [&](const auto &counter) {
+            return now - counter.second.reckoning.reportedAt() > m_settings.forgetAfter;
+        });
+    });
 }
 
 } // namespace bilberry::decision
--- a/packages/decision/tests/serviceaggregator_test.cpp
+++ b/packages/decision/tests/serviceaggregator_test.cpp
@@ -46,6 +46,26 @@
             CHECK(aggregator.totalFor(key, third, at(1000.0))->normalised == Approx(140.0));
             CHECK(aggregator.totalFor(key, first, at(1000.0))->offset == Approx(7.0));
         }
+        WHEN("a router has nothing to report for long, and then reports again")
+        {
+            aggregator.report(first, 2, counter(100.0), at(15000.0));
+            aggregator.expire(at(15000.0));
+            aggregator.report(second, 2, counter(40.0), at(20000.0));
+
+            THEN("its service is counted once")
+            {
+                CHECK(aggregator.totalFor(key, third, at(20000.0))->normalised == Approx(140.0));
+            }
+        }
+        WHEN("all routers are silent for a minute")
+        {
+            aggregator.expire(at(60000.0));
+
+            THEN("nothing is forgotten")
+            {
+                CHECK(aggregator.totalFor(key, third, at(60000.0))->normalised == Approx(140.0));
+            }
+        }
         WHEN("a router restarts empty")
         {
             aggregator.report({RouterId("router-1"), 9}, 1, counter(5.0), at(2000.0));
