--- a/packages/agent/include/bilberry/agent/agentcore.h
+++ b/packages/agent/include/bilberry/agent/agentcore.h
@@ -3,6 +3,7 @@
 
 #include "bilberry/agent/agentsettings.h"
 #include "bilberry/agent/backendevents.h"
+#include "bilberry/agent/healthtracker.h"
 #include "bilberry/base/log.h"
 #include "bilberry/decision/admissioncontrol.h"
 #include "bilberry/decision/costestimator.h"
@@ -69,6 +70,7 @@
     {
         decision::LinkId link = 0;
         std::uint64_t fingerprint = 0;
+        bool mayRepeat = true;
         RunRequest request; ///< kept until the request starts
         bool started = false;
         TimePoint startedAt{};
@@ -76,13 +78,6 @@
         std::uint32_t chunks = 0;
     };
 
-    /// A request whose connection the server broke.
-    struct BrokenRequest
-    {
-        decision::Fingerprint fingerprint = 0;
-        TimePoint at{};
-    };
-
     void handle(decision::LinkId link, wire::RouterHello &message, TimePoint now);
     void handle(decision::LinkId link, wire::RouterHeartbeat &message, TimePoint now);
     void handle(decision::LinkId link, wire::Demand &message, TimePoint now);
@@ -107,12 +102,13 @@
     void takeStamp(decision::LinkId link, const wire::ConfigurationStamp &stamp, TimePoint now);
     wire::ConfigurationStamp stamp(TimePoint now) const;
     std::optional<wire::RefusalReason> closedReason(TimePoint now) const;
+    void send(decision::LinkId link, wire::LinkMessage &&message);
     void refuse(decision::LinkId link, AttemptId attempt, wire::RefusalReason reason);
     void refuseHeld(wire::RefusalReason reason);
     void start(AttemptId attempt, Attempt &state, TimePoint now);
     void finish(AttemptId attempt, wire::AttemptEnd end, TimePoint now);
     void serverCrashed(TimePoint now);
-    std::vector<decision::Fingerprint> takeRecentlyBroken(TimePoint now);
+    bool suspectRuns() const;
     void advance(TimePoint now);
     void updateOpen(TimePoint now);
     void heartbeat(TimePoint now);
@@ -128,8 +124,7 @@
     ConfigurationPtr m_configuration;
     std::map<decision::LinkId, Link> m_links;
     std::unordered_map<AttemptId, Attempt> m_attempts;
-    std::vector<BrokenRequest> m_broken;
-    BackendHealth m_health;
+    HealthTracker m_health;
     bool m_draining = false;
     std::uint32_t m_crashes = 0;
     wire::ServerLoad m_sentLoad;
