Spend no report budget on customers that the router aggregates itself

Cause: a third of the counters of three routers go to the router's own aggregator and cost no byte, but took their part of the byte budget from the others. Change: the planner asks which customers are local; these don't count. Tried and reverted: at least 200 ms between reports in place of 100.

--- a/packages/decision/include/bilberry/decision/reportplanner.h
+++ b/packages/decision/include/bilberry/decision/reportplanner.h
@@ -4,6 +4,7 @@
 #include "bilberry/decision/reckoning.h"
 #include "bilberry/decision/serviceledger.h"
 
+#include <functional>
 #include <map>
 #include <string>
 #include <vector>
@@ -24,6 +25,9 @@
     bool operator==(const ReportSettings &) const = default;
 };
 
+/// Tells whether this router aggregates a customer itself, so that a report costs no bytes.
+using LocalHook = std::function<bool(const ServiceKey &)>;
+
 /// Decides which counters are reported now: those that changed by a quantum, the largest change
 /// first, within a byte budget.
 class ReportPlanner
@@ -32,8 +36,10 @@
     explicit ReportPlanner(ReportSettings settings);
 
     /// @param own the ledger's counters
+    /// @param isLocal which of them cost nothing
     /// @return the counters to report now
-    std::vector<OwnService> plan(const std::vector<OwnService> &own, TimePoint now);
+    std::vector<OwnService> plan(const std::vector<OwnService> &own, const LocalHook &isLocal,
+                                 TimePoint now);
 
     /// Forgets what was reported, so that a new aggregator hears everything.
     void resend(const ServiceKey &key) { m_reported.erase(key); }
@@ -51,6 +57,7 @@
     };
 
     double changeOf(const OwnService &service, TimePoint now) const;
+    void noteReported(const OwnService &service, TimePoint now);
     void refill(TimePoint now);
 
     ReportSettings m_settings;
--- a/packages/decision/src/reportplanner.cpp
+++ b/packages/decision/src/reportplanner.cpp
@@ -36,36 +36,46 @@
     return due ? std::max(change, m_settings.quantum) : change;
 }
 
-std::vector<OwnService> ReportPlanner::plan(const std::vector<OwnService> &own, TimePoint now)
+void ReportPlanner::noteReported(const OwnService &service, TimePoint now)
+{
+    Reported &reported = m_reported[service.key];
+    reported.reckoning.report(service.normalised, now);
+    reported.offset = service.offset;
+}
+
+std::vector<OwnService> ReportPlanner::plan(const std::vector<OwnService> &own,
+                                            const LocalHook &isLocal, TimePoint now)
 {
     if (now - m_lastReport < m_settings.shortestGap)
         return {};
     refill(now);
+    std::vector<OwnService> planned;
     std::vector<Candidate> candidates;
     for (const OwnService &service : own) {
         const double change = changeOf(service, now);
-        if (change >= m_settings.quantum)
+        if (change < m_settings.quantum)
+            continue;
+        if (isLocal(service.key))
+            planned.push_back(service);
+        else
             candidates.push_back({&service, change});
     }
     std::sort(candidates.begin(), candidates.end(),
               [](const Candidate &a, const Candidate &b) { return a.change > b.change; });
-    std::vector<OwnService> planned;
     double cost = static_cast<double>(m_settings.bytesPerReport);
+    double spent = 0.0;
     for (const Candidate &candidate : candidates) {
         cost += static_cast<double>(m_settings.bytesPerCounter);
         if (cost > m_tokens)
             break;
-        const OwnService &service = *candidate.service;
-        planned.push_back(service);
-        Reported &reported = m_reported[service.key];
-        reported.reckoning.report(service.normalised, now);
-        reported.offset = service.offset;
+        spent = cost;
+        planned.push_back(*candidate.service);
     }
-    if (planned.empty())
-        return planned;
-    m_tokens -= static_cast<double>(m_settings.bytesPerReport
-                                    + planned.size() * m_settings.bytesPerCounter);
-    m_lastReport = now;
+    for (const OwnService &service : planned)
+        noteReported(service, now);
+    m_tokens -= spent;
+    if (!planned.empty())
+        m_lastReport = now;
     return planned;
 }
 
--- a/packages/decision/tests/fairness_test.cpp
+++ b/packages/decision/tests/fairness_test.cpp
@@ -204,7 +204,8 @@
             from.ledger.capCatchUp(now());
             const ReportOrigin origin{RouterId("router-" + std::to_string(i)), from.incarnation};
             ++from.sequence;
-            for (const OwnService &own : from.planner.plan(from.ledger.own(), now())) {
+            const auto isLocal = [&](const ServiceKey &key) { return ownerOf(key) == i; };
+            for (const OwnService &own : from.planner.plan(from.ledger.own(), isLocal, now())) {
                 const std::size_t owner = ownerOf(own.key);
                 if (cut(i, owner))
                     continue;
--- a/packages/decision/tests/reportplanner_test.cpp
+++ b/packages/decision/tests/reportplanner_test.cpp
@@ -18,6 +18,16 @@
     return {{PoolId("models"), CustomerId(customer)}, normalised, 0.0, backlogged};
 }
 
+bool remote(const ServiceKey &)
+{
+    return false;
+}
+
+bool local(const ServiceKey &)
+{
+    return true;
+}
+
 } // namespace
 
 SCENARIO("a report is sent when it is worth its bytes")
@@ -45,9 +55,10 @@
             DYNAMIC_SECTION(example.name)
             {
                 ReportPlanner planner({});
-                REQUIRE(planner.plan({service("kitchen", 10.0, true)}, at(0.0)).size() == 1);
+                REQUIRE(planner.plan({service("kitchen", 10.0, true)}, remote, at(0.0)).size()
+                        == 1);
                 const auto planned = planner.plan(
-                        {service("kitchen", 10.0 + example.change, example.backlogged)},
+                        {service("kitchen", 10.0 + example.change, example.backlogged)}, remote,
                         at(example.afterMs));
                 CHECK(planned.size() == (example.reported ? 1U : 0U));
             }
@@ -58,7 +69,8 @@
         ReportPlanner planner({});
         std::size_t steady = 0;
         for (int step = 0; step < 100; ++step)
-            steady += planner.plan({service("kitchen", 50.0 * step, true)}, at(100.0 * step))
+            steady += planner.plan({service("kitchen", 50.0 * step, true)}, remote,
+                                   at(100.0 * step))
                               .size();
 
         THEN("what the aggregator expects anyway isn't reported")
@@ -66,6 +78,17 @@
             CHECK(steady < 25);
         }
     }
+    GIVEN("a customer that this router aggregates itself, and no budget left")
+    {
+        ReportSettings settings;
+        settings.bytesPerSecond = 1.0;
+        ReportPlanner planner(settings);
+        THEN("its reports cost nothing")
+        {
+            CHECK(planner.plan({service("kitchen", 500.0, true)}, remote, at(0.0)).empty());
+            CHECK(planner.plan({service("kitchen", 500.0, true)}, local, at(0.0)).size() == 1);
+        }
+    }
     GIVEN("more changes than the budget carries")
     {
         ReportSettings settings;
@@ -75,13 +98,13 @@
         for (int i = 1; i <= 20; ++i)
             own.push_back(service("customer-" + std::to_string(i), 0.0, true));
         for (int round = 0; round < 20; ++round)
-            planner.plan(own, at(2000.0 * round));
+            planner.plan(own, remote, at(2000.0 * round));
         for (int i = 0; i < 20; ++i)
             own[i].normalised = 1000.0 * (i + 1);
 
         THEN("the largest changes go first")
         {
-            const auto planned = planner.plan(own, at(60000.0));
+            const auto planned = planner.plan(own, remote, at(60000.0));
             REQUIRE(planned.size() == 4);
             CHECK(planned.front().key.customer.text() == "customer-20");
             CHECK(planned.back().key.customer.text() == "customer-17");
@@ -101,7 +124,7 @@
         for (int step = 0; step < 100; ++step) {
             for (OwnService &of : own)
                 of.normalised += *rc::gen::inRange(0, 400);
-            const auto planned = planner.plan(own, at(100.0 * step));
+            const auto planned = planner.plan(own, remote, at(100.0 * step));
             if (!planned.empty())
                 bytes += settings.bytesPerReport + planned.size() * settings.bytesPerCounter;
         }
--- a/packages/router/src/coordinator.cpp
+++ b/packages/router/src/coordinator.cpp
@@ -157,7 +157,9 @@
     if (m_settings.fairness != FairnessMode::Fleet)
         return;
     std::map<RouterId, wire::ServiceReport> reports;
-    for (const decision::OwnService &service : m_planner.plan(own, now)) {
+    const auto isLocal
+            = [this](const decision::ServiceKey &key) { return ownerOf(key) == m_settings.router; };
+    for (const decision::OwnService &service : m_planner.plan(own, isLocal, now)) {
         wire::ServiceReport &report = reports[ownerOf(service.key)];
         report.counters.push_back({service.key.customer, service.key.pool, service.normalised,
                                    service.offset, service.backlogged});
