Cap catching up behind the most served waiting customer

Cause: since the frontier is where the neediest customer waits, the cap (60 s behind the frontier) never took hold, so that a customer far ahead after a partition could be kept waiting without end. Change: the cap counts from the most served waiting customer of the pool. Test: the new property failed before (service 0 and 1001 at a cap of 1000) and passes now. fairness_test passes before and after.

--- a/packages/decision/include/bilberry/decision/serviceledger.h
+++ b/packages/decision/include/bilberry/decision/serviceledger.h
@@ -40,8 +40,8 @@
 {
     /// The longest time for which remote service is extrapolated.
     Duration maxExtrapolation = std::chrono::seconds(1);
-    /// A waiting customer is lifted to at most this far behind the service frontier, in
-    /// normalised milliseconds: bounds the catch-up after a partition in both directions.
+    /// A waiting customer is lifted to at most this far behind the most served waiting one, in
+    /// normalised milliseconds: bounds for how long that one is kept waiting after a partition.
     double catchUpCap = 60000.0;
     /// false: other routers' service is left out (a baseline for measurements)
     bool countRemote = true;
@@ -85,7 +85,7 @@
     /// an agent. It may fall, because the most served customer doesn't say where the others are.
     void setFrontier(const PoolId &pool, double virtualTime) { m_frontiers[pool] = virtualTime; }
 
-    /// Lifts waiting customers that lag behind the frontier by more than the cap.
+    /// Lifts waiting customers that lag behind the most served waiting one by more than the cap.
     void capCatchUp(TimePoint now);
 
     /// @return the customer's virtual time in normalised milliseconds
--- a/packages/decision/src/serviceledger.cpp
+++ b/packages/decision/src/serviceledger.cpp
@@ -58,9 +58,17 @@
 
 void ServiceLedger::capCatchUp(TimePoint now)
 {
+    std::map<PoolId, double> largest;
+    for (const auto &[key, account] : m_accounts) {
+        if (!account.backlogged)
+            continue;
+        const double time = virtualTime(account, now);
+        const auto [entry, isNew] = largest.try_emplace(key.pool, time);
+        entry->second = std::max(entry->second, time);
+    }
     for (auto &[key, account] : m_accounts) {
         if (account.backlogged)
-            lift(account, frontier(key.pool) - m_settings.catchUpCap, now);
+            lift(account, largest[key.pool] - m_settings.catchUpCap, now);
     }
 }
 
--- a/packages/decision/tests/serviceledger_test.cpp
+++ b/packages/decision/tests/serviceledger_test.cpp
@@ -3,6 +3,8 @@
 #include <catch2/catch.hpp>
 #include <rapidcheck.h>
 
+#include <algorithm>
+
 using namespace bilberry;
 using namespace bilberry::decision;
 
@@ -112,3 +114,28 @@
         CHECK(ledger.virtualTime(keyOf("kitchen"), start) == Approx(0.0));
     }
 }
+
+TEST_CASE("catching up is capped in both directions")
+{
+    REQUIRE(rc::check("any service while apart", [] {
+        LedgerSettings settings;
+        settings.catchUpCap = 1000.0;
+        ServiceLedger ledger(settings);
+        const auto services = *rc::gen::nonEmpty(
+                rc::gen::container<std::vector<int>>(rc::gen::inRange(0, 1000000)));
+        std::vector<ServiceKey> keys;
+        while (keys.size() < services.size()) {
+            keys.push_back(keyOf("customer-" + std::to_string(keys.size())));
+            ledger.setBacklogged(keys.back(), start);
+        }
+        for (std::size_t i = 0; i < keys.size(); ++i)
+            ledger.charge(keys[i], services[i], 1.0);
+        ledger.setFrontier(pool, 0.0);
+        ledger.capCatchUp(start);
+        const int most = *std::max_element(services.begin(), services.end());
+        for (std::size_t i = 0; i < keys.size(); ++i) {
+            const double time = ledger.virtualTime(keys[i], start);
+            RC_ASSERT(time == std::max<double>(services[i], most - settings.catchUpCap));
+        }
+    }));
+}
