--- a/packages/decision/include/bilberry/decision/serviceaggregator.h
+++ b/packages/decision/include/bilberry/decision/serviceaggregator.h
@@ -1,6 +1,7 @@
 #ifndef BILBERRY_DECISION_SERVICEAGGREGATOR_H
 #define BILBERRY_DECISION_SERVICEAGGREGATOR_H
 
+#include "bilberry/decision/reckoning.h"
 #include "bilberry/decision/serviceledger.h"
 
 #include <cstdint>
@@ -23,8 +24,12 @@
 {
     /// A new owner of a customer answers only after this time, when all routers have reported.
     Duration settleTime = std::chrono::milliseconds(1000);
-    /// Counters of a life that is silent for longer become part of the retired sum.
+    /// The counter of a life that is silent for longer becomes part of the retired sum when its
+    /// router reports in another life. A router that merely has nothing to report keeps its
+    /// counter: it is cumulative and would be counted twice when it reports again.
     Duration retireAfter = std::chrono::seconds(10);
+    /// A customer without any report for so long is forgotten.
+    Duration forgetAfter = std::chrono::hours(1);
     bool operator==(const AggregatorSettings &) const = default;
 };
 
@@ -43,7 +48,7 @@
     std::optional<RemoteService> totalFor(const ServiceKey &key, const ReportOrigin &receiver,
                                           TimePoint now) const;
 
-    /// Retires silent origins and forgets keys without origins.
+    /// Retires ended lives and forgets customers without reports.
     void expire(TimePoint now);
 
     /// Forgets all keys that this router no longer owns.
@@ -59,9 +64,7 @@
     struct Counter
     {
         std::uint64_t sequence = 0;
-        double normalised = 0.0;
-        double rate = 0.0;
-        TimePoint at{};
+        Reckoning reckoning;
     };
     struct Key
     {
@@ -71,6 +74,8 @@
         std::map<ReportOrigin, Counter> counters;
     };
 
+    void retireEndedLives(Key &key, TimePoint now) const;
+
     AggregatorSettings m_settings;
     std::map<ServiceKey, Key> m_keys;
 };
--- a/packages/decision/src/serviceaggregator.cpp
+++ b/packages/decision/src/serviceaggregator.cpp
@@ -1,28 +1,11 @@
 #include "bilberry/decision/serviceaggregator.h"
 
+#include "bilberry/decision/reckoning.h"
+
 #include <algorithm>
-#include <cmath>
 
 namespace bilberry::decision {
 
-namespace {
-
-/// A single dispatch or correction between two reports must not pass for a lasting rate.
-constexpr double rateTimeConstantMs = 1000.0;
-
-/// @param rate so far, a second
-/// @return exponentially weighted mean, weighted by time
-double smoothedRate(double rate, double change, Duration span)
-{
-    const double spanMs = toMilliseconds(span);
-    if (spanMs <= 0.0)
-        return rate + std::max(0.0, change * 1000.0 / rateTimeConstantMs);
-    const double kept = std::exp(-spanMs / rateTimeConstantMs);
-    return std::max(0.0, kept * rate + (1.0 - kept) * change * 1000.0 / spanMs);
-}
-
-} // namespace
-
 void ServiceAggregator::report(const ReportOrigin &origin, std::uint64_t sequence,
                                const OwnService &counter, TimePoint now)
 {
@@ -35,12 +18,8 @@
     Counter &state = known->second;
     if (!isFirst && sequence <= state.sequence)
         return;
-    if (!isFirst)
-        state.rate
-                = smoothedRate(state.rate, counter.normalised - state.normalised, now - state.at);
     state.sequence = sequence;
-    state.normalised = counter.normalised;
-    state.at = now;
+    state.reckoning.report(counter.normalised, now);
 }
 
 std::optional<RemoteService> ServiceAggregator::totalFor(const ServiceKey &key,
@@ -56,27 +35,43 @@
     for (const auto &[origin, counter] : found->second.counters) {
         if (origin == receiver)
             continue;
-        total.normalised += counter.normalised;
-        constexpr auto rateLifetime = std::chrono::seconds(2);
-        if (now - counter.at <= rateLifetime)
-            total.ratePerSecond += counter.rate;
+        total.normalised += counter.reckoning.expected(now);
+        total.ratePerSecond += counter.reckoning.rate(now);
     }
     return total;
 }
 
-void ServiceAggregator::expire(TimePoint now)
+void ServiceAggregator::retireEndedLives(Key &key, TimePoint now) const
 {
-    for (auto &[key, state] : m_keys) {
-        for (auto counter = state.counters.begin(); counter != state.counters.end();) {
-            if (now - counter->second.at <= m_settings.retireAfter) {
-                ++counter;
-                continue;
-            }
-            state.retired += counter->second.normalised;
-            counter = state.counters.erase(counter);
+    const auto silence
+            = [now](const Counter &counter) { return now - counter.reckoning.reportedAt(); };
+    for (auto entry = key.counters.begin(); entry != key.counters.end();) {
+        // Lives of one router are neighbours in the map's order.
+        const auto next = std::next(entry);
+        const auto sameRouter = [&](const auto &other) {
+            return other != key.counters.end() && other->first.router == entry->first.router
+                   && silence(other->second) < silence(entry->second);
+        };
+        const bool replaced = sameRouter(next)
+                              || (entry != key.counters.begin() && sameRouter(std::prev(entry)));
+        if (replaced && silence(entry->second) > m_settings.retireAfter) {
+            key.retired += entry->second.reckoning.reported();
+            key.counters.erase(entry);
         }
+        entry = next;
     }
-    std::erase_if(m_keys, [](const auto &entry) { return entry.second.counters.empty(); });
+}
+
+void ServiceAggregator::expire(TimePoint now)
+{
+    for (auto &[name, key] : m_keys)
+        retireEndedLives(key, now);
+    std::erase_if(m_keys, [&](const auto &entry) {
+        const auto &counters = entry.second.counters;
+        return std::all_of(counters.begin(), counters.end(), [&](const auto &counter) {
+            return now - counter.second.reckoning.reportedAt() > m_settings.forgetAfter;
+        });
+    });
 }
 
 } // namespace bilberry::decision
--- a/packages/decision/tests/serviceaggregator_test.cpp
+++ b/packages/decision/tests/serviceaggregator_test.cpp
@@ -46,6 +46,26 @@
             CHECK(aggregator.totalFor(key, third, at(1000.0))->normalised == Approx(140.0));
             CHECK(aggregator.totalFor(key, first, at(1000.0))->offset == Approx(7.0));
         }
+        WHEN("a router has nothing to report for long, and then reports again")
+        {
+            aggregator.report(first, 2, counter(100.0), at(15000.0));
+            aggregator.expire(at(15000.0));
+            aggregator.report(second, 2, counter(40.0), at(20000.0));
+
+            THEN("its service is counted once")
+            {
+                CHECK(aggregator.totalFor(key, third, at(20000.0))->normalised == Approx(140.0));
+            }
+        }
+        WHEN("all routers are silent for a minute")
+        {
+            aggregator.expire(at(60000.0));
+
+            THEN("nothing is forgotten")
+            {
+                CHECK(aggregator.totalFor(key, third, at(60000.0))->normalised == Approx(140.0));
+            }
+        }
         WHEN("a router restarts empty")
         {
             aggregator.report({RouterId("router-1"), 9}, 1, counter(5.0), at(2000.0));
@@ -99,7 +119,10 @@
             if (!lost)
                 aggregator.report(first, sequence, counter(value), at(0.0));
         }
-        const auto sum = aggregator.totalFor(key, second, at(1000.0));
+        // The next life of the router ends the extrapolation, so that the exact value shows.
+        aggregator.report({first.router, 99}, 1, counter(0.0), at(12000.0));
+        aggregator.expire(at(12000.0));
+        const auto sum = aggregator.totalFor(key, second, at(12000.0));
         RC_ASSERT(sum.has_value());
         RC_ASSERT(sum->normalised == last.second);
     }));
--- a/packages/router/src/routercore.cpp
+++ b/packages/router/src/routercore.cpp
@@ -190,11 +190,11 @@
     message.headers = request.submit.headers;
     message.body = request.submit.body;
     message.demand = demand(key.pool, now);
+    m_agents[server].demandAt = now;
     // The agent runs a suspect apart from others, so it has to know before.
     if (m_quarantine.suspects(request.fingerprint))
         m_hooks.send(server, wire::QuarantineNotice{request.fingerprint,
                                                     m_quarantine.crashes(request.fingerprint)});
-    m_agents[server].demandAt = now;
     m_hooks.send(server, std::move(message));
 }
 
