--- a/packages/agent/src/agentcore.cpp
+++ b/packages/agent/src/agentcore.cpp
@@ -2,6 +2,8 @@
 
 #include "bilberry/model/configurationcodec.h"
 
+#include <algorithm>
+
 namespace bilberry::agent {
 
 namespace {
@@ -10,8 +12,8 @@
 /// A change of load is told at most this often; answers carry it anyway.
 constexpr Duration shortestHeartbeatGap = std::chrono::milliseconds(100);
 
-/// The longest time between a crash's broken connections and the health check that shows it.
-constexpr Duration crashNoticeDelay = std::chrono::seconds(2);
+/// How long a router may hold a grant; covers the creation of a claim by the platform.
+constexpr Duration grantLifetime = std::chrono::seconds(2);
 
 /// Tells what a router must know soon, other than mere numbers.
 bool stateDiffers(const wire::ServerLoad &left, const wire::ServerLoad &right)
@@ -24,7 +26,7 @@
 
 AgentCore::AgentCore(AgentSettings settings, Incarnation incarnation, AgentHooks hooks)
     : m_settings(std::move(settings)), m_incarnation(incarnation), m_hooks(std::move(hooks)),
-      m_admission({{}, std::chrono::seconds(2), m_settings.ahead}),
+      m_admission({{}, grantLifetime, m_settings.ahead, incarnation}),
       m_freshness(m_settings.freshness), m_cost(decision::makeCostHook({}))
 {
 }
@@ -44,10 +46,12 @@
     for (auto &[attempt, state] : m_attempts) {
         if (state.link != link)
             continue;
-        if (state.started)
-            m_hooks.backend(StopRequest{attempt});
-        else
+        if (!state.started)
             held.push_back(attempt);
+        else if (state.mayRepeat)
+            m_hooks.backend(StopRequest{attempt});
+        else // Cut off, it would be neither done nor undone. Its answer is dropped.
+            m_hooks.backend(CreditRequest{attempt, wire::unlimitedCredit});
     }
     for (const AttemptId attempt : held) {
         m_admission.removeHeld(attempt);
@@ -106,6 +110,12 @@
         refuse(link, message.attempt, wire::RefusalReason::StaleGrant);
         return;
     }
+    // Suspects run one at a time, so that the next crash shows which of them causes it.
+    if (m_quarantine.suspects(message.fingerprint) && suspectRuns()) {
+        m_admission.giveBack(message.grant, link);
+        refuse(link, message.attempt, wire::RefusalReason::Full);
+        return;
+    }
     m_admission.setOpen(true);
     const auto verdict
             = m_admission.offer({message.attempt, link, message.grant, message.virtualTime}, now);
@@ -118,6 +128,7 @@
     Attempt &state = m_attempts[message.attempt];
     state.link = link;
     state.fingerprint = message.fingerprint;
+    state.mayRepeat = message.mayRepeat;
     state.request = {message.attempt, std::move(message.method), std::move(message.target),
                      std::move(message.headers), std::move(message.body)};
     if (verdict == decision::AdmissionVerdict::Run)
@@ -214,9 +225,9 @@
 
 std::optional<wire::RefusalReason> AgentCore::closedReason(TimePoint now) const
 {
-    if (m_draining || m_health.leaving)
+    if (m_draining || m_health.health().leaving)
         return wire::RefusalReason::Leaving;
-    if (!m_health.reachable)
+    if (!m_health.health().reachable)
         return wire::RefusalReason::ServerDown;
     if (!m_configuration || !m_freshness.mayAdmit(now))
         return wire::RefusalReason::CutOff;
@@ -225,10 +236,17 @@
     return std::nullopt;
 }
 
+void AgentCore::send(decision::LinkId link, wire::LinkMessage &&message)
+{
+    // An attempt may outlive its link.
+    if (m_links.contains(link))
+        m_hooks.send(link, std::move(message));
+}
+
 void AgentCore::refuse(decision::LinkId link, AttemptId attempt, wire::RefusalReason reason)
 {
     ++m_counts.refused[reason];
-    m_hooks.send(link, wire::Refusal{attempt, reason, load()});
+    send(link, wire::Refusal{attempt, reason, load()});
 }
 
 void AgentCore::refuseHeld(wire::RefusalReason reason)
@@ -245,7 +263,7 @@
     state.started = true;
     state.startedAt = now;
     ++m_counts.started;
-    m_hooks.send(state.link, wire::Started{attempt});
+    send(state.link, wire::Started{attempt});
     m_hooks.backend(std::move(state.request));
 }
 
@@ -255,8 +273,7 @@
     if (found == m_attempts.end())
         return;
     found->second.firstByteAt = now;
-    m_hooks.send(found->second.link,
-                 wire::AnswerHead{head.attempt, head.status, std::move(head.headers)});
+    send(found->second.link, wire::AnswerHead{head.attempt, head.status, std::move(head.headers)});
 }
 
 void AgentCore::event(BackendChunk &chunk, TimePoint)
@@ -264,8 +281,8 @@
     const auto found = m_attempts.find(chunk.attempt);
     if (found == m_attempts.end())
         return;
-    m_hooks.send(found->second.link,
-                 wire::AnswerChunk{chunk.attempt, found->second.chunks++, std::move(chunk.data)});
+    send(found->second.link,
+         wire::AnswerChunk{chunk.attempt, found->second.chunks++, std::move(chunk.data)});
 }
 
 void AgentCore::event(BackendEnd &end, TimePoint now)
@@ -286,7 +303,7 @@
         finish(end.attempt, wire::AttemptEnd::Complete, now);
         return;
     case BackendOutcome::Broken:
-        m_broken.push_back({found->second.fingerprint, now});
+        m_health.broke(found->second.fingerprint);
         finish(end.attempt, wire::AttemptEnd::Truncated, now);
         return;
     case BackendOutcome::Stopped:
@@ -307,20 +324,13 @@
     if (good)
         ++m_counts.completed;
     const double cost = m_cost({now - state.startedAt, state.chunks});
-    m_hooks.send(state.link, wire::AnswerEnd{attempt, end, state.chunks, cost, load()});
+    send(state.link, wire::AnswerEnd{attempt, end, state.chunks, cost, load()});
 }
 
 void AgentCore::event(BackendHealth &health, TimePoint now)
 {
-    const bool restarted = m_health.serverIncarnation != 0 && health.serverIncarnation != 0
-                           && health.serverIncarnation != m_health.serverIncarnation;
-    const bool lost = m_health.reachable && !health.reachable;
-    if (restarted || lost)
+    if (m_health.report(health, now))
         serverCrashed(now);
-    const std::uint64_t incarnation
-            = health.reachable ? health.serverIncarnation : m_health.serverIncarnation;
-    m_health = health;
-    m_health.serverIncarnation = incarnation;
     if (health.reachable)
         m_admission.serverReported(health.cold, health.running);
     updateOpen(now);
@@ -332,7 +342,7 @@
     ++m_crashes;
     m_log.warning("The backend server crashed or restarted.");
     m_admission.serverCrashed();
-    std::vector<decision::Fingerprint> inFlight = takeRecentlyBroken(now);
+    std::vector<decision::Fingerprint> inFlight = m_health.takeBroken();
     std::vector<AttemptId> running;
     for (const auto &[attempt, state] : m_attempts) {
         if (!state.started)
@@ -353,16 +363,11 @@
     }
 }
 
-std::vector<decision::Fingerprint> AgentCore::takeRecentlyBroken(TimePoint now)
+bool AgentCore::suspectRuns() const
 {
-    // A crash breaks connections before the health check notices it.
-    std::vector<decision::Fingerprint> fingerprints;
-    for (const BrokenRequest &broken : m_broken) {
-        if (now - broken.at <= crashNoticeDelay)
-            fingerprints.push_back(broken.fingerprint);
-    }
-    m_broken.clear();
-    return fingerprints;
+    return std::any_of(m_attempts.begin(), m_attempts.end(), [this](const auto &entry) {
+        return m_quarantine.suspects(entry.second.fingerprint);
+    });
 }
 
 void AgentCore::updateOpen(TimePoint now)
@@ -381,7 +386,7 @@
             start(attempt, found->second, now);
     }
     for (const decision::IssuedGrant &grant : m_admission.takeGrants(now)) {
-        constexpr std::uint32_t lifetimeMs = 2000;
+        const auto lifetimeMs = static_cast<std::uint32_t>(toMilliseconds(grantLifetime));
         m_hooks.send(grant.link, wire::Grant{grant.grant, lifetimeMs, load()});
     }
 }
@@ -391,8 +396,6 @@
     updateOpen(now);
     advance(now);
     m_quarantine.expire(now);
-    std::erase_if(m_broken,
-                  [&](const BrokenRequest &broken) { return now - broken.at > crashNoticeDelay; });
     heartbeat(now);
 }
 
--- a/packages/decision/include/bilberry/decision/admissioncontrol.h
+++ b/packages/decision/include/bilberry/decision/admissioncontrol.h
@@ -37,6 +37,9 @@
     /// Grants made beyond the window. Their requests wait at the agent, so that a slot that
     /// becomes free finds work without a round trip.
     std::uint32_t ahead = 1;
+    /// Grants are numbered from here. Random for each life of an agent, so that a grant of an
+    /// earlier life is never taken for one of this life.
+    std::uint64_t firstGrant = 1;
     bool operator==(const AdmissionSettings &) const = default;
 };
 
@@ -113,7 +116,7 @@
     bool m_open = false;
     bool m_heardReport = false;
     std::uint32_t m_inherited = 0; ///< requests of an earlier life that still run
-    double m_virtualTime = 0.0;
+    double m_virtualTime = 0.0; ///< of the last grant, or the largest one started without a grant
     std::unordered_map<AttemptId, AdmissionRequest> m_running;
     std::multimap<double, AdmissionRequest> m_held;
 };
