Read configuration and burn from named daemons while the platform is down

Cause: with the platform down only status could be asked; show, listings and the burn report failed.

--- a/packages/ctl/src/fleetclient.cpp
+++ b/packages/ctl/src/fleetclient.cpp
@@ -12,6 +12,8 @@
 
 namespace {
 
+constexpr Duration readLimit = std::chrono::seconds(2);
+
 /// Stores an operation's result; co_spawn() itself could only hand over default values.
 template <typename T>
 asio::awaitable<void> store(asio::awaitable<T> operation, std::optional<T> &result)
@@ -97,6 +99,25 @@
     return vms();
 }
 
+Result<ConfigurationPtr> FleetClient::present(const std::vector<platform::Vm> &given)
+{
+    if (given.empty())
+        return load().map([](const platform::AcceptedConfiguration &accepted) {
+            return accepted.configuration;
+        });
+    ConfigurationPtr newest;
+    for (const DaemonAnswer &answer : callAll(given, "/v1/configuration", {"GET", ""}, readLimit)) {
+        if (!answer.response)
+            continue;
+        const auto read = decodeConfiguration(answer.response.value().body);
+        if (read && (!newest || newest->revision() < read.value().revision()))
+            newest = std::make_shared<const Configuration>(read.value());
+    }
+    if (!newest)
+        return platform::PlatformErrc::Unavailable;
+    return newest;
+}
+
 std::vector<DaemonStatus> FleetClient::statusAll(const std::vector<platform::Vm> &vms,
                                                  Duration limit)
 {
--- a/packages/ctl/src/fleetclient.h
+++ b/packages/ctl/src/fleetclient.h
@@ -54,6 +54,10 @@
     /// @return these, or the platform's list when there are none
     Result<std::vector<platform::Vm>> daemons(const std::vector<platform::Vm> &given);
 
+    /// @param given daemons named by the operator
+    /// @return the newest configuration in force at these, or the accepted one when there are none
+    Result<ConfigurationPtr> present(const std::vector<platform::Vm> &given);
+
     /// Asks all daemons for their status at once.
     std::vector<DaemonStatus> statusAll(const std::vector<platform::Vm> &vms, Duration limit);
 
--- a/packages/ctl/src/listings.cpp
+++ b/packages/ctl/src/listings.cpp
@@ -110,17 +110,20 @@
 ExitCode listServers(const CommandOptions &options)
 {
     FleetClient client(options.platform);
-    const auto vms = client.vms();
+    const auto vms = client.daemons(options.daemons);
     if (!vms) {
         printError("the list of VMs", vms.error());
         return ExitFailure;
     }
-    std::vector<platform::Vm> agents;
-    for (const platform::Vm &vm : vms.value()) {
-        if (vm.role == platform::VmRole::Agent)
-            agents.push_back(vm);
+    // Daemons of the command line tell their role only by their answer.
+    std::vector<DaemonStatus> agents;
+    for (const DaemonStatus &daemon : client.statusAll(vms.value(), callLimit)) {
+        const bool saysRouter = daemon.text("role") == "router";
+        const bool listed = options.daemons.empty() && daemon.vm.role == platform::VmRole::Router;
+        if (!saysRouter && !listed)
+            agents.push_back(daemon);
     }
-    const Table table = servers(client.statusAll(agents, callLimit));
+    const Table table = servers(agents);
     if (options.json)
         print(toJson(table));
     else
@@ -151,12 +154,12 @@
     if (listing == Listing::Servers)
         return listServers(options);
     FleetClient client(options.platform);
-    const auto present = client.load();
+    const auto present = client.present(options.daemons);
     if (!present) {
         printError("the configuration", present.error());
         return ExitFailure;
     }
-    const Table table = tableOf(listing, present.value().configuration->parts());
+    const Table table = tableOf(listing, present.value()->parts());
     if (options.json)
         print(toJson(table));
     else
@@ -167,12 +170,12 @@
 ExitCode show(const CommandOptions &options)
 {
     FleetClient client(options.platform);
-    const auto present = client.load();
+    const auto present = client.present(options.daemons);
     if (!present) {
         printError("the configuration", present.error());
         return ExitFailure;
     }
-    const Configuration &configuration = *present.value().configuration;
+    const Configuration &configuration = *present.value();
     const ConfigurationParts &parts = configuration.parts();
     if (options.json)
         print(json::object{{"revision", configuration.revision()},
--- a/packages/ctl/src/report.cpp
+++ b/packages/ctl/src/report.cpp
@@ -75,7 +75,7 @@
         printError("the list of VMs", vms.error());
         return ExitFailure;
     }
-    const auto present = client.load();
+    const auto present = client.present(options.daemons);
     if (!present) {
         printError("the configuration", present.error());
         return ExitFailure;
@@ -87,7 +87,7 @@
         if (!answer.response || !report.add(answer.response.value().body))
             silent.push_back(answer.vm.name);
     }
-    const auto rows = report.rows(present.value().configuration->parts());
+    const auto rows = report.rows(present.value()->parts());
     if (options.json) {
         print(json::object{{"rows", toJson(rows)},
                            {"noAnswer", json::array(silent.begin(), silent.end())}});
--- a/tests/integration/operator_test.cpp
+++ b/tests/integration/operator_test.cpp
@@ -5,6 +5,7 @@
 #include <boost/json.hpp>
 #include <catch2/catch.hpp>
 
+#include <sstream>
 #include <thread>
 
 using namespace bilberry;
@@ -143,6 +144,15 @@
             const Finished status = fleet.ctl({"status", "--daemons", "127.0.0.1:" + port});
             CHECK(status.exitCode == 0);
             CHECK_THAT(status.output, Catch::Contains("router-0"));
+            for (const char *command : {"show", "report burn", "zone list", "server list"}) {
+                std::istringstream in(command);
+                std::vector<std::string> words{"--daemons", "127.0.0.1:" + port};
+                for (std::string word; in >> word;)
+                    words.push_back(word);
+                const Finished finished = fleet.ctl(words);
+                INFO(command << '\n' << finished.output);
+                CHECK(finished.exitCode == 0);
+            }
         }
     }
     WHEN("the shown configuration is applied again")
