--- a/packages/base/src/settings.cpp
+++ b/packages/base/src/settings.cpp
@@ -49,6 +49,7 @@
 const ErrorCategory category("settings", describe);
 
 constexpr char required[] = "required";
+constexpr int maxDepth = 8; ///< sections within sections
 
 std::string joined(const std::vector<std::string> &words)
 {
@@ -114,8 +115,11 @@
     }
 
     /// yaml-cpp keeps both entries of a repeated key and answers look-ups with the first one.
-    void reportDuplicates(const YAML::Node &map, const std::string &prefix)
+    /// An alias can make a map contain itself, so that the depth is bounded.
+    void reportDuplicates(const YAML::Node &map, const std::string &prefix, int depth = 0)
     {
+        if (depth == maxDepth)
+            return;
         std::set<std::string> seen;
         for (const auto &entry : map) {
             const std::string path = prefix + entry.first.as<std::string>("");
@@ -123,7 +127,7 @@
                 faults.push_back(
                         {SettingsErrc::DuplicateKey, file, entry.first.Mark().line + 1, path, ""});
             if (entry.second.IsMap())
-                reportDuplicates(entry.second, path + ".");
+                reportDuplicates(entry.second, path + ".", depth + 1);
         }
     }
 
@@ -226,7 +230,9 @@
 {
     m_state->file = file;
     std::ifstream in(file);
-    if (!in) {
+    // A directory can be opened, and only reading it fails.
+    in.peek();
+    if (!in.is_open() || in.bad()) {
         m_state->faults.push_back({SettingsErrc::Unreadable, file, 0, "", ""});
         return;
     }
--- a/packages/base/tests/settings_test.cpp
+++ b/packages/base/tests/settings_test.cpp
@@ -42,6 +42,8 @@
         {"duplicate key", sound + "name: m", SettingsErrc::DuplicateKey, 4, "name"},
         {"duplicate nested key", sound + "log:\n  level: info\n  level: info",
          SettingsErrc::DuplicateKey, 6, "log.level"},
+        {"a section within itself", sound + "log: &x { level: info, log: *x }",
+         SettingsErrc::UnknownKey, 4, "log.log"},
         {"unknown word", sound + "log: { level: loud }", SettingsErrc::UnknownValue, 4,
          "log.level"},
         {"number for a list", sound + "peers: 5", SettingsErrc::WrongType, 4, "peers"},
@@ -113,15 +115,17 @@
             CHECK(faults.back().text() == "t.yaml:1: nam: unknown key");
         }
     }
-    GIVEN("a file that does not exist")
-    {
-        SettingsReader reader("/nonexistent/settings.yaml");
-        reader.text("name");
-        THEN("that is the only fault")
+    for (const char *path : {"/nonexistent/settings.yaml", "/"}) {
+        GIVEN(std::string("a file that can't be read: ") + path)
         {
-            const auto faults = reader.finish();
-            REQUIRE(faults.size() == 1);
-            CHECK(faults[0].error == SettingsErrc::Unreadable);
+            SettingsReader reader{std::string(path)};
+            reader.text("name");
+            THEN("that is the only fault")
+            {
+                const auto faults = reader.finish();
+                REQUIRE(faults.size() == 1);
+                CHECK(faults[0].error == SettingsErrc::Unreadable);
+            }
         }
     }
 }
--- a/packages/ctl/src/notefile.cpp
+++ b/packages/ctl/src/notefile.cpp
@@ -11,12 +11,14 @@
 std::optional<ReleaseNote> readNote(bool json, const std::string &file)
 {
     std::ifstream in(file);
-    std::ostringstream text;
-    text << in.rdbuf();
-    if (!in) {
-        printError(file, std::make_error_code(std::errc::no_such_file_or_directory));
+    // A directory can be opened, and only reading it fails.
+    in.peek();
+    if (!in.is_open() || in.bad()) {
+        printError(file, std::make_error_code(std::errc::io_error));
         return std::nullopt;
     }
+    std::ostringstream text;
+    text << in.rdbuf();
     const ParsedReleaseNote parsed = parseReleaseNote(text.str());
     if (const auto *faults = std::get_if<std::vector<ReleaseNoteFault>>(&parsed)) {
         printFaults(json, file, *faults);
--- a/packages/model/tests/releasenote_test.cpp
+++ b/packages/model/tests/releasenote_test.cpp
@@ -188,6 +188,22 @@
     }
 }
 
+TEST_CASE("no text makes the parser fail otherwise than by a fault")
+{
+    const std::vector<std::string> pieces
+            = {"added", "zones", "customers", "pools", "routes", "withdrawn", ": ", "{",        "}",
+               "[",     "]",     "\n",        "  ",    "- ",     "&x ",       "*x", "? ",       ",",
+               "share", "a",     "1e999",     "~",     "\"",     "|",         "#",  "!!binary "};
+    REQUIRE(rc::check([&] {
+        std::string text;
+        const auto drawn
+                = *rc::gen::container<std::vector<std::string>>(rc::gen::elementOf(pieces));
+        for (const std::string &piece : drawn)
+            text += piece;
+        parseReleaseNote(text);
+    }));
+}
+
 TEST_CASE("a written configuration is read back as the same")
 {
     REQUIRE(rc::check([] {
--- a/tests/integration/operator_test.cpp
+++ b/tests/integration/operator_test.cpp
@@ -81,6 +81,7 @@
         {{"--platform", "127.0.0.1:70000", "status"}, 2, {"IP number"}},
         {{"--timeout", "-1", "status"}, 2, {"timeout"}},
         {{"validate", "/nonexistent"}, 2, {"/nonexistent"}},
+        {{"validate", "/"}, 2, {"/"}},
         {{}, 2, {"a command is required"}},
         {{"--help"}, 0, {"zone out ZONE", "Exit codes"}},
 };
