--- a/packages/agent/src/agentcore.cpp
+++ b/packages/agent/src/agentcore.cpp
@@ -27,7 +27,7 @@
 AgentCore::AgentCore(AgentSettings settings, Incarnation incarnation, AgentHooks hooks)
     : m_settings(std::move(settings)), m_incarnation(incarnation), m_hooks(std::move(hooks)),
       m_admission({{}, grantLifetime, m_settings.ahead, incarnation}),
-      m_freshness(m_settings.freshness), m_cost(decision::makeCostHook({}))
+      m_freshness(m_settings.freshness), m_echoes(incarnation), m_cost(decision::makeCostHook({}))
 {
 }
 
@@ -35,7 +35,7 @@
 {
     m_links[link] = {};
     m_hooks.send(link, wire::AgentHello{m_settings.server, m_incarnation, m_settings.pool,
-                                        m_settings.zone, stamp(now), load()});
+                                        m_settings.zone, stamp(now), load(), m_echoes.sent(now)});
 }
 
 void AgentCore::linkDown(decision::LinkId link, TimePoint now)
@@ -78,12 +78,13 @@
 {
     m_links[link].router = message.router;
     m_links[link].greeted = true;
-    takeStamp(link, message.stamp, now);
+    takeStamp(link, message.stamp, std::nullopt, now);
 }
 
 void AgentCore::handle(decision::LinkId link, wire::RouterHeartbeat &message, TimePoint now)
 {
-    takeStamp(link, message.stamp, now);
+    const Duration held = std::chrono::milliseconds(message.heldMs);
+    takeStamp(link, message.stamp, m_echoes.sinceMade(message.echo, held, now), now);
 }
 
 void AgentCore::handle(decision::LinkId link, wire::Demand &message, TimePoint)
@@ -199,7 +200,7 @@
 }
 
 void AgentCore::takeStamp(decision::LinkId link, const wire::ConfigurationStamp &stamp,
-                          TimePoint now)
+                          std::optional<Duration> sinceMade, TimePoint now)
 {
     const Revision own = m_configuration ? m_configuration->revision() : 0;
     Link &sender = m_links[link];
@@ -207,11 +208,16 @@
         sender.asked = true;
         m_hooks.send(link, wire::ConfigurationRequest{});
     }
+    // A stamp may have waited in a buffer, for example while this process was paused; without a
+    // bound on that time it proves nothing.
+    if (!sinceMade)
+        return;
     constexpr std::uint32_t noProof = 0xffffffffU;
     if (stamp.proofAgeMs != noProof)
-        m_freshness.proof(stamp.revision, std::chrono::milliseconds(stamp.proofAgeMs), now);
+        m_freshness.proof(stamp.revision, std::chrono::milliseconds(stamp.proofAgeMs) + *sinceMade,
+                          now);
     if (stamp.frozen && stamp.revision <= own)
-        m_freshness.frozen(now);
+        m_freshness.frozen(now - *sinceMade);
 }
 
 wire::ConfigurationStamp AgentCore::stamp(TimePoint now) const
@@ -219,7 +225,7 @@
     wire::ConfigurationStamp stamp;
     stamp.revision = m_configuration ? m_configuration->revision() : 0;
     const auto age = m_freshness.proofAge(now);
-    stamp.proofAgeMs = age ? static_cast<std::uint32_t>(toMilliseconds(*age)) : 0xffffffffU;
+    stamp.proofAgeMs = age ? wire::ageMilliseconds(*age) : 0xffffffffU;
     return stamp;
 }
 
@@ -312,6 +318,14 @@
     }
 }
 
+decision::AnswerKind AgentCore::kindOf(const Attempt &attempt, TimePoint now)
+{
+    // Most of a streamed answer's time comes after its first byte.
+    const bool streamed = attempt.chunks > 1 && attempt.firstByteAt
+                          && now - *attempt.firstByteAt > *attempt.firstByteAt - attempt.startedAt;
+    return streamed ? decision::AnswerKind::Streamed : decision::AnswerKind::Whole;
+}
+
 void AgentCore::finish(AttemptId attempt, wire::AttemptEnd end, TimePoint now)
 {
     const Attempt state = m_attempts[attempt];
@@ -320,7 +334,7 @@
     std::optional<Duration> firstByte;
     if (good && state.firstByteAt)
         firstByte = *state.firstByteAt - state.startedAt;
-    m_admission.finished(attempt, firstByte);
+    m_admission.finished(attempt, firstByte, kindOf(state, now));
     if (good)
         ++m_counts.completed;
     const double cost = m_cost({now - state.startedAt, state.chunks});
@@ -408,8 +422,9 @@
         return;
     m_heartbeatAt = now;
     m_sentLoad = present;
+    const std::uint64_t sequence = m_echoes.sent(now);
     for (const auto &[link, state] : m_links)
-        m_hooks.send(link, wire::AgentHeartbeat{stamp(now), present});
+        m_hooks.send(link, wire::AgentHeartbeat{stamp(now), present, sequence});
 }
 
 void AgentCore::drain(TimePoint now)
