--- a/cmake/packages.cmake
+++ b/cmake/packages.cmake
@@ -21,6 +21,7 @@
     target_include_directories(${NAME}_tests PRIVATE ${DIR}/src ${CMAKE_SOURCE_DIR}/tests)
     target_link_libraries(${NAME}_tests PRIVATE bilberry_${NAME} bilberry_testsupport
                                                 bilberry_test_main rapidcheck)
+    target_compile_definitions(${NAME}_tests PRIVATE BILBERRY_DOCS="${CMAKE_SOURCE_DIR}/docs")
     add_test(NAME ${NAME} COMMAND ${NAME}_tests)
     set_tests_properties(${NAME} PROPERTIES TIMEOUT 300)
   endif()
--- a/packages/decision/include/bilberry/decision/admissioncontrol.h
+++ b/packages/decision/include/bilberry/decision/admissioncontrol.h
@@ -83,7 +83,8 @@
 
     /// A request ended.
     /// @param firstByte time to the first byte of a good answer, nothing for a bad one
-    void finished(AttemptId attempt, std::optional<Duration> firstByte);
+    void finished(AttemptId attempt, std::optional<Duration> firstByte,
+                  AnswerKind kind = AnswerKind::Streamed);
 
     /// Takes a held request out.
     /// @return false when it is not held
@@ -107,6 +108,7 @@
 private:
     std::uint32_t used() const;
     bool hasRoom() const { return used() < m_window.size(); }
+    void updateInherited(std::uint32_t others);
     void start(const AdmissionRequest &request);
     void hold(const AdmissionRequest &request);
 
@@ -117,6 +119,9 @@
     bool m_heardReport = false;
     std::uint32_t m_inherited = 0; ///< requests of an earlier life that still run
     double m_virtualTime = 0.0; ///< of the last grant, or the largest one started without a grant
+    bool m_startedSinceReport = false;
+    std::uint32_t m_doubtfulReports = 0; ///< in a row, with starts before each
+    std::uint32_t m_doubtfulOthers = 0;  ///< largest number of others that they show
     std::unordered_map<AttemptId, AdmissionRequest> m_running;
     std::multimap<double, AdmissionRequest> m_held;
 };
