Compare latencies by their logarithm, so that mixed costs don't look cold

Cause: a moving average of the time to the first byte was compared with the best one seen. Where requests of very different cost run side by side, such as plain services whose first byte is also their last, each expensive request looked like a server that turned cold: the window fell to the cold limit with idle capacity as the result. Ruled out: the smallest of the last completions (blind where most requests are expensive); comparing with the best seen (the best is one cheap request). Change: short against long moving average of the logarithm, cold above five times the usual.

--- a/packages/decision/include/bilberry/decision/admissionwindow.h
+++ b/packages/decision/include/bilberry/decision/admissionwindow.h
@@ -39,10 +39,15 @@
     bool cold() const { return m_cold; }
 
 private:
+    void learn(double latencyMs);
+    bool recentExceeds(double tolerance) const;
+
     WindowLimits m_limits;
     double m_size;
-    double m_bestFirstByteMs = 0.0;   ///< 0: unknown
-    double m_recentFirstByteMs = 0.0; ///< moving average
+    // Logarithms of milliseconds, so that one expensive request among cheap ones weighs little.
+    double m_usual = 0.0;  ///< long moving average of the time to the first byte
+    double m_recent = 0.0; ///< short moving average
+    std::uint32_t m_seen = 0;
     bool m_cold = true;
     bool m_reportedCold = false;
 };
--- a/packages/decision/src/admissionwindow.cpp
+++ b/packages/decision/src/admissionwindow.cpp
@@ -1,20 +1,22 @@
 #include "bilberry/decision/admissionwindow.h"
 
 #include <algorithm>
+#include <cmath>
 
 namespace bilberry::decision {
 
 namespace {
 
-constexpr double averageWeight = 0.2;
-/// Latency up to this multiple of the best seen lets the window grow.
+constexpr double recentWeight = 0.2;
+/// Low, so that the usual latency follows the mix of requests and not a cold start.
+constexpr double usualWeight = 0.005;
+/// Latency up to this multiple of the usual lets the window grow.
 constexpr double growTolerance = 2.0;
-/// Latency above this multiple of the best seen means that the server turned cold.
-constexpr double coldTolerance = 8.0;
+/// Latency above this multiple of the usual means that the server turned cold.
+constexpr double coldTolerance = 5.0;
 /// Differences below this are noise, whatever their ratio.
-constexpr double noiseMs = 50.0;
-/// The best latency seen is forgotten slowly, so that it follows a change of load.
-constexpr double bestDrift = 1.001;
+constexpr double noiseMs = 25.0;
+constexpr double shortestMs = 1.0;
 
 } // namespace
 
@@ -30,30 +32,37 @@
 
 void AdmissionWindow::completed(Duration firstByte)
 {
-    const double latency = toMilliseconds(firstByte);
-    if (m_bestFirstByteMs == 0.0) {
-        m_bestFirstByteMs = latency;
-        m_recentFirstByteMs = latency;
-    }
-    m_bestFirstByteMs = std::min(m_bestFirstByteMs * bestDrift, latency);
-    m_recentFirstByteMs += averageWeight * (latency - m_recentFirstByteMs);
+    learn(toMilliseconds(firstByte));
     if (m_reportedCold)
         return;
-    if (m_recentFirstByteMs > coldTolerance * m_bestFirstByteMs + noiseMs) {
+    if (recentExceeds(coldTolerance)) {
         turnedCold();
         return;
     }
-    if (m_recentFirstByteMs > growTolerance * m_bestFirstByteMs + noiseMs)
+    if (recentExceeds(growTolerance))
         return;
     m_size = std::min<double>(m_limits.full, m_size + 1.0 / m_size);
     m_cold = size() <= m_limits.cold && m_limits.cold < m_limits.full;
 }
 
+void AdmissionWindow::learn(double latencyMs)
+{
+    const double value = std::log(std::max(latencyMs, shortestMs));
+    ++m_seen;
+    m_usual += std::max(usualWeight, 1.0 / m_seen) * (value - m_usual);
+    m_recent = m_seen == 1 ? value : m_recent + recentWeight * (value - m_recent);
+}
+
+bool AdmissionWindow::recentExceeds(double tolerance) const
+{
+    return std::exp(m_recent) > tolerance * std::exp(m_usual) + noiseMs;
+}
+
 void AdmissionWindow::turnedCold()
 {
     m_cold = true;
     m_size = m_limits.cold;
-    m_recentFirstByteMs = m_bestFirstByteMs;
+    m_recent = m_usual;
 }
 
 void AdmissionWindow::reported(bool cold)
