--- a/packages/router/src/router.cpp
+++ b/packages/router/src/router.cpp
@@ -25,6 +25,8 @@
 
 constexpr std::size_t ringCapacity = 65536;
 constexpr Duration coreTick = std::chrono::milliseconds(20);
+/// Half of the shortest time between two reports.
+constexpr Duration ownServicePeriod = std::chrono::milliseconds(50);
 constexpr Duration gossipTick = std::chrono::milliseconds(50);
 constexpr Duration lastWordsDelay = std::chrono::milliseconds(200);
 constexpr Duration drainPoll = std::chrono::milliseconds(50);
@@ -321,12 +323,21 @@
             if (error)
                 return;
             core.tick(Clock::now());
-            if (settings.fairness == FairnessMode::Fleet)
-                push<GossipEvent>(gossipRing, core.ownService());
+            shareOwnService();
             tickCore();
         });
     }
 
+    /// The copy of all counters grows with the customers, so it isn't made each tick.
+    void shareOwnService()
+    {
+        const TimePoint now = Clock::now();
+        if (settings.fairness != FairnessMode::Fleet || now - ownSharedAt < ownServicePeriod)
+            return;
+        ownSharedAt = now;
+        push<GossipEvent>(gossipRing, core.ownService());
+    }
+
     void tickGossip()
     {
         gossipTimer.expires_after(gossipTick);
@@ -429,6 +440,7 @@
     PlatformDuty platform;
     CallerServer callers;
     admin::AdminServer admin;
+    TimePoint ownSharedAt{}; ///< when the counters last went to the coordinator
     asio::steady_timer coreTimer;
     asio::steady_timer gossipTimer;
 };
