Reset the connection of a truncated answer to an HTTP/1.0 caller

Cause: without chunks an answer ends with its connection, so that a truncated one that was closed in the usual way looked whole. Change: the router resets such a connection. Measured: slowcaller_test, new section: the caller saw a regular end (asio.misc:2) before and a reset after; passes.

--- a/packages/router/src/callerserver.cpp
+++ b/packages/router/src/callerserver.cpp
@@ -373,18 +373,31 @@
                 continue;
             }
             const auto *end = std::get_if<ReplyEnd>(&exchange.replies.front());
-            // An answer that broke off must not look complete: the connection is cut.
-            if (!end || !end->complete)
+            if (!end || !end->complete) {
+                breakOff(stream, chunked);
                 co_return false;
+            }
             if (chunked)
                 co_await asio::async_write(stream, http::make_chunk_last(),
                                            asio::redirect_error(asio::use_awaitable, error));
             co_return !error && response.keep_alive();
         }
+        breakOff(stream, chunked);
         tellGone(id);
         co_return false;
     }
 
+    /// An answer that broke off must not look complete. One in chunks lacks the last of them; one
+    /// of HTTP/1.0 ends with its connection, which therefore has to be reset.
+    static void breakOff(Stream &stream, bool chunked)
+    {
+        if (chunked)
+            return;
+        boost::system::error_code ignored;
+        stream.socket().set_option(asio::socket_base::linger(true, 0), ignored);
+        stream.socket().close(ignored);
+    }
+
     static asio::awaitable<void> writeData(Stream &stream, const std::string &data, bool chunked,
                                            boost::system::error_code &error)
     {
--- a/tests/integration/slowcaller_test.cpp
+++ b/tests/integration/slowcaller_test.cpp
@@ -42,12 +42,14 @@
 class SlowCaller
 {
 public:
-    SlowCaller(std::uint16_t port, const std::string &target) : m_socket(m_context)
+    SlowCaller(std::uint16_t port, const std::string &target, const std::string &version = "1.1",
+               const std::string &extra = "")
+        : m_socket(m_context)
     {
         m_socket.connect({asio::ip::address_v4::loopback(), port});
         asio::write(m_socket,
-                    asio::buffer("POST " + target
-                                 + " HTTP/1.1\r\nHost: x\r\nContent-Length: 0\r\n"
+                    asio::buffer("POST " + target + " HTTP/" + version + "\r\n" + extra
+                                 + "Host: x\r\nContent-Length: 0\r\n"
                                    "Connection: close\r\nX-Api-Key: kitchen-key\r\nX-Tag: slow\r\n"
                                    "X-Chunks: "
                                  + std::to_string(chunkCount)
@@ -58,16 +60,19 @@
     std::string readAll()
     {
         std::string text;
-        boost::system::error_code error;
-        asio::read(m_socket, asio::dynamic_buffer(text), error);
+        asio::read(m_socket, asio::dynamic_buffer(text), m_error);
         return text;
     }
 
+    /// @return how the connection ended
+    boost::system::error_code error() const { return m_error; }
+
     void close() { m_socket.close(); }
 
 private:
     asio::io_context m_context;
     asio::ip::tcp::socket m_socket;
+    boost::system::error_code m_error;
 };
 
 std::size_t residentBytes(const Process &process)
@@ -120,6 +125,18 @@
                 }
             }
         }
+        WHEN("a caller of HTTP/1.0 gets a whole answer and one that the server breaks off")
+        {
+            SlowCaller whole(fleet.callerPort(0), "/v1/chat", "1.0");
+            SlowCaller broken(fleet.callerPort(0), "/v1/chat", "1.0", "X-Truncate: 1\r\n");
+            whole.readAll();
+            broken.readAll();
+            THEN("the ends of the connections tell them apart")
+            {
+                CHECK(whole.error() == asio::error::eof);
+                CHECK(broken.error() == asio::error::connection_reset);
+            }
+        }
         WHEN("the caller of a request that may not be repeated goes away in the middle")
         {
             SlowCaller booking(fleet.callerPort(0), "/book");
