--- a/packages/router/src/callerserver.cpp
+++ b/packages/router/src/callerserver.cpp
@@ -369,6 +369,8 @@
                                            asio::redirect_error(asio::use_awaitable, error));
             co_return !error && response.keep_alive();
         }
+        if (!chunked)
+            cut(stream);
         tellGone(id);
         co_return false;
     }
