Encode lengths on the wire in one byte where they fit

Ruled out: hashing names (a receiver would have to know all customers). Change: container lengths take seven bits a byte; protocol version 2. Test: codec_test's raw lengths follow the encoding; a length without an end is a new row; other rows name the protocol version instead of its number.

--- a/packages/wire/include/bilberry/wire/codec.h
+++ b/packages/wire/include/bilberry/wire/codec.h
@@ -13,7 +13,7 @@
 namespace bilberry::wire {
 
 /// Rises with each incompatible change; other versions are refused.
-constexpr std::uint8_t protocolVersion = 1;
+constexpr std::uint8_t protocolVersion = 2;
 
 /// Largest frame on a link, header included, in bytes.
 constexpr std::size_t maxFrameSize = 8U << 20U;
--- a/packages/wire/src/boundedarchive.h
+++ b/packages/wire/src/boundedarchive.h
@@ -55,19 +55,47 @@
 /// Overloads that cereal prefers to its own ones for this archive.
 namespace cereal {
 
+/// Lengths take seven bits a byte, the lowest first; the top bit says that another byte follows.
+constexpr std::uint8_t lengthBits = 7;
+constexpr std::uint8_t moreFollows = 0x80;
+
+template <typename T>
+void serialize(PortableBinaryOutputArchive &archive, SizeTag<T> &tag)
+{
+    std::uint64_t rest = tag.size;
+    while (rest >= moreFollows) {
+        archive(static_cast<std::uint8_t>(rest | moreFollows));
+        rest >>= lengthBits;
+    }
+    archive(static_cast<std::uint8_t>(rest));
+}
+
 template <typename T>
 void serialize(PortableBinaryInputArchive &archive, SizeTag<T> &tag)
 {
-    archive(tag.size);
+    std::uint64_t size = 0;
+    std::uint8_t byte = moreFollows;
+    for (unsigned shift = 0; byte >= moreFollows; shift += lengthBits) {
+        if (shift >= 64)
+            throw Exception("length out of range");
+        archive(byte);
+        size |= static_cast<std::uint64_t>(byte & (moreFollows - 1)) << shift;
+    }
+    tag.size = size;
     static_cast<const bilberry::wire::BoundedInputArchive &>(archive).checkLength(tag.size);
 }
 
+/// More elements than any message has. An element may take thirty times its bytes in memory.
+constexpr std::uint64_t maxElements = 1U << 16U;
+
 /// Makes room element by element, since an element may take more memory than bytes.
 template <typename T, typename Allocator>
 void load(PortableBinaryInputArchive &archive, std::vector<T, Allocator> &values)
 {
     size_type size = 0;
     archive(make_size_tag(size));
+    if (size > maxElements)
+        throw Exception("too many elements");
     values.clear();
     for (size_type i = 0; i < size; ++i)
         archive(values.emplace_back());
--- a/packages/wire/tests/codec_test.cpp
+++ b/packages/wire/tests/codec_test.cpp
@@ -63,12 +63,13 @@
     return frameOf(frameHeaderSize + body.size(), protocolVersion, type, body);
 }
 
-/// A little-endian archive: its mark, then the bytes.
-std::string body(std::uint64_t first)
+/// A little-endian archive: its mark, then a length of seven bits a byte.
+std::string body(std::uint64_t length)
 {
     std::string text(1, '\1');
-    for (unsigned shift = 0; shift < 64; shift += 8)
-        text.push_back(static_cast<char>(first >> shift));
+    for (; length >= 0x80; length >>= 7U)
+        text.push_back(static_cast<char>(length | 0x80U));
+    text.push_back(static_cast<char>(length));
     return text;
 }
 
@@ -147,11 +148,15 @@
     const std::uint8_t offer = typeOf<ConfigurationOffer>();
     const std::uint8_t demand = typeOf<Demand>();
     const BadFrame rows[] = {
-            {"oversized", frameOf(maxFrameSize + 1, 1, started, ""), WireErrc::Oversized},
-            {"largest length", frameOf(0xffffffffU, 1, started, ""), WireErrc::Oversized},
-            {"length below the header", frameOf(5, 1, started, ""), WireErrc::Malformed},
+            {"oversized", frameOf(maxFrameSize + 1, protocolVersion, started, ""),
+             WireErrc::Oversized},
+            {"largest length", frameOf(0xffffffffU, protocolVersion, started, ""),
+             WireErrc::Oversized},
+            {"length below the header", frameOf(5, protocolVersion, started, ""),
+             WireErrc::Malformed},
             {"zeros", std::string(64, '\0'), WireErrc::Malformed},
-            {"other version", frameOf(good.size(), 2, started, goodBody), WireErrc::WrongVersion},
+            {"other version", frameOf(good.size(), protocolVersion + 1, started, goodBody),
+             WireErrc::WrongVersion},
             {"version 0", frameOf(good.size(), 0, started, goodBody), WireErrc::WrongVersion},
             {"unknown type", frameOf(linkMessages, goodBody), WireErrc::UnknownType},
             {"type 255", frameOf(255, goodBody), WireErrc::UnknownType},
@@ -161,6 +166,8 @@
             {"string of 2^30", frameOf(offer, body(1ULL << 30U)), WireErrc::Malformed},
             {"string of 2^40", frameOf(offer, body(1ULL << 40U)), WireErrc::Malformed},
             {"string of 2^64 - 1", frameOf(offer, body(~0ULL)), WireErrc::Malformed},
+            {"length without an end", frameOf(offer, '\1' + std::string(12, '\xff')),
+             WireErrc::Malformed},
             {"list of 2^28",
              frameOf(demand, "\1" + std::string(4, '\0') + body(1U << 28U).substr(1)),
              WireErrc::Malformed},
