Move the answers' part of the router's core to a file of its own

Change: routeranswers.cpp follows attempts; routercore.cpp queues and places. An argument that nothing used is gone.

--- a/packages/router/include/bilberry/router/routercore.h
+++ b/packages/router/include/bilberry/router/routercore.h
@@ -144,7 +144,7 @@
     void leaveQueue(const PoolId &pool, const CustomerId &customer);
     Requests::iterator findAttempt(const ServerId &server, AttemptId attempt);
     void attemptFailed(RequestId id, Request &request, TimePoint now);
-    void completed(Requests::iterator found, const wire::AnswerEnd &end, TimePoint now);
+    void completed(Requests::iterator found, const wire::AnswerEnd &end);
     void refuse(RequestId id, RefusalKind kind, RequestOutcome outcome,
                 std::uint32_t retryAfterSeconds, TimePoint now, const std::string &detail = "");
     bool runs(decision::Fingerprint fingerprint) const;
--- /dev/null
+++ b/packages/router/src/routeranswers.cpp
@@ -0,0 +1,232 @@
+// The part of the router's core that follows attempts: refusals, answers, failures, crashes.
+
+#include "bilberry/router/routercore.h"
+
+#include <algorithm>
+
+namespace bilberry::router {
+
+namespace {
+
+/// Optimistic tries before a request waits for a grant.
+constexpr std::size_t maxOptimisticTries = 2;
+
+} // namespace
+
+RouterCore::Requests::iterator RouterCore::findAttempt(const ServerId &server, AttemptId attempt)
+{
+    const auto id = m_requestOf.find(attempt);
+    if (id == m_requestOf.end()) {
+        ++m_counts.droppedParts;
+        return m_requests.end();
+    }
+    const auto found = m_requests.find(id->second);
+    if (found != m_requests.end() && found->second.server == server)
+        return found;
+    ++m_counts.droppedParts;
+    return m_requests.end();
+}
+
+void RouterCore::handle(const ServerId &server, wire::Refusal &message, TimePoint now)
+{
+    takeLoad(server, message.load);
+    const auto found = findAttempt(server, message.attempt);
+    if (found == m_requests.end())
+        return;
+    const RequestId id = found->first;
+    Request &request = found->second;
+    m_requestOf.erase(message.attempt);
+    m_charges.finish(message.attempt, 0.0);
+    if (request.callerGone) {
+        finishClaim(request, false);
+        m_requests.erase(found);
+        return;
+    }
+    if (message.reason == wire::RefusalReason::Quarantined) {
+        refuse(id, RefusalKind::Quarantined, RequestOutcome::NotRun, 0, now);
+        return;
+    }
+    request.refusedBy.insert(server);
+    const bool mayTry = request.grant == 0 && request.refusedBy.size() < maxOptimisticTries
+                        && poolQueue(request.submit.pool).queue.empty();
+    if (!mayTry || !dispatchAtOnce(id, request, now)) {
+        request.refusedBy.clear();
+        requeue(id, request, now);
+    }
+}
+
+void RouterCore::handle(const ServerId &server, wire::Started &message, TimePoint now)
+{
+    if (findAttempt(server, message.attempt) != m_requests.end())
+        m_charges.start(message.attempt, now);
+}
+
+void RouterCore::handle(const ServerId &server, wire::AnswerHead &message, TimePoint now)
+{
+    const auto found = findAttempt(server, message.attempt);
+    if (found == m_requests.end())
+        return;
+    Request &request = found->second;
+    if (request.sequence.head() != decision::SequenceVerdict::Accept) {
+        ++m_counts.droppedParts;
+        return;
+    }
+    request.headSent = true;
+    request.status = message.status;
+    const BackendPool *pool
+            = m_configuration ? m_configuration->pool(request.submit.pool) : nullptr;
+    const Objective objective = pool ? pool->objective : Objective{};
+    const bool good = message.status < 500
+                      && toMilliseconds(now - request.arrivedAt) <= objective.firstByteMilliseconds;
+    m_burn.count(keyOf(request), good, now);
+    if (!request.callerGone)
+        m_hooks.reply(ReplyHead{found->first, message.status, std::move(message.headers)});
+}
+
+void RouterCore::handle(const ServerId &server, wire::AnswerChunk &message, TimePoint now)
+{
+    const auto found = findAttempt(server, message.attempt);
+    if (found == m_requests.end())
+        return;
+    Request &request = found->second;
+    switch (request.sequence.chunk(message.number)) {
+    case decision::SequenceVerdict::Accept:
+        if (!request.callerGone)
+            m_hooks.reply(ReplyChunk{found->first, std::move(message.data)});
+        return;
+    case decision::SequenceVerdict::Drop:
+        ++m_counts.droppedParts;
+        return;
+    case decision::SequenceVerdict::Broken:
+        m_hooks.send(server, wire::Cancel{message.attempt});
+        attemptFailed(found->first, request, now);
+        return;
+    }
+}
+
+void RouterCore::handle(const ServerId &server, wire::AnswerEnd &message, TimePoint now)
+{
+    takeLoad(server, message.load);
+    const auto found = findAttempt(server, message.attempt);
+    if (found == m_requests.end())
+        return;
+    Request &request = found->second;
+    const bool whole
+            = message.end == wire::AttemptEnd::Complete
+              && request.sequence.end(message.chunkCount) == decision::SequenceVerdict::Accept;
+    if (whole) {
+        completed(found, message);
+        return;
+    }
+    m_charges.finish(message.attempt, message.cost);
+    attemptFailed(found->first, request, now);
+}
+
+void RouterCore::completed(Requests::iterator found, const wire::AnswerEnd &end)
+{
+    Request &request = found->second;
+    m_requestOf.erase(end.attempt);
+    m_charges.finish(end.attempt, end.cost);
+    m_estimator.learn(keyOf(request), end.cost);
+    m_quarantine.completed(request.fingerprint);
+    finishClaim(request, true);
+    ++m_counts.answered;
+    if (!request.callerGone)
+        m_hooks.reply(ReplyEnd{found->first, true});
+    m_requests.erase(found);
+}
+
+void RouterCore::attemptFailed(RequestId id, Request &request, TimePoint now)
+{
+    // What a lost attempt used is not known; its charge so far stays, by its own estimate.
+    m_requestOf.erase(request.attempt);
+    m_charges.finish(request.attempt, m_estimator.estimate(keyOf(request), std::nullopt));
+    request.failedBefore = true;
+    if (request.callerGone) {
+        finishClaim(request, true);
+        m_requests.erase(id);
+        return;
+    }
+    if (request.headSent) {
+        finishClaim(request, true);
+        m_hooks.reply(ReplyEnd{id, false});
+        m_requests.erase(id);
+        return;
+    }
+    if (m_quarantine.refuses(request.fingerprint)) {
+        refuse(id, RefusalKind::Quarantined, RequestOutcome::Unknown, 0, now);
+        return;
+    }
+    if (request.submit.mayRepeat && m_retryBudgets[request.submit.pool].take()) {
+        ++m_counts.retries;
+        requeue(id, request, now);
+        return;
+    }
+    ++m_counts.unknownOutcomes;
+    refuse(id, RefusalKind::ServerFailed, RequestOutcome::Unknown, 0, now);
+}
+
+void RouterCore::refuse(RequestId id, RefusalKind kind, RequestOutcome outcome,
+                        std::uint32_t retryAfterSeconds, TimePoint now, const std::string &detail)
+{
+    const auto found = m_requests.find(id);
+    Request &request = found->second;
+    // An earlier attempt may have run, so that "not run" would not be true.
+    const RequestOutcome told = request.failedBefore ? RequestOutcome::Unknown : outcome;
+    ++m_counts.refused[kind];
+    const bool counts = kind != RefusalKind::Quarantined && kind != RefusalKind::AlreadyClaimed
+                        && kind != RefusalKind::CustomerQueueFull;
+    if (counts)
+        m_burn.count(keyOf(request), false, now);
+    finishClaim(request, told == RequestOutcome::Unknown);
+    if (!request.callerGone)
+        m_hooks.reply(ReplyRefusal{id, kind, told, retryAfterSeconds, detail});
+    m_requests.erase(found);
+}
+
+void RouterCore::handle(const ServerId &, wire::QuarantineNotice &message, TimePoint now)
+{
+    const bool before = m_quarantine.refuses(message.fingerprint);
+    const bool changed = m_quarantine.merge(message.fingerprint, message.crashes, now);
+    const wire::QuarantineNotice known{message.fingerprint,
+                                       m_quarantine.crashes(message.fingerprint)};
+    const bool reached = !before && m_quarantine.refuses(message.fingerprint);
+    // All routers linked to the agent hear of the crash. Only the one whose request it was passes
+    // the suspicion on, so that a crash costs one round of gossip for each request.
+    if (changed && (reached || runs(message.fingerprint)))
+        m_hooks.quarantined(known);
+    if (!reached)
+        return;
+    m_log.warning("A request is in quarantine after it crashed servers.");
+    for (const auto &[server, agent] : m_agents)
+        m_hooks.send(server, wire::QuarantineNotice(known));
+}
+
+bool RouterCore::runs(decision::Fingerprint fingerprint) const
+{
+    return std::any_of(m_requests.begin(), m_requests.end(), [&](const auto &entry) {
+        return entry.second.stage == Stage::Running && entry.second.fingerprint == fingerprint;
+    });
+}
+
+void RouterCore::mergeQuarantine(const wire::QuarantineNotice &notice, TimePoint now)
+{
+    const bool before = m_quarantine.refuses(notice.fingerprint);
+    m_quarantine.merge(notice.fingerprint, notice.crashes, now);
+    if (before || !m_quarantine.refuses(notice.fingerprint))
+        return;
+    const wire::QuarantineNotice known{notice.fingerprint,
+                                       m_quarantine.crashes(notice.fingerprint)};
+    for (const auto &[server, agent] : m_agents)
+        m_hooks.send(server, wire::QuarantineNotice(known));
+}
+
+std::vector<wire::QuarantineNotice> RouterCore::quarantineEntries() const
+{
+    std::vector<wire::QuarantineNotice> notices;
+    for (const auto &[fingerprint, crashes] : m_quarantine.entries())
+        notices.push_back({fingerprint, crashes});
+    return notices;
+}
+
+} // namespace bilberry::router
