--- a/packages/router/src/routermetrics.cpp
+++ b/packages/router/src/routermetrics.cpp
@@ -81,7 +81,9 @@
       m_service(gauges(m_registry, "bilberry_service_ms", "Service charged by this router")),
       m_waiting(gauges(m_registry, "bilberry_requests_waiting", "Requests waiting, by pool"))
 {
-    // A series that is absent until the first refusal can't be alarmed on.
+    // A series that is absent until its first event can't be alarmed on.
+    for (const char *ring : {"callers", "gossip", "links", "platform"})
+        m_overflows.Add({{"ring", ring}});
     for (int kind = 0; kind <= static_cast<int>(RefusalKind::ServerFailed); ++kind)
         m_refused.Add({{"kind", toText(static_cast<RefusalKind>(kind))}});
 }
