Send a Host header in the experiment's load

Cause: the router refuses HTTP/1.1 requests without Host since ambiguous input is refused; the experiment's load had none and measured only refusals. Ruled out: routes and keys (the integration tests call the same paths). Change: the header.

--- a/benchmark/experiment/load.cpp
+++ b/benchmark/experiment/load.cpp
@@ -59,6 +59,7 @@
     Request request(std::size_t customer, double ms)
     {
         Request request(http::verb::get, "/v1/chat", 11);
+        request.set(http::field::host, "127.0.0.1");
         request.set("X-Api-Key", keyOf(deployment.customers[customer].name));
         const auto whole = static_cast<long>(ms);
         request.set("X-Ms", std::to_string(whole));
