--- a/benchmark/capacitybench.cpp
+++ b/benchmark/capacitybench.cpp
@@ -215,6 +215,31 @@
     }
 }
 
+void measureAgents(const std::string &binaries, Duration length)
+{
+    std::printf("\nOne idle agent by routers\n");
+    for (const std::size_t routers : {2UL, 8UL}) {
+        FleetPlan plan = makePlan(binaries, routers, 10);
+        plan.servers = {{"server", "models", "a"}};
+        Fleet fleet(plan);
+        if (!fleet.start())
+            continue;
+        rest(std::chrono::seconds(2));
+        const std::uint16_t port = fleet.agentAdminPort("server");
+        const int process = fleet.agent("server").id();
+        const double bytesBefore = metric(fleet, port, "bilberry_control_bytes_total");
+        const double processorBefore = processorSeconds(process);
+        rest(length);
+        const double seconds = toMilliseconds(length) / 1000.0;
+        IdleCost cost;
+        cost.kib = residentKib(process);
+        cost.corePercent = (processorSeconds(process) - processorBefore) / seconds * 100.0;
+        cost.controlBytes
+                = (metric(fleet, port, "bilberry_control_bytes_total") - bytesBefore) / seconds;
+        print("routers", routers, cost);
+    }
+}
+
 void measureChanges(const std::string &binaries)
 {
     std::printf("\nConfiguration changes (3 routers, 780 customers)\n");
@@ -250,7 +275,7 @@
     options.add_options()("binaries", "folder of bilberryd",
                           cxxopts::value<std::string>()->default_value("build/bin"))(
             "seconds", "length of each measurement", cxxopts::value<int>()->default_value("5"))(
-            "only", "customers, links, routers or changes",
+            "only", "customers, links, routers, agents or changes",
             cxxopts::value<std::string>()->default_value("all"));
     const auto arguments = options.parse(argc, argv);
     const std::string binaries = arguments["binaries"].as<std::string>();
@@ -264,6 +289,8 @@
         measureLinks(binaries, length);
     if (wanted("routers"))
         measureRouters(binaries, length);
+    if (wanted("agents"))
+        measureAgents(binaries, length);
     if (wanted("changes"))
         measureChanges(binaries);
     return 0;
