Share the set-up of the tests with two zones

Cause: release note, steady request and the count of starts stood two or three times in zoneout_test, zoneisland_test and platformoutage_test. Ruled out: differences between them (the three notes were the same text). Change: tests/support/twozones.h; no check and no bound is touched.

--- a/tests/integration/platformoutage_test.cpp
+++ b/tests/integration/platformoutage_test.cpp
@@ -1,6 +1,5 @@
 #include "support/partition.h"
-
-#include "bilberry/base/digest.h"
+#include "support/twozones.h"
 
 #include <catch2/catch.hpp>
 
@@ -24,28 +23,10 @@
     plan.routers = {"a", "a", "b"};
     plan.servers = {{"model-a", "models", "a"}, {"model-b", "models", "b"}};
     plan.agentSettings = {{"island.policy", islandPolicy}};
-    plan.releaseNote = "added:\n"
-                       "  zones: { a: {}, b: {} }\n"
-                       "  pools:\n"
-                       "    models: { zones: [a, b], coldLimit: 4, fullLimit: 8 }\n"
-                       "  customers:\n"
-                       "    kitchen: { share: 1, keyDigests: ["
-                       + sha256Hex("kitchen-key")
-                       + "] }\n"
-                         "  routes:\n"
-                         "    /v1: { pool: models, repeatable: always }\n";
+    plan.releaseNote = twoZonesNote();
     return plan;
 }
 
-Call request()
-{
-    Call request;
-    request.target = "/v1/chat";
-    request.headers = {{"X-Api-Key", "kitchen-key"}, {"X-Tag", "steady"}, {"X-Ms", "10"}};
-    request.limit = 2s;
-    return request;
-}
-
 /// @return longest time without a start on a server, between two times
 Duration gapBetween(Fleet &fleet, const std::string &server, TimePoint from, TimePoint to)
 {
@@ -96,7 +77,7 @@
         PartitionedFleet all(plan("stop"));
         REQUIRE(all.start());
         Fleet &fleet = all.fleet();
-        const SteadyLoad load(fleet, request());
+        const SteadyLoad load(fleet, steadyRequest());
         WHEN(trouble.name)
         {
             const TimePoint from = Clock::now();
@@ -122,7 +103,7 @@
         PartitionedFleet all(plan(policy));
         REQUIRE(all.start());
         Fleet &fleet = all.fleet();
-        const SteadyLoad load(fleet, request());
+        const SteadyLoad load(fleet, steadyRequest());
         WHEN("one router and one agent are left, and the platform is down")
         {
             fleet.platform().faults().down = true;
--- a/tests/integration/zoneisland_test.cpp
+++ b/tests/integration/zoneisland_test.cpp
@@ -1,6 +1,5 @@
 #include "support/partition.h"
-
-#include "bilberry/base/digest.h"
+#include "support/twozones.h"
 
 #include <catch2/catch.hpp>
 
@@ -24,16 +23,7 @@
     plan.binaries = BILBERRY_BIN;
     plan.routers = {"a", "b", "b"};
     plan.servers = {{"model-a", "models", "a"}, {"model-b", "models", "b"}};
-    plan.releaseNote = "added:\n"
-                       "  zones: { a: {}, b: {} }\n"
-                       "  pools:\n"
-                       "    models: { zones: [a, b], coldLimit: 4, fullLimit: 8 }\n"
-                       "  customers:\n"
-                       "    kitchen: { share: 1, keyDigests: ["
-                       + sha256Hex("kitchen-key")
-                       + "] }\n"
-                         "  routes:\n"
-                         "    /v1: { pool: models, repeatable: always }\n";
+    plan.releaseNote = twoZonesNote();
     return plan;
 }
 
@@ -43,23 +33,6 @@
            + "\n";
 }
 
-std::size_t startsSince(Fleet &fleet, const std::string &server, TimePoint since)
-{
-    std::size_t count = 0;
-    for (const JournalEntry &entry : fleet.backend(server).journal())
-        count += entry.startedAt >= since ? 1 : 0;
-    return count;
-}
-
-Call request()
-{
-    Call request;
-    request.target = "/v1/chat";
-    request.headers = {{"X-Api-Key", "kitchen-key"}, {"X-Tag", "steady"}, {"X-Ms", "10"}};
-    request.limit = 2s;
-    return request;
-}
-
 } // namespace
 
 SCENARIO("an island in a zone that is taken out stops by itself")
@@ -87,7 +60,7 @@
         Fleet &fleet = all->fleet();
         all->platformOf(0).cut = true;
         REQUIRE(all->start());
-        const SteadyLoad load(fleet, request());
+        const SteadyLoad load(fleet, steadyRequest());
 
         WHEN("the island is cut off and operators take the zone out")
         {
--- a/tests/integration/zoneout_test.cpp
+++ b/tests/integration/zoneout_test.cpp
@@ -1,6 +1,5 @@
 #include "support/partition.h"
-
-#include "bilberry/base/digest.h"
+#include "support/twozones.h"
 
 #include <catch2/catch.hpp>
 
@@ -19,20 +18,6 @@
 constexpr Duration watched = 1500ms;
 constexpr char headObject[] = "configuration/head";
 
-std::string firstNote()
-{
-    return "added:\n"
-           "  zones: { a: {}, b: {} }\n"
-           "  pools:\n"
-           "    models: { zones: [a, b], coldLimit: 4, fullLimit: 8 }\n"
-           "  customers:\n"
-           "    kitchen: { share: 1, keyDigests: ["
-           + sha256Hex("kitchen-key")
-           + "] }\n"
-             "  routes:\n"
-             "    /v1: { pool: models, repeatable: always }\n";
-}
-
 std::string zoneNote(bool inService)
 {
     return std::string("changed:\n  zones: { a: { inService: ") + (inService ? "true" : "false")
@@ -45,27 +30,10 @@
     plan.binaries = BILBERRY_BIN;
     plan.routers = {"a", "a", "b"};
     plan.servers = {{"model-a", "models", "a"}, {"model-b", "models", "b"}};
-    plan.releaseNote = firstNote();
+    plan.releaseNote = twoZonesNote();
     return plan;
 }
 
-std::size_t startsSince(Fleet &fleet, const std::string &server, TimePoint since)
-{
-    std::size_t count = 0;
-    for (const JournalEntry &entry : fleet.backend(server).journal())
-        count += entry.startedAt >= since ? 1 : 0;
-    return count;
-}
-
-Call request()
-{
-    Call request;
-    request.target = "/v1/chat";
-    request.headers = {{"X-Api-Key", "kitchen-key"}, {"X-Tag", "steady"}, {"X-Ms", "10"}};
-    request.limit = 2s;
-    return request;
-}
-
 /// A failure around the order to take the zone out.
 struct Trouble
 {
@@ -128,7 +96,7 @@
         PartitionedFleet all(plan());
         Fleet &fleet = all.fleet();
         REQUIRE(all.start());
-        const SteadyLoad load(fleet, request());
+        const SteadyLoad load(fleet, steadyRequest());
         const TimePoint started = Clock::now();
         REQUIRE(eventually([&] { return startsSince(fleet, "model-a", started) > 0; }));
 
