--- a/benchmark/capacitybench.cpp
+++ b/benchmark/capacitybench.cpp
@@ -43,11 +43,11 @@
 
     ~IdleAgents() { m_duty.stop(); }
 
-    std::vector<platform::Vm> vms() const
+    std::vector<store::Vm> vms() const
     {
-        std::vector<platform::Vm> list;
+        std::vector<store::Vm> list;
         for (std::size_t i = 0; i < m_acceptors.size(); ++i)
-            list.push_back({name(i), platform::VmRole::Agent, ZoneId("a"), "127.0.0.1",
+            list.push_back({name(i), store::VmRole::Agent, ZoneId("a"), "127.0.0.1",
                             m_acceptors[i]->local_endpoint().port(), 1, false});
         return list;
     }
@@ -155,7 +155,7 @@
     const std::uint16_t port = fleet.routerAdminPort(0);
     const double processorBefore = processorSeconds(process);
     const double bytesBefore = metric(fleet, port, "bilberry_control_bytes_total");
-    const double callsBefore = metric(fleet, port, "bilberry_platform_calls_total");
+    const double callsBefore = metric(fleet, port, "bilberry_store_calls_total");
     rest(length);
     const double seconds = toMilliseconds(length) / 1000.0;
     IdleCost cost;
@@ -164,7 +164,7 @@
     cost.controlBytes
             = (metric(fleet, port, "bilberry_control_bytes_total") - bytesBefore) / seconds;
     cost.platformCalls
-            = (metric(fleet, port, "bilberry_platform_calls_total") - callsBefore) / seconds;
+            = (metric(fleet, port, "bilberry_store_calls_total") - callsBefore) / seconds;
     return cost;
 }
 
@@ -196,8 +196,8 @@
     for (const std::size_t links : {50UL, 200UL, 400UL}) {
         Fleet fleet(makePlan(binaries, 1, 10));
         const IdleAgents agents(links, "models");
-        std::vector<platform::Vm> vms = fleet.vms();
-        for (const platform::Vm &vm : agents.vms())
+        std::vector<store::Vm> vms = fleet.vms();
+        for (const store::Vm &vm : agents.vms())
             vms.push_back(vm);
         fleet.platform().setVms(vms);
         if (fleet.start())
--- a/cmake/packages.cmake
+++ b/cmake/packages.cmake
@@ -1,11 +1,17 @@
 # Catch2's main function is compiled once and linked into every test program.
-add_library(bilberry_test_main OBJECT ${CMAKE_SOURCE_DIR}/tests/support/testmain.cpp)
-target_link_libraries(bilberry_test_main PUBLIC Catch2::Catch2)
+if(BILBERRY_TESTS)
+  add_library(bilberry_test_main OBJECT ${CMAKE_SOURCE_DIR}/tests/support/testmain.cpp)
+  target_link_libraries(bilberry_test_main PUBLIC Catch2::Catch2)
+endif()
 
-# Adds one package: a static library from src/, its public headers and one test program.
+# Adds one package: a static library from src/, its public headers and one test program. With ROOT
+# its folder is at the root of the repository.
 function(bilberry_package NAME)
-  cmake_parse_arguments(ARG "" "" "LIBRARIES;PRIVATE_LIBRARIES" ${ARGN})
+  cmake_parse_arguments(ARG "ROOT" "" "LIBRARIES;PRIVATE_LIBRARIES" ${ARGN})
   set(DIR ${CMAKE_SOURCE_DIR}/packages/${NAME})
+  if(ARG_ROOT)
+    set(DIR ${CMAKE_SOURCE_DIR}/${NAME})
+  endif()
   file(GLOB SOURCES CONFIGURE_DEPENDS ${DIR}/src/*.cpp)
   add_library(bilberry_${NAME} STATIC ${SOURCES})
   target_include_directories(bilberry_${NAME} PUBLIC ${DIR}/include PRIVATE ${DIR}/src)
@@ -16,7 +22,7 @@
 # Adds the test program of a package when it has tests.
 function(bilberry_tests NAME DIR)
   file(GLOB TESTS CONFIGURE_DEPENDS ${DIR}/tests/*.cpp)
-  if(TESTS)
+  if(TESTS AND BILBERRY_TESTS)
     add_executable(${NAME}_tests ${TESTS})
     target_include_directories(${NAME}_tests PRIVATE ${DIR}/src ${CMAKE_SOURCE_DIR}/tests)
     target_link_libraries(${NAME}_tests PRIVATE bilberry_${NAME} bilberry_testsupport
--- a/packages/base/src/log.cpp
+++ b/packages/base/src/log.cpp
@@ -1,5 +1,7 @@
 #include "bilberry/base/log.h"
 
+#include "bilberry/base/boundedring.h"
+
 #include <boost/json/object.hpp>
 #include <boost/json/serialize.hpp>
 #include <log4cplus/configurator.h>
@@ -8,15 +10,37 @@
 #include <log4cplus/layout.h>
 #include <log4cplus/logger.h>
 #include <log4cplus/loggingmacros.h>
+#include <log4cplus/mdc.h>
 #include <log4cplus/spi/loggingevent.h>
 
+#include <algorithm>
+#include <atomic>
+#include <cerrno>
+#include <climits>
+#include <condition_variable>
 #include <memory>
+#include <sstream>
+#include <thread>
+
+#include <fcntl.h>
+#include <poll.h>
+#include <unistd.h>
 
 namespace bilberry {
 
 namespace {
 
+/// Lines of one part in a second.
 constexpr std::uint32_t maxLinesPerSecond = 20;
+/// Lines about requests of one part in a second; a router of the design size has about 100
+/// requests.
+constexpr std::uint32_t maxDecisionsPerSecond = 500;
+/// Lines that wait for the reader of standard output.
+constexpr std::size_t maxWaitingLines = 4096;
+/// Between two batches of lines, so that a line does not cost a wake-up.
+constexpr auto batchPause = std::chrono::milliseconds(100);
+/// A reader that takes nothing for so long loses the batch.
+constexpr int stuckReaderMs = 1000;
 
 /// One JSON object a line: time, level, part, message.
 class JsonLayout : public log4cplus::Layout
@@ -31,10 +55,124 @@
         line["level"] = log4cplus::getLogLevelManager().toString(event.getLogLevel());
         line["part"] = event.getLoggerName();
         line["message"] = event.getMessage();
+        for (const auto &[name, value] : event.getMDCCopy())
+            line[name] = value;
         out << boost::json::serialize(line) << '\n';
     }
 };
 
+/// Writes lines to standard output on a thread of its own.
+class LineWriter
+{
+public:
+    LineWriter() : m_ring(maxWaitingLines, [this] { wake(); }), m_thread([this] { run(); }) {}
+
+    ~LineWriter() { stop(); }
+
+    void add(std::string &&line)
+    {
+        if (!m_ring.push(std::move(line)))
+            ++m_dropped;
+    }
+
+    /// Writes the rest and ends the thread.
+    void stop()
+    {
+        {
+            const std::lock_guard lock(m_mutex);
+            m_stopping = true;
+        }
+        m_changed.notify_all();
+        if (m_thread.joinable())
+            m_thread.join();
+    }
+
+private:
+    void wake()
+    {
+        {
+            const std::lock_guard lock(m_mutex);
+            m_pending = true;
+        }
+        m_changed.notify_one();
+    }
+
+    void run()
+    {
+        bool stopping = false;
+        while (!stopping) {
+            {
+                std::unique_lock lock(m_mutex);
+                m_changed.wait(lock, [this] { return m_pending || m_stopping; });
+                m_changed.wait_for(lock, batchPause, [this] { return m_stopping; });
+                m_pending = false;
+                stopping = m_stopping;
+            }
+            writeBatch();
+        }
+    }
+
+    void writeBatch()
+    {
+        m_ring.drain(m_lines);
+        std::string batch;
+        if (const std::uint64_t dropped = m_dropped.exchange(0)) {
+            const boost::json::object line = {{"level", "WARN"},
+                                              {"part", "log"},
+                                              {"message", "Lines were dropped: slow reader."},
+                                              {"lines", dropped}};
+            batch = boost::json::serialize(line) + '\n';
+        }
+        for (const std::string &line : m_lines)
+            batch += line;
+        for (std::size_t at = 0; at < batch.size();) {
+            pollfd ready{STDOUT_FILENO, POLLOUT, 0};
+            if (poll(&ready, 1, stuckReaderMs) <= 0) {
+                m_dropped += m_lines.size();
+                return;
+            }
+            // Only so much as a pipe takes without waiting.
+            const std::size_t size = std::min<std::size_t>(batch.size() - at, PIPE_BUF);
+            const ssize_t written = ::write(STDOUT_FILENO, batch.data() + at, size);
+            if (written < 0 && errno != EINTR && errno != EAGAIN)
+                return;
+            at += written > 0 ? static_cast<std::size_t>(written) : 0;
+        }
+    }
+
+    std::mutex m_mutex;
+    std::condition_variable m_changed;
+    bool m_pending = false;
+    bool m_stopping = false;
+    std::atomic<std::uint64_t> m_dropped = 0;
+    BoundedRing<std::string> m_ring;
+    std::vector<std::string> m_lines;
+    std::thread m_thread;
+};
+
+std::unique_ptr<LineWriter> &lineWriter()
+{
+    static std::unique_ptr<LineWriter> writer;
+    return writer;
+}
+
+/// Hands formatted lines to the writer.
+class RingAppender : public log4cplus::Appender
+{
+public:
+    ~RingAppender() override { destructorImpl(); }
+    void close() override { closed = true; }
+
+protected:
+    void append(const log4cplus::spi::InternalLoggingEvent &event) override
+    {
+        std::ostringstream line;
+        layout->formatAndAppend(line, event);
+        if (lineWriter())
+            lineWriter()->add(line.str());
+    }
+};
+
 log4cplus::LogLevel toLevel(LogLevel level)
 {
     switch (level) {
@@ -62,7 +200,14 @@
 void setUpLogging(const LogSettings &settings)
 {
     static const log4cplus::Initializer initializer;
-    log4cplus::SharedAppenderPtr appender(new log4cplus::ConsoleAppender(true, true));
+    log4cplus::SharedAppenderPtr appender;
+    if (settings.format == LogFormat::Json) {
+        if (!lineWriter())
+            lineWriter() = std::make_unique<LineWriter>();
+        appender = log4cplus::SharedAppenderPtr(new RingAppender());
+    } else {
+        appender = log4cplus::SharedAppenderPtr(new log4cplus::ConsoleAppender(true, true));
+    }
     appender->setLayout(makeLayout(settings.format));
     log4cplus::Logger root = log4cplus::Logger::getRoot();
     root.removeAllAppenders();
@@ -70,6 +215,11 @@
     root.setLogLevel(toLevel(settings.level));
 }
 
+void flushLogging()
+{
+    lineWriter().reset();
+}
+
 Log::Log(std::string prefix) : m_prefix(std::move(prefix)) {}
 
 void Log::debug(std::string_view sentence)
@@ -92,7 +242,12 @@
     write(LogLevel::Error, sentence);
 }
 
-bool Log::admit(std::uint64_t &suppressed)
+void Log::decision(std::string_view sentence, const LogFields &fields)
+{
+    write(LogLevel::Info, sentence, fields);
+}
+
+bool Log::admit(std::uint32_t limit, std::uint64_t &suppressed)
 {
     const std::lock_guard lock(m_mutex);
     const TimePoint now = Clock::now();
@@ -101,7 +256,7 @@
         m_linesInSecond = 0;
         suppressed = std::exchange(m_suppressed, 0);
     }
-    if (m_linesInSecond >= maxLinesPerSecond) {
+    if (m_linesInSecond >= limit) {
         ++m_suppressed;
         return false;
     }
@@ -109,18 +264,22 @@
     return true;
 }
 
-void Log::write(LogLevel level, std::string_view sentence)
+void Log::write(LogLevel level, std::string_view sentence, const LogFields &fields)
 {
     log4cplus::Logger logger = log4cplus::Logger::getInstance(m_prefix);
     if (!logger.isEnabledFor(toLevel(level)))
         return;
     std::uint64_t suppressed = 0;
-    if (!admit(suppressed))
+    if (!admit(fields.empty() ? maxLinesPerSecond : maxDecisionsPerSecond, suppressed))
         return;
     if (suppressed > 0)
         logger.log(log4cplus::WARN_LOG_LEVEL, std::to_string(suppressed) + " lines suppressed.",
                    nullptr, 0, "");
+    log4cplus::MDC &context = log4cplus::getMDC();
+    for (const auto &[name, value] : fields)
+        context.put(name, value);
     logger.log(toLevel(level), std::string(sentence), nullptr, 0, "");
+    context.clear();
 }
 
 } // namespace bilberry
--- a/packages/ctl/src/acceptance.cpp
+++ b/packages/ctl/src/acceptance.cpp
@@ -29,10 +29,10 @@
 
 /// Asks the daemons for their revision.
 /// @return those that have an older one or don't answer
-std::vector<platform::Vm> stillBehind(FleetClient &client, const std::vector<platform::Vm> &vms,
-                                      Revision revision)
+std::vector<store::Vm> stillBehind(FleetClient &client, const std::vector<store::Vm> &vms,
+                                   Revision revision)
 {
-    std::vector<platform::Vm> behind;
+    std::vector<store::Vm> behind;
     for (const DaemonStatus &daemon : client.statusAll(vms, callLimit)) {
         if (!daemon.answered() || daemon.revision() < revision)
             behind.push_back(daemon.vm);
@@ -50,13 +50,13 @@
     client.callAll(vms.value(), "/v1/configuration", {"PUT", encodeConfiguration(configuration)},
                    callLimit);
     const TimePoint deadline = Clock::now() + options.timeout;
-    std::vector<platform::Vm> behind = stillBehind(client, vms.value(), configuration.revision());
+    std::vector<store::Vm> behind = stillBehind(client, vms.value(), configuration.revision());
     while (!behind.empty() && Clock::now() < deadline) {
         std::this_thread::sleep_for(pollPeriod);
         behind = stillBehind(client, behind, configuration.revision());
     }
     Spread result;
-    for (const platform::Vm &vm : behind)
+    for (const store::Vm &vm : behind)
         result.behind.push_back(vm.name);
     return result;
 }
@@ -92,7 +92,7 @@
 }
 
 ExitCode reportConflict(FleetClient &client, const CommandOptions &options,
-                        const platform::AcceptedConfiguration &base)
+                        const store::AcceptedConfiguration &base)
 {
     std::vector<PlannedChange> changes;
     const auto now = client.load();
@@ -108,7 +108,7 @@
 
 /// One try: an exit code, or nothing when another change was accepted first.
 std::optional<ExitCode> attempt(FleetClient &client, const CommandOptions &options,
-                                const platform::AcceptedConfiguration &base, const Derive &derive)
+                                const store::AcceptedConfiguration &base, const Derive &derive)
 {
     const ConfigurationParts &before = base.configuration->parts();
     const auto parts = derive(before);
@@ -120,10 +120,10 @@
     const auto accepted = client.accept(base, *parts, randomToken());
     if (accepted)
         return finish(client, options, *accepted.value().configuration, changes);
-    if (accepted.error() == platform::PlatformErrc::Conflict)
+    if (accepted.error() == store::StoreErrc::Conflict)
         return std::nullopt;
     printError("accepting the change", accepted.error());
-    return accepted.error() == platform::PlatformErrc::OutcomeUnknown ? ExitUnknown : ExitFailure;
+    return accepted.error() == store::StoreErrc::OutcomeUnknown ? ExitUnknown : ExitFailure;
 }
 
 } // namespace
--- a/packages/ctl/src/burnreport.cpp
+++ b/packages/ctl/src/burnreport.cpp
@@ -1,6 +1,6 @@
 #include "burnreport.h"
 
-#include "bilberry/platform/platformerror.h"
+#include "bilberry/store/storeerror.h"
 
 #include <boost/json.hpp>
 
@@ -88,7 +88,7 @@
         for (const json::value &row : document.as_array())
             read[readKey(row)] = readWindows(row.at("windows").as_array());
     } catch (const std::exception &) {
-        return platform::PlatformErrc::Malformed;
+        return store::StoreErrc::Malformed;
     }
     for (const auto &[key, counts] : read) {
         WindowCounts &sum = m_counts[key];
--- a/packages/ctl/src/commands.h
+++ b/packages/ctl/src/commands.h
@@ -12,8 +12,8 @@
 /// What all commands share.
 struct CommandOptions
 {
-    platform::PlatformSettings platform;
-    std::vector<platform::Vm> daemons; ///< asked instead of the platform's list when not empty
+    store::PlatformSettings platform;
+    std::vector<store::Vm> daemons; ///< asked instead of the platform's list when not empty
     bool json = false;
     Duration timeout = std::chrono::seconds(5); ///< for a change to be in force everywhere
 };
--- a/packages/ctl/src/ctl.cpp
+++ b/packages/ctl/src/ctl.cpp
@@ -152,14 +152,14 @@
 }
 
 /// Daemons named on the command line; what they are they say themselves.
-std::optional<std::vector<platform::Vm>> parseDaemons(const Words &texts)
+std::optional<std::vector<store::Vm>> parseDaemons(const Words &texts)
 {
-    std::vector<platform::Vm> daemons;
+    std::vector<store::Vm> daemons;
     for (const std::string &text : texts) {
         const auto endpoint = parseEndpoint(text);
         if (!endpoint)
             return std::nullopt;
-        platform::Vm vm;
+        store::Vm vm;
         vm.name = text;
         vm.address = endpoint->address;
         vm.adminPort = endpoint->port;
--- a/packages/ctl/src/fleetclient.cpp
+++ b/packages/ctl/src/fleetclient.cpp
@@ -29,7 +29,7 @@
     boost::system::error_code error;
     boost::json::value value = boost::json::parse(answer.response.value().body, error);
     if (error || !value.is_object())
-        daemon.error = make_error_code(platform::PlatformErrc::Malformed);
+        daemon.error = make_error_code(store::StoreErrc::Malformed);
     else
         daemon.status = std::move(value.as_object());
     return daemon;
@@ -59,14 +59,14 @@
     return value && value->is_bool() && value->as_bool();
 }
 
-FleetClient::FleetClient(const platform::PlatformSettings &settings)
-    : m_store(platform::makeHttpObjectStore(m_context, settings, [](const char *) {})),
+FleetClient::FleetClient(const store::PlatformSettings &settings)
+    : m_store(store::makeHttpObjectStore(m_context, settings, [](const char *) {})),
       m_configurations(*m_store)
 {
 }
 
 template <typename T>
-T FleetClient::wait(platform::Awaitable<T> operation)
+T FleetClient::wait(store::Awaitable<T> operation)
 {
     std::optional<T> result;
     asio::co_spawn(m_context, store(std::move(operation), result), asio::detached);
@@ -75,34 +75,34 @@
     return std::move(*result);
 }
 
-Result<platform::AcceptedConfiguration> FleetClient::load()
+Result<store::AcceptedConfiguration> FleetClient::load()
 {
     return wait(m_configurations.load());
 }
 
-Result<platform::AcceptedConfiguration>
-FleetClient::accept(const platform::AcceptedConfiguration &base, const ConfigurationParts &parts,
-                    const std::string &requestToken)
+Result<store::AcceptedConfiguration> FleetClient::accept(const store::AcceptedConfiguration &base,
+                                                         const ConfigurationParts &parts,
+                                                         const std::string &requestToken)
 {
     return wait(m_configurations.accept(base, parts, requestToken));
 }
 
-Result<std::vector<platform::Vm>> FleetClient::vms()
+Result<std::vector<store::Vm>> FleetClient::vms()
 {
     return wait(m_store->vms());
 }
 
-Result<std::vector<platform::Vm>> FleetClient::daemons(const std::vector<platform::Vm> &given)
+Result<std::vector<store::Vm>> FleetClient::daemons(const std::vector<store::Vm> &given)
 {
     if (!given.empty())
         return given;
     return vms();
 }
 
-Result<ConfigurationPtr> FleetClient::present(const std::vector<platform::Vm> &given)
+Result<ConfigurationPtr> FleetClient::present(const std::vector<store::Vm> &given)
 {
     if (given.empty())
-        return load().map([](const platform::AcceptedConfiguration &accepted) {
+        return load().map([](const store::AcceptedConfiguration &accepted) {
             return accepted.configuration;
         });
     ConfigurationPtr newest;
@@ -114,12 +114,11 @@
             newest = std::make_shared<const Configuration>(read.value());
     }
     if (!newest)
-        return platform::PlatformErrc::Unavailable;
+        return store::StoreErrc::Unavailable;
     return newest;
 }
 
-std::vector<DaemonStatus> FleetClient::statusAll(const std::vector<platform::Vm> &vms,
-                                                 Duration limit)
+std::vector<DaemonStatus> FleetClient::statusAll(const std::vector<store::Vm> &vms, Duration limit)
 {
     std::vector<DaemonStatus> statuses;
     for (const DaemonAnswer &answer : callAll(vms, "/v1/status", {"GET", ""}, limit))
@@ -127,7 +126,7 @@
     return statuses;
 }
 
-std::vector<DaemonAnswer> FleetClient::callAll(const std::vector<platform::Vm> &vms,
+std::vector<DaemonAnswer> FleetClient::callAll(const std::vector<store::Vm> &vms,
                                                const std::string &path,
                                                const admin::AdminRequest &request, Duration limit)
 {
--- a/packages/ctl/src/fleetclient.h
+++ b/packages/ctl/src/fleetclient.h
@@ -2,8 +2,8 @@
 #define BILBERRY_CTL_FLEETCLIENT_H
 
 #include "bilberry/admin/adminclient.h"
-#include "bilberry/platform/configurationstore.h"
-#include "bilberry/platform/httpobjectstore.h"
+#include "bilberry/store/configurationstore.h"
+#include "bilberry/store/httpobjectstore.h"
 
 #include <boost/json/object.hpp>
 
@@ -16,14 +16,14 @@
 /// A daemon and what it said.
 struct DaemonAnswer
 {
-    platform::Vm vm;
+    store::Vm vm;
     Result<admin::AdminResponse> response;
 };
 
 /// A daemon and its status.
 struct DaemonStatus
 {
-    platform::Vm vm;
+    store::Vm vm;
     std::error_code error; ///< why there is no status
     boost::json::object status;
 
@@ -42,37 +42,37 @@
 class FleetClient
 {
 public:
-    explicit FleetClient(const platform::PlatformSettings &settings);
+    explicit FleetClient(const store::PlatformSettings &settings);
 
-    Result<platform::AcceptedConfiguration> load();
-    Result<platform::AcceptedConfiguration> accept(const platform::AcceptedConfiguration &base,
-                                                   const ConfigurationParts &parts,
-                                                   const std::string &requestToken);
-    Result<std::vector<platform::Vm>> vms();
+    Result<store::AcceptedConfiguration> load();
+    Result<store::AcceptedConfiguration> accept(const store::AcceptedConfiguration &base,
+                                                const ConfigurationParts &parts,
+                                                const std::string &requestToken);
+    Result<std::vector<store::Vm>> vms();
 
     /// @param given daemons named by the operator
     /// @return these, or the platform's list when there are none
-    Result<std::vector<platform::Vm>> daemons(const std::vector<platform::Vm> &given);
+    Result<std::vector<store::Vm>> daemons(const std::vector<store::Vm> &given);
 
     /// @param given daemons named by the operator
     /// @return the newest configuration in force at these, or the accepted one when there are none
-    Result<ConfigurationPtr> present(const std::vector<platform::Vm> &given);
+    Result<ConfigurationPtr> present(const std::vector<store::Vm> &given);
 
     /// Asks all daemons for their status at once.
-    std::vector<DaemonStatus> statusAll(const std::vector<platform::Vm> &vms, Duration limit);
+    std::vector<DaemonStatus> statusAll(const std::vector<store::Vm> &vms, Duration limit);
 
     /// Calls all daemons at once.
     /// @param path of the admin server
-    std::vector<DaemonAnswer> callAll(const std::vector<platform::Vm> &vms, const std::string &path,
+    std::vector<DaemonAnswer> callAll(const std::vector<store::Vm> &vms, const std::string &path,
                                       const admin::AdminRequest &request, Duration limit);
 
 private:
     template <typename T>
-    T wait(platform::Awaitable<T> operation);
+    T wait(store::Awaitable<T> operation);
 
     boost::asio::io_context m_context{1};
-    std::unique_ptr<platform::ObjectStore> m_store;
-    platform::ConfigurationStore m_configurations;
+    std::unique_ptr<store::ObjectStore> m_store;
+    store::ConfigurationStore m_configurations;
 };
 
 } // namespace bilberry::ctl
--- a/packages/ctl/src/listings.cpp
+++ b/packages/ctl/src/listings.cpp
@@ -119,7 +119,7 @@
     std::vector<DaemonStatus> agents;
     for (const DaemonStatus &daemon : client.statusAll(vms.value(), callLimit)) {
         const bool saysRouter = daemon.text("role") == "router";
-        const bool listed = options.daemons.empty() && daemon.vm.role == platform::VmRole::Router;
+        const bool listed = options.daemons.empty() && daemon.vm.role == store::VmRole::Router;
         if (!saysRouter && !listed)
             agents.push_back(daemon);
     }
--- a/packages/ctl/src/report.cpp
+++ b/packages/ctl/src/report.cpp
@@ -55,11 +55,11 @@
     return table;
 }
 
-std::vector<platform::Vm> routersOf(const std::vector<platform::Vm> &vms)
+std::vector<store::Vm> routersOf(const std::vector<store::Vm> &vms)
 {
-    std::vector<platform::Vm> routers;
-    for (const platform::Vm &vm : vms) {
-        if (vm.role == platform::VmRole::Router)
+    std::vector<store::Vm> routers;
+    for (const store::Vm &vm : vms) {
+        if (vm.role == store::VmRole::Router)
             routers.push_back(vm);
     }
     return routers;
--- a/packages/ctl/tests/burnreport_test.cpp
+++ b/packages/ctl/tests/burnreport_test.cpp
@@ -1,6 +1,6 @@
 #include "burnreport.h"
 
-#include "bilberry/platform/platformerror.h"
+#include "bilberry/store/storeerror.h"
 
 #include <catch2/catch.hpp>
 
@@ -77,7 +77,7 @@
                                  R"([{"customer":"c","pool":"p","windows":[{"seconds":300}]}])",
                                  R"([{"customer":1,"pool":"p","windows":[]}])"}) {
             INFO(text);
-            CHECK(report.add(text).error() == platform::PlatformErrc::Malformed);
+            CHECK(report.add(text).error() == store::StoreErrc::Malformed);
         }
         THEN("nothing is added")
         {
--- a/packages/daemon/src/daemon.cpp
+++ b/packages/daemon/src/daemon.cpp
@@ -4,11 +4,15 @@
 
 #include "bilberry/agent/agent.h"
 #include "bilberry/base/log.h"
+#include "bilberry/direct/directrouter.h"
+#include "bilberry/platform/adapter.h"
 #include "bilberry/router/router.h"
 
+#include <boost/asio/signal_set.hpp>
 #include <cxxopts.hpp>
 
 #include <csignal>
+#include <functional>
 #include <iostream>
 
 namespace bilberry::daemon {
@@ -39,10 +43,50 @@
     return ExitOk;
 }
 
-int start(const DaemonSettings &settings)
+/// Addresses and limits hold for the life of the process; a changed file is checked, so that the
+/// log shows before the next start whether it can be used.
+void checkReloaded(const std::string &file)
+{
+    Log log("daemon");
+    SettingsReader reader(file);
+    readSettings(reader);
+    const std::vector<SettingsFault> faults = reader.finish();
+    log.decision("Read the settings again; they take effect at the next start.",
+                 {{"file", file}, {"faults", std::to_string(faults.size())}});
+    for (const SettingsFault &fault : faults)
+        log.error(fault.text());
+}
+
+/// A direct router has one event loop, which takes the signals too.
+int serveDirect(const direct::DirectSettings &settings, const std::string &file)
+{
+    std::signal(SIGPIPE, SIG_IGN);
+    direct::DirectRouter router(settings, platform::makeAdapter());
+    boost::asio::signal_set stopSignals(router.context(), SIGTERM, SIGINT);
+    stopSignals.async_wait([&](boost::system::error_code error, int) {
+        if (!error)
+            router.stop();
+    });
+    boost::asio::signal_set reloadSignal(router.context(), SIGHUP);
+    std::function<void()> awaitReload = [&] {
+        reloadSignal.async_wait([&](boost::system::error_code error, int) {
+            if (error)
+                return;
+            checkReloaded(file);
+            awaitReload();
+        });
+    };
+    awaitReload();
+    router.run();
+    return ExitOk;
+}
+
+int start(const DaemonSettings &settings, const std::string &file)
 {
     setUpLogging(settings.log);
     try {
+        if (settings.role == Role::DirectRouter)
+            return serveDirect(settings.direct, file);
         if (settings.role == Role::Agent)
             return serve<agent::Agent>(settings.agent);
         return serve<router::Router>(settings.router);
@@ -63,7 +107,9 @@
         return ExitSettings;
     if (checkOnly)
         return ExitOk;
-    return start(settings);
+    const int code = start(settings, file);
+    flushLogging();
+    return code;
 }
 
 } // namespace
--- a/packages/daemon/src/daemonsettings.cpp
+++ b/packages/daemon/src/daemonsettings.cpp
@@ -26,7 +26,11 @@
 {
     DaemonSettings settings;
     settings.log = readLog(reader);
-    if (reader.choice("role", {"router", "agent"}) == "agent") {
+    const std::string role = reader.choice("role", {"router", "agent", "direct-router"});
+    if (role == "direct-router") {
+        settings.role = Role::DirectRouter;
+        settings.direct = direct::readDirectSettings(reader);
+    } else if (role == "agent") {
         settings.role = Role::Agent;
         settings.agent = agent::readAgentSettings(reader);
     } else {
--- a/packages/daemon/src/daemonsettings.h
+++ b/packages/daemon/src/daemonsettings.h
@@ -3,11 +3,12 @@
 
 #include "bilberry/agent/agentsettings.h"
 #include "bilberry/base/log.h"
+#include "bilberry/direct/directsettings.h"
 #include "bilberry/router/routersettings.h"
 
 namespace bilberry::daemon {
 
-enum class Role { Router, Agent };
+enum class Role { Router, Agent, DirectRouter };
 
 /// Everything that the settings file says.
 struct DaemonSettings
@@ -16,9 +17,10 @@
     LogSettings log;
     router::RouterSettings router;
     agent::AgentSettings agent;
+    direct::DirectSettings direct;
 };
 
-/// Reads the settings of either role; faults stay in the reader.
+/// Reads the settings of any role; faults stay in the reader.
 DaemonSettings readSettings(SettingsReader &reader);
 
 } // namespace bilberry::daemon
--- /dev/null
+++ b/packages/decision/include/bilberry/decision/serverfleet.h
@@ -0,0 +1,160 @@
+#ifndef BILBERRY_DECISION_SERVERFLEET_H
+#define BILBERRY_DECISION_SERVERFLEET_H
+
+#include "bilberry/base/result.h"
+#include "bilberry/decision/promptcache.h"
+#include "bilberry/decision/serverhealth.h"
+#include "bilberry/model/trafficplan.h"
+
+#include <map>
+#include <optional>
+#include <set>
+#include <unordered_map>
+
+namespace bilberry::decision {
+
+/// Why no server takes a request now.
+enum class ChoiceErrc {
+    NoServer = 1, ///< the pool has no server that may take work
+    Overloaded,   ///< each server would answer too late
+    OnlyCold,     ///< what is left are servers in a cold start that had their share
+};
+
+std::error_code make_error_code(ChoiceErrc error);
+
+struct FleetSettings
+{
+    ZoneId zone; ///< of the router; breaks ties
+    /// Unread prompt work of this router at a server beyond which requests are refused.
+    Duration backlogLimit = std::chrono::milliseconds(190);
+    /// Factor on the limit for a caller that was refused before.
+    double returningFactor = 1.6;
+    /// Factor on the limit for a customer above its fair part.
+    double overuseFactor = 0.4;
+    /// Use of a customer's fair part above which the factor holds.
+    double overuseLevel = 1.25;
+    /// Cost of sending to another zone.
+    Duration zonePenalty = std::chrono::milliseconds(2);
+    double tokensPerMs = 64.0;     ///< prompt tokens that an engine reads
+    double attentionMsPerM = 0.65; ///< further cost of a million pairs of tokens
+    double coldRequestsPerS = 1.0; ///< of this router to one server in a cold start
+    /// Silence with requests waiting for their first byte after which a server is avoided.
+    Duration silenceLimit = std::chrono::milliseconds(1200);
+    double connectionShare = 0.125; ///< of a server's connections that this router may use
+    HealthSettings health;
+    bool operator==(const FleetSettings &) const = default;
+};
+
+/// What the choice of a server depends on.
+struct RequestTraits
+{
+    PoolId pool;
+    Prompt prompt;
+    std::uint32_t outputTokens = 0;
+    bool returning = false;      ///< the caller was refused before
+    double customerUse = 0.0;    ///< see CustomerMeter::use()
+    std::set<ServerId> excluded; ///< servers that failed it before
+    bool operator==(const RequestTraits &) const = default;
+};
+
+/// The chosen server and what was known of it.
+struct Choice
+{
+    ServerId server;
+    double backlogMs = 0.0;       ///< unread work of this router there
+    double readMs = 0.0;          ///< expected time to read the prompt
+    std::uint32_t heldTokens = 0; ///< of the prompt, expected in the server's memory
+    bool operator==(const Choice &) const = default;
+};
+
+/// Number of a request that was sent to a server.
+using Ticket = std::uint64_t;
+
+/// What a router knows of the servers that it reaches directly: who may take work, how much unread
+/// work waits there, which prompts they hold, how they answer. Chooses the server of a request.
+class ServerFleet
+{
+public:
+    explicit ServerFleet(FleetSettings settings) : m_settings(std::move(settings)) {}
+
+    void setPlan(TrafficPlanPtr plan) { m_plan = std::move(plan); }
+    /// Adds a server or takes over its new entry.
+    void update(const DirectServer &server, TimePoint now);
+    void remove(const ServerId &server);
+    /// @param zones zones that receive no work; servers of a zone that returns count as cold
+    void setZonesOut(const std::set<ZoneId> &zones, TimePoint now);
+
+    /// @return the server for the request, or a ChoiceErrc
+    Result<Choice> choose(const RequestTraits &traits, TimePoint now);
+
+    /// The request goes to the chosen server.
+    Ticket sent(const Choice &choice, const RequestTraits &traits, TimePoint now);
+    /// A connection was there or opened.
+    void connected(Ticket ticket);
+    /// The first byte of the answer arrived.
+    void firstByte(Ticket ticket, TimePoint now);
+    void ended(Ticket ticket, AttemptOutcome outcome, TimePoint now);
+
+    /// @return the entry of a server that is still listed, or nullptr
+    const DirectServer *server(const ServerId &id) const;
+    std::vector<ServerId> servers() const;
+    /// @return requests of this router at the server
+    std::size_t inFlight(const ServerId &id) const;
+    std::size_t size() const { return m_servers.size(); }
+
+private:
+    struct Server
+    {
+        explicit Server(const FleetSettings &settings, std::uint64_t memoryTokens)
+            : health(settings.health), cache(memoryTokens)
+        {
+        }
+
+        DirectServer entry;
+        ServerHealth health;
+        PromptCache cache;
+        TimePoint coldUntil{};
+        TimePoint coldSlotAt{}; ///< when the next request of a cold start may go
+        TimePoint misdirectedAt{};
+        TimePoint lastByteAt{};
+        double backlogMs = 0.0;
+        std::map<Ticket, TimePoint> waiting; ///< requests without a first byte
+        std::size_t inFlight = 0;
+    };
+
+    struct Sent
+    {
+        ServerId server;
+        double readMs = 0.0;
+        bool waiting = true;
+    };
+
+    /// How ready a server is; lower is better.
+    enum class Tier { Healthy, Ejected, Unreachable };
+
+    std::optional<Tier> tier(const Server &server, const RequestTraits &traits,
+                             TimePoint now) const;
+    bool silent(const Server &server, TimePoint now) const;
+    Choice assess(const ServerId &id, const Server &server, const RequestTraits &traits,
+                  bool isHome) const;
+    double score(const Server &server, const Choice &choice, const DirectPool *pool) const;
+    double backlogLimitMs(const RequestTraits &traits) const;
+    void markCold(Server &server, TimePoint now);
+    Server *find(const ServerId &id);
+
+    FleetSettings m_settings;
+    TrafficPlanPtr m_plan;
+    std::map<ServerId, Server> m_servers;
+    std::set<ZoneId> m_zonesOut;
+    std::unordered_map<Ticket, Sent> m_sent;
+    Ticket m_lastTicket = 0;
+};
+
+} // namespace bilberry::decision
+
+template <>
+struct std::is_error_code_enum<bilberry::decision::ChoiceErrc> : std::true_type
+{
+};
+
+#endif
--- /dev/null
+++ b/packages/decision/src/serverfleet.cpp
@@ -0,0 +1,321 @@
+#include "bilberry/decision/serverfleet.h"
+
+#include "bilberry/base/errorcategory.h"
+#include "bilberry/decision/rendezvous.h"
+
+#include <algorithm>
+
+namespace bilberry::decision {
+
+namespace {
+
+/// Part of an engine's memory that keeps prompts; the rest holds running requests.
+constexpr double cachedShare = 0.6;
+/// What other routers sent to a prompt's home is held there with this likelihood.
+constexpr double homeLikelihood = 0.8;
+/// Slow-down of an engine's answers by one more running request, in milliseconds.
+constexpr double runningCostMs = 0.3;
+/// Expected duration of a request at a plain service, in milliseconds.
+constexpr double plainWorkMs = 30.0;
+/// An address that another server took over is left alone until the list catches up.
+constexpr Duration misdirectedPause = std::chrono::seconds(5);
+
+const char *describe(int code)
+{
+    switch (static_cast<ChoiceErrc>(code)) {
+    case ChoiceErrc::NoServer:
+        return "no server may take work";
+    case ChoiceErrc::Overloaded:
+        return "each server would answer too late";
+    case ChoiceErrc::OnlyCold:
+        return "only servers in a cold start are left";
+    }
+    return "unknown choice error";
+}
+
+const ErrorCategory category("choice", describe);
+
+} // namespace
+
+std::error_code make_error_code(ChoiceErrc error)
+{
+    return {static_cast<int>(error), category};
+}
+
+void ServerFleet::update(const DirectServer &entry, TimePoint now)
+{
+    const DirectPool *pool = m_plan ? m_plan->pool(entry.pool) : nullptr;
+    const std::uint64_t memory = pool && pool->engine ? pool->engine->memoryTokens : 0;
+    const auto kept = static_cast<std::uint64_t>(cachedShare * static_cast<double>(memory));
+    const auto [found, added] = m_servers.try_emplace(entry.id, m_settings, kept);
+    Server &server = found->second;
+    const bool restarted
+            = !added
+              && (server.entry.startedAtMs != entry.startedAtMs
+                  || server.entry.address != entry.address || server.entry.port != entry.port);
+    if (restarted) {
+        server.cache.clear();
+        server.health = ServerHealth(m_settings.health);
+        server.misdirectedAt = {};
+    }
+    if (entry.warmupLeft > Duration::zero())
+        server.coldUntil = std::max(server.coldUntil, now + entry.warmupLeft);
+    else if (restarted)
+        markCold(server, now);
+    server.entry = entry;
+}
+
+void ServerFleet::remove(const ServerId &id)
+{
+    m_servers.erase(id);
+}
+
+void ServerFleet::setZonesOut(const std::set<ZoneId> &zones, TimePoint now)
+{
+    for (auto &[id, server] : m_servers) {
+        if (m_zonesOut.contains(server.entry.zone) && !zones.contains(server.entry.zone))
+            markCold(server, now);
+    }
+    m_zonesOut = zones;
+}
+
+Result<Choice> ServerFleet::choose(const RequestTraits &traits, TimePoint now)
+{
+    struct Candidate
+    {
+        ServerId id;
+        Server *server = nullptr;
+        Tier tier = Tier::Healthy;
+    };
+    std::vector<Candidate> usable;
+    std::vector<std::string> names;
+    std::size_t healthy = 0;
+    for (auto &[id, server] : m_servers) {
+        const auto tier = this->tier(server, traits, now);
+        if (!tier)
+            continue;
+        usable.push_back({id, &server, *tier});
+        names.push_back(id.text());
+        healthy += *tier == Tier::Healthy ? 1 : 0;
+    }
+    if (usable.empty())
+        return ChoiceErrc::NoServer;
+    // When most of a pool looks bad, the fault is rarely the servers': ejection would only
+    // concentrate the load.
+    Tier worst = Tier::Healthy;
+    if (2 * healthy < usable.size())
+        worst = Tier::Ejected;
+    const bool allUnreachable = std::all_of(usable.begin(), usable.end(), [](const Candidate &c) {
+        return c.tier == Tier::Unreachable;
+    });
+    if (allUnreachable)
+        worst = Tier::Unreachable;
+
+    std::size_t home = usable.size();
+    if (traits.prompt.sharedKey() != 0)
+        home = rendezvousOwner(std::to_string(traits.prompt.sharedKey()), names);
+    const DirectPool *pool = m_plan ? m_plan->pool(traits.pool) : nullptr;
+    std::optional<Choice> best;
+    double bestScore = 0.0;
+    bool coldSkipped = false;
+    bool full = false;
+    for (std::size_t i = 0; i < usable.size(); ++i) {
+        Server &server = *usable[i].server;
+        if (usable[i].tier > worst)
+            continue;
+        if (pool
+            && static_cast<double>(server.inFlight)
+                       >= std::max(4.0, m_settings.connectionShare * pool->maxConnections)) {
+            full = true;
+            continue;
+        }
+        const bool cold = now < server.coldUntil;
+        if (cold && now < server.coldSlotAt) {
+            coldSkipped = true;
+            continue;
+        }
+        const Choice choice = assess(usable[i].id, server, traits, i == home);
+        if (pool && pool->engine && choice.backlogMs > backlogLimitMs(traits)) {
+            full = true;
+            continue;
+        }
+        const double score = this->score(server, choice, pool) + (cold ? 1000.0 : 0.0);
+        if (!best || score < bestScore) {
+            best = choice;
+            bestScore = score;
+        }
+    }
+    if (best)
+        return *best;
+    if (full)
+        return ChoiceErrc::Overloaded;
+    return coldSkipped ? Result<Choice>(ChoiceErrc::OnlyCold) : ChoiceErrc::NoServer;
+}
+
+Ticket ServerFleet::sent(const Choice &choice, const RequestTraits &traits, TimePoint now)
+{
+    const Ticket ticket = ++m_lastTicket;
+    m_sent[ticket] = {choice.server, choice.readMs, true};
+    if (Server *server = find(choice.server)) {
+        server->backlogMs += choice.readMs;
+        server->waiting.emplace(ticket, now);
+        ++server->inFlight;
+        server->cache.read(traits.prompt);
+        if (now < server->coldUntil)
+            server->coldSlotAt = now + fromMilliseconds(1000.0 / m_settings.coldRequestsPerS);
+    }
+    return ticket;
+}
+
+void ServerFleet::connected(Ticket ticket)
+{
+    const auto found = m_sent.find(ticket);
+    Server *server = found == m_sent.end() ? nullptr : find(found->second.server);
+    if (server)
+        server->health.connected();
+}
+
+void ServerFleet::firstByte(Ticket ticket, TimePoint now)
+{
+    const auto found = m_sent.find(ticket);
+    if (found == m_sent.end() || !std::exchange(found->second.waiting, false))
+        return;
+    Server *server = find(found->second.server);
+    if (!server)
+        return;
+    server->lastByteAt = now;
+    server->waiting.erase(ticket);
+    server->backlogMs = std::max(0.0, server->backlogMs - found->second.readMs);
+}
+
+void ServerFleet::ended(Ticket ticket, AttemptOutcome outcome, TimePoint now)
+{
+    const auto found = m_sent.find(ticket);
+    if (found == m_sent.end())
+        return;
+    const Sent sent = found->second;
+    m_sent.erase(found);
+    Server *server = find(sent.server);
+    if (!server)
+        return;
+    if (sent.waiting) {
+        server->waiting.erase(ticket);
+        server->backlogMs = std::max(0.0, server->backlogMs - sent.readMs);
+    }
+    if (server->waiting.empty())
+        server->backlogMs = 0.0;
+    server->inFlight -= server->inFlight > 0 ? 1 : 0;
+    server->health.ended(outcome, now);
+    if (outcome == AttemptOutcome::Misdirected)
+        server->misdirectedAt = now;
+    // A server that can't be reached may be starting again, cold and with an empty memory.
+    if (outcome == AttemptOutcome::ConnectFailed)
+        markCold(*server, now);
+}
+
+const DirectServer *ServerFleet::server(const ServerId &id) const
+{
+    const auto found = m_servers.find(id);
+    return found == m_servers.end() ? nullptr : &found->second.entry;
+}
+
+std::vector<ServerId> ServerFleet::servers() const
+{
+    std::vector<ServerId> ids;
+    ids.reserve(m_servers.size());
+    for (const auto &[id, server] : m_servers)
+        ids.push_back(id);
+    return ids;
+}
+
+std::size_t ServerFleet::inFlight(const ServerId &id) const
+{
+    const auto found = m_servers.find(id);
+    return found == m_servers.end() ? 0 : found->second.inFlight;
+}
+
+std::optional<ServerFleet::Tier> ServerFleet::tier(const Server &server,
+                                                   const RequestTraits &traits, TimePoint now) const
+{
+    const DirectServer &entry = server.entry;
+    if (entry.pool != traits.pool || entry.draining || m_zonesOut.contains(entry.zone)
+        || traits.excluded.contains(entry.id))
+        return std::nullopt;
+    const bool misdirected
+            = server.misdirectedAt != TimePoint() && now - server.misdirectedAt < misdirectedPause;
+    if (misdirected)
+        return std::nullopt;
+    if (server.health.unreachable(now) || silent(server, now))
+        return Tier::Unreachable;
+    return server.health.ejected(now) ? Tier::Ejected : Tier::Healthy;
+}
+
+/// Requests wait, and nothing at all came from the server since the oldest of them was sent.
+bool ServerFleet::silent(const Server &server, TimePoint now) const
+{
+    if (server.waiting.empty())
+        return false;
+    const TimePoint oldest = server.waiting.begin()->second;
+    const Duration allowed = m_settings.silenceLimit + fromMilliseconds(server.backlogMs);
+    return now - std::max(oldest, server.lastByteAt) > allowed;
+}
+
+Choice ServerFleet::assess(const ServerId &id, const Server &server, const RequestTraits &traits,
+                           bool isHome) const
+{
+    Choice choice;
+    choice.server = id;
+    choice.backlogMs = server.backlogMs;
+    const Prompt &prompt = traits.prompt;
+    choice.heldTokens = server.cache.held(prompt);
+    if (isHome) {
+        const double likely = homeLikelihood * static_cast<double>(prompt.sharedTokens());
+        choice.heldTokens = std::max(choice.heldTokens, static_cast<std::uint32_t>(likely));
+    }
+    const double unread = static_cast<double>(prompt.tokens() - choice.heldTokens);
+    const double context = static_cast<double>(choice.heldTokens) + unread / 2.0;
+    choice.readMs
+            = unread / m_settings.tokensPerMs + m_settings.attentionMsPerM * unread * context / 1e6;
+    return choice;
+}
+
+/// Expected time to the first byte, in milliseconds.
+double ServerFleet::score(const Server &server, const Choice &choice, const DirectPool *pool) const
+{
+    double score
+            = server.entry.zone == m_settings.zone ? 0.0 : toMilliseconds(m_settings.zonePenalty);
+    if (pool && pool->engine) {
+        score += choice.backlogMs + choice.readMs;
+        score += runningCostMs * static_cast<double>(server.inFlight);
+    } else {
+        const double slots = std::max(1U, server.entry.slots);
+        score += plainWorkMs * static_cast<double>(server.inFlight) / slots;
+    }
+    return score;
+}
+
+double ServerFleet::backlogLimitMs(const RequestTraits &traits) const
+{
+    double limit = toMilliseconds(m_settings.backlogLimit);
+    if (traits.customerUse > m_settings.overuseLevel)
+        limit *= m_settings.overuseFactor;
+    else if (traits.returning)
+        limit *= m_settings.returningFactor;
+    return limit;
+}
+
+void ServerFleet::markCold(Server &server, TimePoint now)
+{
+    const DirectPool *pool = m_plan ? m_plan->pool(server.entry.pool) : nullptr;
+    if (pool && pool->warmup > Duration::zero())
+        server.coldUntil = std::max(server.coldUntil, now + pool->warmup);
+    server.cache.clear();
+}
+
+ServerFleet::Server *ServerFleet::find(const ServerId &id)
+{
+    const auto found = m_servers.find(id);
+    return found == m_servers.end() ? nullptr : &found->second;
+}
+
+} // namespace bilberry::decision
--- /dev/null
+++ b/packages/direct/include/bilberry/direct/directsettings.h
@@ -0,0 +1,50 @@
+#ifndef BILBERRY_DIRECT_DIRECTSETTINGS_H
+#define BILBERRY_DIRECT_DIRECTSETTINGS_H
+
+#include "bilberry/base/settings.h"
+#include "bilberry/decision/retrywindow.h"
+#include "bilberry/decision/serverfleet.h"
+#include "bilberry/model/ids.h"
+
+#include <cstdint>
+#include <string>
+
+namespace bilberry::direct {
+
+struct Endpoint
+{
+    std::string address; ///< IP number
+    std::uint16_t port = 0;
+    bool operator==(const Endpoint &) const = default;
+};
+
+/// Settings of a router that reaches its servers directly.
+struct DirectSettings
+{
+    RouterId router;
+    ZoneId zone;
+    Endpoint callers;
+    Endpoint readiness;
+    std::string readinessPath; ///< the balancer asks it
+    Endpoint metrics;
+    Endpoint store;
+    /// Age of the newest proof of the plan at which keyed requests are refused.
+    Duration proofLimit = std::chrono::milliseconds(3500);
+    Duration storeWait = std::chrono::milliseconds(1500); ///< of one watch call
+    Duration stopLimit = std::chrono::milliseconds(7300); ///< of a graceful shutdown
+    /// Time in which the balancer takes a router out that is not ready.
+    Duration balancerLag = std::chrono::milliseconds(2500);
+    Duration connectLimit = std::chrono::milliseconds(250); ///< to open a server connection
+    Duration fairnessWindow = std::chrono::seconds(4);
+    std::size_t connections = 3000; ///< of callers
+    decision::RetryWindowSettings retries;
+    decision::FleetSettings fleet;
+    bool operator==(const DirectSettings &) const = default;
+};
+
+/// Reads the settings; faults stay in the reader.
+DirectSettings readDirectSettings(SettingsReader &reader);
+
+} // namespace bilberry::direct
+
+#endif
--- /dev/null
+++ b/packages/direct/include/bilberry/direct/protocolnames.h
@@ -0,0 +1,31 @@
+#ifndef BILBERRY_DIRECT_PROTOCOLNAMES_H
+#define BILBERRY_DIRECT_PROTOCOLNAMES_H
+
+#include <string>
+#include <vector>
+
+namespace bilberry::direct {
+
+/// Names of the headers that callers, routers and backend servers exchange. The defaults are the
+/// product's own; an adapter for a platform supplies others.
+struct ProtocolNames
+{
+    std::string requestId = "Bilberry-Request-Id";       ///< of one attempt of a caller
+    std::string remainingMs = "Bilberry-Remaining-Ms";   ///< milliseconds that the caller waits
+    std::string customer = "Bilberry-Customer";          ///< set by the router
+    std::string targetServer = "Bilberry-Target-Server"; ///< any other server answers 421
+    std::string signature = "Bilberry-Signature";        ///< of a server under its answer
+    std::string notRun = "Bilberry-Not-Run";             ///< the server did not run the request
+    std::string serverLoad = "Bilberry-Server-Load";     ///< running, waiting, slots
+    std::string model = "Bilberry-Model";
+    std::string promptParts = "Bilberry-Prompt-Parts"; ///< hexadecimal ID:TOKENS, comma-separated
+    std::string tokenCounts = "Bilberry-Token-Counts"; ///< prompt tokens, most output tokens
+    std::string resumeAfter = "Last-Event-Id";         ///< id of the last event received
+    /// Headers that only the system may send to a server; a caller's are dropped.
+    std::vector<std::string> reserved;
+    bool operator==(const ProtocolNames &) const = default;
+};
+
+} // namespace bilberry::direct
+
+#endif
--- /dev/null
+++ b/packages/direct/src/directmetrics.cpp
@@ -0,0 +1,84 @@
+#include "directmetrics.h"
+
+#include <prometheus/text_serializer.h>
+
+namespace bilberry::direct {
+
+namespace {
+
+prometheus::Family<prometheus::Gauge> &gauges(prometheus::Registry &registry, const char *name,
+                                              const char *help)
+{
+    return prometheus::BuildGauge().Name(name).Help(help).Register(registry);
+}
+
+/// Seconds; the objectives of the routes lie between 0.1 and 1.
+const prometheus::Histogram::BucketBoundaries firstByteBuckets{0.02, 0.05, 0.1, 0.2, 0.4, 0.6,
+                                                               0.8,  1.2,  2.0, 4.0, 8.0};
+
+} // namespace
+
+DirectMetrics::DirectMetrics()
+    : m_storeCalls(prometheus::BuildCounter()
+                           .Name("bilberry_store_calls_total")
+                           .Help("Calls to the platform's store by kind.")
+                           .Register(m_registry)),
+      m_firstByte(prometheus::BuildHistogram()
+                          .Name("bilberry_first_byte_seconds")
+                          .Help("Time from a whole request to its answer's first byte, by pool.")
+                          .Register(m_registry)),
+      m_counts(gauges(m_registry, "bilberry_requests", "Requests since the start, by event.")),
+      m_refused(gauges(m_registry, "bilberry_refused", "Refused requests by reason.")),
+      m_inFlight(gauges(m_registry, "bilberry_server_in_flight",
+                        "Requests of this router at a server.")),
+      m_connectionsOpened(gauges(m_registry, "bilberry_server_connections_opened",
+                                 "Connections to servers opened since the start.")
+                                  .Add({})),
+      m_planVersion(
+              gauges(m_registry, "bilberry_plan_version", "Version of the plan in force.").Add({})),
+      m_proofAge(gauges(m_registry, "bilberry_plan_proof_age_seconds",
+                        "Age of the newest proof that the plan is the newest one.")
+                         .Add({}))
+{
+}
+
+void DirectMetrics::addStoreCall(const char *kind)
+{
+    m_storeCalls.Add({{"kind", kind}}).Increment();
+}
+
+void DirectMetrics::firstByteTook(const PoolId &pool, Duration duration)
+{
+    m_firstByte.Add({{"pool", pool.text()}}, firstByteBuckets)
+            .Observe(toMilliseconds(duration) / 1000.0);
+}
+
+void DirectMetrics::update(const DirectCounts &counts, const decision::ServerFleet &fleet,
+                           std::uint64_t connectionsOpened, std::uint64_t planVersion,
+                           Duration proofAge)
+{
+    const auto set = [&](const char *event, std::uint64_t value) {
+        m_counts.Add({{"event", event}}).Set(static_cast<double>(value));
+    };
+    set("received", counts.requests);
+    set("answered", counts.answered);
+    set("sent_again", counts.retries);
+    set("resumed", counts.resumed);
+    set("caller_left", counts.callersGone);
+    set("cut", counts.brokenOff);
+    for (const auto &[reason, count] : counts.refused)
+        m_refused.Add({{"reason", toText(reason)}}).Set(static_cast<double>(count));
+    for (const ServerId &server : fleet.servers())
+        m_inFlight.Add({{"server", server.text()}})
+                .Set(static_cast<double>(fleet.inFlight(server)));
+    m_connectionsOpened.Set(static_cast<double>(connectionsOpened));
+    m_planVersion.Set(static_cast<double>(planVersion));
+    m_proofAge.Set(toMilliseconds(proofAge) / 1000.0);
+}
+
+std::string DirectMetrics::text() const
+{
+    return prometheus::TextSerializer().Serialize(m_registry.Collect());
+}
+
+} // namespace bilberry::direct
--- /dev/null
+++ b/packages/direct/src/directrouter.cpp
@@ -0,0 +1,379 @@
+#include "bilberry/direct/directrouter.h"
+
+#include "bilberry/admin/adminserver.h"
+#include "bilberry/store/collectionwatcher.h"
+
+#include "directmetrics.h"
+#include "planproof.h"
+#include "requestflow.h"
+
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+#include <unordered_set>
+
+namespace bilberry::direct {
+
+namespace asio = boost::asio;
+using asio::ip::tcp;
+
+namespace {
+
+/// Metrics and idle connections are looked after in this period.
+constexpr Duration housekeepingPeriod = std::chrono::seconds(1);
+/// A stopping router looks this often whether it is idle.
+constexpr Duration stopPeriod = std::chrono::milliseconds(50);
+constexpr int acceptBacklog = 1024;
+
+tcp::endpoint toEndpoint(const Endpoint &endpoint)
+{
+    return {asio::ip::make_address(endpoint.address), endpoint.port};
+}
+
+RefusalReason reasonOf(CallerFault fault)
+{
+    switch (fault) {
+    case CallerFault::Malformed:
+        return RefusalReason::Malformed;
+    case CallerFault::HeadTooLarge:
+        return RefusalReason::HeadTooLarge;
+    case CallerFault::BodyTooLarge:
+        return RefusalReason::BodyTooLarge;
+    case CallerFault::SlowSender:
+        break;
+    }
+    return RefusalReason::SlowSender;
+}
+
+} // namespace
+
+struct DirectRouter::Parts : std::enable_shared_from_this<DirectRouter::Parts>
+{
+    Parts(const DirectSettings &settings, PlatformAdapter adapter)
+        : settings(settings), adapter(std::move(adapter)), random(std::random_device{}()),
+          fleet(settings.fleet), meter(settings.fairnessWindow),
+          connections(io, settings.connectLimit), acceptor(io), housekeeping(io),
+          stopTimer(io), request{io,
+                                 this->settings,
+                                 this->adapter.headers,
+                                 connections,
+                                 fleet,
+                                 meter,
+                                 retries,
+                                 counts,
+                                 log,
+                                 random,
+                                 {},
+                                 {},
+                                 {}}
+    {
+        connections.lookUp = [this](const ServerId &id) { return fleet.server(id); };
+        request.plan = [this] { return plan; };
+        request.planIsFresh = [this] { return proof.age() < this->settings.proofLimit; };
+        request.firstByteTook = [this](const PoolId &pool, Duration duration) {
+            metrics.firstByteTook(pool, duration);
+        };
+        callerHooks.request = [this](const CallerConnectionPtr &caller, CallerMessage &&message) {
+            std::make_shared<RequestFlow>(request, caller, std::move(message))->start();
+        };
+        callerHooks.fault = [this](const CallerConnectionPtr &caller, CallerFault fault) {
+            refuse(caller, fault);
+        };
+        callerHooks.bounds = [this] { return plan ? plan->parts().callers : CallerBounds(); };
+        callerHooks.closed = [this](const CallerConnectionPtr &caller) { callers.erase(caller); };
+        listen();
+        openAdmin();
+        openStore();
+    }
+
+    void listen()
+    {
+        acceptor.open(tcp::v4());
+        acceptor.set_option(asio::socket_base::reuse_address(true));
+        acceptor.bind(toEndpoint(settings.callers));
+        acceptor.listen(acceptBacklog);
+    }
+
+    void openAdmin()
+    {
+        readinessServer = std::make_unique<admin::AdminServer>(
+                io, settings.readiness.address, settings.readiness.port,
+                std::map<std::string, admin::AdminHandler>{
+                        {settings.readinessPath, [this](const admin::AdminRequest &) {
+                             return admin::AdminResponse{ready() ? 200U : 503U, "{}\n"};
+                         }}});
+        metricsServer = std::make_unique<admin::AdminServer>(
+                io, settings.metrics.address, settings.metrics.port,
+                std::map<std::string, admin::AdminHandler>{
+                        {"/metrics", [this](const admin::AdminRequest &) {
+                             updateMetrics();
+                             return admin::AdminResponse{200, metrics.text(),
+                                                         "text/plain; version=0.0.4"};
+                         }}});
+    }
+
+    void openStore()
+    {
+        collections = adapter.openStore(io, settings.store,
+                                        [this](const char *kind) { metrics.addStoreCall(kind); });
+        store::WatcherHooks plans;
+        plans.changed = [this](const store::Item &item) { planChanged(item); };
+        plans.removed = [](const std::string &) {};
+        plans.proven = [this](TimePoint at) { proof.proven(at); };
+        store::WatcherHooks servers;
+        servers.changed = [this](const store::Item &item) { serverChanged(item); };
+        servers.removed = [this](const std::string &name) { serverRemoved(name); };
+        store::WatcherHooks zones;
+        zones.changed = [this](const store::Item &item) { zoneOut(item.name, true); };
+        zones.removed = [this](const std::string &name) { zoneOut(name, false); };
+        follow(adapter.collections.plans, std::move(plans));
+        follow(adapter.collections.servers, std::move(servers));
+        follow(adapter.collections.zonesOut, std::move(zones));
+    }
+
+    void follow(const std::string &collection, store::WatcherHooks hooks)
+    {
+        store::WatcherSettings watcher;
+        watcher.collection = collection;
+        watcher.wait = settings.storeWait;
+        // Only the plan's age is of use; the others are judged by their entries.
+        if (!hooks.proven)
+            hooks.proven = [](TimePoint) {};
+        hooks.lost = [this, collection](std::error_code error) {
+            log.decision("Lost the store.",
+                         {{"collection", collection}, {"error", error.message()}});
+        };
+        hooks.regained = [this, collection] {
+            log.decision("Regained the store.", {{"collection", collection}});
+        };
+        watchers.push_back(std::make_unique<store::CollectionWatcher>(
+                io, *collections, std::move(watcher), std::move(hooks),
+                [this] { return std::uniform_real_distribution<double>(0.0, 1.0)(random); }));
+    }
+
+    void start()
+    {
+        accept();
+        for (const auto &watcher : watchers)
+            watcher->start();
+        keepHouse();
+        log.decision("Started.",
+                     {{"router", settings.router.text()}, {"zone", settings.zone.text()}});
+    }
+
+    // What the store says.
+
+    void planChanged(const store::Item &item)
+    {
+        if (item.name != adapter.collections.planItem)
+            return;
+        const Result<TrafficPlan> decoded = adapter.decodePlan(item.value);
+        if (!decoded) {
+            log.decision("Ignored a plan.", {{"error", decoded.error().message()}});
+            return;
+        }
+        if (plan && decoded.value().version() <= plan->version())
+            return;
+        plan = std::make_shared<const TrafficPlan>(decoded.value());
+        fleet.setPlan(plan);
+        // Entries that came before the plan's pools are taken over again.
+        for (const auto &[id, server] : entries)
+            fleet.update(server, Clock::now());
+        log.decision("A plan is in force.",
+                     {{"plan", std::to_string(plan->version())},
+                      {"routes", std::to_string(plan->parts().routes.size())},
+                      {"customers", std::to_string(plan->parts().customers.size())}});
+    }
+
+    void serverChanged(const store::Item &item)
+    {
+        const Result<DirectServer> decoded = adapter.decodeServer(item.name, item.value);
+        if (!decoded) {
+            log.decision("Ignored a server's entry.",
+                         {{"server", item.name}, {"error", decoded.error().message()}});
+            serverRemoved(item.name);
+            return;
+        }
+        const DirectServer &server = decoded.value();
+        const auto known = entries.find(item.name);
+        if (known != entries.end() && known->second == server)
+            return;
+        entries[item.name] = server;
+        if (plan)
+            fleet.update(server, Clock::now());
+        if (server.draining)
+            connections.drop(server.id);
+        log.decision("A server's entry changed.",
+                     {{"server", item.name},
+                      {"state", server.draining ? "draining" : "ready"},
+                      {"warmupLeftMs",
+                       std::to_string(static_cast<int>(toMilliseconds(server.warmupLeft)))}});
+    }
+
+    void serverRemoved(const std::string &name)
+    {
+        if (entries.erase(name) == 0)
+            return;
+        fleet.remove(ServerId(name));
+        connections.drop(ServerId(name));
+        log.decision("A server is gone.", {{"server", name}});
+    }
+
+    void zoneOut(const std::string &zone, bool out)
+    {
+        if (out)
+            zonesOut.insert(ZoneId(zone));
+        else
+            zonesOut.erase(ZoneId(zone));
+        fleet.setZonesOut(zonesOut, Clock::now());
+        log.decision(out ? "A zone receives no work." : "A zone receives work again.",
+                     {{"zone", zone}});
+    }
+
+    // Callers.
+
+    void accept()
+    {
+        acceptor.async_accept(
+                [self = shared_from_this()](boost::system::error_code error, tcp::socket socket) {
+                    if (!self->acceptor.is_open())
+                        return;
+                    if (!error)
+                        self->accepted(std::move(socket));
+                    self->accept();
+                });
+    }
+
+    void accepted(tcp::socket socket)
+    {
+        // Closing without reading tells the caller that nothing ran.
+        if (callers.size() >= settings.connections)
+            return;
+        const auto caller = std::make_shared<CallerConnection>(std::move(socket), callerHooks);
+        callers.insert(caller);
+        if (stopping)
+            caller->closeAfterAnswer();
+        caller->start();
+    }
+
+    void refuse(const CallerConnectionPtr &caller, CallerFault fault)
+    {
+        const RefusalReason reason = reasonOf(fault);
+        ++counts.refused[reason];
+        AnswerHeader header;
+        header.result(statusOf(reason));
+        header.set(boost::beast::http::field::content_type, "application/problem+json");
+        log.decision("Refused.", {{"request", ""}, {"reason", toText(reason)}});
+        caller->reply(header, problemText(reason));
+    }
+
+    // Life of the process.
+
+    bool ready() const
+    {
+        return plan && !entries.empty() && !stopping && proof.age() < settings.proofLimit;
+    }
+
+    void keepHouse()
+    {
+        connections.sweep(Clock::now());
+        housekeeping.expires_after(housekeepingPeriod);
+        housekeeping.async_wait([self = shared_from_this()](boost::system::error_code error) {
+            if (!error)
+                self->keepHouse();
+        });
+    }
+
+    void updateMetrics()
+    {
+        metrics.update(counts, fleet, connections.opened(), plan ? plan->version() : 0,
+                       proof.age());
+    }
+
+    /// Tells the balancer, serves what still comes until it has heard, then ends what is open.
+    void stop()
+    {
+        if (std::exchange(stopping, true))
+            return;
+        stoppedAt = Clock::now();
+        log.decision("Stopping.", {{"callers", std::to_string(callers.size())}});
+        for (const CallerConnectionPtr &caller : callers)
+            caller->closeAfterAnswer();
+        continueStop();
+    }
+
+    void continueStop()
+    {
+        const Duration since = Clock::now() - stoppedAt;
+        if (since >= settings.balancerLag) {
+            boost::system::error_code ignored;
+            acceptor.close(ignored);
+            const auto open = callers;
+            for (const CallerConnectionPtr &caller : open)
+                caller->closeIfIdle();
+        }
+        if (since >= settings.stopLimit || (since >= settings.balancerLag && callers.empty())) {
+            log.decision("Stopped.", {{"callers", std::to_string(callers.size())}});
+            io.stop();
+            return;
+        }
+        stopTimer.expires_after(stopPeriod);
+        stopTimer.async_wait([self = shared_from_this()](boost::system::error_code error) {
+            if (!error)
+                self->continueStop();
+        });
+    }
+
+    asio::io_context io{1};
+    DirectSettings settings;
+    PlatformAdapter adapter;
+    std::mt19937_64 random;
+    Log log{"router.direct"};
+    TrafficPlanPtr plan;
+    PlanProof proof;
+    std::map<std::string, DirectServer> entries;
+    std::set<ZoneId> zonesOut;
+    decision::ServerFleet fleet;
+    decision::CustomerMeter meter;
+    std::map<PoolId, decision::RetryWindow> retries;
+    DirectCounts counts;
+    DirectMetrics metrics;
+    ServerConnections connections;
+    tcp::acceptor acceptor;
+    asio::steady_timer housekeeping;
+    asio::steady_timer stopTimer;
+    RequestContext request;
+    CallerHooks callerHooks;
+    std::unordered_set<CallerConnectionPtr> callers;
+    std::unique_ptr<store::CollectionStore> collections;
+    std::vector<std::unique_ptr<store::CollectionWatcher>> watchers;
+    std::unique_ptr<admin::AdminServer> readinessServer;
+    std::unique_ptr<admin::AdminServer> metricsServer;
+    bool stopping = false;
+    TimePoint stoppedAt{};
+};
+
+DirectRouter::DirectRouter(const DirectSettings &settings, PlatformAdapter adapter)
+    : m_parts(std::make_shared<Parts>(settings, std::move(adapter)))
+{
+}
+
+DirectRouter::~DirectRouter() = default;
+
+void DirectRouter::run()
+{
+    m_parts->start();
+    m_parts->io.run();
+}
+
+void DirectRouter::stop()
+{
+    m_parts->stop();
+}
+
+boost::asio::io_context &DirectRouter::context()
+{
+    return m_parts->io;
+}
+
+} // namespace bilberry::direct
--- /dev/null
+++ b/packages/direct/src/directsettings.cpp
@@ -0,0 +1,82 @@
+#include "bilberry/direct/directsettings.h"
+
+#include <charconv>
+
+namespace bilberry::direct {
+
+namespace {
+
+Endpoint readEndpoint(SettingsReader &reader, const std::string &key)
+{
+    Endpoint endpoint;
+    const std::string text = reader.text(key);
+    const std::size_t colon = text.rfind(':');
+    bool valid = colon != std::string::npos;
+    if (valid) {
+        endpoint.address = text.substr(0, colon);
+        const char *end = text.data() + text.size();
+        const auto parsed = std::from_chars(text.data() + colon + 1, end, endpoint.port);
+        valid = parsed.ec == std::errc() && parsed.ptr == end && isIpNumber(endpoint.address);
+    }
+    if (!text.empty() && !valid)
+        reader.fault(SettingsErrc::NotAnAddress, key, "IP number and port, such as 10.0.0.1:80");
+    return endpoint;
+}
+
+Duration readMilliseconds(SettingsReader &reader, const std::string &key, std::int64_t low,
+                          std::int64_t high, Duration fallback)
+{
+    const auto standard = static_cast<std::int64_t>(toMilliseconds(fallback));
+    return std::chrono::milliseconds(reader.integer(key, low, high, standard));
+}
+
+void readFleet(SettingsReader &reader, decision::FleetSettings &fleet)
+{
+    fleet.backlogLimit
+            = readMilliseconds(reader, "placement.backlogLimitMs", 1, 60000, fleet.backlogLimit);
+    fleet.zonePenalty
+            = readMilliseconds(reader, "placement.zonePenaltyMs", 0, 1000, fleet.zonePenalty);
+    fleet.tokensPerMs = reader.number("placement.tokensPerMs", 0.1, 100000.0, fleet.tokensPerMs);
+    fleet.coldRequestsPerS
+            = reader.number("placement.coldRequestsPerS", 0.01, 1000.0, fleet.coldRequestsPerS);
+    fleet.silenceLimit
+            = readMilliseconds(reader, "placement.silenceLimitMs", 10, 60000, fleet.silenceLimit);
+    fleet.connectionShare
+            = reader.number("placement.connectionShare", 0.001, 1.0, fleet.connectionShare);
+}
+
+} // namespace
+
+DirectSettings readDirectSettings(SettingsReader &reader)
+{
+    DirectSettings settings;
+    settings.router = RouterId(reader.identifier("name"));
+    settings.zone = ZoneId(reader.identifier("zone"));
+    settings.fleet.zone = settings.zone;
+    settings.callers = readEndpoint(reader, "callers.listen");
+    settings.connections
+            = static_cast<std::size_t>(reader.integer("callers.connections", 1, 100000, 3000));
+    settings.readiness = readEndpoint(reader, "readiness.listen");
+    settings.readinessPath = reader.text("readiness.path", "/readyz");
+    settings.balancerLag
+            = readMilliseconds(reader, "readiness.balancerLagMs", 0, 60000, settings.balancerLag);
+    settings.metrics = readEndpoint(reader, "metrics.listen");
+    settings.store = readEndpoint(reader, "store.address");
+    settings.storeWait = readMilliseconds(reader, "store.waitMs", 10, 30000, settings.storeWait);
+    settings.proofLimit
+            = readMilliseconds(reader, "store.proofLimitMs", 100, 600000, settings.proofLimit);
+    settings.stopLimit = readMilliseconds(reader, "stopLimitMs", 0, 600000, settings.stopLimit);
+    settings.connectLimit
+            = readMilliseconds(reader, "servers.connectLimitMs", 1, 60000, settings.connectLimit);
+    settings.fairnessWindow
+            = readMilliseconds(reader, "fairness.windowMs", 100, 600000, settings.fairnessWindow);
+    settings.retries.ratio = reader.number("retries.ratio", 0.0, 10.0, settings.retries.ratio);
+    settings.retries.reserve
+            = reader.number("retries.reserve", 0.0, 10000.0, settings.retries.reserve);
+    settings.retries.window
+            = readMilliseconds(reader, "retries.windowMs", 100, 600000, settings.retries.window);
+    readFleet(reader, settings.fleet);
+    return settings;
+}
+
+} // namespace bilberry::direct
--- /dev/null
+++ b/packages/direct/src/refusal.cpp
@@ -0,0 +1,69 @@
+#include "refusal.h"
+
+namespace bilberry::direct {
+
+namespace {
+
+struct Description
+{
+    unsigned status;
+    const char *name;
+    const char *title;
+};
+
+Description describe(RefusalReason reason)
+{
+    switch (reason) {
+    case RefusalReason::MissingKey:
+        return {401, "missing-key", "An API key is required."};
+    case RefusalReason::UnknownKey:
+        return {401, "unknown-key", "The API key is unknown."};
+    case RefusalReason::UnknownRoute:
+        return {404, "unknown-route", "No route matches host and path."};
+    case RefusalReason::Malformed:
+        return {400, "malformed-request", "The request is malformed."};
+    case RefusalReason::HeadTooLarge:
+        return {431, "head-too-large", "The request head is too large."};
+    case RefusalReason::BodyTooLarge:
+        return {413, "body-too-large", "The request body is too large."};
+    case RefusalReason::SlowSender:
+        return {408, "slow-sender", "The request arrived too slowly."};
+    case RefusalReason::NoPlan:
+        return {503, "no-plan", "The router has no plan of routes yet."};
+    case RefusalReason::StalePlan:
+        return {503, "stale-plan", "The router can't prove that the API key still holds."};
+    case RefusalReason::Overloaded:
+        return {503, "overloaded", "Each backend server would answer too late."};
+    case RefusalReason::NoServer:
+        return {503, "no-server", "No backend server may take the request."};
+    case RefusalReason::NotAccepted:
+        return {503, "not-accepted", "The backend servers refused the request; it did not run."};
+    case RefusalReason::TimedOut:
+        return {504, "timed-out", "The request's time is over; it may have run."};
+    case RefusalReason::ServerFailed:
+        break;
+    }
+    return {502, "server-failed", "The backend server gave no whole answer; it may have run."};
+}
+
+} // namespace
+
+unsigned statusOf(RefusalReason reason)
+{
+    return describe(reason).status;
+}
+
+const char *toText(RefusalReason reason)
+{
+    return describe(reason).name;
+}
+
+std::string problemText(RefusalReason reason)
+{
+    const Description description = describe(reason);
+    return std::string(R"({"type":"urn:bilberrystile:problem:)") + description.name
+           + R"(","title":")" + description.title + R"(","status":)"
+           + std::to_string(description.status) + "}";
+}
+
+} // namespace bilberry::direct
--- a/packages/router/include/bilberry/router/agentlinks.h
+++ b/packages/router/include/bilberry/router/agentlinks.h
@@ -3,7 +3,7 @@
 
 #include "bilberry/base/log.h"
 #include "bilberry/model/configuration.h"
-#include "bilberry/platform/objectstore.h"
+#include "bilberry/store/objectstore.h"
 #include "bilberry/wire/framelink.h"
 
 #include <map>
@@ -26,7 +26,7 @@
     AgentLinks(boost::asio::io_context &context, wire::RouterHello hello, AgentLinksHooks hooks);
 
     /// Opens links to new agents and closes those to agents that left the list.
-    void setAgents(const std::vector<platform::Vm> &agents);
+    void setAgents(const std::vector<store::Vm> &agents);
     /// Closes the link to an agent and connects again; the down hook follows at once.
     void drop(const ServerId &server);
     void send(const ServerId &server, const wire::LinkMessage &message);
@@ -42,7 +42,7 @@
 private:
     struct Target
     {
-        platform::Vm vm;
+        store::Vm vm;
         ServerId server;
         std::shared_ptr<wire::FrameLink> link;
         bool connecting = false;
--- a/packages/router/include/bilberry/router/claimdesk.h
+++ b/packages/router/include/bilberry/router/claimdesk.h
@@ -3,8 +3,8 @@
 
 #include "bilberry/base/log.h"
 #include "bilberry/decision/claim.h"
-#include "bilberry/platform/objectstore.h"
 #include "bilberry/router/claimevents.h"
+#include "bilberry/store/objectstore.h"
 
 #include <boost/asio/io_context.hpp>
 
@@ -31,7 +31,7 @@
     /// @param context event loop that the calls run on
     /// @param store outlives the desk
     /// @param onOpened told the end of each OpenClaim
-    ClaimDesk(boost::asio::io_context &context, platform::ObjectStore &store, OpenedHook onOpened);
+    ClaimDesk(boost::asio::io_context &context, store::ObjectStore &store, OpenedHook onOpened);
 
     /// Starts retrying what could not be written.
     void start();
@@ -45,7 +45,7 @@
     {
         std::string name;
         std::string token;
-        platform::ObjectVersion version = 0; ///< 0: not known
+        store::ObjectVersion version = 0; ///< 0: not known
         bool inDoubt = false;
     };
 
@@ -66,20 +66,20 @@
         Failed,  ///< the platform did not answer
     };
 
-    platform::Awaitable<void> open(OpenClaim command);
-    platform::Awaitable<decision::ClaimAnswer> read(HeldClaim &held, std::string &detail);
+    store::Awaitable<void> open(OpenClaim command);
+    store::Awaitable<decision::ClaimAnswer> read(HeldClaim &held, std::string &detail);
     void end(decision::RequestId request, bool release, std::uint16_t status);
-    platform::Awaitable<void> endFirst(Ending ending);
-    platform::Awaitable<EndResult> tryEnd(Ending &ending);
-    platform::Awaitable<EndResult> tryRelease(Ending &ending);
-    platform::Awaitable<EndResult> tryFinish(const Ending &ending);
-    platform::Awaitable<decision::ClaimAnswer> remove(const HeldClaim &held);
+    store::Awaitable<void> endFirst(Ending ending);
+    store::Awaitable<EndResult> tryEnd(Ending &ending);
+    store::Awaitable<EndResult> tryRelease(Ending &ending);
+    store::Awaitable<EndResult> tryFinish(const Ending &ending);
+    store::Awaitable<decision::ClaimAnswer> remove(const HeldClaim &held);
     void endLater(Ending ending);
-    platform::Awaitable<void> retryLoop();
-    platform::Awaitable<void> pause(Duration duration);
+    store::Awaitable<void> retryLoop();
+    store::Awaitable<void> pause(Duration duration);
 
     boost::asio::io_context &m_context;
-    platform::ObjectStore &m_store;
+    store::ObjectStore &m_store;
     OpenedHook m_onOpened;
     Log m_log{"router.claims"};
     std::unordered_map<decision::RequestId, HeldClaim> m_held;
--- a/packages/router/include/bilberry/router/coordinator.h
+++ b/packages/router/include/bilberry/router/coordinator.h
@@ -40,7 +40,7 @@
     void received(const wire::GossipMessage &message, TimePoint now);
 
     /// @param vms routers and agents of the platform's list or the settings
-    void setKnown(const std::vector<platform::Vm> &vms);
+    void setKnown(const std::vector<store::Vm> &vms);
     void setLinkedServers(std::vector<ServerId> servers) { m_linked = std::move(servers); }
     void setOwnService(const std::vector<decision::OwnService> &own, TimePoint now);
     void spreadQuarantine(const std::vector<wire::QuarantineNotice> &notices, TimePoint now);
--- a/packages/router/include/bilberry/router/gossipsocket.h
+++ b/packages/router/include/bilberry/router/gossipsocket.h
@@ -2,7 +2,7 @@
 #define BILBERRY_ROUTER_GOSSIPSOCKET_H
 
 #include "bilberry/base/log.h"
-#include "bilberry/platform/objectstore.h"
+#include "bilberry/store/objectstore.h"
 #include "bilberry/wire/codec.h"
 
 #include <boost/asio/ip/udp.hpp>
@@ -26,7 +26,7 @@
     /// Starts receiving.
     void start();
     /// Replaces the addresses. A list without routers changes nothing.
-    void setPeers(const std::vector<platform::Vm> &vms);
+    void setPeers(const std::vector<store::Vm> &vms);
 
     /// Sends to a listed router, or to one that the lagging list leaves out and that was heard.
     void send(const RouterId &router, const wire::GossipMessage &message);
--- a/packages/router/include/bilberry/router/platformduty.h
+++ b/packages/router/include/bilberry/router/platformduty.h
@@ -3,10 +3,10 @@
 
 #include "bilberry/admin/adminclient.h"
 #include "bilberry/base/log.h"
-#include "bilberry/platform/configurationstore.h"
-#include "bilberry/platform/httpobjectstore.h"
 #include "bilberry/router/claimdesk.h"
 #include "bilberry/router/routersettings.h"
+#include "bilberry/store/configurationstore.h"
+#include "bilberry/store/httpobjectstore.h"
 
 #include <functional>
 #include <map>
@@ -24,9 +24,9 @@
     /// The revision was the newest one at the given time.
     std::function<void(Revision, TimePoint at)> proof;
     std::function<void()> failed;
-    std::function<void(const std::vector<platform::Vm> &)> vms;
+    std::function<void(const std::vector<store::Vm> &)> vms;
     std::function<void(ClaimOpened &&)> claimOpened;
-    platform::CallHook called;
+    store::CallHook called;
 };
 
 /// Watches the configuration, reads the VM list and keeps claims. Runs on one event loop.
@@ -53,23 +53,23 @@
     void claim(ClaimCommand &&command) { m_claims.command(std::move(command)); }
 
 private:
-    platform::Awaitable<void> watchLoop();
-    platform::Awaitable<void> watchOnce();
-    platform::Awaitable<void> listLoop();
-    platform::Awaitable<void> fetch(admin::AdminEndpoint endpoint, bool proven);
-    platform::Awaitable<void> check(ConfigurationPtr configuration);
-    void take(const platform::AcceptedConfiguration &accepted, TimePoint askedAt);
+    store::Awaitable<void> watchLoop();
+    store::Awaitable<void> watchOnce();
+    store::Awaitable<void> listLoop();
+    store::Awaitable<void> fetch(admin::AdminEndpoint endpoint, bool proven);
+    store::Awaitable<void> check(ConfigurationPtr configuration);
+    void take(const store::AcceptedConfiguration &accepted, TimePoint askedAt);
     void putInForce(ConfigurationPtr configuration, std::optional<TimePoint> provenAt);
-    platform::Awaitable<void> pause(Duration duration);
+    store::Awaitable<void> pause(Duration duration);
 
     boost::asio::io_context &m_context;
     RouterSettings m_settings;
     PlatformDutyHooks m_hooks;
     Log m_log{"router.platform"};
-    std::unique_ptr<platform::ObjectStore> m_store;
-    platform::ConfigurationStore m_configurations;
+    std::unique_ptr<store::ObjectStore> m_store;
+    store::ConfigurationStore m_configurations;
     ClaimDesk m_claims;
-    platform::ObjectVersion m_headVersion = 0;
+    store::ObjectVersion m_headVersion = 0;
     Revision m_headRevision = 0; ///< that the head of m_headVersion names
     Revision m_revision = 0;     ///< in force
     bool m_watch = true;
--- a/packages/router/include/bilberry/router/routersettings.h
+++ b/packages/router/include/bilberry/router/routersettings.h
@@ -5,7 +5,7 @@
 #include "bilberry/decision/fairqueue.h"
 #include "bilberry/decision/freshness.h"
 #include "bilberry/decision/reportplanner.h"
-#include "bilberry/platform/httpobjectstore.h"
+#include "bilberry/store/httpobjectstore.h"
 
 #include <cstdint>
 #include <string>
@@ -41,9 +41,9 @@
     std::uint16_t callerPort = 0; ///< HTTP port for callers
     std::uint16_t gossipPort = 0; ///< UDP port for routers
     std::uint16_t adminPort = 0;  ///< HTTP port for operators
-    platform::PlatformSettings platform;
-    std::vector<platform::Vm> peers;  ///< known before the platform's list is
-    std::vector<platform::Vm> agents; ///< known before the platform's list is
+    store::PlatformSettings platform;
+    std::vector<store::Vm> peers;  ///< known before the platform's list is
+    std::vector<store::Vm> agents; ///< known before the platform's list is
     CallerLimits callers;
     FairnessMode fairness = FairnessMode::Fleet;
     std::size_t queueLimit = 10000; ///< waiting requests of all customers of a pool
--- a/packages/router/src/agentlinks.cpp
+++ b/packages/router/src/agentlinks.cpp
@@ -43,11 +43,11 @@
 {
 }
 
-void AgentLinks::setAgents(const std::vector<platform::Vm> &agents)
+void AgentLinks::setAgents(const std::vector<store::Vm> &agents)
 {
-    std::map<std::string, platform::Vm> wanted;
-    for (const platform::Vm &vm : agents) {
-        if (vm.role == platform::VmRole::Agent)
+    std::map<std::string, store::Vm> wanted;
+    for (const store::Vm &vm : agents) {
+        if (vm.role == store::VmRole::Agent)
             wanted[vm.name] = vm;
     }
     std::vector<std::string> gone;
--- a/packages/router/src/claimdesk.cpp
+++ b/packages/router/src/claimdesk.cpp
@@ -18,7 +18,7 @@
 
 using decision::ClaimAnswer;
 using decision::ClaimStep;
-using platform::PlatformErrc;
+using store::StoreErrc;
 
 namespace {
 
@@ -79,11 +79,10 @@
 {
     if (!error)
         return ClaimAnswer::Created;
-    if (error == PlatformErrc::Conflict)
+    if (error == StoreErrc::Conflict)
         return ClaimAnswer::Exists;
-    const bool nothingHappened = error == PlatformErrc::RateLimited
-                                 || error == PlatformErrc::Unavailable
-                                 || error == PlatformErrc::BudgetSpent;
+    const bool nothingHappened = error == StoreErrc::RateLimited || error == StoreErrc::Unavailable
+                                 || error == StoreErrc::BudgetSpent;
     return nothingHappened ? ClaimAnswer::NotDone : ClaimAnswer::Lost;
 }
 
@@ -91,14 +90,14 @@
 {
     if (!error)
         return ClaimAnswer::Deleted;
-    if (error == PlatformErrc::NotFound)
+    if (error == StoreErrc::NotFound)
         return ClaimAnswer::Absent;
-    return error == PlatformErrc::Conflict ? ClaimAnswer::Exists : ClaimAnswer::Lost;
+    return error == StoreErrc::Conflict ? ClaimAnswer::Exists : ClaimAnswer::Lost;
 }
 
 } // namespace
 
-ClaimDesk::ClaimDesk(asio::io_context &context, platform::ObjectStore &store, OpenedHook onOpened)
+ClaimDesk::ClaimDesk(asio::io_context &context, store::ObjectStore &store, OpenedHook onOpened)
     : m_context(context), m_store(store), m_onOpened(std::move(onOpened))
 {
 }
@@ -118,17 +117,17 @@
         end(finish->request, false, finish->status);
 }
 
-platform::Awaitable<void> ClaimDesk::pause(Duration duration)
+store::Awaitable<void> ClaimDesk::pause(Duration duration)
 {
     boost::system::error_code ignored;
     asio::steady_timer timer(m_context, duration);
     co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
 }
 
-platform::Awaitable<ClaimAnswer> ClaimDesk::read(HeldClaim &held, std::string &detail)
+store::Awaitable<ClaimAnswer> ClaimDesk::read(HeldClaim &held, std::string &detail)
 {
     const auto object = co_await m_store.get(held.name);
-    if (object.error() == PlatformErrc::NotFound)
+    if (object.error() == StoreErrc::NotFound)
         co_return ClaimAnswer::Absent;
     if (!object)
         co_return ClaimAnswer::NotDone;
@@ -140,7 +139,7 @@
     co_return ClaimAnswer::TokenIsOurs;
 }
 
-platform::Awaitable<void> ClaimDesk::open(OpenClaim command)
+store::Awaitable<void> ClaimDesk::open(OpenClaim command)
 {
     decision::Claim claim;
     HeldClaim held{command.name, randomToken(), 0, false};
@@ -189,21 +188,21 @@
         asio::co_spawn(m_context, endFirst(std::move(ending)), asio::detached);
 }
 
-platform::Awaitable<void> ClaimDesk::endFirst(Ending ending)
+store::Awaitable<void> ClaimDesk::endFirst(Ending ending)
 {
     const EndResult result = co_await tryEnd(ending);
     if (result != EndResult::Settled)
         endLater(std::move(ending));
 }
 
-platform::Awaitable<ClaimDesk::EndResult> ClaimDesk::tryEnd(Ending &ending)
+store::Awaitable<ClaimDesk::EndResult> ClaimDesk::tryEnd(Ending &ending)
 {
     if (ending.release)
         co_return co_await tryRelease(ending);
     co_return co_await tryFinish(ending);
 }
 
-platform::Awaitable<ClaimDesk::EndResult> ClaimDesk::tryRelease(Ending &ending)
+store::Awaitable<ClaimDesk::EndResult> ClaimDesk::tryRelease(Ending &ending)
 {
     decision::ClaimRelease release(ending.held.version != 0, ending.held.inDoubt);
     if (Clock::now() >= ending.doubtUntil)
@@ -231,19 +230,19 @@
     co_return EndResult::InDoubt;
 }
 
-platform::Awaitable<ClaimAnswer> ClaimDesk::remove(const HeldClaim &held)
+store::Awaitable<ClaimAnswer> ClaimDesk::remove(const HeldClaim &held)
 {
     const Status removed = co_await m_store.remove(held.name, held.version);
     co_return answerToRemove(removed.error());
 }
 
-platform::Awaitable<ClaimDesk::EndResult> ClaimDesk::tryFinish(const Ending &ending)
+store::Awaitable<ClaimDesk::EndResult> ClaimDesk::tryFinish(const Ending &ending)
 {
     const std::string value = encode({ending.held.token, "finished", ending.status});
     const auto updated = co_await m_store.update(ending.held.name, ending.held.version, value);
     // A conflict shows that an earlier try took effect.
-    const bool settled = updated || updated.error() == PlatformErrc::Conflict
-                         || updated.error() == PlatformErrc::NotFound;
+    const bool settled = updated || updated.error() == StoreErrc::Conflict
+                         || updated.error() == StoreErrc::NotFound;
     if (settled)
         co_return EndResult::Settled;
     co_return EndResult::Failed;
@@ -258,7 +257,7 @@
     m_unsettled.push_back(std::move(ending));
 }
 
-platform::Awaitable<void> ClaimDesk::retryLoop()
+store::Awaitable<void> ClaimDesk::retryLoop()
 {
     Duration backoff = shortestBackoff;
     for (;;) {
--- a/packages/router/src/coordinator.cpp
+++ b/packages/router/src/coordinator.cpp
@@ -30,17 +30,17 @@
       m_membership(settings.router, {}), m_freshness(settings.freshness), m_echoes(incarnation),
       m_planner(settings.reports), m_live{settings.router.text()}
 {
-    std::vector<platform::Vm> vms = settings.peers;
+    std::vector<store::Vm> vms = settings.peers;
     vms.insert(vms.end(), settings.agents.begin(), settings.agents.end());
     setKnown(vms);
 }
 
-void Coordinator::setKnown(const std::vector<platform::Vm> &vms)
+void Coordinator::setKnown(const std::vector<store::Vm> &vms)
 {
     std::set<RouterId> routers;
     std::set<ServerId> servers;
-    for (const platform::Vm &vm : vms) {
-        if (vm.role == platform::VmRole::Router)
+    for (const store::Vm &vm : vms) {
+        if (vm.role == store::VmRole::Router)
             routers.emplace(vm.name);
         else
             servers.emplace(vm.name);
--- a/packages/router/src/gossipsocket.cpp
+++ b/packages/router/src/gossipsocket.cpp
@@ -24,13 +24,13 @@
     receive();
 }
 
-void GossipSocket::setPeers(const std::vector<platform::Vm> &vms)
+void GossipSocket::setPeers(const std::vector<store::Vm> &vms)
 {
     std::map<RouterId, asio::ip::udp::endpoint> peers;
-    for (const platform::Vm &vm : vms) {
+    for (const store::Vm &vm : vms) {
         boost::system::error_code error;
         const auto address = asio::ip::make_address(vm.address, error);
-        if (!error && vm.role == platform::VmRole::Router)
+        if (!error && vm.role == store::VmRole::Router)
             peers[RouterId(vm.name)] = {address, vm.port};
     }
     if (peers.empty())
--- a/packages/router/src/platformduty.cpp
+++ b/packages/router/src/platformduty.cpp
@@ -12,7 +12,7 @@
 
 namespace asio = boost::asio;
 
-using platform::PlatformErrc;
+using store::StoreErrc;
 
 namespace {
 
@@ -28,10 +28,10 @@
 PlatformDuty::PlatformDuty(asio::io_context &context, const RouterSettings &settings,
                            PlatformDutyHooks hooks)
     : m_context(context), m_settings(settings), m_hooks(std::move(hooks)),
-      m_store(platform::makeHttpObjectStore(context, settings.platform, m_hooks.called)),
+      m_store(store::makeHttpObjectStore(context, settings.platform, m_hooks.called)),
       m_configurations(*m_store), m_claims(context, *m_store, m_hooks.claimOpened)
 {
-    for (const platform::Vm &vm : settings.peers)
+    for (const store::Vm &vm : settings.peers)
         m_peers[RouterId(vm.name)] = {vm.address, vm.adminPort};
 }
 
@@ -42,14 +42,14 @@
     m_claims.start();
 }
 
-platform::Awaitable<void> PlatformDuty::pause(Duration duration)
+store::Awaitable<void> PlatformDuty::pause(Duration duration)
 {
     boost::system::error_code ignored;
     asio::steady_timer timer(m_context, duration);
     co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
 }
 
-platform::Awaitable<void> PlatformDuty::watchLoop()
+store::Awaitable<void> PlatformDuty::watchLoop()
 {
     for (;;) {
         if (m_watch || m_revision == 0)
@@ -59,15 +59,15 @@
     }
 }
 
-platform::Awaitable<void> PlatformDuty::watchOnce()
+store::Awaitable<void> PlatformDuty::watchOnce()
 {
     const TimePoint start = Clock::now();
-    Result<platform::AcceptedConfiguration> loaded = PlatformErrc::NotChanged;
+    Result<store::AcceptedConfiguration> loaded = StoreErrc::NotChanged;
     if (m_headVersion == 0)
         loaded = co_await m_configurations.load();
     else
         loaded = co_await m_configurations.watch(m_headVersion, watchLimit);
-    if (loaded.error() == PlatformErrc::NotChanged) {
+    if (loaded.error() == StoreErrc::NotChanged) {
         // The platform looks again at the end of the wait. An answer that came earlier tells of
         // no time after the call's start.
         const bool waited = Clock::now() - start >= watchLimit;
@@ -85,7 +85,7 @@
         co_await pause(idlePause);
 }
 
-void PlatformDuty::take(const platform::AcceptedConfiguration &accepted, TimePoint askedAt)
+void PlatformDuty::take(const store::AcceptedConfiguration &accepted, TimePoint askedAt)
 {
     m_headVersion = accepted.version;
     m_headRevision = accepted.configuration->revision();
@@ -108,7 +108,7 @@
         asio::co_spawn(m_context, check(std::move(configuration)), asio::detached);
 }
 
-platform::Awaitable<void> PlatformDuty::check(ConfigurationPtr configuration)
+store::Awaitable<void> PlatformDuty::check(ConfigurationPtr configuration)
 {
     // Mostly the watch or a peer with a proof is faster, and the platform is not asked at all.
     co_await pause(checkDelay * static_cast<long>(randomId() % 100) / 100);
@@ -132,13 +132,13 @@
     putInForce(std::move(configuration), std::nullopt);
 }
 
-platform::Awaitable<void> PlatformDuty::listLoop()
+store::Awaitable<void> PlatformDuty::listLoop()
 {
     for (;;) {
         const auto vms = co_await m_store->vms();
         if (vms) {
-            for (const platform::Vm &vm : vms.value()) {
-                if (vm.role == platform::VmRole::Router)
+            for (const store::Vm &vm : vms.value()) {
+                if (vm.role == store::VmRole::Router)
                     m_peers[RouterId(vm.name)] = {vm.address, vm.adminPort};
             }
             m_hooks.vms(vms.value());
@@ -156,7 +156,7 @@
     asio::co_spawn(m_context, fetch(endpoint->second, proven), asio::detached);
 }
 
-platform::Awaitable<void> PlatformDuty::fetch(admin::AdminEndpoint endpoint, bool proven)
+store::Awaitable<void> PlatformDuty::fetch(admin::AdminEndpoint endpoint, bool proven)
 {
     const std::string path = "/v1/configuration";
     const admin::AdminRequest request{"GET", ""};
--- a/packages/router/src/router.cpp
+++ b/packages/router/src/router.cpp
@@ -237,7 +237,7 @@
             push<GossipEvent>(gossipRing, Proof{revision, at});
         };
         hooks.failed = [this] { push<GossipEvent>(gossipRing, PlatformFailed{}); };
-        hooks.vms = [this](const std::vector<platform::Vm> &vms) {
+        hooks.vms = [this](const std::vector<store::Vm> &vms) {
             push<LinksEvent>(linksRing, vms);
             push<GossipEvent>(gossipRing, vms);
         };
@@ -277,7 +277,7 @@
         else if (auto *configuration = std::get_if<ConfigurationPtr>(&event))
             links.setConfiguration(*configuration);
         else
-            links.setAgents(std::get<std::vector<platform::Vm>>(event));
+            links.setAgents(std::get<std::vector<store::Vm>>(event));
     }
 
     void onGossipEvent(GossipEvent &event)
@@ -298,10 +298,10 @@
         else if (auto *inForce = std::get_if<InForce>(&event))
             coordinator.inForce(inForce->revision, inForce->provenAt, now);
         else
-            setVms(std::get<std::vector<platform::Vm>>(event));
+            setVms(std::get<std::vector<store::Vm>>(event));
     }
 
-    void setVms(const std::vector<platform::Vm> &vms)
+    void setVms(const std::vector<store::Vm> &vms)
     {
         coordinator.setKnown(vms);
         gossip.setPeers(vms);
--- a/packages/router/src/routerevents.h
+++ b/packages/router/src/routerevents.h
@@ -3,9 +3,9 @@
 
 #include "bilberry/decision/serviceledger.h"
 #include "bilberry/model/configuration.h"
-#include "bilberry/platform/objectstore.h"
 #include "bilberry/router/callerevents.h"
 #include "bilberry/router/claimevents.h"
+#include "bilberry/store/objectstore.h"
 
 #include <optional>
 
@@ -40,7 +40,7 @@
     wire::ConfigurationStamp stamp;
     TimePoint madeAt;
 };
-using LinksEvent = std::variant<AgentSend, Stamp, ConfigurationPtr, std::vector<platform::Vm>>;
+using LinksEvent = std::variant<AgentSend, Stamp, ConfigurationPtr, std::vector<store::Vm>>;
 
 struct Proof
 {
@@ -65,7 +65,7 @@
 };
 using GossipEvent
         = std::variant<AgentStamp, std::vector<decision::OwnService>, wire::QuarantineNotice, Proof,
-                       PlatformFailed, LinkedServers, InForce, std::vector<platform::Vm>>;
+                       PlatformFailed, LinkedServers, InForce, std::vector<store::Vm>>;
 
 using PlatformEvent = std::variant<ClaimCommand, ConfigurationPtr>;
 
--- a/packages/router/src/routermetrics.cpp
+++ b/packages/router/src/routermetrics.cpp
@@ -62,8 +62,7 @@
 RouterMetrics::RouterMetrics()
     : m_controlBytes(
             counters(m_registry, "bilberry_control_bytes_total", "Bytes of control messages sent")),
-      m_platformCalls(
-              counters(m_registry, "bilberry_platform_calls_total", "Calls to the platform")),
+      m_platformCalls(counters(m_registry, "bilberry_store_calls_total", "Calls to the platform")),
       m_overflows(counters(m_registry, "bilberry_ring_overflows_total",
                            "Items that a full ring did not take")),
       m_submitted(gauges(m_registry, "bilberry_requests_submitted", "Requests of known customers")
--- a/packages/router/src/routersettings.cpp
+++ b/packages/router/src/routersettings.cpp
@@ -38,7 +38,7 @@
 }
 
 /// Parses "name@address:port:adminPort".
-std::optional<platform::Vm> parseVm(const std::string &text, platform::VmRole role)
+std::optional<store::Vm> parseVm(const std::string &text, store::VmRole role)
 {
     const std::size_t at = text.find('@');
     if (at == std::string::npos || at == 0)
@@ -50,7 +50,7 @@
     const auto adminPort = parsePort(parts[2]);
     if (!port || !adminPort || !isIpNumber(parts[0]))
         return std::nullopt;
-    platform::Vm vm;
+    store::Vm vm;
     vm.name = text.substr(0, at);
     vm.role = role;
     vm.address = parts[0];
@@ -59,9 +59,9 @@
     return vm;
 }
 
-std::vector<platform::Vm> vms(SettingsReader &reader, const std::string &key, platform::VmRole role)
+std::vector<store::Vm> vms(SettingsReader &reader, const std::string &key, store::VmRole role)
 {
-    std::vector<platform::Vm> result;
+    std::vector<store::Vm> result;
     for (const std::string &text : reader.list(key)) {
         const auto vm = parseVm(text, role);
         if (vm)
@@ -101,7 +101,7 @@
         reader.fault(SettingsErrc::Contradiction, "listen.adminPort",
                      "listen.callerPort has the same number");
     std::set<std::string> names;
-    for (const platform::Vm &peer : settings.peers) {
+    for (const store::Vm &peer : settings.peers) {
         if (!names.insert(peer.name).second)
             reader.fault(SettingsErrc::Contradiction, "peers", peer.name + " stands twice");
     }
@@ -126,8 +126,8 @@
     settings.platform.callLimit
             = milliseconds(reader, "platform.callLimitMs", 50, 60000, settings.platform.callLimit);
     settings.platform.callsPerSecond = reader.number("platform.callsPerSecond", 1, 1000, 50);
-    settings.peers = vms(reader, "peers", platform::VmRole::Router);
-    settings.agents = vms(reader, "agents", platform::VmRole::Agent);
+    settings.peers = vms(reader, "peers", store::VmRole::Router);
+    settings.agents = vms(reader, "agents", store::VmRole::Agent);
     readCallers(reader, settings.callers);
     settings.fairness = fairness(reader);
     settings.catchUpCap = reader.number("fairness.catchUpCapMs", 1000, 1e9, settings.catchUpCap);
--- a/packages/router/tests/agentlinks_test.cpp
+++ b/packages/router/tests/agentlinks_test.cpp
@@ -101,9 +101,9 @@
     void setAgent(std::uint16_t port)
     {
         run([this, port] {
-            platform::Vm vm;
+            store::Vm vm;
             vm.name = "model-a";
-            vm.role = platform::VmRole::Agent;
+            vm.role = store::VmRole::Agent;
             vm.address = "127.0.0.1";
             vm.port = port;
             m_links.setAgents({vm});
--- a/packages/router/tests/coordinator_test.cpp
+++ b/packages/router/tests/coordinator_test.cpp
@@ -34,7 +34,7 @@
         RouterSettings settings;
         settings.router = nameOf(index);
         for (std::size_t i = 0; i < m_nodes.size(); ++i) {
-            platform::Vm vm;
+            store::Vm vm;
             vm.name = nameOf(i).text();
             settings.peers.push_back(vm);
         }
--- a/packages/router/tests/gossipsocket_test.cpp
+++ b/packages/router/tests/gossipsocket_test.cpp
@@ -30,9 +30,9 @@
         socket.send(RouterId(peer), probe);
     }
 
-    platform::Vm vm(const std::string &as) const
+    store::Vm vm(const std::string &as) const
     {
-        platform::Vm vm;
+        store::Vm vm;
         vm.name = as;
         vm.address = "127.0.0.1";
         vm.port = port;
--- a/packages/platform/include/bilberry/platform/configurationstore.h
+++ b/packages/store/include/bilberry/store/configurationstore.h
@@ -1,13 +1,13 @@
-#ifndef BILBERRY_PLATFORM_CONFIGURATIONSTORE_H
-#define BILBERRY_PLATFORM_CONFIGURATIONSTORE_H
+#ifndef BILBERRY_STORE_CONFIGURATIONSTORE_H
+#define BILBERRY_STORE_CONFIGURATIONSTORE_H
 
 #include "bilberry/model/configurationcodec.h"
-#include "bilberry/platform/objectstore.h"
+#include "bilberry/store/objectstore.h"
 
 #include <map>
 #include <optional>
 
-namespace bilberry::platform {
+namespace bilberry::store {
 
 /// Name of the object whose conditional update accepts a configuration.
 constexpr char headName[] = "configuration/head";
@@ -61,6 +61,6 @@
     std::map<std::string, std::string> m_shardByDigest; ///< of the newest head only
 };
 
-} // namespace bilberry::platform
+} // namespace bilberry::store
 
 #endif
--- a/packages/platform/include/bilberry/platform/httpobjectstore.h
+++ b/packages/store/include/bilberry/store/httpobjectstore.h
@@ -1,14 +1,14 @@
-#ifndef BILBERRY_PLATFORM_HTTPOBJECTSTORE_H
-#define BILBERRY_PLATFORM_HTTPOBJECTSTORE_H
+#ifndef BILBERRY_STORE_HTTPOBJECTSTORE_H
+#define BILBERRY_STORE_HTTPOBJECTSTORE_H
 
-#include "bilberry/platform/objectstore.h"
+#include "bilberry/store/objectstore.h"
 
 #include <boost/asio/io_context.hpp>
 
 #include <functional>
 #include <memory>
 
-namespace bilberry::platform {
+namespace bilberry::store {
 
 /// Where the platform is and how patient its client is.
 struct PlatformSettings
@@ -30,6 +30,6 @@
 std::unique_ptr<ObjectStore> makeHttpObjectStore(boost::asio::io_context &context,
                                                  const PlatformSettings &settings, CallHook onCall);
 
-} // namespace bilberry::platform
+} // namespace bilberry::store
 
 #endif
--- a/packages/platform/include/bilberry/platform/objectstore.h
+++ b/packages/store/include/bilberry/store/objectstore.h
@@ -1,9 +1,9 @@
-#ifndef BILBERRY_PLATFORM_OBJECTSTORE_H
-#define BILBERRY_PLATFORM_OBJECTSTORE_H
+#ifndef BILBERRY_STORE_OBJECTSTORE_H
+#define BILBERRY_STORE_OBJECTSTORE_H
 
 #include "bilberry/base/time.h"
 #include "bilberry/model/ids.h"
-#include "bilberry/platform/platformerror.h"
+#include "bilberry/store/storeerror.h"
 
 #include <boost/asio/awaitable.hpp>
 
@@ -11,7 +11,7 @@
 #include <string>
 #include <vector>
 
-namespace bilberry::platform {
+namespace bilberry::store {
 
 /// Version that the platform gives to each state of an object.
 using ObjectVersion = std::uint64_t;
@@ -81,6 +81,6 @@
     virtual Awaitable<Result<std::vector<Vm>>> vms() = 0;
 };
 
-} // namespace bilberry::platform
+} // namespace bilberry::store
 
 #endif
--- a/packages/platform/include/bilberry/platform/platformerror.h
+++ b/packages/store/include/bilberry/store/storeerror.h
@@ -1,12 +1,12 @@
-#ifndef BILBERRY_PLATFORM_PLATFORMERROR_H
-#define BILBERRY_PLATFORM_PLATFORMERROR_H
+#ifndef BILBERRY_STORE_STOREERROR_H
+#define BILBERRY_STORE_STOREERROR_H
 
 #include "bilberry/base/result.h"
 
-namespace bilberry::platform {
+namespace bilberry::store {
 
 /// How a call to the platform's service fails.
-enum class PlatformErrc {
+enum class StoreErrc {
     NotFound = 1,
     Conflict,       ///< the object exists already or has another version
     RateLimited,    ///< the platform asks for fewer calls; nothing happened
@@ -16,14 +16,15 @@
     TooLarge,       ///< the value exceeds the platform's limit
     BudgetSpent,    ///< the process's own call budget is spent; nothing was sent
     NotChanged,     ///< a watch ended without a change
+    HistoryGone,    ///< the changes since the known revision are no longer kept
 };
 
-std::error_code make_error_code(PlatformErrc error);
+std::error_code make_error_code(StoreErrc error);
 
-} // namespace bilberry::platform
+} // namespace bilberry::store
 
 template <>
-struct std::is_error_code_enum<bilberry::platform::PlatformErrc> : std::true_type
+struct std::is_error_code_enum<bilberry::store::StoreErrc> : std::true_type
 {
 };
 
--- a/packages/platform/src/configurationstore.cpp
+++ b/packages/store/src/configurationstore.cpp
@@ -1,4 +1,4 @@
-#include "bilberry/platform/configurationstore.h"
+#include "bilberry/store/configurationstore.h"
 
 #include "bilberry/base/digest.h"
 
@@ -6,7 +6,7 @@
 #include <boost/asio/this_coro.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
-namespace bilberry::platform {
+namespace bilberry::store {
 
 namespace {
 
@@ -40,7 +40,7 @@
 Awaitable<Result<AcceptedConfiguration>> ConfigurationStore::load()
 {
     const Result<Object> head = co_await m_store.get(headName);
-    if (head.error() == PlatformErrc::NotFound)
+    if (head.error() == StoreErrc::NotFound)
         co_return nothingAccepted();
     if (!head)
         co_return head.error();
@@ -125,11 +125,11 @@
         const auto created = co_await m_store.create(shardObject(digest), shards.at(name));
         // A shard is named by its content, so that an existing one is the same one, and a write
         // of unknown outcome may simply be repeated.
-        if (!created && created.error() == PlatformErrc::OutcomeUnknown) {
+        if (!created && created.error() == StoreErrc::OutcomeUnknown) {
             const auto again = co_await m_store.create(shardObject(digest), shards.at(name));
-            if (!again && again.error() != PlatformErrc::Conflict)
+            if (!again && again.error() != StoreErrc::Conflict)
                 co_return again.error();
-        } else if (!created && created.error() != PlatformErrc::Conflict) {
+        } else if (!created && created.error() != StoreErrc::Conflict) {
             co_return created.error();
         }
         m_shardByDigest[digest] = shards.at(name);
@@ -143,22 +143,22 @@
 {
     bool mayHaveArrived = false;
     for (int attempt = 0; attempt < writeAttempts; ++attempt) {
-        Result<ObjectVersion> written = PlatformErrc::Unavailable;
+        Result<ObjectVersion> written = StoreErrc::Unavailable;
         if (expected == 0)
             written = co_await m_store.create(headName, value);
         else
             written = co_await m_store.update(headName, expected, value);
         if (written)
             co_return written;
-        if (written.error() == PlatformErrc::Conflict)
+        if (written.error() == StoreErrc::Conflict)
             co_return co_await settle(revision, requestToken, mayHaveArrived);
-        if (written.error() == PlatformErrc::OutcomeUnknown)
+        if (written.error() == StoreErrc::OutcomeUnknown)
             mayHaveArrived = true;
         else if (!mayHaveArrived)
             co_return written;
         co_await pauseBeforeRetry(attempt);
     }
-    co_return PlatformErrc::OutcomeUnknown;
+    co_return StoreErrc::OutcomeUnknown;
 }
 
 Awaitable<Result<ObjectVersion>>
@@ -175,15 +175,15 @@
             // Each revision is accepted once, so that another token on ours settles it. A head
             // beyond it no longer tells; one before it is a stale read, as the conflict shows.
             if (head.value().revision == revision || !mayHaveArrived)
-                co_return PlatformErrc::Conflict;
+                co_return StoreErrc::Conflict;
             if (head.value().revision > revision)
-                co_return PlatformErrc::OutcomeUnknown;
+                co_return StoreErrc::OutcomeUnknown;
         }
-        if (object.error() == PlatformErrc::NotFound || !mayHaveArrived)
-            co_return PlatformErrc::Conflict;
+        if (object.error() == StoreErrc::NotFound || !mayHaveArrived)
+            co_return StoreErrc::Conflict;
         co_await pauseBeforeRetry(attempt);
     }
-    co_return PlatformErrc::OutcomeUnknown;
+    co_return StoreErrc::OutcomeUnknown;
 }
 
-} // namespace bilberry::platform
+} // namespace bilberry::store
--- /dev/null
+++ b/packages/store/src/httptransport.cpp
@@ -0,0 +1,167 @@
+#include "bilberry/store/httptransport.h"
+
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/core/tcp_stream.hpp>
+#include <boost/beast/http.hpp>
+
+#include <cctype>
+#include <vector>
+
+namespace bilberry::store {
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+namespace http = boost::beast::http;
+
+namespace {
+
+using Stream = beast::tcp_stream;
+using HttpRequest = http::request<http::string_body>;
+
+constexpr std::size_t maxIdleConnections = 8;
+constexpr std::size_t maxAnswerSize = 64U << 20U;
+
+/// An idle connection has nothing to read; a byte or an end means that it can't be used.
+bool isOpen(Stream &stream)
+{
+    boost::system::error_code error;
+    char byte = 0;
+    stream.socket().non_blocking(true, error);
+    stream.socket().receive(asio::buffer(&byte, 1), asio::ip::tcp::socket::message_peek, error);
+    return error == asio::error::would_block;
+}
+
+HttpRequest toRequest(const HttpCall &call, const std::string &host)
+{
+    HttpRequest request(http::string_to_verb(call.method), call.target, 11);
+    request.set(http::field::host, host);
+    for (const auto &[name, value] : call.headers)
+        request.set(name, value);
+    request.body() = call.body;
+    request.prepare_payload();
+    return request;
+}
+
+} // namespace
+
+struct HttpTransport::State
+{
+    struct Exchanged
+    {
+        Result<HttpAnswer> answer = StoreErrc::Unavailable;
+        bool keepAlive = false;
+    };
+
+    asio::awaitable<Result<HttpAnswer>> send(const HttpRequest &request, TimePoint deadline,
+                                             CallEffect effect)
+    {
+        auto stream = co_await connection(deadline);
+        if (!stream)
+            co_return StoreErrc::Unavailable;
+        stream->expires_at(deadline);
+        Exchanged exchanged = co_await exchange(*stream, request, effect);
+        if (exchanged.keepAlive && idle.size() < maxIdleConnections)
+            idle.push_back(std::move(stream));
+        co_return std::move(exchanged.answer);
+    }
+
+    /// Takes an idle connection that the platform has not closed, or opens one.
+    asio::awaitable<std::unique_ptr<Stream>> connection(TimePoint deadline)
+    {
+        while (!idle.empty()) {
+            std::unique_ptr<Stream> stream = std::move(idle.back());
+            idle.pop_back();
+            if (isOpen(*stream))
+                co_return stream;
+        }
+        auto stream = std::make_unique<Stream>(context);
+        stream->expires_at(deadline);
+        boost::system::error_code error;
+        const auto ip = asio::ip::make_address(address, error);
+        if (error)
+            co_return nullptr;
+        co_await stream->async_connect(asio::ip::tcp::endpoint(ip, port),
+                                       asio::redirect_error(asio::use_awaitable, error));
+        if (error)
+            co_return nullptr;
+        stream->socket().set_option(asio::ip::tcp::no_delay(true), error);
+        co_return stream;
+    }
+
+    static asio::awaitable<Exchanged> exchange(Stream &stream, const HttpRequest &request,
+                                               CallEffect effect)
+    {
+        Exchanged exchanged;
+        exchanged.answer
+                = effect == CallEffect::Write ? StoreErrc::OutcomeUnknown : StoreErrc::Unavailable;
+        boost::system::error_code error;
+        co_await http::async_write(stream, request,
+                                   asio::redirect_error(asio::use_awaitable, error));
+        if (error)
+            co_return exchanged;
+        beast::flat_buffer buffer;
+        http::response_parser<http::string_body> parser;
+        parser.body_limit(maxAnswerSize);
+        co_await http::async_read(stream, buffer, parser,
+                                  asio::redirect_error(asio::use_awaitable, error));
+        if (error)
+            co_return exchanged;
+        auto response = parser.release();
+        exchanged.keepAlive = response.keep_alive();
+        HttpAnswer answer;
+        answer.status = response.result_int();
+        answer.entityTag = std::string(response[http::field::etag]);
+        answer.body = std::move(response.body());
+        exchanged.answer = std::move(answer);
+        co_return exchanged;
+    }
+
+    asio::io_context &context;
+    std::string address;
+    std::uint16_t port;
+    std::vector<std::unique_ptr<Stream>> idle;
+};
+
+HttpTransport::HttpTransport(asio::io_context &context, std::string address, std::uint16_t port)
+    : m_state(new State{context, std::move(address), port, {}})
+{
+}
+
+HttpTransport::~HttpTransport() = default;
+
+asio::awaitable<Result<HttpAnswer>> HttpTransport::call(HttpCall call, Duration limit)
+{
+    const std::shared_ptr<State> state = m_state;
+    const HttpRequest request = toRequest(call, state->address);
+    const TimePoint deadline = Clock::now() + limit;
+    bool reused = !state->idle.empty();
+    Result<HttpAnswer> answer = co_await state->send(request, deadline, call.effect);
+    // The platform may close an idle connection just as it is used again.
+    while (!answer && reused && call.effect == CallEffect::Read && Clock::now() < deadline) {
+        reused = !state->idle.empty();
+        answer = co_await state->send(request, deadline, call.effect);
+    }
+    co_return answer;
+}
+
+std::string encodePath(const std::string &name)
+{
+    static constexpr char digits[] = "0123456789ABCDEF";
+    std::string path;
+    for (const char c : name) {
+        const auto byte = static_cast<unsigned char>(c);
+        if (std::isalnum(byte) || c == '-' || c == '_' || c == '.' || c == '/') {
+            path.push_back(c);
+        } else {
+            path.push_back('%');
+            path.push_back(digits[byte >> 4]);
+            path.push_back(digits[byte & 0x0f]);
+        }
+    }
+    return path;
+}
+
+} // namespace bilberry::store
--- a/packages/platform/src/platformerror.cpp
+++ b/packages/store/src/storeerror.cpp
@@ -1,32 +1,34 @@
-#include "bilberry/platform/platformerror.h"
+#include "bilberry/store/storeerror.h"
 
 #include "bilberry/base/errorcategory.h"
 
-namespace bilberry::platform {
+namespace bilberry::store {
 
 namespace {
 
 const char *describe(int code)
 {
-    switch (static_cast<PlatformErrc>(code)) {
-    case PlatformErrc::NotFound:
+    switch (static_cast<StoreErrc>(code)) {
+    case StoreErrc::NotFound:
         return "there is no such object";
-    case PlatformErrc::Conflict:
+    case StoreErrc::Conflict:
         return "the object exists already or has another version";
-    case PlatformErrc::RateLimited:
+    case StoreErrc::RateLimited:
         return "the platform limits the call rate";
-    case PlatformErrc::Unavailable:
+    case StoreErrc::Unavailable:
         return "the platform is unavailable";
-    case PlatformErrc::OutcomeUnknown:
+    case StoreErrc::OutcomeUnknown:
         return "the write may or may not have taken effect";
-    case PlatformErrc::Malformed:
+    case StoreErrc::Malformed:
         return "the platform's answer is not understood";
-    case PlatformErrc::TooLarge:
+    case StoreErrc::TooLarge:
         return "the value is too large for the platform";
-    case PlatformErrc::BudgetSpent:
+    case StoreErrc::BudgetSpent:
         return "the process's budget of platform calls is spent";
-    case PlatformErrc::NotChanged:
+    case StoreErrc::NotChanged:
         return "the object has not changed";
+    case StoreErrc::HistoryGone:
+        return "the changes since the known revision are no longer kept";
     }
     return "unknown platform error";
 }
@@ -35,9 +37,9 @@
 
 } // namespace
 
-std::error_code make_error_code(PlatformErrc error)
+std::error_code make_error_code(StoreErrc error)
 {
     return {static_cast<int>(error), category};
 }
 
-} // namespace bilberry::platform
+} // namespace bilberry::store
--- a/packages/platform/tests/configurationstore_test.cpp
+++ b/packages/store/tests/configurationstore_test.cpp
@@ -1,5 +1,5 @@
-#include "bilberry/platform/configurationstore.h"
-#include "bilberry/platform/httpobjectstore.h"
+#include "bilberry/store/configurationstore.h"
+#include "bilberry/store/httpobjectstore.h"
 #include "support/platformstandin.h"
 
 #include <boost/asio/co_spawn.hpp>
@@ -11,7 +11,7 @@
 #include <optional>
 
 using namespace bilberry;
-using namespace bilberry::platform;
+using namespace bilberry::store;
 
 namespace {
 
@@ -76,7 +76,7 @@
         m_script.pop_front();
         if (fate == HeadWrite::IsOvertaken)
             co_await m_otherChange();
-        Result<ObjectVersion> answer = PlatformErrc::OutcomeUnknown;
+        Result<ObjectVersion> answer = StoreErrc::OutcomeUnknown;
         if (fate == HeadWrite::ArrivesLate)
             m_late = [=, this] { return pass(name, expected, value); };
         else if (fate != HeadWrite::IsLost)
@@ -90,7 +90,7 @@
         }
         if (fate == HeadWrite::Passes || fate == HeadWrite::IsOvertaken)
             co_return answer;
-        co_return PlatformErrc::OutcomeUnknown;
+        co_return StoreErrc::OutcomeUnknown;
     }
 
     ObjectStore &m_store;
@@ -152,8 +152,8 @@
 {
     using enum HeadWrite;
     const std::error_code won;
-    const std::error_code lost = PlatformErrc::Conflict;
-    const std::error_code unknown = PlatformErrc::OutcomeUnknown;
+    const std::error_code lost = StoreErrc::Conflict;
+    const std::error_code unknown = StoreErrc::OutcomeUnknown;
     const auto table = GENERATE_COPY(values<Case>({
             {"nothing", {Passes}, won, 2},
             {"the answer is lost", {LosesAnswer}, won, 2},
--- a/packages/platform/tests/httpobjectstore_test.cpp
+++ b/packages/store/tests/httpobjectstore_test.cpp
@@ -1,4 +1,4 @@
-#include "bilberry/platform/httpobjectstore.h"
+#include "bilberry/store/httpobjectstore.h"
 
 #include "support/fleet.h"
 #include "support/platformstandin.h"
@@ -15,7 +15,7 @@
 #include <optional>
 
 using namespace bilberry;
-using namespace bilberry::platform;
+using namespace bilberry::store;
 using tests::PlatformFaults;
 using tests::PlatformStandin;
 
@@ -154,16 +154,16 @@
 
 SCENARIO("each call tells each fault of the platform by its type")
 {
-    const std::error_code unavailable = PlatformErrc::Unavailable;
-    const std::error_code unknown = PlatformErrc::OutcomeUnknown;
+    const std::error_code unavailable = StoreErrc::Unavailable;
+    const std::error_code unknown = StoreErrc::OutcomeUnknown;
     const FaultRow faults[] = {
             {"no fault", [](PlatformFaults &) {}, {}, {}},
             {"down", [](PlatformFaults &f) { f.down = true; }, unavailable, unknown},
             {"slow", [](PlatformFaults &f) { f.delayMs = 800; }, unavailable, unknown},
             {"lost answer", [](PlatformFaults &f) { f.lostWriteAnswers = 1; }, {}, unknown},
             {"lost write", [](PlatformFaults &f) { f.lostWrites = 1; }, {}, unknown},
-            {"rate limit", [](PlatformFaults &f) { f.callsPerSecond = 0; },
-             PlatformErrc::RateLimited, PlatformErrc::RateLimited},
+            {"rate limit", [](PlatformFaults &f) { f.callsPerSecond = 0; }, StoreErrc::RateLimited,
+             StoreErrc::RateLimited},
     };
     for (const FaultRow &fault : faults) {
         for (const CallRow &row : callRows()) {
@@ -183,7 +183,7 @@
     Client client(tests::freePort());
     for (const CallRow &row : callRows()) {
         INFO(row.name);
-        CHECK(row.call(client, 1) == PlatformErrc::Unavailable);
+        CHECK(row.call(client, 1) == StoreErrc::Unavailable);
     }
 }
 
@@ -200,30 +200,30 @@
         THEN("a condition that does not hold is a conflict, an absent object is not found")
         {
             const ObjectVersion other = version.value() + 1;
-            CHECK(client.wait(store.create("a", "2")).error() == PlatformErrc::Conflict);
-            CHECK(client.wait(store.update("a", other, "2")).error() == PlatformErrc::Conflict);
-            CHECK(client.wait(store.update("b", other, "2")).error() == PlatformErrc::Conflict);
-            CHECK(client.wait(store.remove("a", other)).error() == PlatformErrc::Conflict);
-            CHECK(client.wait(store.remove("b", other)).error() == PlatformErrc::NotFound);
-            CHECK(client.wait(store.get("b")).error() == PlatformErrc::NotFound);
+            CHECK(client.wait(store.create("a", "2")).error() == StoreErrc::Conflict);
+            CHECK(client.wait(store.update("a", other, "2")).error() == StoreErrc::Conflict);
+            CHECK(client.wait(store.update("b", other, "2")).error() == StoreErrc::Conflict);
+            CHECK(client.wait(store.remove("a", other)).error() == StoreErrc::Conflict);
+            CHECK(client.wait(store.remove("b", other)).error() == StoreErrc::NotFound);
+            CHECK(client.wait(store.get("b")).error() == StoreErrc::NotFound);
             CHECK(client.wait(store.watch("a", version.value(), watchLimit)).error()
-                  == PlatformErrc::NotChanged);
+                  == StoreErrc::NotChanged);
             CHECK(platform.value("a") == "1");
         }
         THEN("a value beyond a megabyte is refused before it is sent")
         {
             const int sent = client.sent();
             const std::string big((1U << 20U) + 1, 'x');
-            CHECK(client.wait(store.create("big", big)).error() == PlatformErrc::TooLarge);
+            CHECK(client.wait(store.create("big", big)).error() == StoreErrc::TooLarge);
             CHECK(client.wait(store.update("a", version.value(), big)).error()
-                  == PlatformErrc::TooLarge);
+                  == StoreErrc::TooLarge);
             CHECK(client.sent() == sent);
         }
         THEN("a lost answer is settled by reading")
         {
             platform.faults().lostWriteAnswers = 1;
             CHECK(client.wait(store.update("a", version.value(), "2")).error()
-                  == PlatformErrc::OutcomeUnknown);
+                  == StoreErrc::OutcomeUnknown);
             const auto read = client.wait(store.get("a"));
             REQUIRE(read);
             CHECK(read.value().value == "2");
@@ -233,9 +233,9 @@
 
 SCENARIO("answers that are not understood are told from those that are missing")
 {
-    const std::error_code malformed = PlatformErrc::Malformed;
-    const std::error_code unavailable = PlatformErrc::Unavailable;
-    const std::error_code unknown = PlatformErrc::OutcomeUnknown;
+    const std::error_code malformed = StoreErrc::Malformed;
+    const std::error_code unavailable = StoreErrc::Unavailable;
+    const std::error_code unknown = StoreErrc::OutcomeUnknown;
     const std::string tag = lastAnswer + "ETag: \"7\"\r\n";
     const ScriptRow rows[] = {
             {"good object", reply("200 OK", tag, "x"), {}, malformed, {}},
@@ -251,8 +251,8 @@
             {"server error", reply("500 Error", lastAnswer, ""), unavailable, unavailable, unknown},
             {"gateway error", reply("503 Unavailable", lastAnswer, ""), unavailable, unavailable,
              unknown},
-            {"too large", reply("413 Large", lastAnswer, ""), PlatformErrc::TooLarge,
-             PlatformErrc::TooLarge, PlatformErrc::TooLarge},
+            {"too large", reply("413 Large", lastAnswer, ""), StoreErrc::TooLarge,
+             StoreErrc::TooLarge, StoreErrc::TooLarge},
     };
     for (const ScriptRow &row : rows) {
         INFO(row.name);
@@ -281,13 +281,13 @@
         const TimePoint start = Clock::now();
         Client client(platform.port(), budget);
         std::error_code error;
-        for (int i = 0; i < 1000 && error != PlatformErrc::BudgetSpent; ++i)
+        for (int i = 0; i < 1000 && error != StoreErrc::BudgetSpent; ++i)
             error = client.wait(client.store().get("a")).error();
 
         THEN("what exceeds it is refused unsent")
         {
             const double seconds = toMilliseconds(Clock::now() - start) / 1000.0;
-            CHECK(error == PlatformErrc::BudgetSpent);
+            CHECK(error == StoreErrc::BudgetSpent);
             CHECK(client.sent() >= 5);
             CHECK(client.sent() <= budget + budget * seconds);
             CHECK(platform.calls() == static_cast<std::uint64_t>(client.sent()));
--- a/tests/integration/configuration_test.cpp
+++ b/tests/integration/configuration_test.cpp
@@ -36,8 +36,8 @@
     plan.routerLines = [](const Fleet &fleet, std::size_t) {
         std::string peers;
         std::string agents;
-        for (const platform::Vm &vm : fleet.vms()) {
-            std::string &list = vm.role == platform::VmRole::Router ? peers : agents;
+        for (const store::Vm &vm : fleet.vms()) {
+            std::string &list = vm.role == store::VmRole::Router ? peers : agents;
             list += "  - " + vm.name + "@127.0.0.1:" + std::to_string(vm.port) + ":"
                     + std::to_string(vm.adminPort) + "\n";
         }
@@ -54,7 +54,7 @@
 std::vector<std::uint64_t> revisions(const Fleet &fleet)
 {
     std::vector<std::uint64_t> result;
-    for (const platform::Vm &vm : fleet.vms())
+    for (const store::Vm &vm : fleet.vms())
         result.push_back(revisionAt(fleet, vm.adminPort));
     return result;
 }
@@ -119,7 +119,7 @@
         WHEN("a configuration that the platform never accepted is handed to all daemons")
         {
             const Configuration wrong = Configuration::create(99, {}).value();
-            for (const platform::Vm &vm : fleet.vms()) {
+            for (const store::Vm &vm : fleet.vms()) {
                 Call put;
                 put.method = "PUT";
                 put.target = "/v1/configuration";
--- a/tests/integration/controltraffic_test.cpp
+++ b/tests/integration/controltraffic_test.cpp
@@ -58,7 +58,7 @@
 std::map<std::string, double> controlBytes(const Fleet &fleet)
 {
     std::map<std::string, double> bytes;
-    for (const platform::Vm &vm : fleet.vms())
+    for (const store::Vm &vm : fleet.vms())
         bytes[vm.name] = sumOf(fleet.admin(vm.adminPort, "/metrics"), "bilberry_control_bytes");
     return bytes;
 }
--- a/tests/integration/lostlink_test.cpp
+++ b/tests/integration/lostlink_test.cpp
@@ -52,8 +52,8 @@
         Fleet fleet(plan);
         TcpProxy models(fleet.agentPort("model-a"));
         TcpProxy orders(fleet.agentPort("order-a"));
-        std::vector<platform::Vm> vms = fleet.vms();
-        for (platform::Vm &vm : vms) {
+        std::vector<store::Vm> vms = fleet.vms();
+        for (store::Vm &vm : vms) {
             if (vm.name == "model-a")
                 vm.port = models.port();
             if (vm.name == "order-a")
--- a/tests/support/fleet.cpp
+++ b/tests/support/fleet.cpp
@@ -98,14 +98,14 @@
         fs::remove_all(m_folder, ignored);
 }
 
-std::vector<platform::Vm> Fleet::vms() const
+std::vector<store::Vm> Fleet::vms() const
 {
-    std::vector<platform::Vm> list;
+    std::vector<store::Vm> list;
     for (const RouterParts &router : m_routers)
-        list.push_back({router.name, platform::VmRole::Router, ZoneId(router.zone), "127.0.0.1",
+        list.push_back({router.name, store::VmRole::Router, ZoneId(router.zone), "127.0.0.1",
                         router.gossipPort, router.adminPort, false});
     for (const auto &[name, server] : m_servers)
-        list.push_back({name, platform::VmRole::Agent, ZoneId(server.plan.zone), "127.0.0.1",
+        list.push_back({name, store::VmRole::Agent, ZoneId(server.plan.zone), "127.0.0.1",
                         server.port, server.adminPort, false});
     return list;
 }
--- a/tests/support/fleet.h
+++ b/tests/support/fleet.h
@@ -88,7 +88,7 @@
     /// @return how often a tagged request ran on any server
     std::size_t runs(const std::string &tag) const;
     /// @return the list that the platform shows
-    std::vector<platform::Vm> vms() const;
+    std::vector<store::Vm> vms() const;
 
 private:
     struct RouterParts
--- a/tests/support/partition.cpp
+++ b/tests/support/partition.cpp
@@ -21,11 +21,11 @@
         return proxy->port();
     };
     m_fleet = std::make_unique<Fleet>(std::move(plan));
-    std::vector<platform::Vm> vms = m_fleet->vms();
-    for (platform::Vm &vm : vms) {
+    std::vector<store::Vm> vms = m_fleet->vms();
+    for (store::Vm &vm : vms) {
         m_admin[vm.name] = std::make_unique<TcpProxy>(vm.adminPort);
         vm.adminPort = m_admin[vm.name]->port();
-        if (vm.role == platform::VmRole::Router) {
+        if (vm.role == store::VmRole::Router) {
             m_gossip.push_back(std::make_unique<UdpProxy>(vm.port));
             vm.port = m_gossip.back()->port();
         } else {
--- a/tests/support/platformstandin.cpp
+++ b/tests/support/platformstandin.cpp
@@ -63,7 +63,7 @@
 {
     struct Stored
     {
-        platform::ObjectVersion version = 0;
+        store::ObjectVersion version = 0;
         std::string value;
     };
 
@@ -191,7 +191,7 @@
         return response;
     }
 
-    asio::awaitable<Response> watch(std::string name, platform::ObjectVersion known,
+    asio::awaitable<Response> watch(std::string name, store::ObjectVersion known,
                                     std::chrono::milliseconds limit)
     {
         const TimePoint deadline = Clock::now() + limit;
@@ -199,7 +199,7 @@
             {
                 const std::lock_guard lock(mutex);
                 const auto found = objects.find(name);
-                const platform::ObjectVersion version
+                const store::ObjectVersion version
                         = found == objects.end() ? 0 : found->second.version;
                 if (version != known && version != 0)
                     co_return describeObject(found->second, true);
@@ -264,10 +264,10 @@
     {
         json::array rows;
         const std::lock_guard lock(mutex);
-        for (const platform::Vm &vm : vms)
+        for (const store::Vm &vm : vms)
             rows.push_back(
                     json::object{{"name", vm.name},
-                                 {"role", vm.role == platform::VmRole::Agent ? "agent" : "router"},
+                                 {"role", vm.role == store::VmRole::Agent ? "agent" : "router"},
                                  {"zone", vm.zone.text()},
                                  {"address", vm.address},
                                  {"port", vm.port},
@@ -286,8 +286,8 @@
     int callsInSecond = 0;
     mutable std::mutex mutex;
     std::map<std::string, Stored> objects;
-    std::vector<platform::Vm> vms;
-    platform::ObjectVersion lastVersion = 0;
+    std::vector<store::Vm> vms;
+    store::ObjectVersion lastVersion = 0;
 };
 
 PlatformStandin::PlatformStandin(std::uint16_t port) : m_duty("platform")
@@ -312,7 +312,7 @@
     return m_state->faults;
 }
 
-void PlatformStandin::setVms(std::vector<platform::Vm> vms)
+void PlatformStandin::setVms(std::vector<store::Vm> vms)
 {
     const std::lock_guard lock(m_state->mutex);
     m_state->vms = std::move(vms);
--- a/tests/support/platformstandin.h
+++ b/tests/support/platformstandin.h
@@ -2,7 +2,7 @@
 #define BILBERRY_TESTS_PLATFORMSTANDIN_H
 
 #include "bilberry/base/duty.h"
-#include "bilberry/platform/objectstore.h"
+#include "bilberry/store/objectstore.h"
 
 #include <atomic>
 #include <cstdint>
@@ -32,7 +32,7 @@
 
     std::uint16_t port() const;
     PlatformFaults &faults();
-    void setVms(std::vector<platform::Vm> vms);
+    void setVms(std::vector<store::Vm> vms);
 
     /// @return number of calls answered or cut since the start
     std::uint64_t calls() const;
