Count what is read again against a server's backlog limit

Ruled out: slots (busiest/mean 1.08), processor time (0.0083 cores). Change: a server is eligible only while its unread work and the extra reading there stay below the limit. Conclusion: under overload a request that is refused at once costs less than one that is read twice.

--- a/packages/decision/src/serverfleet.cpp
+++ b/packages/decision/src/serverfleet.cpp
@@ -4,6 +4,7 @@
 #include "bilberry/decision/rendezvous.h"
 
 #include <algorithm>
+#include <limits>
 
 namespace bilberry::decision {
 
@@ -119,6 +120,12 @@
     double bestScore = 0.0;
     bool coldSkipped = false;
     bool full = false;
+    std::vector<Choice> choices;
+    double leastReadMs = std::numeric_limits<double>::max();
+    for (std::size_t i = 0; i < usable.size(); ++i) {
+        choices.push_back(assess(usable[i].id, *usable[i].server, traits, i == home));
+        leastReadMs = std::min(leastReadMs, choices.back().readMs);
+    }
     for (std::size_t i = 0; i < usable.size(); ++i) {
         Server &server = *usable[i].server;
         if (usable[i].tier > worst)
@@ -134,8 +141,11 @@
             coldSkipped = true;
             continue;
         }
-        const Choice choice = assess(usable[i].id, server, traits, i == home);
-        if (pool && pool->engine && choice.backlogMs > backlogLimitMs(traits)) {
+        const Choice &choice = choices[i];
+        // What is read again counts like work that waits: under overload, spilling from a prompt's
+        // home would only add to the load.
+        const double againMs = choice.readMs - leastReadMs;
+        if (pool && pool->engine && choice.backlogMs + againMs > backlogLimitMs(traits)) {
             full = true;
             continue;
         }
