Let routers report their work and customers' demands to one another

Limits hold for the sum. What is read again weighs three times. Beyond its fair level a customer's limit falls steeply. Missing entries are used only when no other server can.

--- a/packages/decision/include/bilberry/decision/customermeter.h
+++ b/packages/decision/include/bilberry/decision/customermeter.h
@@ -16,6 +16,14 @@
     /// @param window length of the window
     explicit CustomerMeter(Duration window) : m_window(window) {}
 
+    /// Costs of one customer's requests within the window.
+    struct Demand
+    {
+        double asked = 0.0;
+        double given = 0.0;
+        bool operator==(const Demand &) const = default;
+    };
+
     /// A request arrived.
     /// @param cost its expected cost, in any unit
     void asked(const CustomerId &customer, double cost, TimePoint now);
@@ -23,6 +31,12 @@
     /// The request was sent to a server.
     void given(const CustomerId &customer, double cost, TimePoint now);
 
+    /// Takes over what another router counted in the same window.
+    void report(const RouterId &router, const std::map<CustomerId, Demand> &demands, TimePoint now);
+
+    /// @return what this router counted
+    std::map<CustomerId, Demand> own(TimePoint now);
+
     /// @return what the customer was given, relative to the fair level; 1 is the level itself. 0
     /// when nothing was given to it.
     double use(const CustomerId &customer, TimePoint now);
@@ -34,11 +48,24 @@
         SlidingSum given;
     };
 
+    /// Newest report of another router.
+    struct Peer
+    {
+        std::map<CustomerId, Demand> demands;
+        TimePoint at{};
+    };
+
     Account &account(const CustomerId &customer);
-    double fairLevel(TimePoint now);
+    /// @return the whole fleet's demands, as far as known
+    const std::map<CustomerId, Demand> &fleet(TimePoint now);
+    static double fairLevel(const std::map<CustomerId, Demand> &demands);
 
     Duration m_window;
     std::map<CustomerId, Account> m_accounts;
+    std::map<RouterId, Peer> m_peers;
+    std::map<CustomerId, Demand> m_fleet;
+    double m_level = 0.0;
+    TimePoint m_fleetAt{};
 };
 
 } // namespace bilberry::decision
--- a/packages/decision/include/bilberry/decision/serverfleet.h
+++ b/packages/decision/include/bilberry/decision/serverfleet.h
@@ -4,6 +4,7 @@
 #include "bilberry/base/result.h"
 #include "bilberry/decision/promptcache.h"
 #include "bilberry/decision/serverhealth.h"
+#include "bilberry/model/ids.h"
 #include "bilberry/model/trafficplan.h"
 
 #include <map>
@@ -25,16 +26,22 @@
 struct FleetSettings
 {
     ZoneId zone; ///< of the router; breaks ties
-    /// Unread prompt work of this router at a server beyond which requests are refused.
-    Duration backlogLimit = std::chrono::milliseconds(190);
+    /// Unread prompt work of all routers at a server beyond which requests are refused.
+    Duration backlogLimit = std::chrono::milliseconds(200);
+    /// The same for this router's work alone, while it hears of no other router.
+    Duration lonelyBacklogLimit = std::chrono::milliseconds(190);
+    /// A report of another router counts for this long.
+    Duration reportLifetime = std::chrono::seconds(1);
     /// Factor on the limit for a caller that was refused before.
     double returningFactor = 1.6;
-    /// Factor on the limit for a customer above its fair part.
-    double overuseFactor = 0.4;
-    /// Use of a customer's fair part above which the factor holds.
-    double overuseLevel = 1.25;
+    /// Fall of the limit for a customer above its fair part, for each further fair part.
+    double overuseSlope = 1.5;
+    /// Least factor on the limit of such a customer.
+    double leastOveruseFactor = 0.1;
     /// Cost of sending to another zone.
     Duration zonePenalty = std::chrono::milliseconds(2);
+    /// Weight of work that is done again elsewhere against waiting for the prompt's home.
+    double againWeight = 3.0;
     double tokensPerMs = 64.0;     ///< prompt tokens that an engine reads
     double attentionMsPerM = 0.65; ///< further cost of a million pairs of tokens
     double coldRequestsPerS = 1.0; ///< of this router to one server in a cold start
@@ -61,12 +68,20 @@
 struct Choice
 {
     ServerId server;
-    double backlogMs = 0.0;       ///< unread work of this router there
+    double backlogMs = 0.0;       ///< unread work of all routers there
     double readMs = 0.0;          ///< expected time to read the prompt
     std::uint32_t heldTokens = 0; ///< of the prompt, expected in the server's memory
     bool operator==(const Choice &) const = default;
 };
 
+/// Work of one router at one server.
+struct WorkLoad
+{
+    double backlogMs = 0.0;   ///< prompts sent and not read yet
+    std::size_t inFlight = 0; ///< requests sent and not ended
+    bool operator==(const WorkLoad &) const = default;
+};
+
 /// Number of a request that was sent to a server.
 using Ticket = std::uint64_t;
 
@@ -81,6 +96,16 @@
     /// Adds a server or takes over its new entry.
     void update(const DirectServer &server, TimePoint now);
     void remove(const ServerId &server);
+    /// The list has lost the server around an outage and may have it again soon: it takes work only
+    /// when no other server can.
+    void setMissing(const ServerId &server, bool missing);
+    /// Takes over what another router reports.
+    /// @param loads all servers where it has work
+    void report(const RouterId &router, const std::map<ServerId, WorkLoad> &loads, TimePoint now);
+    /// @return own work at the servers, without those where there is none
+    std::map<ServerId, WorkLoad> ownWork() const;
+    /// @return routers whose newest report counts, this one left out
+    std::size_t livePeers(TimePoint now) const;
     /// @param zones zones that receive no work; servers of a zone that returns count as cold
     void setZonesOut(const std::set<ZoneId> &zones, TimePoint now);
 
@@ -117,9 +142,16 @@
         TimePoint coldSlotAt{}; ///< when the next request of a cold start may go
         TimePoint misdirectedAt{};
         TimePoint lastByteAt{};
-        double backlogMs = 0.0;
+        WorkLoad own;
+        bool missing = false;
         std::map<Ticket, TimePoint> waiting; ///< requests without a first byte
-        std::size_t inFlight = 0;
+    };
+
+    /// Newest report of another router.
+    struct Peer
+    {
+        std::map<ServerId, WorkLoad> loads;
+        TimePoint at{};
     };
 
     struct Sent
@@ -135,16 +167,19 @@
     std::optional<Tier> tier(const Server &server, const RequestTraits &traits,
                              TimePoint now) const;
     bool silent(const Server &server, TimePoint now) const;
-    Choice assess(const ServerId &id, const Server &server, const RequestTraits &traits,
-                  bool isHome) const;
-    double score(const Server &server, const Choice &choice, const DirectPool *pool) const;
-    double backlogLimitMs(const RequestTraits &traits) const;
+    Choice assess(const ServerId &id, const Server &server, const WorkLoad &work,
+                  const RequestTraits &traits, bool isHome) const;
+    double score(const Server &server, const WorkLoad &work, const Choice &choice,
+                 double leastReadMs, const DirectPool *pool) const;
+    double backlogLimitMs(const RequestTraits &traits, bool alone) const;
+    std::map<ServerId, WorkLoad> remoteWork(TimePoint now) const;
     void markCold(Server &server, TimePoint now);
     Server *find(const ServerId &id);
 
     FleetSettings m_settings;
     TrafficPlanPtr m_plan;
     std::map<ServerId, Server> m_servers;
+    std::map<RouterId, Peer> m_peers;
     std::set<ZoneId> m_zonesOut;
     std::unordered_map<Ticket, Sent> m_sent;
     Ticket m_lastTicket = 0;
--- a/packages/decision/src/serverfleet.cpp
+++ b/packages/decision/src/serverfleet.cpp
@@ -80,6 +80,53 @@
     m_zonesOut = zones;
 }
 
+void ServerFleet::setMissing(const ServerId &id, bool missing)
+{
+    if (Server *server = find(id))
+        server->missing = missing;
+}
+
+void ServerFleet::report(const RouterId &router, const std::map<ServerId, WorkLoad> &loads,
+                         TimePoint now)
+{
+    m_peers[router] = {loads, now};
+    std::erase_if(m_peers, [&](const auto &entry) {
+        return now - entry.second.at > m_settings.reportLifetime;
+    });
+}
+
+std::map<ServerId, WorkLoad> ServerFleet::ownWork() const
+{
+    std::map<ServerId, WorkLoad> work;
+    for (const auto &[id, server] : m_servers) {
+        if (server.own.inFlight > 0)
+            work.emplace(id, server.own);
+    }
+    return work;
+}
+
+std::size_t ServerFleet::livePeers(TimePoint now) const
+{
+    return static_cast<std::size_t>(
+            std::count_if(m_peers.begin(), m_peers.end(), [&](const auto &entry) {
+                return now - entry.second.at <= m_settings.reportLifetime;
+            }));
+}
+
+std::map<ServerId, WorkLoad> ServerFleet::remoteWork(TimePoint now) const
+{
+    std::map<ServerId, WorkLoad> work;
+    for (const auto &[router, peer] : m_peers) {
+        if (now - peer.at > m_settings.reportLifetime)
+            continue;
+        for (const auto &[id, load] : peer.loads) {
+            work[id].backlogMs += load.backlogMs;
+            work[id].inFlight += load.inFlight;
+        }
+    }
+    return work;
+}
+
 Result<Choice> ServerFleet::choose(const RequestTraits &traits, TimePoint now)
 {
     struct Candidate
@@ -120,10 +167,19 @@
     double bestScore = 0.0;
     bool coldSkipped = false;
     bool full = false;
+    const std::map<ServerId, WorkLoad> remote = remoteWork(now);
+    const double limitMs = backlogLimitMs(traits, livePeers(now) == 0);
+    std::vector<WorkLoad> works;
     std::vector<Choice> choices;
     double leastReadMs = std::numeric_limits<double>::max();
     for (std::size_t i = 0; i < usable.size(); ++i) {
-        choices.push_back(assess(usable[i].id, *usable[i].server, traits, i == home));
+        WorkLoad work = usable[i].server->own;
+        if (const auto others = remote.find(usable[i].id); others != remote.end()) {
+            work.backlogMs += others->second.backlogMs;
+            work.inFlight += others->second.inFlight;
+        }
+        works.push_back(work);
+        choices.push_back(assess(usable[i].id, *usable[i].server, work, traits, i == home));
         leastReadMs = std::min(leastReadMs, choices.back().readMs);
     }
     for (std::size_t i = 0; i < usable.size(); ++i) {
@@ -131,7 +187,7 @@
         if (usable[i].tier > worst)
             continue;
         if (pool
-            && static_cast<double>(server.inFlight)
+            && static_cast<double>(server.own.inFlight)
                        >= std::max(4.0, m_settings.connectionShare * pool->maxConnections)) {
             full = true;
             continue;
@@ -145,11 +201,12 @@
         // What is read again counts like work that waits: under overload, spilling from a prompt's
         // home would only add to the load.
         const double againMs = choice.readMs - leastReadMs;
-        if (pool && pool->engine && choice.backlogMs + againMs > backlogLimitMs(traits)) {
+        if (pool && pool->engine && choice.backlogMs + againMs > limitMs) {
             full = true;
             continue;
         }
-        const double score = this->score(server, choice, pool) + (cold ? 1000.0 : 0.0);
+        const double score
+                = this->score(server, works[i], choice, leastReadMs, pool) + (cold ? 1000.0 : 0.0);
         if (!best || score < bestScore) {
             best = choice;
             bestScore = score;
@@ -167,9 +224,9 @@
     const Ticket ticket = ++m_lastTicket;
     m_sent[ticket] = {choice.server, choice.readMs, true};
     if (Server *server = find(choice.server)) {
-        server->backlogMs += choice.readMs;
+        server->own.backlogMs += choice.readMs;
         server->waiting.emplace(ticket, now);
-        ++server->inFlight;
+        ++server->own.inFlight;
         server->cache.read(traits.prompt);
         if (now < server->coldUntil)
             server->coldSlotAt = now + fromMilliseconds(1000.0 / m_settings.coldRequestsPerS);
@@ -195,7 +252,7 @@
         return;
     server->lastByteAt = now;
     server->waiting.erase(ticket);
-    server->backlogMs = std::max(0.0, server->backlogMs - found->second.readMs);
+    server->own.backlogMs = std::max(0.0, server->own.backlogMs - found->second.readMs);
 }
 
 void ServerFleet::ended(Ticket ticket, AttemptOutcome outcome, TimePoint now)
@@ -210,11 +267,11 @@
         return;
     if (sent.waiting) {
         server->waiting.erase(ticket);
-        server->backlogMs = std::max(0.0, server->backlogMs - sent.readMs);
+        server->own.backlogMs = std::max(0.0, server->own.backlogMs - sent.readMs);
     }
     if (server->waiting.empty())
-        server->backlogMs = 0.0;
-    server->inFlight -= server->inFlight > 0 ? 1 : 0;
+        server->own.backlogMs = 0.0;
+    server->own.inFlight -= server->own.inFlight > 0 ? 1 : 0;
     server->health.ended(outcome, now);
     if (outcome == AttemptOutcome::Misdirected)
         server->misdirectedAt = now;
@@ -241,7 +298,7 @@
 std::size_t ServerFleet::inFlight(const ServerId &id) const
 {
     const auto found = m_servers.find(id);
-    return found == m_servers.end() ? 0 : found->second.inFlight;
+    return found == m_servers.end() ? 0 : found->second.own.inFlight;
 }
 
 std::optional<ServerFleet::Tier> ServerFleet::tier(const Server &server,
@@ -255,7 +312,7 @@
             = server.misdirectedAt != TimePoint() && now - server.misdirectedAt < misdirectedPause;
     if (misdirected)
         return std::nullopt;
-    if (server.health.unreachable(now) || silent(server, now))
+    if (server.missing || server.health.unreachable(now) || silent(server, now))
         return Tier::Unreachable;
     return server.health.ejected(now) ? Tier::Ejected : Tier::Healthy;
 }
@@ -266,16 +323,16 @@
     if (server.waiting.empty())
         return false;
     const TimePoint oldest = server.waiting.begin()->second;
-    const Duration allowed = m_settings.silenceLimit + fromMilliseconds(server.backlogMs);
+    const Duration allowed = m_settings.silenceLimit + fromMilliseconds(server.own.backlogMs);
     return now - std::max(oldest, server.lastByteAt) > allowed;
 }
 
-Choice ServerFleet::assess(const ServerId &id, const Server &server, const RequestTraits &traits,
-                           bool isHome) const
+Choice ServerFleet::assess(const ServerId &id, const Server &server, const WorkLoad &work,
+                           const RequestTraits &traits, bool isHome) const
 {
     Choice choice;
     choice.server = id;
-    choice.backlogMs = server.backlogMs;
+    choice.backlogMs = work.backlogMs;
     const Prompt &prompt = traits.prompt;
     choice.heldTokens = server.cache.held(prompt);
     if (isHome) {
@@ -289,29 +346,31 @@
     return choice;
 }
 
-/// Expected time to the first byte, in milliseconds.
-double ServerFleet::score(const Server &server, const Choice &choice, const DirectPool *pool) const
+/// Time to wait and work done again, in milliseconds.
+double ServerFleet::score(const Server &server, const WorkLoad &work, const Choice &choice,
+                          double leastReadMs, const DirectPool *pool) const
 {
     double score
             = server.entry.zone == m_settings.zone ? 0.0 : toMilliseconds(m_settings.zonePenalty);
     if (pool && pool->engine) {
-        score += choice.backlogMs + choice.readMs;
-        score += runningCostMs * static_cast<double>(server.inFlight);
+        score += choice.backlogMs + m_settings.againWeight * (choice.readMs - leastReadMs);
+        score += runningCostMs * static_cast<double>(work.inFlight);
     } else {
         const double slots = std::max(1U, server.entry.slots);
-        score += plainWorkMs * static_cast<double>(server.inFlight) / slots;
+        score += plainWorkMs * static_cast<double>(work.inFlight) / slots;
     }
     return score;
 }
 
-double ServerFleet::backlogLimitMs(const RequestTraits &traits) const
+double ServerFleet::backlogLimitMs(const RequestTraits &traits, bool alone) const
 {
-    double limit = toMilliseconds(m_settings.backlogLimit);
-    if (traits.customerUse > m_settings.overuseLevel)
-        limit *= m_settings.overuseFactor;
-    else if (traits.returning)
+    double limit = toMilliseconds(alone ? m_settings.lonelyBacklogLimit : m_settings.backlogLimit);
+    if (traits.returning)
         limit *= m_settings.returningFactor;
-    return limit;
+    // Above the fair level the limit falls steeply; the level itself rises while all others have
+    // what they ask for, so that capacity is not left idle.
+    const double overuse = std::max(0.0, traits.customerUse - 1.0);
+    return limit * std::max(m_settings.leastOveruseFactor, 1.0 - m_settings.overuseSlope * overuse);
 }
 
 void ServerFleet::markCold(Server &server, TimePoint now)
--- a/packages/direct/include/bilberry/direct/directrouter.h
+++ b/packages/direct/include/bilberry/direct/directrouter.h
@@ -20,6 +20,7 @@
     std::string planItem = "current";
     std::string servers = "servers";    ///< one item for each server
     std::string zonesOut = "zones-out"; ///< one item for each zone that receives no work
+    std::string routers = "routers";    ///< routers enter themselves
     bool operator==(const CollectionNames &) const = default;
 };
 
--- a/packages/direct/include/bilberry/direct/directsettings.h
+++ b/packages/direct/include/bilberry/direct/directsettings.h
@@ -27,6 +27,7 @@
     Endpoint readiness;
     std::string readinessPath; ///< the balancer asks it
     Endpoint metrics;
+    Endpoint peers; ///< UDP, for reports of other routers
     Endpoint store;
     /// Age of the newest proof of the plan at which keyed requests are refused.
     Duration proofLimit = std::chrono::milliseconds(3500);
--- a/packages/direct/src/directrouter.cpp
+++ b/packages/direct/src/directrouter.cpp
@@ -4,6 +4,7 @@
 #include "bilberry/store/collectionwatcher.h"
 
 #include "directmetrics.h"
+#include "peerexchange.h"
 #include "planproof.h"
 #include "requestflow.h"
 
@@ -21,6 +22,8 @@
 
 /// Metrics and idle connections are looked after in this period.
 constexpr Duration housekeepingPeriod = std::chrono::seconds(1);
+/// Routers come and go seldom, and a late entry costs only a less exact choice.
+constexpr Duration routersWait = std::chrono::seconds(10);
 /// A stopping router looks this often whether it is idle.
 constexpr Duration stopPeriod = std::chrono::milliseconds(50);
 constexpr int acceptBacklog = 1024;
@@ -126,19 +129,35 @@
         store::WatcherHooks zones;
         zones.changed = [this](const store::Item &item) { zoneOut(item.name, true); };
         zones.removed = [this](const std::string &name) { zoneOut(name, false); };
-        follow(adapter.collections.plans, std::move(plans));
-        follow(adapter.collections.servers, std::move(servers));
-        follow(adapter.collections.zonesOut, std::move(zones));
+        servers.missing = [this](const std::string &name) {
+            fleet.setMissing(ServerId(name), true);
+            log.decision("A server is missing around an outage.", {{"server", name}});
+        };
+        servers.returned
+                = [this](const std::string &name) { fleet.setMissing(ServerId(name), false); };
+        peers = std::make_shared<PeerExchange>(io, settings, *collections,
+                                               adapter.collections.routers, fleet, meter);
+        store::WatcherHooks routers;
+        routers.changed = [this](const store::Item &item) { peers->entered(item); };
+        routers.removed = [this](const std::string &name) { peers->removed(name); };
+        follow(adapter.collections.plans, std::move(plans), settings.storeWait);
+        follow(adapter.collections.servers, std::move(servers), settings.storeWait);
+        follow(adapter.collections.zonesOut, std::move(zones), settings.storeWait);
+        follow(adapter.collections.routers, std::move(routers), routersWait);
     }
 
-    void follow(const std::string &collection, store::WatcherHooks hooks)
+    void follow(const std::string &collection, store::WatcherHooks hooks, Duration wait)
     {
         store::WatcherSettings watcher;
         watcher.collection = collection;
-        watcher.wait = settings.storeWait;
+        watcher.wait = wait;
         // Only the plan's age is of use; the others are judged by their entries.
         if (!hooks.proven)
             hooks.proven = [](TimePoint) {};
+        if (!hooks.missing)
+            hooks.missing = [](const std::string &) {};
+        if (!hooks.returned)
+            hooks.returned = [](const std::string &) {};
         hooks.lost = [this, collection](std::error_code error) {
             log.decision("Lost the store.",
                          {{"collection", collection}, {"error", error.message()}});
@@ -156,6 +175,7 @@
         accept();
         for (const auto &watcher : watchers)
             watcher->start();
+        peers->start();
         keepHouse();
         log.decision("Started.",
                      {{"router", settings.router.text()}, {"zone", settings.zone.text()}});
@@ -299,6 +319,7 @@
         log.decision("Stopping.", {{"callers", std::to_string(callers.size())}});
         for (const CallerConnectionPtr &caller : callers)
             caller->closeAfterAnswer();
+        peers->leave();
         continueStop();
     }
 
@@ -346,6 +367,7 @@
     CallerHooks callerHooks;
     std::unordered_set<CallerConnectionPtr> callers;
     std::unique_ptr<store::CollectionStore> collections;
+    std::shared_ptr<PeerExchange> peers;
     std::vector<std::unique_ptr<store::CollectionWatcher>> watchers;
     std::unique_ptr<admin::AdminServer> readinessServer;
     std::unique_ptr<admin::AdminServer> metricsServer;
--- a/packages/direct/src/directsettings.cpp
+++ b/packages/direct/src/directsettings.cpp
@@ -34,8 +34,14 @@
 {
     fleet.backlogLimit
             = readMilliseconds(reader, "placement.backlogLimitMs", 1, 60000, fleet.backlogLimit);
+    fleet.lonelyBacklogLimit = readMilliseconds(reader, "placement.lonelyBacklogLimitMs", 1, 60000,
+                                                fleet.lonelyBacklogLimit);
     fleet.zonePenalty
             = readMilliseconds(reader, "placement.zonePenaltyMs", 0, 1000, fleet.zonePenalty);
+    fleet.againWeight = reader.number("placement.againWeight", 0.0, 100.0, fleet.againWeight);
+    fleet.returningFactor
+            = reader.number("placement.returningFactor", 0.1, 100.0, fleet.returningFactor);
+    fleet.overuseSlope = reader.number("placement.overuseSlope", 0.0, 100.0, fleet.overuseSlope);
     fleet.tokensPerMs = reader.number("placement.tokensPerMs", 0.1, 100000.0, fleet.tokensPerMs);
     fleet.coldRequestsPerS
             = reader.number("placement.coldRequestsPerS", 0.01, 1000.0, fleet.coldRequestsPerS);
@@ -61,6 +67,7 @@
     settings.balancerLag
             = readMilliseconds(reader, "readiness.balancerLagMs", 0, 60000, settings.balancerLag);
     settings.metrics = readEndpoint(reader, "metrics.listen");
+    settings.peers = readEndpoint(reader, "peers.listen");
     settings.store = readEndpoint(reader, "store.address");
     settings.storeWait = readMilliseconds(reader, "store.waitMs", 10, 30000, settings.storeWait);
     settings.proofLimit
--- a/packages/router/include/bilberry/router/coordinator.h
+++ b/packages/router/include/bilberry/router/coordinator.h
@@ -72,6 +72,8 @@
     void handle(const wire::ServiceReport &report, TimePoint now);
     void handle(const wire::ServiceTotals &totals, TimePoint now);
     void handle(const wire::QuarantineGossip &gossip, TimePoint now);
+    /// Only routers that reach their servers directly send and use it.
+    void handle(const wire::DirectReport &, TimePoint) {}
 
     wire::GossipSender self() const;
     bool isFrozen(TimePoint now) const;
--- a/packages/router/src/router.cpp
+++ b/packages/router/src/router.cpp
@@ -7,9 +7,9 @@
 #include "bilberry/router/agentlinks.h"
 #include "bilberry/router/callerserver.h"
 #include "bilberry/router/coordinator.h"
-#include "bilberry/router/gossipsocket.h"
 #include "bilberry/router/platformduty.h"
 #include "bilberry/router/routercore.h"
+#include "bilberry/wire/gossipsocket.h"
 
 #include "routerevents.h"
 #include "routermetrics.h"
@@ -39,6 +39,17 @@
     };
 }
 
+/// @return the routers of the list with their UDP ports
+std::vector<wire::GossipPeer> gossipPeers(const std::vector<store::Vm> &vms)
+{
+    std::vector<wire::GossipPeer> peers;
+    for (const store::Vm &vm : vms) {
+        if (vm.role == store::VmRole::Router)
+            peers.push_back({RouterId(vm.name), vm.address, vm.port});
+    }
+    return peers;
+}
+
 } // namespace
 
 struct Router::Parts
@@ -72,7 +83,7 @@
           admin(adminDuty.context(), settings.listenAddress, settings.adminPort, handlers()),
           coreTimer(coreDuty.context()), gossipTimer(gossipDuty.context())
     {
-        gossip.setPeers(settings.peers);
+        gossip.setPeers(gossipPeers(settings.peers));
     }
 
     /// A new request may be refused; what follows it must not get lost.
@@ -304,7 +315,7 @@
     void setVms(const std::vector<store::Vm> &vms)
     {
         coordinator.setKnown(vms);
-        gossip.setPeers(vms);
+        gossip.setPeers(gossipPeers(vms));
     }
 
     void onPlatformEvent(PlatformEvent &event)
@@ -444,7 +455,7 @@
     RouterCore core;
     Coordinator coordinator;
     AgentLinks links;
-    GossipSocket gossip;
+    wire::GossipSocket gossip;
     PlatformDuty platform;
     CallerServer callers;
     admin::AdminServer admin;
--- a/packages/store/include/bilberry/store/collectionstore.h
+++ b/packages/store/include/bilberry/store/collectionstore.h
@@ -47,8 +47,8 @@
     bool operator==(const Changes &) const = default;
 };
 
-/// Read access to named collections of a platform's store; an implementation translates one
-/// platform's protocol.
+/// Access to named collections of a platform's store; an implementation translates one platform's
+/// protocol.
 class CollectionStore
 {
 public:
@@ -67,6 +67,16 @@
     /// @return the changes, or HistoryGone, or an error of list()
     virtual boost::asio::awaitable<Result<Changes>>
     watch(std::string collection, StoreRevision since, Duration wait, Duration limit) = 0;
+
+    /// Creates an item or replaces it, whatever it holds.
+    /// @return success, or RateLimited, Unavailable, OutcomeUnknown
+    virtual boost::asio::awaitable<Status> put(std::string collection, Item item, Duration limit)
+            = 0;
+
+    /// Removes an item; one that is not there counts as removed.
+    virtual boost::asio::awaitable<Status> remove(std::string collection, std::string name,
+                                                  Duration limit)
+            = 0;
 };
 
 } // namespace bilberry::store
--- a/packages/store/include/bilberry/store/collectionwatcher.h
+++ b/packages/store/include/bilberry/store/collectionwatcher.h
@@ -31,6 +31,9 @@
 {
     std::function<void(const Item &)> changed;
     std::function<void(const std::string &name)> removed;
+    /// An item vanished around an outage; it is removed later unless it returns.
+    std::function<void(const std::string &name)> missing;
+    std::function<void(const std::string &name)> returned;
     /// The collection was known to be current at that time.
     std::function<void(TimePoint at)> proven;
     std::function<void(std::error_code)> lost; ///< a call failed after a success
--- a/packages/store/src/collectionwatcher.cpp
+++ b/packages/store/src/collectionwatcher.cpp
@@ -100,7 +100,8 @@
 
     void put(const Item &item)
     {
-        missing.erase(item.name);
+        if (missing.erase(item.name) > 0)
+            hooks.returned(item.name);
         const auto [found, added] = known.try_emplace(item.name, item.value);
         if (!added && found->second == item.value)
             return;
@@ -118,6 +119,7 @@
             return;
         }
         missing.insert(name);
+        hooks.missing(name);
         returnTimer.expires_at(*returnUntil);
         returnTimer.async_wait([self = shared_from_this()](boost::system::error_code error) {
             if (error || self->stopped)
--- a/packages/wire/include/bilberry/wire/gossipmessages.h
+++ b/packages/wire/include/bilberry/wire/gossipmessages.h
@@ -95,7 +95,37 @@
     bool operator==(const QuarantineGossip &) const = default;
 };
 
-using GossipMessage = std::variant<Probe, ProbeAck, ServiceReport, ServiceTotals, QuarantineGossip>;
+/// Work that a router has at a server that it reaches directly.
+struct DirectLoad
+{
+    ServerId server;
+    std::uint32_t unreadUs
+            = 0; ///< prompts sent and not read yet, microseconds of the server's work
+    std::uint32_t inFlight = 0; ///< requests sent and not ended
+    bool operator==(const DirectLoad &) const = default;
+};
+
+/// What a customer asked of a router in its newest fairness window, in tokens.
+struct CustomerDemand
+{
+    CustomerId customer;
+    std::uint64_t asked = 0;
+    std::uint64_t given = 0;
+    bool operator==(const CustomerDemand &) const = default;
+};
+
+/// What a direct router tells all others. Each report replaces the one before.
+struct DirectReport
+{
+    GossipSender sender;
+    std::uint64_t sequence = 0;          ///< the largest of an incarnation holds
+    std::vector<DirectLoad> loads;       ///< servers without work are left out
+    std::vector<CustomerDemand> demands; ///< empty in reports that carry loads only
+    bool operator==(const DirectReport &) const = default;
+};
+
+using GossipMessage = std::variant<Probe, ProbeAck, ServiceReport, ServiceTotals, QuarantineGossip,
+                                   DirectReport>;
 
 } // namespace bilberry::wire
 
--- a/packages/router/include/bilberry/router/gossipsocket.h
+++ b/packages/wire/include/bilberry/wire/gossipsocket.h
@@ -1,8 +1,7 @@
-#ifndef BILBERRY_ROUTER_GOSSIPSOCKET_H
-#define BILBERRY_ROUTER_GOSSIPSOCKET_H
+#ifndef BILBERRY_WIRE_GOSSIPSOCKET_H
+#define BILBERRY_WIRE_GOSSIPSOCKET_H
 
 #include "bilberry/base/log.h"
-#include "bilberry/store/objectstore.h"
 #include "bilberry/wire/codec.h"
 
 #include <boost/asio/ip/udp.hpp>
@@ -11,13 +10,22 @@
 #include <functional>
 #include <map>
 
-namespace bilberry::router {
+namespace bilberry::wire {
+
+/// A router and where it receives datagrams.
+struct GossipPeer
+{
+    RouterId router;
+    std::string address; ///< IP number
+    std::uint16_t port = 0;
+    bool operator==(const GossipPeer &) const = default;
+};
 
 /// Sends and receives datagrams between routers. Runs on one event loop.
 class GossipSocket
 {
 public:
-    using ReceiveHook = std::function<void(wire::GossipMessage &&)>;
+    using ReceiveHook = std::function<void(GossipMessage &&)>;
 
     /// Binds at once; throws std::system_error when the address can't be used.
     GossipSocket(boost::asio::io_context &context, const std::string &address, std::uint16_t port,
@@ -26,14 +34,14 @@
     /// Starts receiving.
     void start();
     /// Replaces the addresses. A list without routers changes nothing.
-    void setPeers(const std::vector<store::Vm> &vms);
+    void setPeers(const std::vector<GossipPeer> &listed);
 
     /// Sends to a listed router, or to one that the lagging list leaves out and that was heard.
-    void send(const RouterId &router, const wire::GossipMessage &message);
+    void send(const RouterId &router, const GossipMessage &message);
 
 private:
     void receive();
-    void learnSender(const wire::GossipMessage &message);
+    void learnSender(const GossipMessage &message);
 
     boost::asio::ip::udp::socket m_socket;
     ReceiveHook m_onReceive;
@@ -45,6 +53,6 @@
     boost::asio::ip::udp::endpoint m_from;
 };
 
-} // namespace bilberry::router
+} // namespace bilberry::wire
 
 #endif
--- a/packages/router/src/gossipsocket.cpp
+++ b/packages/wire/src/gossipsocket.cpp
@@ -1,6 +1,6 @@
-#include "bilberry/router/gossipsocket.h"
+#include "bilberry/wire/gossipsocket.h"
 
-namespace bilberry::router {
+namespace bilberry::wire {
 
 namespace asio = boost::asio;
 
@@ -24,14 +24,14 @@
     receive();
 }
 
-void GossipSocket::setPeers(const std::vector<store::Vm> &vms)
+void GossipSocket::setPeers(const std::vector<GossipPeer> &listed)
 {
     std::map<RouterId, asio::ip::udp::endpoint> peers;
-    for (const store::Vm &vm : vms) {
+    for (const GossipPeer &peer : listed) {
         boost::system::error_code error;
-        const auto address = asio::ip::make_address(vm.address, error);
-        if (!error && vm.role == store::VmRole::Router)
-            peers[RouterId(vm.name)] = {address, vm.port};
+        const auto address = asio::ip::make_address(peer.address, error);
+        if (!error)
+            peers[peer.router] = {address, peer.port};
     }
     if (peers.empty())
         return;
@@ -40,7 +40,7 @@
     m_learned.clear();
 }
 
-void GossipSocket::send(const RouterId &router, const wire::GossipMessage &message)
+void GossipSocket::send(const RouterId &router, const GossipMessage &message)
 {
     auto peer = m_peers.find(router);
     if (peer == m_peers.end()) {
@@ -48,14 +48,14 @@
         if (peer == m_learned.end())
             return;
     }
-    const std::string datagram = wire::encodeDatagram(message);
+    const std::string datagram = encodeDatagram(message);
     // A datagram that does not leave at once is lost like one that is lost on its way.
     boost::system::error_code ignored;
     m_socket.send_to(asio::buffer(datagram), peer->second, 0, ignored);
     m_onSent(datagram.size());
 }
 
-void GossipSocket::learnSender(const wire::GossipMessage &message)
+void GossipSocket::learnSender(const GossipMessage &message)
 {
     const RouterId sender = std::visit(
             [](const auto &alternative) { return alternative.sender.router; }, message);
@@ -71,7 +71,7 @@
                 if (error == asio::error::operation_aborted || !m_socket.is_open())
                     return;
                 if (!error) {
-                    auto message = wire::decodeDatagram({m_buffer.data(), size});
+                    auto message = decodeDatagram({m_buffer.data(), size});
                     if (message) {
                         learnSender(message.value());
                         m_onReceive(std::move(message).value());
@@ -83,4 +83,4 @@
             });
 }
 
-} // namespace bilberry::router
+} // namespace bilberry::wire
--- a/packages/wire/src/serialization.h
+++ b/packages/wire/src/serialization.h
@@ -57,6 +57,9 @@
 BILBERRY_FIELDS(PoolFloor, m.pool, m.virtualTime)
 BILBERRY_FIELDS(ServiceTotals, m.sender, m.totals, m.floors)
 BILBERRY_FIELDS(QuarantineGossip, m.sender, m.notices)
+BILBERRY_FIELDS(DirectLoad, m.server, m.unreadUs, m.inFlight)
+BILBERRY_FIELDS(CustomerDemand, m.customer, m.asked, m.given)
+BILBERRY_FIELDS(DirectReport, m.sender, m.sequence, m.loads, m.demands)
 
 #undef BILBERRY_FIELDS
 
--- a/packages/router/tests/gossipsocket_test.cpp
+++ b/packages/wire/tests/gossipsocket_test.cpp
@@ -1,11 +1,11 @@
-#include "bilberry/router/gossipsocket.h"
+#include "bilberry/wire/gossipsocket.h"
 
 #include "support/fleet.h"
 
 #include <catch2/catch.hpp>
 
 using namespace bilberry;
-using namespace bilberry::router;
+using namespace bilberry::wire;
 
 namespace {
 
@@ -30,14 +30,7 @@
         socket.send(RouterId(peer), probe);
     }
 
-    store::Vm vm(const std::string &as) const
-    {
-        store::Vm vm;
-        vm.name = as;
-        vm.address = "127.0.0.1";
-        vm.port = port;
-        return vm;
-    }
+    GossipPeer peer(const std::string &as) const { return {RouterId(as), "127.0.0.1", port}; }
 
     std::string name;
     std::uint16_t port;
@@ -61,7 +54,7 @@
                 context.run_one_until(deadline);
             return received;
         };
-        fresh.socket.setPeers({old.vm("old")});
+        fresh.socket.setPeers({old.peer("old")});
         old.sendTo("fresh");
 
         WHEN("the new router speaks first")
@@ -75,7 +68,7 @@
             }
             THEN("a list with another address for its name is followed")
             {
-                old.socket.setPeers({replaced.vm("fresh")});
+                old.socket.setPeers({replaced.peer("fresh")});
                 old.sendTo("fresh");
                 CHECK(run(replaced.received, 1) == 1);
                 CHECK(fresh.received == 0);
