Scale the backlog limit by the latency objective and let refused callers return early

Change: the limit is proportional to the objective (150 ms of unread work at 600 ms); an overloaded router asks for a return after 0.2 to 0.5 objectives; a caller that returns meets the same limit as others. A caller that returns late earns little and displaces one that would be on time; it is still served whenever there is room.

--- a/packages/decision/include/bilberry/decision/serverfleet.h
+++ b/packages/decision/include/bilberry/decision/serverfleet.h
@@ -26,14 +26,15 @@
 struct FleetSettings
 {
     ZoneId zone; ///< of the router; breaks ties
-    /// Unread prompt work of all routers at a server beyond which requests are refused.
-    Duration backlogLimit = std::chrono::milliseconds(200);
+    /// Unread prompt work of all routers at a server beyond which requests are refused, for a
+    /// latency objective of 600 ms; it is proportional to the objective.
+    Duration backlogLimit = std::chrono::milliseconds(150);
     /// The same for this router's work alone, while it hears of no other router.
     Duration lonelyBacklogLimit = std::chrono::milliseconds(190);
     /// A report of another router counts for this long.
     Duration reportLifetime = std::chrono::seconds(1);
     /// Factor on the limit for a caller that was refused before.
-    double returningFactor = 1.6;
+    double returningFactor = 1.0;
     /// Fall of the limit for a customer above its fair part, for each further fair part.
     double overuseSlope = 1.5;
     /// Least factor on the limit of such a customer.
@@ -58,9 +59,10 @@
     PoolId pool;
     Prompt prompt;
     std::uint32_t outputTokens = 0;
-    bool returning = false;      ///< the caller was refused before
-    double customerUse = 0.0;    ///< see CustomerMeter::use()
-    std::set<ServerId> excluded; ///< servers that failed it before
+    Duration objective = std::chrono::milliseconds(600); ///< to the first byte
+    bool returning = false;                              ///< the caller was refused before
+    double customerUse = 0.0;                            ///< see CustomerMeter::use()
+    std::set<ServerId> excluded;                         ///< servers that failed it before
     bool operator==(const RequestTraits &) const = default;
 };
 
--- a/packages/decision/src/serverfleet.cpp
+++ b/packages/decision/src/serverfleet.cpp
@@ -18,6 +18,8 @@
 constexpr double runningCostMs = 0.3;
 /// Expected duration of a request at a plain service, in milliseconds.
 constexpr double plainWorkMs = 30.0;
+/// Latency objective for which the backlog limits are given.
+constexpr double limitObjectiveMs = 600.0;
 /// An address that another server took over is left alone until the list catches up.
 constexpr Duration misdirectedPause = std::chrono::seconds(5);
 
@@ -365,6 +367,7 @@
 double ServerFleet::backlogLimitMs(const RequestTraits &traits, bool alone) const
 {
     double limit = toMilliseconds(alone ? m_settings.lonelyBacklogLimit : m_settings.backlogLimit);
+    limit *= toMilliseconds(traits.objective) / limitObjectiveMs;
     if (traits.returning)
         limit *= m_settings.returningFactor;
     // Above the fair level the limit falls steeply; the level itself rises while all others have
--- a/packages/direct/src/requestflow.cpp
+++ b/packages/direct/src/requestflow.cpp
@@ -30,6 +30,9 @@
 constexpr double silenceObjectives = 3.0;
 /// Tokens of output counted like this many tokens read, as the fleet's capacity is given.
 constexpr double outputWeight = 2.0;
+/// Return of a caller that an overload refused, in latency objectives.
+constexpr double leastReturn = 0.2;
+constexpr double mostReturn = 0.5;
 /// Share of a caller's remaining time up to which it heeds Retry-After.
 constexpr double heededShare = 1.0 / 3.0;
 
@@ -164,6 +167,7 @@
 
 void RequestFlow::readTraits()
 {
+    m_traits.objective = m_route->latencyObjective;
     m_traits.pool = pickPool(*m_route, m_context.random);
     const std::string_view parts = m_message[m_context.names.promptParts];
     if (!parts.empty())
@@ -503,8 +507,14 @@
 {
     if (statusOf(reason) != 503)
         return std::nullopt;
-    constexpr double leastMs = 350.0;
-    constexpr double mostMs = 900.0;
+    double leastMs = 300.0;
+    double mostMs = 900.0;
+    // Work of a full server is done soon: a caller that returns early may still be served in time.
+    if (reason == RefusalReason::Overloaded) {
+        const double objective = toMilliseconds(m_route->latencyObjective);
+        leastMs = leastReturn * objective;
+        mostMs = mostReturn * objective;
+    }
     std::uniform_real_distribution<double> spread(leastMs, mostMs);
     Duration wait = fromMilliseconds(spread(m_context.random));
     if (m_deadline != TimePoint())
