--- a/packages/base/tests/base_test.cpp
+++ b/packages/base/tests/base_test.cpp
@@ -7,11 +7,15 @@
 #include <boost/json.hpp>
 #include <catch2/catch.hpp>
 
+#include <array>
+#include <cerrno>
 #include <iostream>
 #include <memory>
 #include <sstream>
 #include <thread>
 
+#include <unistd.h>
+
 using namespace bilberry;
 
 namespace {
@@ -37,6 +41,52 @@
     std::streambuf *m_before;
 };
 
+/// Takes the place of standard output: a pipe that nobody reads until the test does.
+class CapturedOutput
+{
+public:
+    CapturedOutput() : m_before(dup(STDOUT_FILENO))
+    {
+        if (pipe(m_pipe) != 0 || dup2(m_pipe[1], STDOUT_FILENO) < 0)
+            throw std::system_error(errno, std::generic_category());
+        close(m_pipe[1]);
+    }
+    ~CapturedOutput()
+    {
+        restore();
+        close(m_pipe[0]);
+    }
+
+    /// Writes what is waiting, and reads what came.
+    std::vector<std::string> lines()
+    {
+        flushLogging();
+        restore();
+        std::string text;
+        std::array<char, 4096> buffer{};
+        for (ssize_t size = 0; (size = read(m_pipe[0], buffer.data(), buffer.size())) > 0;)
+            text.append(buffer.data(), static_cast<std::size_t>(size));
+        std::istringstream in(text);
+        std::vector<std::string> lines;
+        for (std::string line; std::getline(in, line);)
+            lines.push_back(line);
+        return lines;
+    }
+
+private:
+    void restore()
+    {
+        if (m_before < 0)
+            return;
+        dup2(m_before, STDOUT_FILENO);
+        close(m_before);
+        m_before = -1;
+    }
+
+    int m_before;
+    int m_pipe[2] = {-1, -1};
+};
+
 } // namespace
 
 SCENARIO("a result holds a value or a typed error")
@@ -151,17 +201,40 @@
     }
     GIVEN("the JSON format")
     {
+        CapturedOutput output;
         setUpLogging({LogLevel::Info, LogFormat::Json});
-        Log("agent").error("A \"quoted\" name.");
-        THEN("a line is one object")
+        Log log("agent");
+        WHEN("a sentence and a decision are logged")
         {
-            const auto lines = captured.lines();
-            REQUIRE(lines.size() == 1);
-            const auto line = boost::json::parse(lines[0]).as_object();
-            CHECK(line.at("part").as_string() == "agent");
-            CHECK(line.at("level").as_string() == "ERROR");
-            CHECK(line.at("message").as_string() == "A \"quoted\" name.");
-            CHECK(line.at("time").as_string().size() > 20);
+            log.error("A \"quoted\" name.");
+            log.decision("Refused.", {{"request", "r-1"}, {"reason", "overloaded"}});
+            const auto lines = output.lines();
+            THEN("each line on standard output is one object, with the decision's inputs")
+            {
+                REQUIRE(lines.size() == 2);
+                const auto line = boost::json::parse(lines[0]).as_object();
+                CHECK(line.at("part").as_string() == "agent");
+                CHECK(line.at("level").as_string() == "ERROR");
+                CHECK(line.at("message").as_string() == "A \"quoted\" name.");
+                CHECK(line.at("time").as_string().size() > 20);
+                CHECK_FALSE(line.contains("request"));
+                const auto decision = boost::json::parse(lines[1]).as_object();
+                CHECK(decision.at("request").as_string() == "r-1");
+                CHECK(decision.at("reason").as_string() == "overloaded");
+            }
+        }
+        WHEN("nobody reads, and decisions come in a flood")
+        {
+            constexpr int flood = 20000;
+            const TimePoint start = Clock::now();
+            for (int i = 0; i < flood; ++i)
+                log.decision("Refused.", {{"request", std::string(200, 'x')}});
+            THEN("logging does not wait for the reader, and the volume is bounded")
+            {
+                CHECK(Clock::now() - start < std::chrono::seconds(1));
+                // Two clock seconds of at most 500 lines each, and the count of the others.
+                CHECK(output.lines().size() <= 1010);
+            }
         }
     }
 }
--- a/packages/daemon/tests/settingspage_test.cpp
+++ b/packages/daemon/tests/settingspage_test.cpp
@@ -59,7 +59,8 @@
 SCENARIO("the settings page lists every key with its range and default")
 {
     for (const auto &[role, heading] :
-         {std::pair{"router", "Keys of a router"}, std::pair{"agent", "Keys of an agent"}}) {
+         {std::pair{"router", "Keys of a router"}, std::pair{"agent", "Keys of an agent"},
+          std::pair{"direct-router", "Keys of a direct router"}}) {
         INFO(role);
         CHECK(text(tableBelow(heading)) == text(keysOf(role)));
     }
