--- a/packages/decision/include/bilberry/decision/serverfleet.h
+++ b/packages/decision/include/bilberry/decision/serverfleet.h
@@ -36,7 +36,7 @@
     /// Factor on the limit for a caller that was refused before.
     double returningFactor = 1.0;
     /// Fall of the limit for a customer above its fair part, for each further fair part.
-    double overuseSlope = 1.5;
+    double overuseSlope = 3.0;
     /// Least factor on the limit of such a customer.
     double leastOveruseFactor = 0.1;
     /// Cost of sending to another zone.
--- a/packages/direct/src/directsettings.cpp
+++ b/packages/direct/src/directsettings.cpp
@@ -36,6 +36,8 @@
             = readMilliseconds(reader, "placement.backlogLimitMs", 1, 60000, fleet.backlogLimit);
     fleet.lonelyBacklogLimit = readMilliseconds(reader, "placement.lonelyBacklogLimitMs", 1, 60000,
                                                 fleet.lonelyBacklogLimit);
+    fleet.leastOveruseFactor
+            = reader.number("placement.leastOveruseFactor", 0.0, 1.0, fleet.leastOveruseFactor);
     fleet.zonePenalty
             = readMilliseconds(reader, "placement.zonePenaltyMs", 0, 1000, fleet.zonePenalty);
     fleet.againWeight = reader.number("placement.againWeight", 0.0, 100.0, fleet.againWeight);
--- a/packages/direct/src/requestflow.cpp
+++ b/packages/direct/src/requestflow.cpp
@@ -291,6 +291,8 @@
         const TimePoint now = Clock::now();
         if (!m_answerStarted)
             m_context.firstByteTook(m_traits.pool, now - m_receivedAt);
+        if (m_firstByteAt == TimePoint())
+            m_firstByteAt = now;
         m_context.fleet.firstByte(m_ticket, now);
         passOn(m_events ? m_events->take(data) : std::move(data));
         return;
@@ -373,10 +375,12 @@
     }
     endAttempt(status >= 500 ? AttemptOutcome::ServerError : AttemptOutcome::Answered);
     ++m_context.counts.answered;
-    m_context.log.decision("Answered.", {{"request", m_id},
-                                         {"server", m_choice.server.text()},
-                                         {"status", std::to_string(status)},
-                                         {"tookMs", milliseconds(Clock::now() - m_receivedAt)}});
+    m_context.log.decision("Answered.",
+                           {{"request", m_id},
+                            {"server", m_choice.server.text()},
+                            {"status", std::to_string(status)},
+                            {"firstByteMs", milliseconds(m_firstByteAt - m_receivedAt)},
+                            {"tookMs", milliseconds(Clock::now() - m_receivedAt)}});
     if (m_answerStarted) {
         if (!m_body.empty())
             passOn(std::move(m_body));
--- a/packages/direct/src/requestflow.h
+++ b/packages/direct/src/requestflow.h
@@ -93,6 +93,7 @@
     std::string m_id;
     TimePoint m_receivedAt;
     TimePoint m_deadline{};
+    TimePoint m_firstByteAt{}; ///< of a streamed answer
     TrafficPlanPtr m_plan;
     const DirectRoute *m_route = nullptr;
     CustomerId m_customer;
