Ask the store less often, and make reports, log lines and choices cheaper

Change: a watcher pauses 150 ms after changes; servers and zones are watched with a wait twice the plan's; the sums of other routers' reports are kept instead of formed for each choice; a report is encoded once; the period of reports grows with the number of peers; log fields are formed without a map; the home is found by hashes kept per server.

--- a/packages/base/src/log.cpp
+++ b/packages/base/src/log.cpp
@@ -4,20 +4,22 @@
 
 #include <boost/json/object.hpp>
 #include <boost/json/serialize.hpp>
+#include <boost/json/string_view.hpp>
 #include <log4cplus/configurator.h>
 #include <log4cplus/consoleappender.h>
 #include <log4cplus/initializer.h>
 #include <log4cplus/layout.h>
 #include <log4cplus/logger.h>
 #include <log4cplus/loggingmacros.h>
-#include <log4cplus/mdc.h>
 #include <log4cplus/spi/loggingevent.h>
 
 #include <algorithm>
 #include <atomic>
 #include <cerrno>
+#include <chrono>
 #include <climits>
 #include <condition_variable>
+#include <ctime>
 #include <memory>
 #include <sstream>
 #include <thread>
@@ -42,23 +44,60 @@
 /// A reader that takes nothing for so long loses the batch.
 constexpr int stuckReaderMs = 1000;
 
-/// One JSON object a line: time, level, part, message.
+/// Stands between a line's sentence and its fields, which are JSON already.
+constexpr char fieldsMark = '\x1f';
+
+/// @return the fields as JSON members, each with a comma in front
+std::string toMembers(const LogFields &fields)
+{
+    std::string members;
+    for (const auto &[name, value] : fields) {
+        members += ",\"";
+        members += name;
+        members += "\":";
+        members += boost::json::serialize(boost::json::string_view(value));
+    }
+    return members;
+}
+
+/// One JSON object a line: time, level, part, message, and the line's fields.
 class JsonLayout : public log4cplus::Layout
 {
 public:
     void formatAndAppend(log4cplus::tostream &out,
                          const log4cplus::spi::InternalLoggingEvent &event) override
     {
-        boost::json::object line;
-        line["time"] = log4cplus::helpers::getFormattedTime("%Y-%m-%dT%H:%M:%S.%qZ",
-                                                            event.getTimestamp(), true);
-        line["level"] = log4cplus::getLogLevelManager().toString(event.getLogLevel());
-        line["part"] = event.getLoggerName();
-        line["message"] = event.getMessage();
-        for (const auto &[name, value] : event.getMDCCopy())
-            line[name] = value;
-        out << boost::json::serialize(line) << '\n';
+        const std::string &message = event.getMessage();
+        const std::size_t mark = std::min(message.find(fieldsMark), message.size());
+        const std::string_view sentence = std::string_view(message).substr(0, mark);
+        const std::string_view members
+                = std::string_view(message).substr(std::min(mark + 1, message.size()));
+        out << "{\"time\":\"" << timeText(event.getTimestamp()) << "\",\"level\":\""
+            << log4cplus::getLogLevelManager().toString(event.getLogLevel()) << "\",\"part\":\""
+            << event.getLoggerName()
+            << "\",\"message\":" << boost::json::serialize(boost::json::string_view(sentence))
+            << members << "}\n";
     }
+
+private:
+    /// Formats the date once a second.
+    std::string timeText(const log4cplus::helpers::Time &time)
+    {
+        const std::time_t second = log4cplus::helpers::to_time_t(time);
+        if (second != m_second) {
+            m_second = second;
+            m_secondText = log4cplus::helpers::getFormattedTime("%Y-%m-%dT%H:%M:%S", time, true);
+        }
+        const auto ms
+                = std::chrono::duration_cast<std::chrono::milliseconds>(time.time_since_epoch())
+                          .count()
+                  % 1000;
+        std::string text = m_secondText + '.' + std::to_string(1000 + ms).substr(1);
+        return text += 'Z';
+    }
+
+    std::time_t m_second = 0;
+    std::string m_secondText;
 };
 
 /// Writes lines to standard output on a thread of its own.
@@ -173,6 +212,13 @@
     }
 };
 
+/// @return whether lines are JSON; the text format leaves the fields out
+bool &jsonFormat()
+{
+    static bool json = false;
+    return json;
+}
+
 log4cplus::LogLevel toLevel(LogLevel level)
 {
     switch (level) {
@@ -200,6 +246,7 @@
 void setUpLogging(const LogSettings &settings)
 {
     static const log4cplus::Initializer initializer;
+    jsonFormat() = settings.format == LogFormat::Json;
     log4cplus::SharedAppenderPtr appender;
     if (settings.format == LogFormat::Json) {
         if (!lineWriter())
@@ -275,11 +322,12 @@
     if (suppressed > 0)
         logger.log(log4cplus::WARN_LOG_LEVEL, std::to_string(suppressed) + " lines suppressed.",
                    nullptr, 0, "");
-    log4cplus::MDC &context = log4cplus::getMDC();
-    for (const auto &[name, value] : fields)
-        context.put(name, value);
-    logger.log(toLevel(level), std::string(sentence), nullptr, 0, "");
-    context.clear();
+    std::string message(sentence);
+    if (!fields.empty() && jsonFormat()) {
+        message += fieldsMark;
+        message += toMembers(fields);
+    }
+    logger.log(toLevel(level), message, nullptr, 0, "");
 }
 
 } // namespace bilberry
--- a/packages/decision/include/bilberry/decision/rendezvous.h
+++ b/packages/decision/include/bilberry/decision/rendezvous.h
@@ -11,6 +11,11 @@
 /// @return 64-bit hash of the text, the same on every machine
 std::uint64_t stableHash(std::string_view text);
 
+/// @param key hash of what is to be placed
+/// @param node hash of a candidate's name
+/// @return the candidate's weight for the key; the heaviest one owns it
+std::uint64_t rendezvousWeight(std::uint64_t key, std::uint64_t node);
+
 /// Rendezvous hashing: when a node leaves, only its own keys move.
 /// @param key what is to be placed
 /// @param nodes names of the candidates
--- a/packages/decision/include/bilberry/decision/serverfleet.h
+++ b/packages/decision/include/bilberry/decision/serverfleet.h
@@ -138,6 +138,7 @@
         }
 
         DirectServer entry;
+        std::uint64_t nameHash = 0;
         ServerHealth health;
         PromptCache cache;
         TimePoint coldUntil{};
@@ -145,6 +146,7 @@
         TimePoint misdirectedAt{};
         TimePoint lastByteAt{};
         WorkLoad own;
+        WorkLoad remote; ///< of all routers whose reports count
         bool missing = false;
         std::map<Ticket, TimePoint> waiting; ///< requests without a first byte
     };
@@ -169,12 +171,13 @@
     std::optional<Tier> tier(const Server &server, const RequestTraits &traits,
                              TimePoint now) const;
     bool silent(const Server &server, TimePoint now) const;
-    Choice assess(const ServerId &id, const Server &server, const WorkLoad &work,
-                  const RequestTraits &traits, bool isHome) const;
+    Choice assess(const Server &server, const WorkLoad &work, const RequestTraits &traits,
+                  bool isHome) const;
     double score(const Server &server, const WorkLoad &work, const Choice &choice,
                  double leastReadMs, const DirectPool *pool) const;
     double backlogLimitMs(const RequestTraits &traits, bool alone) const;
-    std::map<ServerId, WorkLoad> remoteWork(TimePoint now) const;
+    void dropOldReports(TimePoint now);
+    void countRemote(const std::map<ServerId, WorkLoad> &loads, double sign);
     void markCold(Server &server, TimePoint now);
     Server *find(const ServerId &id);
 
@@ -182,6 +185,7 @@
     TrafficPlanPtr m_plan;
     std::map<ServerId, Server> m_servers;
     std::map<RouterId, Peer> m_peers;
+    TimePoint m_reportsCheckedAt{};
     std::set<ZoneId> m_zonesOut;
     std::unordered_map<Ticket, Sent> m_sent;
     Ticket m_lastTicket = 0;
--- a/packages/decision/src/rendezvous.cpp
+++ b/packages/decision/src/rendezvous.cpp
@@ -21,6 +21,11 @@
     return XXH3_64bits(text.data(), text.size());
 }
 
+std::uint64_t rendezvousWeight(std::uint64_t key, std::uint64_t node)
+{
+    return XXH3_64bits_withSeed(&key, sizeof key, node);
+}
+
 std::size_t rendezvousOwner(std::string_view key, const std::vector<std::string> &nodes)
 {
     std::size_t best = 0;
--- a/packages/decision/src/serverfleet.cpp
+++ b/packages/decision/src/serverfleet.cpp
@@ -20,6 +20,8 @@
 constexpr double plainWorkMs = 30.0;
 /// Latency objective for which the backlog limits are given.
 constexpr double limitObjectiveMs = 600.0;
+/// Reports are looked through for old ones in this period.
+constexpr Duration reportCheckPeriod = std::chrono::milliseconds(200);
 /// An address that another server took over is left alone until the list catches up.
 constexpr Duration misdirectedPause = std::chrono::seconds(5);
 
@@ -66,6 +68,7 @@
     else if (restarted)
         markCold(server, now);
     server.entry = entry;
+    server.nameHash = stableHash(entry.id.text());
 }
 
 void ServerFleet::remove(const ServerId &id)
@@ -91,10 +94,41 @@
 void ServerFleet::report(const RouterId &router, const std::map<ServerId, WorkLoad> &loads,
                          TimePoint now)
 {
-    m_peers[router] = {loads, now};
-    std::erase_if(m_peers, [&](const auto &entry) {
-        return now - entry.second.at > m_settings.reportLifetime;
-    });
+    Peer &peer = m_peers[router];
+    countRemote(peer.loads, -1.0);
+    peer = {loads, now};
+    countRemote(peer.loads, 1.0);
+}
+
+/// Keeps the sums of all reports up to date, so that a choice need not form them.
+void ServerFleet::countRemote(const std::map<ServerId, WorkLoad> &loads, double sign)
+{
+    for (const auto &[id, load] : loads) {
+        Server *server = find(id);
+        if (!server)
+            continue;
+        WorkLoad &remote = server->remote;
+        remote.backlogMs = std::max(0.0, remote.backlogMs + sign * load.backlogMs);
+        if (sign > 0.0)
+            remote.inFlight += load.inFlight;
+        else
+            remote.inFlight -= std::min(remote.inFlight, load.inFlight);
+    }
+}
+
+void ServerFleet::dropOldReports(TimePoint now)
+{
+    if (now - m_reportsCheckedAt < reportCheckPeriod)
+        return;
+    m_reportsCheckedAt = now;
+    for (auto peer = m_peers.begin(); peer != m_peers.end();) {
+        if (now - peer->second.at <= m_settings.reportLifetime) {
+            ++peer;
+            continue;
+        }
+        countRemote(peer->second.loads, -1.0);
+        peer = m_peers.erase(peer);
+    }
 }
 
 std::map<ServerId, WorkLoad> ServerFleet::ownWork() const
@@ -115,37 +149,21 @@
             }));
 }
 
-std::map<ServerId, WorkLoad> ServerFleet::remoteWork(TimePoint now) const
-{
-    std::map<ServerId, WorkLoad> work;
-    for (const auto &[router, peer] : m_peers) {
-        if (now - peer.at > m_settings.reportLifetime)
-            continue;
-        for (const auto &[id, load] : peer.loads) {
-            work[id].backlogMs += load.backlogMs;
-            work[id].inFlight += load.inFlight;
-        }
-    }
-    return work;
-}
-
 Result<Choice> ServerFleet::choose(const RequestTraits &traits, TimePoint now)
 {
     struct Candidate
     {
-        ServerId id;
         Server *server = nullptr;
         Tier tier = Tier::Healthy;
     };
     std::vector<Candidate> usable;
-    std::vector<std::string> names;
+    usable.reserve(m_servers.size());
     std::size_t healthy = 0;
     for (auto &[id, server] : m_servers) {
         const auto tier = this->tier(server, traits, now);
         if (!tier)
             continue;
-        usable.push_back({id, &server, *tier});
-        names.push_back(id.text());
+        usable.push_back({&server, *tier});
         healthy += *tier == Tier::Healthy ? 1 : 0;
     }
     if (usable.empty())
@@ -161,27 +179,33 @@
     if (allUnreachable)
         worst = Tier::Unreachable;
 
-    std::size_t home = usable.size();
-    if (traits.prompt.sharedKey() != 0)
-        home = rendezvousOwner(std::to_string(traits.prompt.sharedKey()), names);
+    const Server *home = nullptr;
+    if (const std::uint64_t key = traits.prompt.sharedKey(); key != 0) {
+        home = std::max_element(usable.begin(), usable.end(),
+                                [key](const Candidate &left, const Candidate &right) {
+                                    return rendezvousWeight(key, left.server->nameHash)
+                                           < rendezvousWeight(key, right.server->nameHash);
+                                })
+                       ->server;
+    }
     const DirectPool *pool = m_plan ? m_plan->pool(traits.pool) : nullptr;
     std::optional<Choice> best;
     double bestScore = 0.0;
     bool coldSkipped = false;
     bool full = false;
-    const std::map<ServerId, WorkLoad> remote = remoteWork(now);
-    const double limitMs = backlogLimitMs(traits, livePeers(now) == 0);
+    dropOldReports(now);
+    const double limitMs = backlogLimitMs(traits, m_peers.empty());
     std::vector<WorkLoad> works;
     std::vector<Choice> choices;
+    works.reserve(usable.size());
+    choices.reserve(usable.size());
     double leastReadMs = std::numeric_limits<double>::max();
     for (std::size_t i = 0; i < usable.size(); ++i) {
-        WorkLoad work = usable[i].server->own;
-        if (const auto others = remote.find(usable[i].id); others != remote.end()) {
-            work.backlogMs += others->second.backlogMs;
-            work.inFlight += others->second.inFlight;
-        }
+        const Server &server = *usable[i].server;
+        const WorkLoad work{server.own.backlogMs + server.remote.backlogMs,
+                            server.own.inFlight + server.remote.inFlight};
         works.push_back(work);
-        choices.push_back(assess(usable[i].id, *usable[i].server, work, traits, i == home));
+        choices.push_back(assess(server, work, traits, &server == home));
         leastReadMs = std::min(leastReadMs, choices.back().readMs);
     }
     for (std::size_t i = 0; i < usable.size(); ++i) {
@@ -329,11 +353,11 @@
     return now - std::max(oldest, server.lastByteAt) > allowed;
 }
 
-Choice ServerFleet::assess(const ServerId &id, const Server &server, const WorkLoad &work,
-                           const RequestTraits &traits, bool isHome) const
+Choice ServerFleet::assess(const Server &server, const WorkLoad &work, const RequestTraits &traits,
+                           bool isHome) const
 {
     Choice choice;
-    choice.server = id;
+    choice.server = server.entry.id;
     choice.backlogMs = work.backlogMs;
     const Prompt &prompt = traits.prompt;
     choice.heldTokens = server.cache.held(prompt);
--- a/packages/direct/include/bilberry/direct/directsettings.h
+++ b/packages/direct/include/bilberry/direct/directsettings.h
@@ -31,7 +31,8 @@
     Endpoint store;
     /// Age of the newest proof of the plan at which keyed requests are refused.
     Duration proofLimit = std::chrono::milliseconds(3500);
-    Duration storeWait = std::chrono::milliseconds(1500); ///< of one watch call
+    Duration storeWait = std::chrono::milliseconds(
+            1800); ///< of a watch call for the plan; twice it for others
     Duration stopLimit = std::chrono::milliseconds(7300); ///< of a graceful shutdown
     /// Time in which the balancer takes a router out that is not ready.
     Duration balancerLag = std::chrono::milliseconds(2500);
--- a/packages/direct/src/peerexchange.cpp
+++ b/packages/direct/src/peerexchange.cpp
@@ -19,6 +19,8 @@
 
 /// Between two reports; a server reads about 3,000 prompt tokens meanwhile.
 constexpr Duration reportPeriod = std::chrono::milliseconds(50);
+/// With so many peers, and with each further so many, the period grows by itself.
+constexpr std::size_t peersAtFullRate = 8;
 /// Demands change slowly and go with every so many reports.
 constexpr std::uint64_t reportsForDemands = 5;
 /// A router without work reports this seldom.
@@ -128,11 +130,12 @@
                 report.demands.push_back({customer, static_cast<std::uint64_t>(demand.asked),
                                           static_cast<std::uint64_t>(demand.given)});
         }
-        for (const auto &[name, peer] : m_peers)
-            m_socket.send(peer.router, report);
+        m_socket.sendToAll(report);
     }
     m_hadWork = !work.empty();
-    m_reportTimer.expires_after(reportPeriod);
+    // The datagrams that a router sends and receives in a second don't grow with the fleet.
+    const auto stretch = static_cast<int>(1 + m_peers.size() / peersAtFullRate);
+    m_reportTimer.expires_after(reportPeriod * stretch);
     m_reportTimer.async_wait([self = shared_from_this()](boost::system::error_code error) {
         if (!error)
             self->report();
--- a/packages/store/include/bilberry/store/collectionwatcher.h
+++ b/packages/store/include/bilberry/store/collectionwatcher.h
@@ -17,6 +17,8 @@
     /// Longest wait of one call; also the age at which a silent connection is noticed.
     Duration wait = std::chrono::seconds(2);
     Duration callLimit = std::chrono::milliseconds(900);
+    /// After changes the next call waits so long, so that one answer carries several of them.
+    Duration pause = std::chrono::milliseconds(150);
     Duration firstBackoff = std::chrono::milliseconds(150); ///< after one failed call
     Duration maxBackoff = std::chrono::milliseconds(800);
     /// An outage at least this long may have lapsed entries of living writers.
--- a/packages/store/src/collectionwatcher.cpp
+++ b/packages/store/src/collectionwatcher.cpp
@@ -19,7 +19,7 @@
     State(asio::io_context &context, CollectionStore &store, WatcherSettings settings,
           WatcherHooks hooks, std::function<double()> random)
         : store(store), settings(std::move(settings)), hooks(std::move(hooks)),
-          random(std::move(random)), backoffTimer(context), returnTimer(context)
+          random(std::move(random)), pauseTimer(context), returnTimer(context)
     {
     }
 
@@ -67,9 +67,18 @@
             const TimePoint heldUntil = std::min(askedAt + settings.wait, Clock::now());
             succeeded(quiet ? heldUntil : askedAt);
             take(changes.value());
+            if (!quiet)
+                co_await sleep(settings.pause);
         }
     }
 
+    asio::awaitable<void> sleep(Duration duration)
+    {
+        pauseTimer.expires_after(duration);
+        boost::system::error_code ignored;
+        co_await pauseTimer.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
+    }
+
     void take(const Snapshot &snapshot)
     {
         revision = snapshot.revision;
@@ -157,17 +166,14 @@
         const std::uint32_t doublings = std::min(failures++, 8U);
         const Duration backoff
                 = std::min(settings.firstBackoff * (1U << doublings), settings.maxBackoff);
-        backoffTimer.expires_after(
-                fromMilliseconds(toMilliseconds(backoff) * (0.5 + 0.5 * random())));
-        boost::system::error_code ignored;
-        co_await backoffTimer.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
+        co_await sleep(fromMilliseconds(toMilliseconds(backoff) * (0.5 + 0.5 * random())));
     }
 
     CollectionStore &store;
     WatcherSettings settings;
     WatcherHooks hooks;
     std::function<double()> random;
-    asio::steady_timer backoffTimer;
+    asio::steady_timer pauseTimer;
     asio::steady_timer returnTimer;
     StoreRevision revision = 0;
     std::map<std::string, std::string> known; ///< values by name
@@ -189,13 +195,13 @@
 CollectionWatcher::~CollectionWatcher()
 {
     m_state->stopped = true;
-    m_state->backoffTimer.cancel();
+    m_state->pauseTimer.cancel();
     m_state->returnTimer.cancel();
 }
 
 void CollectionWatcher::start()
 {
-    asio::co_spawn(m_state->backoffTimer.get_executor(), State::follow(m_state), asio::detached);
+    asio::co_spawn(m_state->pauseTimer.get_executor(), State::follow(m_state), asio::detached);
 }
 
 } // namespace bilberry::store
--- a/packages/store/tests/collectionwatcher_test.cpp
+++ b/packages/store/tests/collectionwatcher_test.cpp
@@ -70,6 +70,7 @@
         settings.wait = 20ms;
         settings.firstBackoff = 2ms;
         settings.maxBackoff = 10ms;
+        settings.pause = 1ms;
         settings.outageThreshold = 5ms;
         settings.returnLimit = 100ms;
         hooks.changed = [this](const Item &item) { values[item.name] = item.value; };
--- a/packages/wire/include/bilberry/wire/gossipsocket.h
+++ b/packages/wire/include/bilberry/wire/gossipsocket.h
@@ -39,8 +39,12 @@
     /// Sends to a listed router, or to one that the lagging list leaves out and that was heard.
     void send(const RouterId &router, const GossipMessage &message);
 
+    /// Sends to every listed router.
+    void sendToAll(const GossipMessage &message);
+
 private:
     void receive();
+    void sendDatagram(const boost::asio::ip::udp::endpoint &peer, const std::string &datagram);
     void learnSender(const GossipMessage &message);
 
     boost::asio::ip::udp::socket m_socket;
--- a/packages/wire/src/gossipsocket.cpp
+++ b/packages/wire/src/gossipsocket.cpp
@@ -48,10 +48,21 @@
         if (peer == m_learned.end())
             return;
     }
+    sendDatagram(peer->second, encodeDatagram(message));
+}
+
+void GossipSocket::sendToAll(const GossipMessage &message)
+{
     const std::string datagram = encodeDatagram(message);
+    for (const auto &[router, peer] : m_peers)
+        sendDatagram(peer, datagram);
+}
+
+void GossipSocket::sendDatagram(const asio::ip::udp::endpoint &peer, const std::string &datagram)
+{
     // A datagram that does not leave at once is lost like one that is lost on its way.
     boost::system::error_code ignored;
-    m_socket.send_to(asio::buffer(datagram), peer->second, 0, ignored);
+    m_socket.send_to(asio::buffer(datagram), peer, 0, ignored);
     m_onSent(datagram.size());
 }
 
