End the process without static destructors once all is flushed

Stages written to standard error showed that the hang comes after the last line of main's own work: log4cplus joins its thread pool there. Ruled out: the drain (all routers logged 'Stopped.' 3 to 7.3 s after the signal), the log writer's thread (it had joined).

--- a/packages/daemon/src/main.cpp
+++ b/packages/daemon/src/main.cpp
@@ -1,6 +1,13 @@
 #include "daemon.h"
 
+#include <cstdlib>
+#include <iostream>
+
 int main(int argc, char **argv)
 {
-    return bilberry::daemon::run(argc, argv);
+    const int code = bilberry::daemon::run(argc, argv);
+    std::cout.flush();
+    // The logging library's static destructors wait for its thread pool; where all threads share
+    // one core in turns, that wait was seen not to end. All lines are flushed here.
+    std::_Exit(code);
 }
