Share a cold server's rate between all routers that are heard

Cause: each router sent one request a second to a server in a cold start, whatever their number: 25 routers of the grown deployment would send 25 a second where the server bears 8. Change: the interval is at least the number of routers divided by what the server bears. The test for 24 routers fails before the change.

--- a/packages/decision/src/serverfleet.cpp
+++ b/packages/decision/src/serverfleet.cpp
@@ -40,6 +40,17 @@
 
 const ErrorCategory category("choice", describe);
 
+/// @return time between two requests of this router to a cold server, so that all routers together
+/// stay within what it bears
+Duration coldInterval(const DirectPool *pool, double requestsPerS, std::size_t peers)
+{
+    const double own = 1000.0 / requestsPerS;
+    if (!pool || pool->warmupRate <= 0.0)
+        return fromMilliseconds(own);
+    const double routers = static_cast<double>(peers) + 1.0;
+    return fromMilliseconds(std::max(own, 1000.0 * routers / pool->warmupRate));
+}
+
 } // namespace
 
 std::error_code make_error_code(ChoiceErrc error)
@@ -255,7 +266,9 @@
         ++server->own.inFlight;
         server->cache.read(traits.prompt);
         if (now < server->coldUntil)
-            server->coldSlotAt = now + fromMilliseconds(1000.0 / m_settings.coldRequestsPerS);
+            server->coldSlotAt = now
+                                 + coldInterval(m_plan ? m_plan->pool(server->entry.pool) : nullptr,
+                                                m_settings.coldRequestsPerS, m_peers.size());
     }
     return ticket;
 }
--- a/packages/decision/tests/serverfleet_test.cpp
+++ b/packages/decision/tests/serverfleet_test.cpp
@@ -290,7 +290,7 @@
     {
         Router router(0);
         DirectServer cold = serverNamed("cold");
-        cold.warmupLeft = 3s;
+        cold.warmupLeft = 10s;
         router.fleet.update(cold, router.now);
         const RequestTraits request = router.traits(Prompt());
         THEN("the second request of a second is refused")
@@ -300,9 +300,22 @@
             router.now += 1s;
             CHECK(router.send(request));
         }
+        WHEN("many other routers are at work")
+        {
+            constexpr int others = 23;
+            for (int i = 0; i < others; ++i)
+                router.fleet.report(RouterId("r" + std::to_string(i)), {}, router.now);
+            REQUIRE(router.send(request));
+            THEN("all of them together stay within what the server bears")
+            {
+                // 24 routers, 8 requests a second: one request in 3 s for each.
+                router.now += 2s;
+                CHECK_FALSE(router.send(request));
+            }
+        }
         THEN("it is warm when its time is over")
         {
-            router.now += 3s;
+            router.now += 10s;
             CHECK(router.send(request));
             CHECK(router.send(request));
         }
--- a/packages/direct/src/callerconnection.cpp
+++ b/packages/direct/src/callerconnection.cpp
@@ -132,7 +132,6 @@
 {
     m_answering = true;
     m_readingRequest = false;
-    boost::system::error_code ignored;
     m_timer.cancel();
     CallerMessage message = m_parser->release();
     m_keepAlive = message.keep_alive();
