Hold back unsigned streams, and cut streams that can't go on

Cause: found by reading the request's way once more. (1) A stream that the server had not signed was passed on as it came. (2) When the server that was to go on with a broken stream failed instead, its error text was appended and the answer ended as if it were whole. (3) A resumable stream on a public route was never resumed. Change: a success that is not signed, or encoded on the way, is held back and replaced; a failed resumption cuts the stream; events are split whether or not the route is public.

--- a/packages/direct/src/requestflow.cpp
+++ b/packages/direct/src/requestflow.cpp
@@ -101,6 +101,15 @@
     return route.pools.front().pool;
 }
 
+/// @return false for a success that the server did not sign, or whose body was encoded on the way
+bool isServersOwn(const ResponseHeader &header, const ProtocolNames &names)
+{
+    const bool success = header.result_int() / 100 == 2;
+    return !success
+           || (header.count(names.signature) > 0
+               && header.count(http::field::content_encoding) == 0);
+}
+
 std::string milliseconds(Duration duration)
 {
     const auto whole = std::chrono::duration_cast<std::chrono::milliseconds>(duration).count();
@@ -178,13 +187,13 @@
         m_traits.outputTokens = static_cast<std::uint32_t>(toNumber(counts[1], 0));
     m_context.retries.try_emplace(m_traits.pool, m_context.settings.retries)
             .first->second.requestSeen(m_receivedAt);
+    if (m_route->kind == RequestKind::Stream && m_route->resumable)
+        m_events.emplace();
     if (m_customer.empty())
         return;
     const double cost = m_traits.prompt.tokens() + outputWeight * m_traits.outputTokens;
     m_traits.customerUse = m_context.meter.use(m_customer, m_receivedAt);
     m_context.meter.asked(m_customer, cost, m_receivedAt);
-    if (m_route->kind == RequestKind::Stream && m_route->resumable)
-        m_events.emplace();
 }
 
 void RequestFlow::place()
@@ -280,7 +289,9 @@
     const unsigned status = header.result_int();
     m_notRun = status == 421 || header.count(m_context.names.notRun) > 0;
     m_header = header;
-    m_streaming = m_route->kind == RequestKind::Stream && status / 100 == 2;
+    // What a server did not sign is held back, and replaced when it has ended.
+    m_streaming = m_route->kind == RequestKind::Stream && status / 100 == 2
+                  && isServersOwn(header, m_context.names);
     if (!m_streaming)
         m_context.fleet.firstByte(m_ticket, now);
 }
@@ -298,7 +309,7 @@
         return;
     }
     m_body += data;
-    if (m_body.size() > holdBackLimit && !m_notRun)
+    if (m_body.size() > holdBackLimit && !m_notRun && isServersOwn(*m_header, m_context.names))
         passOn(std::exchange(m_body, {}));
 }
 
@@ -356,11 +367,10 @@
         attemptFailed(status == 421 ? AttemptOutcome::Misdirected : AttemptOutcome::Shed, false);
         return;
     }
-    const bool success = status / 100 == 2;
-    const bool unsignedAnswer = m_header->count(m_context.names.signature) == 0;
-    const bool encoded = m_header->count(http::field::content_encoding) > 0;
     const bool midEvent = m_events && !m_events->atEventEnd();
-    if ((success && (unsignedAnswer || encoded)) || midEvent) {
+    // A stream that has begun can't end with the failure of the server that was to go on with it.
+    const bool failedToResume = m_events && m_answerStarted && !m_streaming;
+    if (!isServersOwn(*m_header, m_context.names) || midEvent || failedToResume) {
         attemptFailed(AttemptOutcome::BrokenAnswer, true);
         return;
     }
--- a/packages/direct/tests/directrouter_test.cpp
+++ b/packages/direct/tests/directrouter_test.cpp
@@ -83,13 +83,16 @@
 TrafficPlan thePlan()
 {
     TrafficPlanParts parts;
-    parts.routes
-            = {route("/read/", RequestKind::Idempotent, 2),
-               route("/book/", RequestKind::NonIdempotent, 1),
-               route("/resume/", RequestKind::Stream, 2), route("/stream/", RequestKind::Stream, 1),
-               route("/open/", RequestKind::Idempotent, 1)};
+    parts.routes = {route("/read/", RequestKind::Idempotent, 2),
+                    route("/book/", RequestKind::NonIdempotent, 1),
+                    route("/resume/", RequestKind::Stream, 2),
+                    route("/stream/", RequestKind::Stream, 1),
+                    route("/open/", RequestKind::Idempotent, 1),
+                    route("/open-resume/", RequestKind::Stream, 2)};
     parts.routes[2].resumable = true;
     parts.routes[4].isPublic = true;
+    parts.routes[5].isPublic = true;
+    parts.routes[5].resumable = true;
     parts.pools[PoolId("pool")].id = PoolId("pool");
     parts.customers = {{CustomerId("kitchen"), {sha256Hex("key")}}};
     return TrafficPlan::create(1, parts).value();
@@ -518,6 +521,13 @@
             }
             CHECK(resumedAfter == "1");
         }
+        THEN("a public one goes on too")
+        {
+            const RawAnswer got = setting.call("/open-resume/x", "", "", "");
+            CHECK(got.contains(first));
+            CHECK(got.contains(second));
+            CHECK(got.contains("\r\n0\r\n\r\n"));
+        }
         THEN("another stream is cut")
         {
             const RawAnswer got = setting.call("/stream/x");
@@ -528,6 +538,40 @@
     }
 }
 
+SCENARIO("a stream that can't go on does not end as if it were whole")
+{
+    const std::string first = "id: 1\ndata: a\n\n";
+    GIVEN("a server that breaks off, and one that fails the rest")
+    {
+        FirstThenRest answers({streamHead + chunk(first), ScriptedAnswer::Then::Reset},
+                              {answer("500 Error", "oh no")});
+        ScriptedServer one(answers.script());
+        ScriptedServer two(answers.script());
+        Setting setting({&one, &two});
+        THEN("the stream is cut, and the failure is no part of it")
+        {
+            const RawAnswer got = setting.call("/resume/x");
+            CHECK(answers.count() == 2);
+            CHECK(got.contains("data: a"));
+            CHECK_FALSE(got.contains("oh no"));
+            CHECK_FALSE(got.contains("\r\n0\r\n\r\n"));
+        }
+    }
+    GIVEN("a server that does not sign its stream")
+    {
+        std::string head = streamHead;
+        head.replace(head.find("Bilberry-Signature: sig\r\n"), 25, "");
+        ScriptedServer server(always(head + chunk(first) + "0\r\n\r\n"));
+        Setting setting({&server});
+        THEN("nothing of it is passed on")
+        {
+            const RawAnswer got = setting.call("/stream/x");
+            CHECK(got.status() == 502);
+            CHECK_FALSE(got.contains("data: a"));
+        }
+    }
+}
+
 SCENARIO("a planned stop cuts off no request")
 {
     GIVEN("a router with a request on its way")
