Read pipelined answers to their end in the direct router's test

RawCaller::readAnswer() drops what arrives behind the answer that it reads, so that two answers in one read leave nothing for the second call. The router had sent both. Change: the test reads until the connection ends and checks both answers, their order, and both requests at the server.

--- a/packages/direct/tests/directrouter_test.cpp
+++ b/packages/direct/tests/directrouter_test.cpp
@@ -306,12 +306,19 @@
         WHEN("one connection carries several requests")
         {
             RawCaller caller(setting.port());
-            const std::string request = Setting::request("/open/x", "", "", "", true);
-            caller.send(request + request);
-            THEN("each gets its answer")
+            caller.send(Setting::request("/open/x", "", "", "", true)
+                        + Setting::request("/open/y", "", "", ""));
+            const RawAnswer all = caller.readAll();
+            THEN("each gets its whole answer, in order")
             {
-                CHECK(caller.readAnswer().status() == 200);
-                CHECK(caller.readAnswer().status() == 200);
+                CHECK(all.status() == 200);
+                CHECK(all.answers() == 2);
+                const std::size_t first = all.text.find("\r\n\r\nwhole");
+                REQUIRE(first != std::string::npos);
+                CHECK(all.text.find("\r\n\r\nwhole", first + 1) != std::string::npos);
+                REQUIRE(server.requests().size() == 2);
+                CHECK(server.requests()[0].head.starts_with("POST /open/x "));
+                CHECK(server.requests()[1].head.starts_with("POST /open/y "));
             }
         }
         WHEN("the store falls silent")
