Drop requests whose callers left before they were read

A router of 0.09 cores that gets a flood reads requests seconds after they arrived; the caller's close lies behind the request in the same socket, but the request was sent on within the handler that read it, before the close was looked at. Ruled out: closes noticed too late after sending (callers that leave later are cancelled at once, test 'a caller waits for it and leaves'). The in-process router of the tests moves to tests/support.

--- a/packages/direct/src/callerconnection.cpp
+++ b/packages/direct/src/callerconnection.cpp
@@ -1,5 +1,6 @@
 #include "callerconnection.h"
 
+#include <boost/asio/post.hpp>
 #include <boost/asio/write.hpp>
 #include <boost/beast/core/buffers_to_string.hpp>
 
@@ -139,7 +140,12 @@
     m_version = message.version();
     if (!m_isReading && m_buffer.size() < pipelineLimit)
         read();
-    m_hooks.request(shared_from_this(), std::move(message));
+    // The end of a connection that is there already is seen by the read above, whose handler runs
+    // first: the request of a caller that has left is never sent on.
+    asio::post(m_socket.get_executor(),
+               [self = shared_from_this(), message = std::move(message)]() mutable {
+                   self->m_hooks.request(self, std::move(message));
+               });
 }
 
 void CallerConnection::fault(boost::system::error_code error)
--- a/packages/direct/src/callerconnection.h
+++ b/packages/direct/src/callerconnection.h
@@ -63,6 +63,9 @@
     /// @return true while a request is being answered or read
     bool busy() const { return m_answering || m_readingRequest; }
 
+    /// @return true when the connection has ended on either side
+    bool isClosed() const { return m_closed; }
+
     /// The next answer is the connection's last one.
     void closeAfterAnswer() { m_lastAnswer = true; }
     /// Closes the connection if no request is on its way.
--- a/packages/direct/src/requestflow.cpp
+++ b/packages/direct/src/requestflow.cpp
@@ -129,6 +129,10 @@
 void RequestFlow::start()
 {
     ++m_context.counts.requests;
+    if (m_caller->isClosed()) {
+        callerGone();
+        return;
+    }
     m_caller->onGone = [self = shared_from_this()] { self->callerGone(); };
     if (const auto reason = admit()) {
         refuse(*reason);
--- a/packages/direct/tests/directrouter_test.cpp
+++ b/packages/direct/tests/directrouter_test.cpp
@@ -2,13 +2,11 @@
 
 #include "bilberry/base/digest.h"
 
+#include "support/directsetting.h"
 #include "support/fleet.h"
 #include "support/rawcaller.h"
 #include "support/scriptedserver.h"
 
-#include <boost/asio/post.hpp>
-#include <boost/asio/steady_timer.hpp>
-#include <boost/asio/use_awaitable.hpp>
 #include <catch2/catch.hpp>
 
 #include <thread>
@@ -18,54 +16,8 @@
 using namespace bilberry::tests;
 using namespace std::chrono_literals;
 
-namespace asio = boost::asio;
-
 namespace {
 
-/// Collections whose items a test sets; they don't change while the router runs, but the store may
-/// fall silent.
-class MemoryStore : public store::CollectionStore
-{
-public:
-    MemoryStore(asio::io_context &context,
-                std::map<std::string, std::vector<store::Item>> &collections,
-                std::atomic<bool> &down)
-        : m_context(context), m_collections(collections), m_down(down)
-    {
-    }
-
-    asio::awaitable<Result<store::Snapshot>> list(std::string collection, Duration) override
-    {
-        if (m_down)
-            co_return store::StoreErrc::Unavailable;
-        co_return store::Snapshot{m_collections[collection], 1};
-    }
-
-    asio::awaitable<Result<store::Changes>> watch(std::string, store::StoreRevision since,
-                                                  Duration wait, Duration) override
-    {
-        asio::steady_timer timer(m_context, wait);
-        co_await timer.async_wait(asio::use_awaitable);
-        if (m_down)
-            co_return store::StoreErrc::Unavailable;
-        co_return store::Changes{{}, since};
-    }
-
-    asio::awaitable<Status> put(std::string, store::Item, Duration) override
-    {
-        co_return success();
-    }
-    asio::awaitable<Status> remove(std::string, std::string, Duration) override
-    {
-        co_return success();
-    }
-
-private:
-    asio::io_context &m_context;
-    std::map<std::string, std::vector<store::Item>> &m_collections;
-    std::atomic<bool> &m_down;
-};
-
 DirectRoute route(const std::string &prefix, RequestKind kind, std::uint32_t attempts)
 {
     DirectRoute made;
@@ -99,103 +51,22 @@
 }
 
 /// A router in this process, before scripted servers.
-class Setting
+class Setting : public DirectSetting
 {
 public:
-    explicit Setting(std::vector<ScriptedServer *> servers)
-    {
-        for (std::size_t i = 0; i < servers.size(); ++i) {
-            DirectServer server;
-            server.id = ServerId("s" + std::to_string(i));
-            server.pool = PoolId("pool");
-            server.zone = ZoneId("a");
-            server.address = "127.0.0.1";
-            server.port = servers[i]->port();
-            server.slots = 8;
-            m_servers[server.id.text()] = server;
-            m_collections["servers"].push_back({server.id.text(), std::to_string(i)});
-        }
-        m_collections["plans"].push_back({"current", "1"});
-        PlatformAdapter adapter;
-        adapter.decodePlan = [](const std::string &) -> Result<TrafficPlan> { return thePlan(); };
-        adapter.decodeServer
-                = [this](const std::string &id, const std::string &) -> Result<DirectServer> {
-            return m_servers.at(id);
-        };
-        adapter.openStore = [this](asio::io_context &context, const Endpoint &, StoreCallHook) {
-            return std::make_unique<MemoryStore>(context, m_collections, m_storeDown);
-        };
-        adapter.headers.reserved = {"Bilberry-Secret"};
-        DirectSettings settings;
-        settings.router = RouterId("router");
-        settings.zone = ZoneId("a");
-        for (Endpoint *endpoint : {&settings.callers, &settings.readiness, &settings.metrics,
-                                   &settings.peers, &settings.store})
-            *endpoint = {"127.0.0.1", freePort()};
-        settings.readinessPath = "/readyz";
-        settings.proofLimit = 300ms;
-        settings.storeWait = 50ms;
-        settings.balancerLag = 200ms;
-        settings.stopLimit = 2s;
-        m_settings = settings;
-        m_router = std::make_unique<DirectRouter>(settings, adapter);
-        m_thread = std::thread([this] { m_router->run(); });
-        REQUIRE(eventually([this] { return ready(); }));
-    }
-
-    ~Setting()
-    {
-        stop();
-        m_thread.join();
-    }
-
-    void stop()
-    {
-        asio::post(m_router->context(), [this] { m_router->stop(); });
-    }
-    void setStoreDown(bool down) { m_storeDown = down; }
-
-    bool ready() const
-    {
-        RawCaller caller(m_settings.readiness.port);
-        caller.send("GET /readyz HTTP/1.1\r\nHost: r\r\n\r\n");
-        return caller.readAnswer().status() == 200;
-    }
-    std::uint16_t port() const { return m_settings.callers.port; }
-
-    RawAnswer call(const std::string &path, const std::string &fields = "",
-                   const std::string &body = "", const std::string &key = "key") const
+    explicit Setting(const std::vector<ScriptedServer *> &servers)
+        : DirectSetting(thePlan(), entriesOf(servers))
     {
-        RawCaller caller(port());
-        caller.send(request(path, fields, body, key));
-        return caller.readUntil(endMark);
     }
 
-    /// A request whose connection ends with its answer.
-    static std::string request(const std::string &path, const std::string &fields,
-                               const std::string &body, const std::string &key,
-                               bool keepAlive = false)
+private:
+    static std::vector<DirectServer> entriesOf(const std::vector<ScriptedServer *> &servers)
     {
-        std::string text = "POST " + path
-                           + " HTTP/1.1\r\nHost: h.example\r\n"
-                             "Bilberry-Request-Id: r1\r\nBilberry-Remaining-Ms: 1500\r\n";
-        if (!key.empty())
-            text += "Authorization: Bearer " + key + "\r\n";
-        if (!keepAlive)
-            text += "Connection: close\r\n";
-        return text + fields + "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
+        std::vector<DirectServer> entries;
+        for (std::size_t i = 0; i < servers.size(); ++i)
+            entries.push_back(loopbackServer("s" + std::to_string(i), servers[i]->port()));
+        return entries;
     }
-
-private:
-    /// Stands in no answer, so that reading goes on until the connection ends.
-    inline static const std::string endMark = "\x01none";
-
-    std::map<std::string, DirectServer> m_servers;
-    std::map<std::string, std::vector<store::Item>> m_collections;
-    std::atomic<bool> m_storeDown = false;
-    DirectSettings m_settings;
-    std::unique_ptr<DirectRouter> m_router;
-    std::thread m_thread;
 };
 
 std::string answer(const std::string &status, const std::string &body,
@@ -306,8 +177,8 @@
         WHEN("one connection carries several requests")
         {
             RawCaller caller(setting.port());
-            caller.send(Setting::request("/open/x", "", "", "", true)
-                        + Setting::request("/open/y", "", "", ""));
+            caller.send(DirectSetting::request("/open/x", "", "", "", true)
+                        + DirectSetting::request("/open/y", "", "", ""));
             const RawAnswer all = caller.readAll();
             THEN("each gets its whole answer, in order")
             {
@@ -487,7 +358,7 @@
         WHEN("a caller waits for it and leaves")
         {
             RawCaller caller(setting.port());
-            caller.send(Setting::request("/stream/x", "", "", "key"));
+            caller.send(DirectSetting::request("/stream/x", "", "", "key"));
             CHECK(caller.readUntil("data: a").contains("Transfer-Encoding: chunked"));
             caller.close();
             THEN("the server's connection is closed at once")
@@ -590,7 +461,7 @@
         Setting setting({&server});
         RawCaller caller(setting.port());
         RawCaller idle(setting.port());
-        caller.send(Setting::request("/open/x", "", "", "", true));
+        caller.send(DirectSetting::request("/open/x", "", "", "", true));
         REQUIRE(eventually([&] { return server.requests().size() == 1; }));
         setting.stop();
         THEN("it is answered, the next connection too until the balancer knows, and all are closed")
--- /dev/null
+++ b/tests/support/directsetting.cpp
@@ -0,0 +1,176 @@
+#include "support/directsetting.h"
+
+#include "support/fleet.h"
+
+#include <boost/asio/post.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+#include <pthread.h>
+
+#include <ctime>
+#include <stdexcept>
+
+namespace bilberry::tests {
+
+namespace asio = boost::asio;
+using namespace std::chrono_literals;
+
+namespace {
+
+/// Collections that don't change while the router runs; the store may fall silent.
+class MemoryStore : public store::CollectionStore
+{
+public:
+    MemoryStore(asio::io_context &context,
+                std::map<std::string, std::vector<store::Item>> &collections,
+                std::atomic<bool> &down)
+        : m_context(context), m_collections(collections), m_down(down)
+    {
+    }
+
+    asio::awaitable<Result<store::Snapshot>> list(std::string collection, Duration) override
+    {
+        if (m_down)
+            co_return store::StoreErrc::Unavailable;
+        co_return store::Snapshot{m_collections[collection], 1};
+    }
+
+    asio::awaitable<Result<store::Changes>> watch(std::string, store::StoreRevision since,
+                                                  Duration wait, Duration) override
+    {
+        asio::steady_timer timer(m_context, wait);
+        co_await timer.async_wait(asio::use_awaitable);
+        if (m_down)
+            co_return store::StoreErrc::Unavailable;
+        co_return store::Changes{{}, since};
+    }
+
+    asio::awaitable<Status> put(std::string, store::Item, Duration) override
+    {
+        co_return success();
+    }
+    asio::awaitable<Status> remove(std::string, std::string, Duration) override
+    {
+        co_return success();
+    }
+
+private:
+    asio::io_context &m_context;
+    std::map<std::string, std::vector<store::Item>> &m_collections;
+    std::atomic<bool> &m_down;
+};
+
+/// Stands in no answer, so that reading goes on until the connection ends.
+const std::string endMark = "\x01none";
+
+} // namespace
+
+DirectSetting::DirectSetting(TrafficPlan plan, const std::vector<DirectServer> &servers,
+                             const ChangeSettings &change)
+{
+    for (const DirectServer &server : servers) {
+        m_servers[server.id.text()] = server;
+        m_collections["servers"].push_back({server.id.text(), server.id.text()});
+    }
+    m_collections["plans"].push_back({"current", "1"});
+    direct::PlatformAdapter adapter;
+    adapter.decodePlan = [plan](const std::string &) -> Result<TrafficPlan> { return plan; };
+    adapter.decodeServer = [this](const std::string &id,
+                                  const std::string &) -> Result<DirectServer> {
+        return m_servers.at(id);
+    };
+    adapter.openStore
+            = [this](asio::io_context &context, const direct::Endpoint &, direct::StoreCallHook) {
+                  return std::make_unique<MemoryStore>(context, m_collections, m_storeDown);
+              };
+    adapter.headers.reserved = {"Bilberry-Secret"};
+    m_settings.router = RouterId("router");
+    m_settings.zone = ZoneId("a");
+    for (direct::Endpoint *endpoint : {&m_settings.callers, &m_settings.readiness,
+                                       &m_settings.metrics, &m_settings.peers, &m_settings.store})
+        *endpoint = {"127.0.0.1", freePort()};
+    m_settings.readinessPath = "/readyz";
+    m_settings.proofLimit = 300ms;
+    m_settings.storeWait = 50ms;
+    m_settings.balancerLag = 200ms;
+    m_settings.stopLimit = 2s;
+    if (change)
+        change(m_settings);
+    m_router = std::make_unique<direct::DirectRouter>(m_settings, adapter);
+    m_thread = std::thread([this] { m_router->run(); });
+    if (!eventually([this] { return ready(); })) {
+        stop();
+        m_thread.join();
+        throw std::runtime_error("the direct router is not ready");
+    }
+}
+
+DirectSetting::~DirectSetting()
+{
+    stop();
+    m_thread.join();
+}
+
+void DirectSetting::stop()
+{
+    asio::post(m_router->context(), [this] { m_router->stop(); });
+}
+
+void DirectSetting::occupy(Duration duration)
+{
+    asio::post(m_router->context(), [duration] { std::this_thread::sleep_for(duration); });
+}
+
+bool DirectSetting::ready() const
+{
+    RawCaller caller(m_settings.readiness.port);
+    caller.send("GET /readyz HTTP/1.1\r\nHost: r\r\n\r\n");
+    return caller.readAnswer().status() == 200;
+}
+
+Duration DirectSetting::processorTime() const
+{
+    clockid_t clock{};
+    timespec used{};
+    auto &thread = const_cast<std::thread &>(m_thread); // native_handle() is not const
+    if (pthread_getcpuclockid(thread.native_handle(), &clock) != 0
+        || clock_gettime(clock, &used) != 0)
+        throw std::runtime_error("no processor clock of the router's thread");
+    return std::chrono::seconds(used.tv_sec) + std::chrono::nanoseconds(used.tv_nsec);
+}
+
+RawAnswer DirectSetting::call(const std::string &path, const std::string &fields,
+                              const std::string &body, const std::string &key) const
+{
+    RawCaller caller(port());
+    caller.send(request(path, fields, body, key));
+    return caller.readUntil(endMark);
+}
+
+std::string DirectSetting::request(const std::string &path, const std::string &fields,
+                                   const std::string &body, const std::string &key, bool keepAlive)
+{
+    std::string text = "POST " + path
+                       + " HTTP/1.1\r\nHost: h.example\r\n"
+                         "Bilberry-Request-Id: r1\r\nBilberry-Remaining-Ms: 1500\r\n";
+    if (!key.empty())
+        text += "Authorization: Bearer " + key + "\r\n";
+    if (!keepAlive)
+        text += "Connection: close\r\n";
+    return text + fields + "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
+}
+
+DirectServer loopbackServer(const std::string &id, std::uint16_t port)
+{
+    DirectServer server;
+    server.id = ServerId(id);
+    server.pool = PoolId("pool");
+    server.zone = ZoneId("a");
+    server.address = "127.0.0.1";
+    server.port = port;
+    server.slots = 8;
+    return server;
+}
+
+} // namespace bilberry::tests
