Spread the routers' turns at a cold server over the interval

Ruled out: too short an interval (no router sent twice), routers that did not know that it is cold. Change: a router's first turn lies at its rank among the known routers, by rendezvous weight, so that turns are spread evenly. Known are routers listed by the store or heard within 60 s, where only those heard within 1 s counted: a cut no longer raises each side's rate. The test plays 25 routers at one cold server; before the change all 25 sent in the first 10 ms by the same rule.

--- a/benchmark/directbench.cpp
+++ b/benchmark/directbench.cpp
@@ -139,8 +139,9 @@
 {
 public:
     explicit Peers(const direct::Endpoint &router)
-        : m_socket(m_duty.context(), "127.0.0.1", freePort(), [](wire::GossipMessage &&) {},
-                   [](std::size_t) {}),
+        : m_socket(
+                m_duty.context(), "127.0.0.1", freePort(), [](wire::GossipMessage &&) {},
+                [](std::size_t) {}),
           m_timer(m_duty.context())
     {
         m_socket.setPeers({{RouterId("router"), router.address, router.port}});
@@ -153,8 +154,8 @@
     void report()
     {
         wire::DirectReport report;
-        report.sender = {RouterId("peer-" + std::to_string(m_sequence % peerCount)), 1,
-                         ZoneId("a")};
+        report.sender
+                = {RouterId("peer-" + std::to_string(m_sequence % peerCount)), 1, ZoneId("a")};
         report.sequence = ++m_sequence;
         for (int i = 0; i < serverCount; ++i)
             report.loads.push_back({ServerId("i-0123456789-" + std::to_string(i)), 0, 1});
@@ -193,8 +194,8 @@
 std::string promptFields(int tokens)
 {
     return "Bilberry-Model: m\r\nBilberry-Token-Counts: " + std::to_string(tokens)
-           + ",100\r\nBilberry-Prompt-Parts: 5c1e07a2:10," + "91bd3f06:10,e4402b7d:"
-           + std::to_string(tokens) + "\r\n";
+           + ",100\r\nBilberry-Prompt-Parts: 5c1e07a2:10,"
+           + "91bd3f06:10,e4402b7d:" + std::to_string(tokens) + "\r\n";
 }
 
 /// Runs a load and prints what one unit of it took of the event loop's processor time.
--- a/packages/decision/include/bilberry/decision/serverfleet.h
+++ b/packages/decision/include/bilberry/decision/serverfleet.h
@@ -25,7 +25,8 @@
 
 struct FleetSettings
 {
-    ZoneId zone; ///< of the router; breaks ties
+    RouterId router; ///< this router; orders the routers at a cold server
+    ZoneId zone;     ///< of the router; breaks ties
     /// Unread prompt work of all routers at a server beyond which requests are refused, for a
     /// latency objective of 600 ms; it is proportional to the objective.
     Duration backlogLimit = std::chrono::milliseconds(150);
@@ -45,7 +46,9 @@
     double againWeight = 3.0;
     double tokensPerMs = 64.0;     ///< prompt tokens that an engine reads
     double attentionMsPerM = 0.65; ///< further cost of a million pairs of tokens
-    double coldRequestsPerS = 1.0; ///< of this router to one server in a cold start
+    double coldRequestsPerS = 1.0; ///< most of this router to one server in a cold start
+    /// A router counts as one that may send to cold servers for this long after it was seen.
+    Duration routerMemory = std::chrono::seconds(60);
     /// Silence with requests waiting for their first byte after which a server is avoided.
     Duration silenceLimit = std::chrono::milliseconds(1200);
     double connectionShare = 0.125; ///< of a server's connections that this router may use
@@ -104,6 +107,8 @@
     /// Takes over what another router reports.
     /// @param loads all servers where it has work
     void report(const RouterId &router, const std::map<ServerId, WorkLoad> &loads, TimePoint now);
+    /// Another router exists, though nothing may have been heard of it yet.
+    void routerSeen(const RouterId &router, TimePoint now);
     /// @return own work at the servers, without those where there is none
     std::map<ServerId, WorkLoad> ownWork() const;
     /// @return routers whose newest report counts, this one left out
@@ -179,12 +184,15 @@
     void dropOldReports(TimePoint now);
     void countRemote(const std::map<ServerId, WorkLoad> &loads, double sign);
     void markCold(Server &server, TimePoint now);
+    void coldUntil(Server &server, TimePoint until, TimePoint now);
+    Duration coldInterval(const Server &server) const;
     Server *find(const ServerId &id);
 
     FleetSettings m_settings;
     TrafficPlanPtr m_plan;
     std::map<ServerId, Server> m_servers;
     std::map<RouterId, Peer> m_peers;
+    std::map<RouterId, TimePoint> m_routers; ///< other routers, and when they were seen
     TimePoint m_reportsCheckedAt{};
     std::set<ZoneId> m_zonesOut;
     std::unordered_map<Ticket, Sent> m_sent;
--- a/packages/decision/src/serverfleet.cpp
+++ b/packages/decision/src/serverfleet.cpp
@@ -40,17 +40,6 @@
 
 const ErrorCategory category("choice", describe);
 
-/// @return time between two requests of this router to a cold server, so that all routers together
-/// stay within what it bears
-Duration coldInterval(const DirectPool *pool, double requestsPerS, std::size_t peers)
-{
-    const double own = 1000.0 / requestsPerS;
-    if (!pool || pool->warmupRate <= 0.0)
-        return fromMilliseconds(own);
-    const double routers = static_cast<double>(peers) + 1.0;
-    return fromMilliseconds(std::max(own, 1000.0 * routers / pool->warmupRate));
-}
-
 } // namespace
 
 std::error_code make_error_code(ChoiceErrc error)
@@ -74,12 +63,12 @@
         server.health = ServerHealth(m_settings.health);
         server.misdirectedAt = {};
     }
+    server.entry = entry;
+    server.nameHash = stableHash(entry.id.text());
     if (entry.warmupLeft > Duration::zero())
-        server.coldUntil = std::max(server.coldUntil, now + entry.warmupLeft);
+        coldUntil(server, now + entry.warmupLeft, now);
     else if (restarted)
         markCold(server, now);
-    server.entry = entry;
-    server.nameHash = stableHash(entry.id.text());
 }
 
 void ServerFleet::remove(const ServerId &id)
@@ -105,12 +94,18 @@
 void ServerFleet::report(const RouterId &router, const std::map<ServerId, WorkLoad> &loads,
                          TimePoint now)
 {
+    routerSeen(router, now);
     Peer &peer = m_peers[router];
     countRemote(peer.loads, -1.0);
     peer = {loads, now};
     countRemote(peer.loads, 1.0);
 }
 
+void ServerFleet::routerSeen(const RouterId &router, TimePoint now)
+{
+    m_routers[router] = now;
+}
+
 /// Keeps the sums of all reports up to date, so that a choice need not form them.
 void ServerFleet::countRemote(const std::map<ServerId, WorkLoad> &loads, double sign)
 {
@@ -132,6 +127,8 @@
     if (now - m_reportsCheckedAt < reportCheckPeriod)
         return;
     m_reportsCheckedAt = now;
+    std::erase_if(m_routers,
+                  [&](const auto &seen) { return now - seen.second > m_settings.routerMemory; });
     for (auto peer = m_peers.begin(); peer != m_peers.end();) {
         if (now - peer->second.at <= m_settings.reportLifetime) {
             ++peer;
@@ -266,9 +263,7 @@
         ++server->own.inFlight;
         server->cache.read(traits.prompt);
         if (now < server->coldUntil)
-            server->coldSlotAt = now
-                                 + coldInterval(m_plan ? m_plan->pool(server->entry.pool) : nullptr,
-                                                m_settings.coldRequestsPerS, m_peers.size());
+            server->coldSlotAt = now + coldInterval(*server);
     }
     return ticket;
 }
@@ -417,10 +412,40 @@
 {
     const DirectPool *pool = m_plan ? m_plan->pool(server.entry.pool) : nullptr;
     if (pool && pool->warmup > Duration::zero())
-        server.coldUntil = std::max(server.coldUntil, now + pool->warmup);
+        coldUntil(server, now + pool->warmup, now);
     server.cache.clear();
 }
 
+/// The routers' turns at a server that has become cold are spread evenly over the interval, in the
+/// order of their rendezvous weights: all of them learn of it within a tenth of a second.
+void ServerFleet::coldUntil(Server &server, TimePoint until, TimePoint now)
+{
+    const bool wasCold = now < server.coldUntil;
+    server.coldUntil = std::max(server.coldUntil, until);
+    if (wasCold)
+        return;
+    const auto weight = [&](const RouterId &router) {
+        return rendezvousWeight(server.nameHash, stableHash(router.text()));
+    };
+    const std::uint64_t own = weight(m_settings.router);
+    const auto before = std::count_if(m_routers.begin(), m_routers.end(),
+                                      [&](const auto &seen) { return weight(seen.first) > own; });
+    const double turn = static_cast<double>(before) / static_cast<double>(m_routers.size() + 1);
+    server.coldSlotAt = now + fromMilliseconds(turn * toMilliseconds(coldInterval(server)));
+}
+
+/// @return time between two requests of this router to a cold server, so that all routers together
+/// stay within what it bears
+Duration ServerFleet::coldInterval(const Server &server) const
+{
+    const DirectPool *pool = m_plan ? m_plan->pool(server.entry.pool) : nullptr;
+    const double own = 1000.0 / m_settings.coldRequestsPerS;
+    if (!pool || pool->warmupRate <= 0.0)
+        return fromMilliseconds(own);
+    const double routers = static_cast<double>(m_routers.size()) + 1.0;
+    return fromMilliseconds(std::max(own, 1000.0 * routers / pool->warmupRate));
+}
+
 ServerFleet::Server *ServerFleet::find(const ServerId &id)
 {
     const auto found = m_servers.find(id);
--- a/packages/decision/tests/serverfleet_test.cpp
+++ b/packages/decision/tests/serverfleet_test.cpp
@@ -322,6 +322,52 @@
     }
 }
 
+SCENARIO("pattern: servers come back cold while many routers have requests waiting")
+{
+    GIVEN("25 routers that know of each other, and one server without any other")
+    {
+        constexpr int routers = 25;
+        // What planWithEngines() gives: 8 requests a second, in a cold start of 3 s.
+        constexpr std::size_t mostInASecond = 9;
+        std::vector<std::unique_ptr<Router>> fleet;
+        for (int i = 0; i < routers; ++i) {
+            FleetSettings settings;
+            settings.router = RouterId("r" + std::to_string(i));
+            fleet.push_back(std::make_unique<Router>(0, settings));
+        }
+        const TimePoint start = fleet.front()->now;
+        for (int i = 0; i < routers; ++i) {
+            for (int other = 0; other < routers; ++other) {
+                if (other != i)
+                    fleet[i]->fleet.routerSeen(RouterId("r" + std::to_string(other)), start);
+            }
+        }
+        WHEN("all of them learn at once that it is cold, and want to send all the time")
+        {
+            DirectServer cold = serverNamed("cold");
+            cold.warmupLeft = 3s;
+            for (const auto &router : fleet)
+                router->fleet.update(cold, start);
+            std::vector<TimePoint> arrivals;
+            for (TimePoint now = start; now < start + 3s; now += 10ms) {
+                for (const auto &router : fleet) {
+                    router->now = now;
+                    if (router->send(router->traits(Prompt())))
+                        arrivals.push_back(now);
+                }
+            }
+            THEN("in no second it receives more than it bears, and it is put to use")
+            {
+                for (auto first = arrivals.begin(); first != arrivals.end(); ++first) {
+                    const auto end = std::lower_bound(first, arrivals.end(), *first + 1s);
+                    CHECK(static_cast<std::size_t>(end - first) <= mostInASecond);
+                }
+                CHECK(arrivals.size() >= 20);
+            }
+        }
+    }
+}
+
 SCENARIO("a server that answers nothing is avoided")
 {
     GIVEN("two servers, one with a request that waits for its first byte")
--- a/packages/direct/src/directrouter.cpp
+++ b/packages/direct/src/directrouter.cpp
@@ -59,8 +59,8 @@
     Parts(const DirectSettings &settings, PlatformAdapter adapter)
         : settings(settings), adapter(std::move(adapter)), random(std::random_device{}()),
           fleet(settings.fleet), meter(settings.fairnessWindow),
-          connections(io, settings.connectLimit), acceptor(io), acceptTimer(io),
-          housekeeping(io), stopTimer(io), request{io,
+          connections(io, settings.connectLimit), acceptor(io), acceptTimer(io), housekeeping(io),
+          stopTimer(io), request{io,
                                  this->settings,
                                  this->adapter.headers,
                                  connections,
@@ -289,8 +289,8 @@
     /// No connection can be taken now, mostly because descriptors have run out.
     void acceptLater(boost::system::error_code error)
     {
-        log.decision("Could not take a connection.", {{"error", error.message()},
-                                                      {"callers", std::to_string(callers.size())}});
+        log.decision("Could not take a connection.",
+                     {{"error", error.message()}, {"callers", std::to_string(callers.size())}});
         acceptTimer.expires_after(acceptPause);
         acceptTimer.async_wait([self = shared_from_this()](boost::system::error_code waitError) {
             if (!waitError && self->acceptor.is_open())
--- a/packages/direct/src/directsettings.cpp
+++ b/packages/direct/src/directsettings.cpp
@@ -60,6 +60,7 @@
     DirectSettings settings;
     settings.router = RouterId(reader.identifier("name"));
     settings.zone = ZoneId(reader.identifier("zone"));
+    settings.fleet.router = settings.router;
     settings.fleet.zone = settings.zone;
     settings.callers = readEndpoint(reader, "callers.listen");
     settings.connections
--- a/packages/direct/src/peerexchange.cpp
+++ b/packages/direct/src/peerexchange.cpp
@@ -99,6 +99,7 @@
     }
     m_peers[item.name] = {RouterId(item.name), std::string(address->get_string()),
                           static_cast<std::uint16_t>(port->get_int64())};
+    m_fleet.routerSeen(RouterId(item.name), Clock::now());
     std::vector<wire::GossipPeer> peers;
     for (const auto &[name, peer] : m_peers)
         peers.push_back(peer);
--- a/tests/support/directsetting.cpp
+++ b/tests/support/directsetting.cpp
@@ -76,8 +76,8 @@
     m_collections["plans"].push_back({"current", "1"});
     direct::PlatformAdapter adapter;
     adapter.decodePlan = [plan](const std::string &) -> Result<TrafficPlan> { return plan; };
-    adapter.decodeServer = [this](const std::string &id,
-                                  const std::string &) -> Result<DirectServer> {
+    adapter.decodeServer
+            = [this](const std::string &id, const std::string &) -> Result<DirectServer> {
         return m_servers.at(id);
     };
     adapter.openStore
