--- a/benchmark/directbench.cpp
+++ b/benchmark/directbench.cpp
@@ -158,7 +158,8 @@
                 = {RouterId("peer-" + std::to_string(m_sequence % peerCount)), 1, ZoneId("a")};
         report.sequence = ++m_sequence;
         for (int i = 0; i < serverCount; ++i)
-            report.loads.push_back({ServerId("i-0123456789-" + std::to_string(i)), 0, 1});
+            report.loads.push_back(
+                    {decision::serverKey(ServerId("i-0123456789-" + std::to_string(i))), 0, 1});
         m_socket.sendToAll(report);
         m_timer.expires_after(std::chrono::nanoseconds(1s) / (peerCount * reportsPerPeerAndSecond));
         m_timer.async_wait([this](boost::system::error_code error) {
--- a/packages/decision/include/bilberry/decision/serverfleet.h
+++ b/packages/decision/include/bilberry/decision/serverfleet.h
@@ -7,10 +7,12 @@
 #include "bilberry/model/ids.h"
 #include "bilberry/model/trafficplan.h"
 
+#include <functional>
 #include <map>
 #include <optional>
 #include <set>
 #include <unordered_map>
+#include <vector>
 
 namespace bilberry::decision {
 
@@ -87,6 +89,20 @@
     bool operator==(const WorkLoad &) const = default;
 };
 
+/// Stands for a server in reports between routers: a hash of its id.
+using ServerKey = std::uint64_t;
+
+/// @return the key of a server, the same at every router
+ServerKey serverKey(const ServerId &id);
+
+/// One router's work at one server, as it tells the others.
+struct ReportedLoad
+{
+    ServerKey server = 0;
+    WorkLoad load;
+    bool operator==(const ReportedLoad &) const = default;
+};
+
 /// Number of a request that was sent to a server.
 using Ticket = std::uint64_t;
 
@@ -105,12 +121,16 @@
     /// when no other server can.
     void setMissing(const ServerId &server, bool missing);
     /// Takes over what another router reports.
-    /// @param loads all servers where it has work
-    void report(const RouterId &router, const std::map<ServerId, WorkLoad> &loads, TimePoint now);
+    /// @param loads servers where it has work, or where its work has changed
+    /// @param complete true when it has no work at servers that are left out
+    void report(const RouterId &router, const std::vector<ReportedLoad> &loads, bool complete,
+                TimePoint now);
     /// Another router exists, though nothing may have been heard of it yet.
     void routerSeen(const RouterId &router, TimePoint now);
     /// @return own work at the servers, without those where there is none
-    std::map<ServerId, WorkLoad> ownWork() const;
+    std::vector<ReportedLoad> ownWork() const;
+    /// @param hook called when this router's unread work at a server has changed
+    void setWorkHook(std::function<void()> hook) { m_workChanged = std::move(hook); }
     /// @return routers whose newest report counts, this one left out
     std::size_t livePeers(TimePoint now) const;
     /// @param zones zones that receive no work; servers of a zone that returns count as cold
@@ -143,7 +163,7 @@
         }
 
         DirectServer entry;
-        std::uint64_t nameHash = 0;
+        ServerKey key = 0;
         ServerHealth health;
         PromptCache cache;
         TimePoint coldUntil{};
@@ -159,7 +179,7 @@
     /// Newest report of another router.
     struct Peer
     {
-        std::map<ServerId, WorkLoad> loads;
+        std::unordered_map<ServerKey, WorkLoad> loads;
         TimePoint at{};
     };
 
@@ -182,7 +202,8 @@
                  double leastReadMs, const DirectPool *pool) const;
     double backlogLimitMs(const RequestTraits &traits, bool alone) const;
     void dropOldReports(TimePoint now);
-    void countRemote(const std::map<ServerId, WorkLoad> &loads, double sign);
+    void countRemote(ServerKey key, const WorkLoad &load, double sign);
+    void workChanged(double byMs) const;
     void markCold(Server &server, TimePoint now);
     void coldUntil(Server &server, TimePoint until, TimePoint now);
     Duration coldInterval(const Server &server) const;
@@ -191,6 +212,8 @@
     FleetSettings m_settings;
     TrafficPlanPtr m_plan;
     std::map<ServerId, Server> m_servers;
+    std::unordered_map<ServerKey, Server *> m_byKey;
+    std::function<void()> m_workChanged;
     std::map<RouterId, Peer> m_peers;
     std::map<RouterId, TimePoint> m_routers; ///< other routers, and when they were seen
     TimePoint m_reportsCheckedAt{};
--- a/packages/decision/src/serverfleet.cpp
+++ b/packages/decision/src/serverfleet.cpp
@@ -20,6 +20,8 @@
 constexpr double plainWorkMs = 30.0;
 /// Latency objective for which the backlog limits are given.
 constexpr double limitObjectiveMs = 600.0;
+/// A change of unread work that others are told of at once, in milliseconds of a server's work.
+constexpr double reportedChangeMs = 1.0;
 /// Reports are looked through for old ones in this period.
 constexpr Duration reportCheckPeriod = std::chrono::milliseconds(200);
 /// An address that another server took over is left alone until the list catches up.
@@ -42,6 +44,11 @@
 
 } // namespace
 
+ServerKey serverKey(const ServerId &id)
+{
+    return stableHash(id.text());
+}
+
 std::error_code make_error_code(ChoiceErrc error)
 {
     return {static_cast<int>(error), category};
@@ -64,7 +71,8 @@
         server.misdirectedAt = {};
     }
     server.entry = entry;
-    server.nameHash = stableHash(entry.id.text());
+    server.key = serverKey(entry.id);
+    m_byKey[server.key] = &server;
     if (entry.warmupLeft > Duration::zero())
         coldUntil(server, now + entry.warmupLeft, now);
     else if (restarted)
@@ -73,6 +81,7 @@
 
 void ServerFleet::remove(const ServerId &id)
 {
+    m_byKey.erase(serverKey(id));
     m_servers.erase(id);
 }
 
@@ -91,14 +100,23 @@
         server->missing = missing;
 }
 
-void ServerFleet::report(const RouterId &router, const std::map<ServerId, WorkLoad> &loads,
-                         TimePoint now)
+void ServerFleet::report(const RouterId &router, const std::vector<ReportedLoad> &loads,
+                         bool complete, TimePoint now)
 {
     routerSeen(router, now);
     Peer &peer = m_peers[router];
-    countRemote(peer.loads, -1.0);
-    peer = {loads, now};
-    countRemote(peer.loads, 1.0);
+    peer.at = now;
+    if (complete) {
+        for (const auto &[key, load] : peer.loads)
+            countRemote(key, load, -1.0);
+        peer.loads.clear();
+    }
+    for (const ReportedLoad &reported : loads) {
+        WorkLoad &known = peer.loads[reported.server];
+        countRemote(reported.server, known, -1.0);
+        countRemote(reported.server, reported.load, 1.0);
+        known = reported.load;
+    }
 }
 
 void ServerFleet::routerSeen(const RouterId &router, TimePoint now)
@@ -107,19 +125,23 @@
 }
 
 /// Keeps the sums of all reports up to date, so that a choice need not form them.
-void ServerFleet::countRemote(const std::map<ServerId, WorkLoad> &loads, double sign)
+void ServerFleet::countRemote(ServerKey key, const WorkLoad &load, double sign)
 {
-    for (const auto &[id, load] : loads) {
-        Server *server = find(id);
-        if (!server)
-            continue;
-        WorkLoad &remote = server->remote;
-        remote.backlogMs = std::max(0.0, remote.backlogMs + sign * load.backlogMs);
-        if (sign > 0.0)
-            remote.inFlight += load.inFlight;
-        else
-            remote.inFlight -= std::min(remote.inFlight, load.inFlight);
-    }
+    const auto found = m_byKey.find(key);
+    if (found == m_byKey.end())
+        return;
+    WorkLoad &remote = found->second->remote;
+    remote.backlogMs = std::max(0.0, remote.backlogMs + sign * load.backlogMs);
+    if (sign > 0.0)
+        remote.inFlight += load.inFlight;
+    else
+        remote.inFlight -= std::min(remote.inFlight, load.inFlight);
+}
+
+void ServerFleet::workChanged(double byMs) const
+{
+    if (m_workChanged && byMs >= reportedChangeMs)
+        m_workChanged();
 }
 
 void ServerFleet::dropOldReports(TimePoint now)
@@ -134,17 +156,18 @@
             ++peer;
             continue;
         }
-        countRemote(peer->second.loads, -1.0);
+        for (const auto &[key, load] : peer->second.loads)
+            countRemote(key, load, -1.0);
         peer = m_peers.erase(peer);
     }
 }
 
-std::map<ServerId, WorkLoad> ServerFleet::ownWork() const
+std::vector<ReportedLoad> ServerFleet::ownWork() const
 {
-    std::map<ServerId, WorkLoad> work;
+    std::vector<ReportedLoad> work;
     for (const auto &[id, server] : m_servers) {
         if (server.own.inFlight > 0)
-            work.emplace(id, server.own);
+            work.push_back({server.key, server.own});
     }
     return work;
 }
@@ -191,8 +214,8 @@
     if (const std::uint64_t key = traits.prompt.sharedKey(); key != 0) {
         home = std::max_element(usable.begin(), usable.end(),
                                 [key](const Candidate &left, const Candidate &right) {
-                                    return rendezvousWeight(key, left.server->nameHash)
-                                           < rendezvousWeight(key, right.server->nameHash);
+                                    return rendezvousWeight(key, left.server->key)
+                                           < rendezvousWeight(key, right.server->key);
                                 })
                        ->server;
     }
@@ -264,6 +287,7 @@
         server->cache.read(traits.prompt);
         if (now < server->coldUntil)
             server->coldSlotAt = now + coldInterval(*server);
+        workChanged(choice.readMs);
     }
     return ticket;
 }
@@ -287,6 +311,7 @@
     server->lastByteAt = now;
     server->waiting.erase(ticket);
     server->own.backlogMs = std::max(0.0, server->own.backlogMs - found->second.readMs);
+    workChanged(found->second.readMs);
 }
 
 void ServerFleet::ended(Ticket ticket, AttemptOutcome outcome, TimePoint now)
@@ -306,6 +331,8 @@
     if (server->waiting.empty())
         server->own.backlogMs = 0.0;
     server->own.inFlight -= server->own.inFlight > 0 ? 1 : 0;
+    if (sent.waiting)
+        workChanged(sent.readMs);
     server->health.ended(outcome, now);
     if (outcome == AttemptOutcome::Misdirected)
         server->misdirectedAt = now;
@@ -425,7 +452,7 @@
     if (wasCold)
         return;
     const auto weight = [&](const RouterId &router) {
-        return rendezvousWeight(server.nameHash, stableHash(router.text()));
+        return rendezvousWeight(server.key, stableHash(router.text()));
     };
     const std::uint64_t own = weight(m_settings.router);
     const auto before = std::count_if(m_routers.begin(), m_routers.end(),
--- a/packages/decision/tests/serverfleet_test.cpp
+++ b/packages/decision/tests/serverfleet_test.cpp
@@ -169,15 +169,27 @@
         REQUIRE(router.fleet.choose(router.traits(prompt(1, 1)), router.now));
         WHEN("another router reports that all of them are full")
         {
-            std::map<ServerId, WorkLoad> loads;
+            std::vector<ReportedLoad> loads;
             for (const ServerId &server : router.fleet.servers())
-                loads[server] = {2000.0, 30};
-            router.fleet.report(RouterId("other"), loads, router.now);
+                loads.push_back({serverKey(server), {2000.0, 30}});
+            router.fleet.report(RouterId("other"), loads, true, router.now);
             THEN("a request is refused at once")
             {
                 const auto choice = router.fleet.choose(router.traits(prompt(1, 1)), router.now);
                 CHECK(choice.error() == ChoiceErrc::Overloaded);
             }
+            AND_WHEN("it reports that one of them has none left")
+            {
+                router.fleet.report(RouterId("other"), {{serverKey(ServerId("s1")), {}}}, false,
+                                    router.now);
+                THEN("a request goes there")
+                {
+                    const auto choice
+                            = router.fleet.choose(router.traits(prompt(1, 1)), router.now);
+                    REQUIRE(choice);
+                    CHECK(choice.value().server == ServerId("s1"));
+                }
+            }
             AND_WHEN("nothing more is heard of it")
             {
                 router.now += 2s;
@@ -196,7 +208,8 @@
     GIVEN("a server with some unread work")
     {
         Router router(1);
-        router.fleet.report(RouterId("other"), {{ServerId("s0"), {60.0, 3}}}, router.now);
+        router.fleet.report(RouterId("other"), {{serverKey(ServerId("s0")), {60.0, 3}}}, true,
+                            router.now);
         RequestTraits request = router.traits(prompt(1, 1));
         THEN("a customer below its fair part is served")
         {
@@ -304,7 +317,7 @@
         {
             constexpr int others = 23;
             for (int i = 0; i < others; ++i)
-                router.fleet.report(RouterId("r" + std::to_string(i)), {}, router.now);
+                router.fleet.report(RouterId("r" + std::to_string(i)), {}, true, router.now);
             REQUIRE(router.send(request));
             THEN("all of them together stay within what the server bears")
             {
--- a/packages/direct/src/peerexchange.cpp
+++ b/packages/direct/src/peerexchange.cpp
@@ -17,14 +17,19 @@
 
 namespace {
 
-/// Between two reports; a server reads about 3,000 prompt tokens meanwhile.
-constexpr Duration reportPeriod = std::chrono::milliseconds(50);
-/// With so many peers, and with each further so many, the period grows by itself.
+/// Work that changes is reported after this long, together with what changes meanwhile.
+constexpr Duration noticeDelay = std::chrono::milliseconds(5);
+/// Least time between two reports: a server reads about 1,300 prompt tokens meanwhile.
+constexpr Duration leastSpacing = std::chrono::milliseconds(20);
+/// It grows with the routers, so that the datagrams of one router in a second don't.
+constexpr Duration spacingForPeer = std::chrono::milliseconds(2);
+/// Between two complete reports, which make up for lost ones.
+constexpr Duration completePeriod = std::chrono::milliseconds(400);
+/// Demands change slowly; their period grows with the routers, too.
+constexpr Duration demandsPeriod = std::chrono::milliseconds(250);
 constexpr std::size_t peersAtFullRate = 8;
-/// Demands change slowly and go with every so many reports.
-constexpr std::uint64_t reportsForDemands = 5;
-/// A router without work reports this seldom.
-constexpr std::uint64_t idleReports = 8;
+/// Smaller changes of unread work wait for a complete report, in milliseconds of a server's work.
+constexpr double leastChangeMs = 1.0;
 constexpr Duration storeCallLimit = std::chrono::seconds(1);
 /// Between two attempts to enter this router.
 constexpr Duration entryRetry = std::chrono::milliseconds(700);
@@ -47,6 +52,7 @@
 void PeerExchange::start()
 {
     m_socket.start();
+    m_fleet.setWorkHook([this] { workChanged(); });
     asio::co_spawn(m_entryTimer.get_executor(), enter(shared_from_this()), asio::detached);
     report();
 }
@@ -111,36 +117,79 @@
     m_peers.erase(router);
 }
 
+Duration PeerExchange::spacing() const
+{
+    return std::max<Duration>(leastSpacing, spacingForPeer * static_cast<int>(m_peers.size()));
+}
+
+void PeerExchange::workChanged()
+{
+    if (!m_peers.empty())
+        reportAt(std::max(Clock::now() + noticeDelay, m_reportedAt + spacing()));
+}
+
+/// Has the next report sent at the given time, unless it is due earlier.
+void PeerExchange::reportAt(TimePoint when)
+{
+    if (when >= m_reportAt)
+        return;
+    m_reportAt = when;
+    m_reportTimer.expires_at(when);
+    m_reportTimer.async_wait([self = shared_from_this()](boost::system::error_code error) {
+        if (!error)
+            self->report();
+    });
+}
+
 void PeerExchange::report()
 {
     const TimePoint now = Clock::now();
-    const auto work = m_fleet.ownWork();
-    ++m_sequence;
-    const bool due = !work.empty() || m_hadWork || m_sequence % idleReports == 0;
-    if (due && !m_peers.empty()) {
-        wire::DirectReport report;
+    const bool complete = now - m_completeAt >= completePeriod;
+    const auto stretch = static_cast<int>(1 + m_peers.size() / peersAtFullRate);
+    const bool withDemands = now - m_demandsAt >= demandsPeriod * stretch;
+    wire::DirectReport report;
+    report.loads = changedLoads(complete);
+    if (withDemands) {
+        m_demandsAt = now;
+        for (const auto &[customer, demand] : m_meter.own(now))
+            report.demands.push_back({customer, static_cast<std::uint64_t>(demand.asked),
+                                      static_cast<std::uint64_t>(demand.given)});
+    }
+    if (complete || !report.loads.empty()) {
         report.sender = m_self;
-        report.sequence = m_sequence;
-        for (const auto &[server, load] : work) {
-            constexpr double usPerMs = 1000.0;
-            report.loads.push_back({server, static_cast<std::uint32_t>(load.backlogMs * usPerMs),
-                                    static_cast<std::uint32_t>(load.inFlight)});
-        }
-        if (m_sequence % reportsForDemands == 0 || m_sequence % idleReports == 0) {
-            for (const auto &[customer, demand] : m_meter.own(now))
-                report.demands.push_back({customer, static_cast<std::uint64_t>(demand.asked),
-                                          static_cast<std::uint64_t>(demand.given)});
-        }
+        report.sequence = ++m_sequence;
+        report.complete = complete;
         m_socket.sendToAll(report);
+        m_reportedAt = now;
     }
-    m_hadWork = !work.empty();
-    // The datagrams that a router sends and receives in a second don't grow with the fleet.
-    const auto stretch = static_cast<int>(1 + m_peers.size() / peersAtFullRate);
-    m_reportTimer.expires_after(reportPeriod * stretch);
-    m_reportTimer.async_wait([self = shared_from_this()](boost::system::error_code error) {
-        if (!error)
-            self->report();
-    });
+    if (complete)
+        m_completeAt = now;
+    m_reportAt = TimePoint::max();
+    reportAt(m_completeAt + completePeriod);
+}
+
+/// @return all own work for a complete report, else servers where unread work has changed
+std::vector<wire::DirectLoad> PeerExchange::changedLoads(bool complete)
+{
+    constexpr double usPerMs = 1000.0;
+    std::vector<wire::DirectLoad> loads;
+    std::map<decision::ServerKey, double> unreadMs;
+    for (const auto &[server, load] : m_fleet.ownWork()) {
+        const auto reported = m_reportedMs.find(server);
+        const double reportedMs = reported == m_reportedMs.end() ? 0.0 : reported->second;
+        unreadMs[server] = load.backlogMs;
+        if (complete || std::abs(reportedMs - load.backlogMs) >= leastChangeMs)
+            loads.push_back({server, static_cast<std::uint32_t>(load.backlogMs * usPerMs),
+                             static_cast<std::uint32_t>(load.inFlight)});
+        else
+            unreadMs[server] = reportedMs;
+    }
+    for (const auto &[server, reportedMs] : m_reportedMs) {
+        if (!complete && !unreadMs.contains(server))
+            loads.push_back({server, 0, 0});
+    }
+    m_reportedMs = std::move(unreadMs);
+    return loads;
 }
 
 void PeerExchange::received(wire::GossipMessage &&message)
@@ -154,10 +203,11 @@
     incarnation = report->sender.incarnation;
     sequence = report->sequence;
     const TimePoint now = Clock::now();
-    std::map<ServerId, decision::WorkLoad> loads;
+    std::vector<decision::ReportedLoad> loads;
+    loads.reserve(report->loads.size());
     for (const wire::DirectLoad &load : report->loads)
-        loads[load.server] = {load.unreadUs / 1000.0, load.inFlight};
-    m_fleet.report(report->sender.router, loads, now);
+        loads.push_back({load.server, {load.unreadUs / 1000.0, load.inFlight}});
+    m_fleet.report(report->sender.router, loads, report->complete, now);
     if (report->demands.empty())
         return;
     std::map<CustomerId, decision::CustomerMeter::Demand> demands;
--- a/packages/direct/src/peerexchange.h
+++ b/packages/direct/src/peerexchange.h
@@ -42,7 +42,11 @@
 private:
     static boost::asio::awaitable<void> enter(std::shared_ptr<PeerExchange> self);
     static boost::asio::awaitable<void> removeEntry(std::shared_ptr<PeerExchange> self);
+    void workChanged();
+    void reportAt(TimePoint when);
     void report();
+    std::vector<wire::DirectLoad> changedLoads(bool complete);
+    Duration spacing() const;
     void received(wire::GossipMessage &&message);
 
     const DirectSettings &m_settings;
@@ -58,7 +62,11 @@
     std::map<RouterId, std::pair<Incarnation, std::uint64_t>> m_newest; ///< of received reports
     wire::GossipSender m_self;
     std::uint64_t m_sequence = 0;
-    bool m_hadWork = false;
+    TimePoint m_reportAt = TimePoint::max(); ///< of the next report
+    TimePoint m_reportedAt{};
+    TimePoint m_completeAt{};
+    TimePoint m_demandsAt{};
+    std::map<decision::ServerKey, double> m_reportedMs; ///< unread work as the others know it
     bool m_leaving = false;
     bool m_left = false;
 };
--- a/packages/wire/include/bilberry/wire/gossipmessages.h
+++ b/packages/wire/include/bilberry/wire/gossipmessages.h
@@ -98,9 +98,8 @@
 /// Work that a router has at a server that it reaches directly.
 struct DirectLoad
 {
-    ServerId server;
-    std::uint32_t unreadUs
-            = 0; ///< prompts sent and not read yet, microseconds of the server's work
+    std::uint64_t server = 0;   ///< hash of its id
+    std::uint32_t unreadUs = 0; ///< prompts sent and not read yet, microseconds of its work
     std::uint32_t inFlight = 0; ///< requests sent and not ended
     bool operator==(const DirectLoad &) const = default;
 };
@@ -114,12 +113,14 @@
     bool operator==(const CustomerDemand &) const = default;
 };
 
-/// What a direct router tells all others. Each report replaces the one before.
+/// What a direct router tells all others. A complete report replaces all earlier ones; others hold
+/// only what has changed.
 struct DirectReport
 {
     GossipSender sender;
     std::uint64_t sequence = 0;          ///< the largest of an incarnation holds
-    std::vector<DirectLoad> loads;       ///< servers without work are left out
+    bool complete = true;
+    std::vector<DirectLoad> loads;
     std::vector<CustomerDemand> demands; ///< empty in reports that carry loads only
     bool operator==(const DirectReport &) const = default;
 };
--- a/packages/wire/src/serialization.h
+++ b/packages/wire/src/serialization.h
@@ -59,7 +59,7 @@
 BILBERRY_FIELDS(QuarantineGossip, m.sender, m.notices)
 BILBERRY_FIELDS(DirectLoad, m.server, m.unreadUs, m.inFlight)
 BILBERRY_FIELDS(CustomerDemand, m.customer, m.asked, m.given)
-BILBERRY_FIELDS(DirectReport, m.sender, m.sequence, m.loads, m.demands)
+BILBERRY_FIELDS(DirectReport, m.sender, m.sequence, m.complete, m.loads, m.demands)
 
 #undef BILBERRY_FIELDS
 
