--- a/packages/direct/src/peerexchange.cpp
+++ b/packages/direct/src/peerexchange.cpp
@@ -22,7 +22,7 @@
 /// Least time between two reports: a server reads about 1,300 prompt tokens meanwhile.
 constexpr Duration leastSpacing = std::chrono::milliseconds(20);
 /// It grows with the routers, so that the datagrams of one router in a second don't.
-constexpr Duration spacingForPeer = std::chrono::milliseconds(2);
+constexpr Duration spacingForPeer = std::chrono::milliseconds(4);
 /// Between two complete reports, which make up for lost ones.
 constexpr Duration completePeriod = std::chrono::milliseconds(400);
 /// Demands change slowly; their period grows with the routers, too.
--- a/packages/wire/include/bilberry/wire/gossipmessages.h
+++ b/packages/wire/include/bilberry/wire/gossipmessages.h
@@ -118,7 +118,7 @@
 struct DirectReport
 {
     GossipSender sender;
-    std::uint64_t sequence = 0;          ///< the largest of an incarnation holds
+    std::uint64_t sequence = 0; ///< the largest of an incarnation holds
     bool complete = true;
     std::vector<DirectLoad> loads;
     std::vector<CustomerDemand> demands; ///< empty in reports that carry loads only
--- a/packages/wire/include/bilberry/wire/gossipsocket.h
+++ b/packages/wire/include/bilberry/wire/gossipsocket.h
@@ -44,6 +44,8 @@
 
 private:
     void receive();
+    void receiveWaiting();
+    void received(std::size_t size);
     void sendDatagram(const boost::asio::ip::udp::endpoint &peer, const std::string &datagram);
     void learnSender(const GossipMessage &message);
 
--- a/packages/wire/src/gossipsocket.cpp
+++ b/packages/wire/src/gossipsocket.cpp
@@ -7,6 +7,8 @@
 namespace {
 
 constexpr std::size_t maxLearned = 1024;
+/// Datagrams taken at once; other work of the event loop goes on between two batches.
+constexpr int receiveBatch = 32;
 
 } // namespace
 
@@ -76,22 +78,40 @@
 
 void GossipSocket::receive()
 {
-    m_socket.async_receive_from(
-            asio::buffer(m_buffer), m_from,
-            [this](boost::system::error_code error, std::size_t size) {
-                if (error == asio::error::operation_aborted || !m_socket.is_open())
-                    return;
-                if (!error) {
-                    auto message = decodeDatagram({m_buffer.data(), size});
-                    if (message) {
-                        learnSender(message.value());
-                        m_onReceive(std::move(message).value());
-                    } else {
-                        m_log.warning("Datagram refused: " + message.error().message() + ".");
-                    }
-                }
-                receive();
-            });
+    m_socket.async_receive_from(asio::buffer(m_buffer), m_from,
+                                [this](boost::system::error_code error, std::size_t size) {
+                                    if (error == asio::error::operation_aborted
+                                        || !m_socket.is_open())
+                                        return;
+                                    if (!error)
+                                        received(size);
+                                    receiveWaiting();
+                                    receive();
+                                });
+}
+
+/// Takes the datagrams that wait already, so that a burst does not cost a round of the event loop
+/// for each.
+void GossipSocket::receiveWaiting()
+{
+    for (int i = 0; i < receiveBatch; ++i) {
+        boost::system::error_code error;
+        const std::size_t size = m_socket.receive_from(asio::buffer(m_buffer), m_from, 0, error);
+        if (error)
+            return;
+        received(size);
+    }
+}
+
+void GossipSocket::received(std::size_t size)
+{
+    auto message = decodeDatagram({m_buffer.data(), size});
+    if (!message) {
+        m_log.warning("Datagram refused: " + message.error().message() + ".");
+        return;
+    }
+    learnSender(message.value());
+    m_onReceive(std::move(message).value());
 }
 
 } // namespace bilberry::wire
