Wait 400 ms between two answers with changed servers

Change: the next call for servers waits 400 ms after changes instead of 150 ms, and a quiet call for routers 20 s instead of 10 s. A server that drains must get nothing after 2 s, so that a fifth of it is spent here.

--- a/packages/direct/src/directrouter.cpp
+++ b/packages/direct/src/directrouter.cpp
@@ -23,7 +23,9 @@
 /// Metrics and idle connections are looked after in this period.
 constexpr Duration housekeepingPeriod = std::chrono::seconds(1);
 /// Routers come and go seldom, and a late entry costs only a less exact choice.
-constexpr Duration routersWait = std::chrono::seconds(10);
+constexpr Duration routersWait = std::chrono::seconds(20);
+/// Between two answers with changed servers: a fifth of the shortest bound on drained servers.
+constexpr Duration serversPause = std::chrono::milliseconds(400);
 /// A stopping router looks this often whether it is idle.
 constexpr Duration stopPeriod = std::chrono::milliseconds(50);
 constexpr int acceptBacklog = 1024;
@@ -156,6 +158,8 @@
         store::WatcherSettings watcher;
         watcher.collection = collection;
         watcher.wait = wait;
+        if (collection == adapter.collections.servers)
+            watcher.pause = serversPause;
         // Only the plan's age is of use; the others are judged by their entries.
         if (!hooks.proven)
             hooks.proven = [](TimePoint) {};
