Notice a silent connection of the servers' watch after 2.7 s

A watch call that falls silent ended after 3.6 s + 0.9 s, longer than a machine's contact time, so that a router could be in touch and not know. Change: the servers' watch waits as long as the plan's (1.8 s).

--- a/packages/direct/include/bilberry/direct/directsettings.h
+++ b/packages/direct/include/bilberry/direct/directsettings.h
@@ -31,8 +31,9 @@
     Endpoint store;
     /// Age of the newest proof of the plan at which keyed requests are refused.
     Duration proofLimit = std::chrono::milliseconds(3500);
-    Duration storeWait = std::chrono::milliseconds(
-            1800); ///< of a watch call for the plan; twice it for others
+    /// Of a watch call for the plan and the servers; twice it for the zones that are out. A silent
+    /// connection is noticed so much later, and what it hid is bound to seconds.
+    Duration storeWait = std::chrono::milliseconds(1800);
     Duration stopLimit = std::chrono::milliseconds(7300); ///< of a graceful shutdown
     /// Time in which the balancer takes a router out that is not ready.
     Duration balancerLag = std::chrono::milliseconds(2500);
--- a/packages/direct/src/directrouter.cpp
+++ b/packages/direct/src/directrouter.cpp
@@ -148,7 +148,7 @@
         routers.changed = [this](const store::Item &item) { peers->entered(item); };
         routers.removed = [this](const std::string &name) { peers->removed(name); };
         follow(adapter.collections.plans, std::move(plans), settings.storeWait);
-        follow(adapter.collections.servers, std::move(servers), 2 * settings.storeWait);
+        follow(adapter.collections.servers, std::move(servers), settings.storeWait);
         follow(adapter.collections.zonesOut, std::move(zones), 2 * settings.storeWait);
         follow(adapter.collections.routers, std::move(routers), routersWait);
     }
