--- a/packages/direct/src/directrouter.cpp
+++ b/packages/direct/src/directrouter.cpp
@@ -1,6 +1,7 @@
 #include "bilberry/direct/directrouter.h"
 
 #include "bilberry/admin/adminserver.h"
+#include "bilberry/decision/overloaddetector.h"
 #include "bilberry/store/collectionwatcher.h"
 
 #include "directmetrics.h"
@@ -26,6 +27,8 @@
 constexpr Duration routersWait = std::chrono::seconds(20);
 /// Between two answers with changed servers: a fifth of the shortest bound on drained servers.
 constexpr Duration serversPause = std::chrono::milliseconds(400);
+/// Between two measurements of the event loop's lag.
+constexpr Duration lagPeriod = std::chrono::milliseconds(100);
 /// A stopping router looks this often whether it is idle.
 constexpr Duration stopPeriod = std::chrono::milliseconds(50);
 constexpr int acceptBacklog = 1024;
@@ -62,19 +65,19 @@
         : settings(settings), adapter(std::move(adapter)), random(std::random_device{}()),
           fleet(settings.fleet), meter(settings.fairnessWindow),
           connections(io, settings.connectLimit), acceptor(io), acceptTimer(io), housekeeping(io),
-          stopTimer(io), request{io,
-                                 this->settings,
-                                 this->adapter.headers,
-                                 connections,
-                                 fleet,
-                                 meter,
-                                 retries,
-                                 counts,
-                                 log,
-                                 random,
-                                 {},
-                                 {},
-                                 {}}
+          lagTimer(io), stopTimer(io), request{io,
+                                               this->settings,
+                                               this->adapter.headers,
+                                               connections,
+                                               fleet,
+                                               meter,
+                                               retries,
+                                               counts,
+                                               log,
+                                               random,
+                                               {},
+                                               {},
+                                               {}}
     {
         connections.lookUp = [this](const ServerId &id) { return fleet.server(id); };
         request.plan = [this] { return plan; };
@@ -186,6 +189,7 @@
             watcher->start();
         peers->start();
         keepHouse();
+        measureLag();
         log.decision("Started.",
                      {{"router", settings.router.text()}, {"zone", settings.zone.text()}});
     }
@@ -278,8 +282,11 @@
     }
 
     /// Takes the connections that wait already: under load the event loop comes back here seldom.
+    /// An overloaded router takes one in each round, so that its store and its streams come first.
     void acceptWaiting()
     {
+        if (overload.overloaded())
+            return;
         for (int i = 0; i < acceptBatch; ++i) {
             tcp::socket socket(io);
             boost::system::error_code error;
@@ -329,7 +336,29 @@
 
     bool ready() const
     {
-        return plan && !entries.empty() && !stopping && proof.age() < settings.proofLimit;
+        return plan && !entries.empty() && !stopping && proof.age() < settings.proofLimit
+               && !overload.overloaded();
+    }
+
+    /// An overloaded router leaves the rotation, so that new connections reach others. What is open
+    /// here is served on.
+    void measureLag()
+    {
+        lagTimer.expires_after(lagPeriod);
+        lagTimer.async_wait([self = shared_from_this()](boost::system::error_code error) {
+            if (error)
+                return;
+            const bool before = self->overload.overloaded();
+            self->overload.measured(Clock::now() - self->lagTimer.expiry(), lagPeriod);
+            const bool after = self->overload.overloaded();
+            if (before != after)
+                self->log.decision(after ? "Overloaded: leaves the rotation."
+                                         : "No longer overloaded.",
+                                   {{"meanLagMs",
+                                     std::to_string(static_cast<int>(self->overload.meanLagMs()))},
+                                    {"callers", std::to_string(self->callers.size())}});
+            self->measureLag();
+        });
     }
 
     void keepHouse()
@@ -401,7 +430,9 @@
     tcp::acceptor acceptor;
     asio::steady_timer acceptTimer;
     asio::steady_timer housekeeping;
+    asio::steady_timer lagTimer;
     asio::steady_timer stopTimer;
+    decision::OverloadDetector overload{{}};
     RequestContext request;
     CallerHooks callerHooks;
     std::unordered_set<CallerConnectionPtr> callers;
