--- a/tests/integration/directrouter_test.cpp
+++ b/tests/integration/directrouter_test.cpp
@@ -113,6 +113,18 @@
     std::unique_ptr<Process> process;
 };
 
+/// @return true when the process ignores SIGHUP now
+bool ignoresHangup(int process)
+{
+    std::ifstream in("/proc/" + std::to_string(process) + "/status");
+    const std::string field = "SigIgn:";
+    for (std::string line; std::getline(in, line);) {
+        if (line.starts_with(field))
+            return (std::stoull(line.substr(field.size()), nullptr, 16) & 1U << (SIGHUP - 1)) != 0;
+    }
+    return false;
+}
+
 } // namespace
 
 SCENARIO("a direct router serves from the platform's store and stops in order")
@@ -176,3 +188,27 @@
         }
     }
 }
+
+SCENARIO("a direct router that is still starting is told that its settings have changed")
+{
+    GIVEN("a store that is not there")
+    {
+        const std::uint16_t absentStore = freePort();
+        WHEN("the program starts, several times over")
+        {
+            // Handled soon after: a single start may have gone on before it is looked at.
+            constexpr int starts = 20;
+            bool ignored = false;
+            for (int i = 0; i < starts && !ignored; ++i) {
+                Program program(absentStore);
+                const TimePoint end = Clock::now() + 100ms;
+                while (Clock::now() < end && !ignored)
+                    ignored = ignoresHangup(program.process->id());
+            }
+            THEN("the signal can't end it before it is handled")
+            {
+                CHECK(ignored);
+            }
+        }
+    }
+}
