--- /dev/null
+++ b/tests/soak/storestandin.h
@@ -0,0 +1,65 @@
+#ifndef BILBERRY_SOAK_STORESTANDIN_H
+#define BILBERRY_SOAK_STORESTANDIN_H
+
+#include "support/scriptedserver.h"
+
+#include "bilberry/base/time.h"
+
+#include <condition_variable>
+#include <cstdint>
+#include <deque>
+#include <map>
+#include <mutex>
+#include <string>
+
+namespace bilberry::soak {
+
+/// The users' platform's store on loopback: lists, watches and writes objects, and misbehaves when
+/// it is told to.
+class StoreStandIn
+{
+public:
+    enum class Mode { Healthy, Unavailable, Silent, Slow };
+
+    StoreStandIn();
+    ~StoreStandIn();
+
+    std::uint16_t port() const { return m_server->port(); }
+    void setMode(Mode mode);
+    /// Watches from earlier revisions are answered 410 from now on.
+    void forgetHistory();
+
+    /// Writes an object like the operator or a server; always succeeds.
+    void put(const std::string &kind, const std::string &name, const std::string &spec);
+    void remove(const std::string &kind, const std::string &name);
+
+private:
+    struct Change
+    {
+        std::uint64_t revision = 0;
+        std::string kind;
+        std::string name;
+        std::string spec;
+        bool removed = false;
+    };
+
+    tests::ScriptedAnswer answer(const tests::ScriptedRequest &request);
+    std::string list(const std::string &kind);
+    std::string watch(const std::string &kind, std::uint64_t since, Duration wait);
+    void change(const std::string &kind, const std::string &name, const std::string &spec,
+                bool removed);
+
+    std::mutex m_mutex;
+    std::condition_variable m_changed;
+    std::map<std::string, std::map<std::string, std::string>> m_objects; ///< specs by kind and name
+    std::deque<Change> m_history;
+    std::uint64_t m_revision = 1;
+    std::uint64_t m_forgotten = 0; ///< newest revision that is no longer in the history
+    Mode m_mode = Mode::Healthy;
+    bool m_stopping = false;
+    std::unique_ptr<tests::ScriptedServer> m_server;
+};
+
+} // namespace bilberry::soak
+
+#endif
