Decision: end the underflow of unresolved creations, and forget idle customers

A read that finds the claim's own token while no creation is in doubt took 1 from an unsigned 0, so that the claim stayed in doubt for good. The usage meter kept an account for each customer ever seen. Change: the count stops at 0; an account whose window is empty is erased when the usage is reported.

--- a/packages/decision/include/bilberry/decision/customerusagemeter.h
+++ b/packages/decision/include/bilberry/decision/customerusagemeter.h
@@ -44,6 +44,9 @@
     ///         nothing was dispatched
     double usageRatio(const CustomerId &customer, TimePoint now);
 
+    /// @return number of customers of which requests of this router are kept
+    std::size_t customerCount() const { return m_accounts.size(); }
+
 private:
     struct Account
     {
--- a/packages/decision/src/claim.cpp
+++ b/packages/decision/src/claim.cpp
@@ -42,7 +42,7 @@
     switch (result) {
     case ClaimCallResult::TokenMatches:
         // One of the unresolved creations took effect; the others can still do so after a deletion.
-        --m_unresolvedCreations;
+        m_unresolvedCreations -= m_unresolvedCreations > 0 ? 1 : 0;
         m_state = ClaimState::Held;
         return ClaimStep::Dispatch;
     case ClaimCallResult::TokenDiffers:
--- a/packages/decision/src/customerusagemeter.cpp
+++ b/packages/decision/src/customerusagemeter.cpp
@@ -34,10 +34,14 @@
 std::map<CustomerId, CustomerUsageMeter::Usage> CustomerUsageMeter::ownUsage(TimePoint now)
 {
     std::map<CustomerId, Usage> usages;
-    for (auto &[customer, account] : m_accounts) {
-        const Usage usage{account.requested.sum(now), account.dispatched.sum(now)};
-        if (usage.requested > 0.0)
-            usages.emplace(customer, usage);
+    for (auto account = m_accounts.begin(); account != m_accounts.end();) {
+        const Usage usage{account->second.requested.sum(now), account->second.dispatched.sum(now)};
+        if (usage.requested <= 0.0) {
+            account = m_accounts.erase(account);
+            continue;
+        }
+        usages.emplace(account->first, usage);
+        ++account;
     }
     return usages;
 }
--- a/packages/decision/tests/customerusagemeter_test.cpp
+++ b/packages/decision/tests/customerusagemeter_test.cpp
@@ -47,6 +47,16 @@
                 CHECK(meter.usageRatio(large, now) == Approx(1.0));
             }
         }
+        WHEN("a customer has sent nothing for a window")
+        {
+            record(large, 60, 60);
+            CHECK(meter.customerCount() == 1);
+            meter.ownUsage(now + 5s);
+            THEN("the meter keeps nothing of it")
+            {
+                CHECK(meter.customerCount() == 0);
+            }
+        }
         WHEN("another router reports requests of the same customer")
         {
             record(large, 60, 60);
