Share placements of prompts between routers, and refuse rather than move

Above the engines' capacity the moves feed themselves: each one adds work, the backlogs rise, and more requests are moved; at 24 routers a fifth of all tokens was read again. Ruled out: the weight in the choice (3 against 10 changes little, as in the issue's trials), a larger backlog limit (200 ms for 150: worse above capacity), a weight in proportion to the pool's mean backlog (refuses more in light load), the guess of the owner's cache alone. Change: reports carry where prompts with a shared prefix of 512 tokens or more were sent; each router's estimate of a server's cache sees all routers' prompts, with 0.9 instead of 0.6 of the memory. The owner is assumed to have a prefix only if no server is known to have it. Recomputed work counts against the backlog limit with the weight that it has in the choice, 3, and with 2 while the pool's mean backlog is below 0.4 of the limit. Two findings by reading are mended with it: load reported for a server that isn't listed yet counts when it is listed, and an estimate follows the memory of a new plan.

--- a/packages/decision/include/bilberry/decision/promptcache.h
+++ b/packages/decision/include/bilberry/decision/promptcache.h
@@ -64,6 +64,14 @@
     /// Records that the prompt is sent to the server.
     void insert(const Prompt &prompt);
 
+    /// Records that another router sent a prompt to the server.
+    /// @param prefix the prompt's shared prefix, as a whole
+    /// @param ownTokens size of its last part, which occupies memory as well
+    void insertShared(const Prompt::Prefix &prefix, std::uint32_t ownTokens);
+
+    /// Changes the capacity, and evicts what is over it.
+    void setCapacity(std::uint64_t tokens);
+
     /// Records that the server's cache was lost, for example in a restart.
     void clear();
 
@@ -74,9 +82,13 @@
         std::uint32_t tokens = 0;
     };
 
+    void touch(std::uint64_t key, std::uint32_t tokens);
+    void evict();
+
     std::uint64_t m_capacity;
     std::uint64_t m_tokens = 0;
-    std::list<Entry> m_entries; ///< most recently used first
+    std::uint64_t m_anonymousParts = 0; ///< last parts of other routers' prompts; their keys
+    std::list<Entry> m_entries;         ///< most recently used first
     std::unordered_map<std::uint64_t, std::list<Entry>::iterator> m_entriesByKey;
 };
 
--- a/packages/decision/include/bilberry/decision/serverselector.h
+++ b/packages/decision/include/bilberry/decision/serverselector.h
@@ -46,8 +46,9 @@
     double minOveruseFactor = 0.1;
     /// Added to the score of servers in other zones.
     Duration zonePenalty = std::chrono::milliseconds(2);
-    /// Weight of recomputed prefill work relative to queueing time. Higher values favour waiting
-    /// for the server that has the prompt cached.
+    /// Weight of recomputed prefill work relative to queueing time, in the choice and against the
+    /// backlog limit. Higher values favour the server that has the prompt cached, and refuse more
+    /// requests instead of moving them.
     double recomputeWeight = 3.0;
     double prefillTokensPerMs = 64.0;         ///< prefill throughput of an engine
     double attentionMsPerMillionPairs = 0.65; ///< additional prefill time, quadratic in tokens
@@ -81,9 +82,10 @@
 struct ServerChoice
 {
     ServerId server;
-    double backlogMs = 0.0;         ///< queued prefill work of all routers
-    double prefillMs = 0.0;         ///< expected time to prefill the prompt
-    std::uint32_t cachedTokens = 0; ///< prompt tokens expected in the server's prefix cache
+    double backlogMs = 0.0;             ///< queued prefill work of all routers
+    double prefillMs = 0.0;             ///< expected time to prefill the prompt
+    std::uint32_t cachedTokens = 0;     ///< prompt tokens expected in the server's prefix cache
+    std::uint32_t mostCachedTokens = 0; ///< the most expected in the cache of any usable server
     bool operator==(const ServerChoice &) const = default;
 };
 
@@ -109,6 +111,16 @@
     bool operator==(const ReportedLoad &) const = default;
 };
 
+/// A prompt that a router sent to a server, as it tells the other routers: the server then has its
+/// shared prefix cached.
+struct PlacedPrefix
+{
+    ServerKey server = 0;
+    Prompt::Prefix prefix;       ///< the prompt without its last part, as a whole
+    std::uint32_t ownTokens = 0; ///< size of the last part
+    bool operator==(const PlacedPrefix &) const = default;
+};
+
 /// Identifies an attempt: one request sent to one server.
 using AttemptNumber = std::uint64_t;
 
@@ -139,6 +151,13 @@
     /// @param hook called when this router's queued prefill work on a server has changed by 1 ms or
     ///        more
     void setLoadChangedHook(std::function<void()> hook) { m_loadChangedHook = std::move(hook); }
+    /// Records where another router sent a prompt.
+    void recordPeerPlacement(const PlacedPrefix &placed);
+    /// @param hook called when this router sends a prompt with a shared prefix to a server
+    void setPrefixPlacedHook(std::function<void(const PlacedPrefix &)> hook)
+    {
+        m_prefixPlacedHook = std::move(hook);
+    }
     /// @return number of other routers whose newest report has not expired
     std::size_t livePeerCount(TimePoint now) const;
     /// @param zones zones that receive no requests; servers of a zone that is no longer in the set
@@ -214,6 +233,7 @@
                  double minPrefillMs, const DirectPool *pool) const;
     double backlogLimitMs(const RequestTraits &traits, bool standalone) const;
     void expirePeers(TimePoint now);
+    RouterLoad reportedLoad(ServerKey key) const;
     void addPeerLoad(ServerKey key, const RouterLoad &load, double sign);
     void notifyLoadChanged(double changeMs) const;
     void markCold(Server &server, TimePoint now);
@@ -226,6 +246,7 @@
     std::map<ServerId, Server> m_servers;
     std::unordered_map<ServerKey, Server *> m_serversByKey;
     std::function<void()> m_loadChangedHook;
+    std::function<void(const PlacedPrefix &)> m_prefixPlacedHook;
     std::map<RouterId, Peer> m_peers;
     std::map<RouterId, TimePoint> m_routersSeenAt; ///< when each other router was last seen
     TimePoint m_expiryCheckedAt{};
--- a/packages/decision/src/promptcache.cpp
+++ b/packages/decision/src/promptcache.cpp
@@ -28,29 +28,48 @@
     return m_prefixes.empty() ? 0 : m_tokens - m_prefixes.back().tokens;
 }
 
+/// Looks for the longest prefix first: of another router's prompt only the whole shared prefix is
+/// known.
 std::uint32_t PromptCache::cachedTokens(const Prompt &prompt) const
 {
-    std::uint32_t tokens = 0;
-    for (const Prompt::Prefix &prefix : prompt.prefixes()) {
-        if (!m_entriesByKey.contains(prefix.key))
-            break;
-        tokens += prefix.tokens;
+    std::uint32_t tokens = prompt.tokens();
+    const auto &prefixes = prompt.prefixes();
+    for (auto prefix = prefixes.rbegin(); prefix != prefixes.rend(); ++prefix) {
+        if (m_entriesByKey.contains(prefix->key))
+            return tokens;
+        tokens -= prefix->tokens;
     }
-    return tokens;
+    return 0;
 }
 
 void PromptCache::insert(const Prompt &prompt)
 {
-    for (const Prompt::Prefix &prefix : prompt.prefixes()) {
-        const auto found = m_entriesByKey.find(prefix.key);
-        if (found != m_entriesByKey.end()) {
-            m_entries.splice(m_entries.begin(), m_entries, found->second);
-            continue;
-        }
-        m_entries.push_front({prefix.key, prefix.tokens});
-        m_entriesByKey[prefix.key] = m_entries.begin();
-        m_tokens += prefix.tokens;
+    for (const Prompt::Prefix &prefix : prompt.prefixes())
+        touch(prefix.key, prefix.tokens);
+    evict();
+}
+
+void PromptCache::insertShared(const Prompt::Prefix &prefix, std::uint32_t ownTokens)
+{
+    touch(prefix.key, prefix.tokens);
+    touch(++m_anonymousParts, ownTokens);
+    evict();
+}
+
+void PromptCache::touch(std::uint64_t key, std::uint32_t tokens)
+{
+    const auto found = m_entriesByKey.find(key);
+    if (found != m_entriesByKey.end()) {
+        m_entries.splice(m_entries.begin(), m_entries, found->second);
+        return;
     }
+    m_entries.push_front({key, tokens});
+    m_entriesByKey[key] = m_entries.begin();
+    m_tokens += tokens;
+}
+
+void PromptCache::evict()
+{
     while (m_tokens > m_capacity && !m_entries.empty()) {
         m_tokens -= m_entries.back().tokens;
         m_entriesByKey.erase(m_entries.back().key);
@@ -58,6 +77,12 @@
     }
 }
 
+void PromptCache::setCapacity(std::uint64_t tokens)
+{
+    m_capacity = tokens;
+    evict();
+}
+
 void PromptCache::clear()
 {
     m_entries.clear();
--- a/packages/decision/src/serverselector.cpp
+++ b/packages/decision/src/serverselector.cpp
@@ -10,11 +10,10 @@
 
 namespace {
 
-/// Fraction of an engine's memory that is available to the prefix cache; running requests occupy
-/// the rest.
-constexpr double prefixCacheFraction = 0.6;
-/// Probability that the rendezvous owner of a shared prefix has it cached because of requests from
-/// other routers.
+/// Fraction of an engine's memory that prompts can occupy; generated tokens occupy the rest.
+constexpr double prefixCacheFraction = 0.9;
+/// Probability that the rendezvous owner of a shared prefix has it cached, when no router's request
+/// is known to have put it into any cache.
 constexpr double ownerCacheProbability = 0.8;
 /// Delay that each running request adds to an engine's answers, in milliseconds.
 constexpr double runningRequestCostMs = 0.3;
@@ -22,6 +21,12 @@
 constexpr double plainRequestMs = 30.0;
 /// Latency objective for which the backlog limits are given, in milliseconds.
 constexpr double referenceObjectiveMs = 600.0;
+/// Mean backlog of a pool's servers, relative to the limit, below which the pool has capacity to
+/// spare.
+constexpr double spareCapacityBacklog = 0.4;
+/// Weight of recomputed prefill work against the backlog limit while the pool has capacity to
+/// spare.
+constexpr double spareCapacityRecomputeWeight = 2.0;
 /// Smallest change of queued prefill work that calls the load-changed hook, in milliseconds.
 constexpr double minReportedChangeMs = 1.0;
 /// Minimum time between two scans for expired reports and routers.
@@ -74,9 +79,12 @@
         server.health = ServerHealth(m_settings.health);
         server.wrongServerAt = {};
     }
+    server.cache.setCapacity(cacheTokens);
     server.descriptor = descriptor;
     server.key = serverKey(descriptor.id);
     m_serversByKey[server.key] = &server;
+    if (added)
+        server.peerLoad = reportedLoad(server.key);
     if (descriptor.warmupLeft > Duration::zero())
         extendColdStart(server, now + descriptor.warmupLeft, now);
     else if (restarted)
@@ -143,6 +151,27 @@
         peerLoad.inFlight -= std::min(peerLoad.inFlight, load.inFlight);
 }
 
+/// @return the load that other routers have reported for a server, which may precede its listing
+RouterLoad ServerSelector::reportedLoad(ServerKey key) const
+{
+    RouterLoad sum;
+    for (const auto &[router, peer] : m_peers) {
+        const auto found = peer.loads.find(key);
+        if (found == peer.loads.end())
+            continue;
+        sum.backlogMs += found->second.backlogMs;
+        sum.inFlight += found->second.inFlight;
+    }
+    return sum;
+}
+
+void ServerSelector::recordPeerPlacement(const PlacedPrefix &placed)
+{
+    const auto found = m_serversByKey.find(placed.server);
+    if (found != m_serversByKey.end())
+        found->second->cache.insertShared(placed.prefix, placed.ownTokens);
+}
+
 void ServerSelector::notifyLoadChanged(double changeMs) const
 {
     if (m_loadChangedHook && changeMs >= minReportedChangeMs)
@@ -215,8 +244,13 @@
     if (allUnreachable)
         worstTier = Tier::Unreachable;
 
+    std::uint32_t mostCachedTokens = 0;
+    for (const Candidate &candidate : candidates)
+        mostCachedTokens
+                = std::max(mostCachedTokens, candidate.server->cache.cachedTokens(traits.prompt));
     const Server *owner = nullptr;
-    if (const std::uint64_t key = traits.prompt.sharedPrefixKey(); key != 0) {
+    const std::uint64_t key = traits.prompt.sharedPrefixKey();
+    if (key != 0 && mostCachedTokens < traits.prompt.sharedPrefixTokens()) {
         owner = std::max_element(candidates.begin(), candidates.end(),
                                  [key](const Candidate &left, const Candidate &right) {
                                      return rendezvousWeight(key, left.server->key)
@@ -242,8 +276,18 @@
                               server.ownLoad.inFlight + server.peerLoad.inFlight};
         loads.push_back(load);
         choices.push_back(estimate(server, load, traits, &server == owner));
+        choices.back().mostCachedTokens = mostCachedTokens;
         minPrefillMs = std::min(minPrefillMs, choices.back().prefillMs);
     }
+    double loadSum = 0.0;
+    for (const ServerChoice &choice : choices)
+        loadSum += std::min(1.0, choice.backlogMs / limitMs);
+    // Under overload, moving a prompt away from the server that has it cached would only add load.
+    const bool hasSpareCapacity
+            = loadSum < spareCapacityBacklog * static_cast<double>(choices.size());
+    const double recomputeWeight
+            = hasSpareCapacity ? std::min(spareCapacityRecomputeWeight, m_settings.recomputeWeight)
+                               : m_settings.recomputeWeight;
     for (std::size_t i = 0; i < candidates.size(); ++i) {
         Server &server = *candidates[i].server;
         if (candidates[i].tier > worstTier)
@@ -260,9 +304,7 @@
             continue;
         }
         const ServerChoice &choice = choices[i];
-        // Recomputed prefill work counts like queued work: under overload, moving a prompt away
-        // from the server that has it cached would only add load.
-        const double recomputeMs = choice.prefillMs - minPrefillMs;
+        const double recomputeMs = recomputeWeight * (choice.prefillMs - minPrefillMs);
         if (pool && pool->engine && choice.backlogMs + recomputeMs > limitMs) {
             overloaded = true;
             continue;
@@ -292,6 +334,13 @@
         server->awaitingFirstByte.emplace(number, now);
         ++server->ownLoad.inFlight;
         server->cache.insert(traits.prompt);
+        const std::uint64_t prefixKey = traits.prompt.sharedPrefixKey();
+        if (m_prefixPlacedHook && prefixKey != 0) {
+            const std::uint32_t sharedTokens = traits.prompt.sharedPrefixTokens();
+            m_prefixPlacedHook({server->key,
+                                {prefixKey, sharedTokens},
+                                traits.prompt.tokens() - sharedTokens});
+        }
         if (now < server->coldUntil)
             server->nextColdRequestAt = now + coldRequestInterval(*server);
         notifyLoadChanged(choice.prefillMs);
--- a/packages/decision/tests/promptcache_test.cpp
+++ b/packages/decision/tests/promptcache_test.cpp
@@ -28,6 +28,33 @@
         {
             CHECK(cache.cachedTokens(Prompt("n", {{1, 100}, {2, 50}, {3, 10}})) == 0);
         }
+        WHEN("another router reports a prompt with two shared parts")
+        {
+            const Prompt reported("m", {{1, 100}, {7, 50}, {8, 10}});
+            cache.insertShared({reported.sharedPrefixKey(), 150}, 10);
+            THEN("prompts with both parts share them")
+            {
+                CHECK(cache.cachedTokens(Prompt("m", {{1, 100}, {7, 50}, {9, 10}})) == 150);
+            }
+            AND_WHEN("its own parts fill the cache")
+            {
+                for (std::uint64_t i = 0; i < 5; ++i)
+                    cache.insertShared({reported.sharedPrefixKey(), 150}, 200);
+                THEN("parts that were used before are evicted, the shared ones are not")
+                {
+                    CHECK(cache.cachedTokens(prompt) == 0);
+                    CHECK(cache.cachedTokens(reported) == 150);
+                }
+            }
+        }
+        WHEN("the server's memory turns out smaller")
+        {
+            cache.setCapacity(80);
+            THEN("the least recently used parts are evicted")
+            {
+                CHECK(cache.cachedTokens(Prompt("m", {{1, 100}})) == 0);
+            }
+        }
         WHEN("more tokens are inserted than the capacity")
         {
             for (std::uint64_t i = 0; i < 10; ++i)
--- a/packages/decision/tests/serverselector_test.cpp
+++ b/packages/decision/tests/serverselector_test.cpp
@@ -206,6 +206,96 @@
     }
 }
 
+SCENARIO("another router reports load on a server that isn't listed yet")
+{
+    GIVEN("such a report, and then the server's listing")
+    {
+        Router router(0);
+        const ServerKey key = serverKey(ServerId("s0"));
+        router.selector.updatePeerLoads(RouterId("other"), {{key, {2000.0, 30}}}, true, router.now);
+        router.selector.update(serverNamed("s0"), router.now);
+        THEN("the load counts")
+        {
+            CHECK(router.selector.choose(router.traits(prompt(1, 1)), router.now).error()
+                  == ServerChoiceErrc::Overloaded);
+        }
+        WHEN("the other router's load has ended, and a third one has load there")
+        {
+            router.selector.updatePeerLoads(RouterId("third"), {{key, {2000.0, 30}}}, true,
+                                            router.now);
+            router.selector.updatePeerLoads(RouterId("other"), {{key, {}}}, false, router.now);
+            THEN("the third one's load still counts")
+            {
+                CHECK(router.selector.choose(router.traits(prompt(1, 1)), router.now).error()
+                      == ServerChoiceErrc::Overloaded);
+            }
+        }
+    }
+}
+
+SCENARIO("a new plan tells a smaller memory of the engines")
+{
+    GIVEN("a server that has received a prompt")
+    {
+        Router router(1);
+        REQUIRE(router.send(router.traits(prompt(7, 1))));
+        router.finishAll();
+        WHEN("its engine has less memory than the prompt needs")
+        {
+            TrafficPlanParts parts = planWithEngines()->parts();
+            parts.pools.at(models).engine = EngineTraits{64, 10000};
+            router.selector.setPlan(
+                    std::make_shared<const TrafficPlan>(TrafficPlan::create(2, parts).value()));
+            router.selector.update(serverNamed("s0"), router.now);
+            THEN("the prompt is no longer expected to be cached")
+            {
+                const auto choice = router.selector.choose(router.traits(prompt(7, 2)), router.now);
+                REQUIRE(choice);
+                CHECK(choice.value().mostCachedTokens == 0);
+            }
+        }
+    }
+}
+
+SCENARIO("a router uses the prefix caches that other routers' requests have filled")
+{
+    GIVEN("a router with nine servers")
+    {
+        Router router(9);
+        const Prompt request = prompt(7, 1);
+        const auto owner = router.selector.choose(router.traits(request), router.now);
+        REQUIRE(owner);
+        WHEN("another router reports that it sent the prefix to a server other than the owner")
+        {
+            const ServerId other(owner.value().server == ServerId("s1") ? "s2" : "s1");
+            router.selector.recordPeerPlacement(
+                    {serverKey(other), {request.sharedPrefixKey(), 13000}, 3000});
+            THEN("that server is chosen")
+            {
+                const auto choice = router.selector.choose(router.traits(prompt(7, 2)), router.now);
+                REQUIRE(choice);
+                CHECK(choice.value().server == other);
+                CHECK(choice.value().cachedTokens == 13000);
+            }
+        }
+        WHEN("it sends a prompt itself")
+        {
+            std::vector<PlacedPrefix> placed;
+            router.selector.setPrefixPlacedHook(
+                    [&](const PlacedPrefix &prefix) { placed.push_back(prefix); });
+            const auto choice = router.send(router.traits(request));
+            THEN("the hook is told the server, the shared prefix and the size of the rest")
+            {
+                REQUIRE(choice);
+                CHECK(placed
+                      == std::vector<PlacedPrefix>{{serverKey(choice.value().server),
+                                                    {request.sharedPrefixKey(), 13000},
+                                                    3000}});
+            }
+        }
+    }
+}
+
 SCENARIO("pattern: one customer sends many times its usual load")
 {
     GIVEN("a server with some queued prefill work")
--- a/packages/direct/src/peerexchange.cpp
+++ b/packages/direct/src/peerexchange.cpp
@@ -32,6 +32,11 @@
 constexpr std::size_t demandPeriodPeers = 8;
 /// Changes of the backlog below this wait for a complete report; in milliseconds of server work.
 constexpr double minBacklogChangeMs = 1.0;
+/// Shared prefixes below this size are not reported: to recompute one takes less of a server than
+/// the report takes of the routers.
+constexpr std::uint32_t minReportedPrefixTokens = 512;
+/// Limit of the placements in one report, which keeps it within one datagram.
+constexpr std::size_t maxReportedPlacements = 512;
 constexpr Duration storeCallTimeout = std::chrono::seconds(1);
 /// Delay between two attempts to register this router.
 constexpr Duration registrationRetryDelay = std::chrono::milliseconds(700);
@@ -57,6 +62,8 @@
 {
     m_socket.start();
     m_serverSelector.setLoadChangedHook([this] { handleLoadChange(); });
+    m_serverSelector.setPrefixPlacedHook(
+            [this](const decision::PlacedPrefix &placed) { addPlacement(placed); });
     asio::co_spawn(m_registrationTimer.get_executor(), registerRouter(shared_from_this()),
                    asio::detached);
     sendReport();
@@ -140,6 +147,15 @@
         scheduleReport(std::max(Clock::now() + reportDelay, m_lastReportAt + reportInterval()));
 }
 
+void PeerExchange::addPlacement(const decision::PlacedPrefix &placed)
+{
+    if (m_peers.empty() || placed.prefix.tokens < minReportedPrefixTokens
+        || m_placements.size() >= maxReportedPlacements)
+        return;
+    m_placements.push_back(
+            {placed.server, placed.prefix.key, placed.prefix.tokens, placed.ownTokens});
+}
+
 /// Schedules the next report, unless an earlier one is scheduled.
 void PeerExchange::scheduleReport(TimePoint when)
 {
@@ -158,16 +174,18 @@
     const TimePoint now = Clock::now();
     const bool complete = now - m_lastCompleteReportAt >= completeReportPeriod;
     const auto periodFactor = static_cast<int>(1 + m_peers.size() / demandPeriodPeers);
-    const bool includeDemands = now - m_lastDemandReportAt >= demandReportPeriod * periodFactor;
     wire::DirectRouterReport report;
     report.loads = changedLoads(complete);
-    if (includeDemands) {
+    report.placements = std::exchange(m_placements, {});
+    const bool hasChanges = complete || !report.loads.empty() || !report.placements.empty();
+    // Demands that are due wait for a report that is sent anyway.
+    if (hasChanges && now - m_lastDemandReportAt >= demandReportPeriod * periodFactor) {
         m_lastDemandReportAt = now;
         for (const auto &[customer, demand] : m_usageMeter.ownUsage(now))
             report.demands.push_back({customer, static_cast<std::uint64_t>(demand.requested),
                                       static_cast<std::uint64_t>(demand.dispatched)});
     }
-    if (complete || !report.loads.empty()) {
+    if (hasChanges) {
         report.sender = m_sender;
         report.sequence = ++m_sequence;
         report.complete = complete;
@@ -221,6 +239,10 @@
     for (const wire::DirectServerLoad &load : report->loads)
         loads.push_back({load.server, {load.pendingPromptUs / 1000.0, load.inFlight}});
     m_serverSelector.updatePeerLoads(report->sender.router, loads, report->complete, now);
+    for (const wire::DirectPlacement &placement : report->placements)
+        m_serverSelector.recordPeerPlacement({placement.server,
+                                              {placement.prefix, placement.sharedTokens},
+                                              placement.ownTokens});
     if (report->demands.empty())
         return;
     std::map<CustomerId, decision::CustomerUsageMeter::Usage> demands;
--- a/packages/direct/src/peerexchange.h
+++ b/packages/direct/src/peerexchange.h
@@ -46,6 +46,7 @@
     static boost::asio::awaitable<void> registerRouter(std::shared_ptr<PeerExchange> self);
     static boost::asio::awaitable<void> unregisterRouter(std::shared_ptr<PeerExchange> self);
     void handleLoadChange();
+    void addPlacement(const decision::PlacedPrefix &placed);
     void scheduleReport(TimePoint when);
     void sendReport();
     std::vector<wire::DirectServerLoad> changedLoads(bool complete);
@@ -71,6 +72,7 @@
     TimePoint m_lastCompleteReportAt{};
     TimePoint m_lastDemandReportAt{};
     std::map<decision::ServerKey, double> m_reportedBacklogMs; ///< backlog in the last report
+    std::vector<wire::DirectPlacement> m_placements;           ///< not reported yet, oldest first
     bool m_isUnregistering = false;
     bool m_isUnregistered = false;
 };
--- a/packages/wire/include/bilberry/wire/gossipmessages.h
+++ b/packages/wire/include/bilberry/wire/gossipmessages.h
@@ -117,6 +117,16 @@
     bool operator==(const CustomerDemand &) const = default;
 };
 
+/// A prompt that a direct router has sent to a server, whose prefix cache then has its shared part.
+struct DirectPlacement
+{
+    std::uint64_t server = 0;       ///< hash of the server's id
+    std::uint64_t prefix = 0;       ///< hash of the prompt without its last part
+    std::uint32_t sharedTokens = 0; ///< size of that prefix
+    std::uint32_t ownTokens = 0;    ///< size of the last part
+    bool operator==(const DirectPlacement &) const = default;
+};
+
 /// State that a direct router sends to all other direct routers. A complete report replaces all
 /// earlier ones; an incomplete one contains only changes.
 struct DirectRouterReport
@@ -125,7 +135,8 @@
     std::uint64_t sequence = 0; ///< within an incarnation, the report with the largest applies
     bool complete = true;
     std::vector<DirectServerLoad> loads;
-    std::vector<CustomerDemand> demands; ///< empty in a report of loads only
+    std::vector<CustomerDemand> demands;     ///< empty in a report of loads only
+    std::vector<DirectPlacement> placements; ///< since the previous report, oldest first
     bool operator==(const DirectRouterReport &) const = default;
 };
 
--- a/packages/wire/src/serialization.h
+++ b/packages/wire/src/serialization.h
@@ -60,7 +60,9 @@
 BILBERRY_FIELDS(QuarantineGossip, m.sender, m.notices)
 BILBERRY_FIELDS(DirectServerLoad, m.server, m.pendingPromptUs, m.inFlight)
 BILBERRY_FIELDS(CustomerDemand, m.customer, m.requestedTokens, m.dispatchedTokens)
-BILBERRY_FIELDS(DirectRouterReport, m.sender, m.sequence, m.complete, m.loads, m.demands)
+BILBERRY_FIELDS(DirectPlacement, m.server, m.prefix, m.sharedTokens, m.ownTokens)
+BILBERRY_FIELDS(DirectRouterReport, m.sender, m.sequence, m.complete, m.loads, m.demands,
+                m.placements)
 
 #undef BILBERRY_FIELDS
 
