Bound what a server that sends without end can cost

Late answers to other requests, interim answers and events without an end held the request until then too. Ruled out: heads without an end were bounded already; signed answers are forwarded with back pressure. Change: an attempt ends as broken beyond 1 MiB of skipped answers or 96 KiB without progress of the parser, and beyond 256 KiB of a body that can't be forwarded or of one event. The fixture of directrouter_test moved to a header of its own.

--- a/packages/direct/include/bilberry/direct/eventsplitter.h
+++ b/packages/direct/include/bilberry/direct/eventsplitter.h
@@ -24,6 +24,9 @@
     /// @return true when the last appended byte ended an event
     bool isAtEventEnd() const { return m_incompleteEvent.empty(); }
 
+    /// @return size of the incomplete event
+    std::size_t incompleteBytes() const { return m_incompleteEvent.size(); }
+
     /// @return highest id of a complete event, absent when none had a numeric id
     std::optional<std::uint64_t> lastId() const { return m_lastId; }
 
--- a/packages/direct/src/requesthandler.cpp
+++ b/packages/direct/src/requesthandler.cpp
@@ -23,6 +23,8 @@
 /// Bytes of a response body that are buffered until the response is complete, so that a failed
 /// attempt can be replaced.
 constexpr std::size_t maxBufferedBodyBytes = 256U << 10U;
+/// Size of an incomplete event from which on its stream counts as broken.
+constexpr std::size_t maxEventBytes = 256U << 10U;
 /// Unsent bytes of a caller at which reading from its server is paused.
 constexpr std::size_t maxUnsentBytes = 256U << 10U;
 /// A request with less than this fraction of its route's time limit remaining counts as a repeat of
@@ -245,6 +247,8 @@
                             {"try", std::to_string(m_attemptCount)},
                             {"backlogMs", std::to_string(static_cast<int>(choice.backlogMs))},
                             {"readMs", std::to_string(static_cast<int>(choice.prefillMs))},
+                            {"cachedTokens", std::to_string(choice.cachedTokens)},
+                            {"mostCachedTokens", std::to_string(choice.mostCachedTokens)},
                             {"plan", std::to_string(m_plan->version())},
                             {"remainingMs", toMillisecondsText(remainingTime())}});
     m_attempt = std::make_shared<ServerAttempt>(m_context.connections, choice.server,
@@ -306,8 +310,10 @@
     // An unsigned response is buffered, and handled as a failed attempt when it ends.
     m_isStreaming = m_route->kind == RequestKind::Stream && status / 100 == 2
                     && isAuthentic(header, m_context.headerNames);
-    if (!m_isStreaming)
-        m_context.serverSelector.recordFirstByte(m_attemptNumber, now);
+    if (m_isStreaming)
+        return;
+    m_firstByteAt = now;
+    m_context.serverSelector.recordFirstByte(m_attemptNumber, now);
 }
 
 void RequestHandler::handleResponseBody(std::string &&data)
@@ -320,14 +326,30 @@
             m_firstByteAt = now;
         m_context.serverSelector.recordFirstByte(m_attemptNumber, now);
         forwardBody(m_eventSplitter ? m_eventSplitter->append(data) : std::move(data));
+        if (m_attempt && m_eventSplitter && m_eventSplitter->incompleteBytes() > maxEventBytes)
+            abandonAttempt(AttemptOutcome::BrokenAnswer, true);
         return;
     }
     m_bufferedBody += data;
-    if (m_bufferedBody.size() > maxBufferedBodyBytes && !m_notRun
-        && isAuthentic(*m_responseHeader, m_context.headerNames))
+    if (m_bufferedBody.size() <= maxBufferedBodyBytes)
+        return;
+    if (m_notRun)
+        abandonAttempt(AttemptOutcome::Shed, false);
+    else if (!isAuthentic(*m_responseHeader, m_context.headerNames))
+        abandonAttempt(AttemptOutcome::BrokenAnswer, true);
+    else
         forwardBody(std::exchange(m_bufferedBody, {}));
 }
 
+/// Gives up an attempt whose response can't become valid any more.
+void RequestHandler::abandonAttempt(AttemptOutcome outcome, bool mayHaveRun)
+{
+    m_sentCount += m_attempt->mayHaveSent() ? 1 : 0;
+    m_attempt->cancel();
+    m_attempt.reset();
+    handleAttemptFailure(outcome, mayHaveRun);
+}
+
 void RequestHandler::startResponse()
 {
     if (m_responseStarted)
@@ -479,10 +501,9 @@
     m_silenceTimer.async_wait([self = shared_from_this()](boost::system::error_code error) {
         if (error || self->m_finished || !self->m_attempt || self->m_responseHeader)
             return;
-        self->m_attempt->cancel();
-        self->m_attempt.reset();
-        ++self->m_sentCount;
-        self->handleAttemptFailure(AttemptOutcome::TimedOut, true);
+        const bool mayHaveRun = self->m_attempt->mayHaveSent();
+        self->abandonAttempt(mayHaveRun ? AttemptOutcome::TimedOut : AttemptOutcome::ConnectFailed,
+                             mayHaveRun);
     });
 }
 
@@ -580,18 +601,19 @@
 {
     if (m_finished)
         return;
-    const bool hadAttempt = m_attempt != nullptr;
-    if (hadAttempt) {
+    if (m_attempt) {
+        const bool mayHaveRun = m_attempt->mayHaveSent();
         m_attempt->cancel();
         m_attempt.reset();
-        recordAttemptOutcome(m_responseStarted ? AttemptOutcome::Cancelled
-                                               : AttemptOutcome::TimedOut);
-        ++m_possibleRunCount;
+        const AttemptOutcome silent
+                = mayHaveRun ? AttemptOutcome::TimedOut : AttemptOutcome::ConnectFailed;
+        recordAttemptOutcome(m_responseStarted ? AttemptOutcome::Cancelled : silent);
+        m_possibleRunCount += mayHaveRun ? 1 : 0;
     }
     if (m_responseStarted || m_serverErrorHeader)
         failRequest();
     else
-        refuse(RefusalReason::TimedOut);
+        refuse(m_possibleRunCount > 0 ? RefusalReason::TimedOut : RefusalReason::NotAccepted);
 }
 
 void RequestHandler::recordAttemptOutcome(AttemptOutcome outcome)
--- a/packages/direct/src/requesthandler.h
+++ b/packages/direct/src/requesthandler.h
@@ -71,6 +71,7 @@
     void handleResponseHeader(const ResponseHeader &header);
     void handleResponseBody(std::string &&data);
     void handleAttemptEnd(AttemptResult result);
+    void abandonAttempt(decision::AttemptOutcome outcome, bool mayHaveRun);
     void handleCompleteResponse();
     void handleAttemptFailure(decision::AttemptOutcome outcome, bool mayHaveRun);
     bool mayRetry(bool needsBudget);
--- a/packages/direct/src/serverattempt.cpp
+++ b/packages/direct/src/serverattempt.cpp
@@ -14,6 +14,10 @@
 
 constexpr std::size_t readBufferBytes = 16U << 10U;
 constexpr std::uint32_t maxHeaderBytes = 64U << 10U;
+/// Bytes that the parser keeps without consuming them, such as an incomplete chunk header.
+constexpr std::size_t maxUnparsedBytes = maxHeaderBytes + 2 * readBufferBytes;
+/// Bytes of late responses to earlier requests that are skipped before the attempt fails.
+constexpr std::size_t maxDiscardedBytes = 1U << 20U;
 
 /// @return N of "timeout=N" in the Keep-Alive header, in seconds; absent when there is none
 std::optional<Duration> keepAliveTimeout(const ResponseHeader &header)
@@ -91,6 +95,7 @@
 
 void ServerAttempt::sendRequest()
 {
+    m_isSending = true;
     resetParser();
     // The handler keeps the connection alive: a cancelled attempt releases it.
     asio::async_write(m_connection->socket, asio::buffer(m_requestBytes),
@@ -136,8 +141,10 @@
     beast::flat_buffer &buffer = m_connection->buffer;
     while (!m_finished && buffer.size() > 0) {
         boost::system::error_code error;
-        buffer.consume(m_parser->put(buffer.data(), error));
-        if (error && error != http::error::need_more) {
+        const std::size_t consumed = m_parser->put(buffer.data(), error);
+        buffer.consume(consumed);
+        m_discardedBytes += isDiscarding() ? consumed : 0;
+        if ((error && error != http::error::need_more) || isOverLimits()) {
             finish(AttemptResult::Broken);
             return;
         }
@@ -157,6 +164,18 @@
         startRead();
 }
 
+/// Bounds the bytes of a server that sends without end.
+bool ServerAttempt::isOverLimits() const
+{
+    return m_discardedBytes > maxDiscardedBytes || m_connection->buffer.size() > maxUnparsedBytes;
+}
+
+/// @return true while the message being read isn't the response to this request
+bool ServerAttempt::isDiscarding() const
+{
+    return m_idMismatch || (m_parser->is_header_done() && isInformational(m_parser->get().base()));
+}
+
 /// The server closed the connection, which ends a response without a length.
 void ServerAttempt::handleEof()
 {
@@ -201,14 +220,14 @@
         return;
     std::string data = std::move(body);
     body.clear();
-    if (!m_idMismatch && !isInformational(m_parser->get().base()))
+    if (!isDiscarding())
         m_hooks.onBody(std::move(data));
 }
 
 void ServerAttempt::handleMessageEnd()
 {
     // Skips a late second response to an earlier request, or a 1xx response, before the actual one.
-    if (m_idMismatch || isInformational(m_parser->get().base())) {
+    if (isDiscarding()) {
         resetParser();
         return;
     }
--- a/packages/direct/src/serverattempt.h
+++ b/packages/direct/src/serverattempt.h
@@ -47,6 +47,9 @@
     /// Closes the connection, so that the server stops its work. No hook is called afterwards.
     void cancel();
 
+    /// @return false as long as nothing can have reached the server
+    bool mayHaveSent() const { return m_isSending; }
+
     /// Pauses or resumes reading, which bounds the memory used for a slow caller.
     void setPaused(bool paused);
 
@@ -56,10 +59,12 @@
     void sendRequest();
     void startRead();
     void parseBuffer();
+    bool isOverLimits() const;
     void handleEof();
     bool handleHeader();
     void deliverBody();
     void handleMessageEnd();
+    bool isDiscarding() const;
     void finish(AttemptResult result);
     void resetParser();
 
@@ -72,8 +77,10 @@
     AttemptHooks m_hooks;
     ServerConnectionPtr m_connection;
     std::optional<Parser> m_parser;
+    std::size_t m_discardedBytes = 0; ///< of responses to other requests and interim ones
     bool m_headerHandled = false;
     bool m_idMismatch = false; ///< the message being read has the id of another request
+    bool m_isSending = false;  ///< a connection was taken or opened
     bool m_requestWritten = false;
     bool m_anyByteSent = false;
     bool m_finished = false;
--- a/packages/direct/tests/directrouter_test.cpp
+++ b/packages/direct/tests/directrouter_test.cpp
@@ -1,11 +1,9 @@
 #include "bilberry/direct/directrouter.h"
 
-#include "bilberry/base/digest.h"
+#include "routerfixture.h"
 
 #include "support/fleet.h"
-#include "support/inprocessrouter.h"
 #include "support/rawcaller.h"
-#include "support/scriptedserver.h"
 
 #include <catch2/catch.hpp>
 
@@ -18,70 +16,6 @@
 
 namespace {
 
-DirectRoute route(const std::string &prefix, RequestKind kind, std::uint32_t attempts)
-{
-    DirectRoute directRoute;
-    directRoute.name = prefix;
-    directRoute.host = "h.example";
-    directRoute.prefix = prefix;
-    directRoute.kind = kind;
-    directRoute.maxAttempts = attempts;
-    directRoute.pools = {{PoolId("pool"), 1.0}};
-    directRoute.timeLimit = 2s;
-    directRoute.latencyObjective = 100ms;
-    return directRoute;
-}
-
-TrafficPlan testPlan()
-{
-    TrafficPlanParts parts;
-    parts.routes = {route("/read/", RequestKind::Idempotent, 2),
-                    route("/book/", RequestKind::NonIdempotent, 1),
-                    route("/resume/", RequestKind::Stream, 2),
-                    route("/stream/", RequestKind::Stream, 1),
-                    route("/open/", RequestKind::Idempotent, 1),
-                    route("/open-resume/", RequestKind::Stream, 2)};
-    parts.routes[2].resumable = true;
-    parts.routes[4].isPublic = true;
-    parts.routes[5].isPublic = true;
-    parts.routes[5].resumable = true;
-    parts.pools[PoolId("pool")].id = PoolId("pool");
-    parts.customers = {{CustomerId("kitchen"), {sha256Hex("key")}}};
-    return TrafficPlan::create(1, parts).value();
-}
-
-/// A router in this process with scripted servers.
-class RouterFixture : public InProcessRouter
-{
-public:
-    explicit RouterFixture(const std::vector<ScriptedServer *> &servers)
-        : InProcessRouter(testPlan(), entriesOf(servers))
-    {
-    }
-
-private:
-    static std::vector<DirectServer> entriesOf(const std::vector<ScriptedServer *> &servers)
-    {
-        std::vector<DirectServer> entries;
-        for (std::size_t i = 0; i < servers.size(); ++i)
-            entries.push_back(loopbackServer("s" + std::to_string(i), servers[i]->port()));
-        return entries;
-    }
-};
-
-std::string answer(const std::string &status, const std::string &body,
-                   const std::string &fields = "Bilberry-Signature: sig\r\n")
-{
-    return "HTTP/1.1 " + status + "\r\nBilberry-Request-Id: r1\r\n" + fields
-           + "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
-}
-
-ScriptedServer::Script always(const std::string &bytes,
-                              ScriptedAnswer::Then then = ScriptedAnswer::Then::KeepOpen)
-{
-    return [=](const ScriptedRequest &) { return ScriptedAnswer{bytes, then}; };
-}
-
 /// Answers the first request to any of its servers with one answer, and all later ones with
 /// another.
 class FirstThenRest
@@ -104,17 +38,6 @@
     std::atomic<int> m_count = 0;
 };
 
-const std::string streamHead = "HTTP/1.1 200 OK\r\nBilberry-Request-Id: r1\r\n"
-                               "Bilberry-Signature: sig\r\nContent-Type: text/event-stream\r\n"
-                               "Transfer-Encoding: chunked\r\n\r\n";
-
-std::string chunk(const std::string &data)
-{
-    std::ostringstream text;
-    text << std::hex << data.size() << "\r\n" << data << "\r\n";
-    return text.str();
-}
-
 } // namespace
 
 SCENARIO("a request is sent directly to a server and its answer is returned unchanged")
--- a/tests/support/scriptedserver.cpp
+++ b/tests/support/scriptedserver.cpp
@@ -103,6 +103,13 @@
             asio::read(socket, asio::buffer(&byte, 1), error);
             m_abandoned += m_stopping ? 0 : 1;
             return;
+        case ScriptedAnswer::Then::Repeat:
+            while (!error && !m_stopping) {
+                std::this_thread::sleep_for(answer.repeatPause);
+                asio::write(socket, asio::buffer(answer.repeated), error);
+            }
+            m_abandoned += m_stopping ? 0 : 1;
+            return;
         }
     }
 }
--- a/tests/support/scriptedserver.h
+++ b/tests/support/scriptedserver.h
@@ -4,6 +4,7 @@
 #include <boost/asio/ip/tcp.hpp>
 
 #include <atomic>
+#include <chrono>
 #include <cstdint>
 #include <functional>
 #include <list>
@@ -25,13 +26,16 @@
 };
 
 /// How a scripted server answers a request: the bytes to send, and whether it then reads the next
-/// request, closes or resets the connection, or stays silent.
+/// request, closes or resets the connection, stays silent, or sends further bytes again and again
+/// until the connection ends.
 struct ScriptedAnswer
 {
-    enum class Then { KeepOpen, Close, Reset, StaySilent };
+    enum class Then { KeepOpen, Close, Reset, StaySilent, Repeat };
 
     std::string bytes;
     Then then = Then::KeepOpen;
+    std::string repeated{};                  ///< with Then::Repeat
+    std::chrono::milliseconds repeatPause{}; ///< before each repetition
 };
 
 /// A server on loopback that answers with the exact bytes that a test's script returns.
@@ -45,7 +49,8 @@
 
     std::uint16_t port() const { return m_port; }
     std::vector<ScriptedRequest> requests() const;
-    /// @return number of connections that ended or received data while the server stayed silent
+    /// @return number of connections that ended or received data while the server stayed silent, or
+    ///         ended while it repeated bytes
     int abandoned() const { return m_abandoned; }
 
 private:
