Refused callers leave no idle connections behind; a stop answers what has just arrived

Refused callers return on a new connection and leave the old one open: 1,093 callers at 9.6 s, 3,000, the limit, from 19 s on. At the limit a new connection is closed unread: 10,920 tries ended "cut, no answer", 30,000 requests in all. Ruled out: descriptors (no failed accept is logged), memory (63 MB of 160). Change: a refusal closes the connection once half of the limit is in use; at nine tenths the longest idle quarter is closed. A stop takes the connections that wait in the queue before it closes the acceptor, and closes a connection only when it has been idle for 300 ms and nothing unread has arrived; it waits until the router's entry is removed. The new tests of idle connections failed while the lingering close still counted; the two of the stop were not run against the old code.

--- a/packages/direct/src/callerconnection.cpp
+++ b/packages/direct/src/callerconnection.cpp
@@ -52,6 +52,7 @@
 {
     m_bounds = m_hooks.currentBounds();
     m_idleTimeout = std::max(m_idleTimeout, m_bounds.idleLimit);
+    m_idleSince = Clock::now();
     m_parser.emplace();
     m_parser->eager(true);
     m_parser->header_limit(static_cast<std::uint32_t>(m_bounds.headBytes));
@@ -246,12 +247,27 @@
     close();
 }
 
-void CallerConnection::closeIfIdle()
+void CallerConnection::closeIfIdle(Duration idleTime)
 {
-    if (!m_isClosed && !isBusy() && !m_isLingering)
+    const auto since = idleSince();
+    if (m_isClosed || !since || Clock::now() - *since < idleTime)
+        return;
+    if (!hasUnreadBytes())
         startLingeringClose();
 }
 
+void CallerConnection::releaseIfIdle()
+{
+    if (!m_isClosed && idleSince() && !m_isWriting && !hasUnreadBytes())
+        close();
+}
+
+bool CallerConnection::hasUnreadBytes()
+{
+    boost::system::error_code ignored;
+    return m_buffer.size() > 0 || m_socket.available(ignored) > 0;
+}
+
 /// Shuts down the sending side once everything is written, and discards bytes that still arrive for
 /// a short time: a close with unread bytes would reset the connection, and the caller could lose
 /// the response.
--- a/packages/direct/src/callerconnection.h
+++ b/packages/direct/src/callerconnection.h
@@ -63,13 +63,22 @@
     /// @return true while a request is read or its response is sent
     bool isBusy() const { return m_isResponding || m_isReadingRequest; }
 
+    /// @return when the connection was opened or its last response ended; absent while it is busy
+    std::optional<TimePoint> idleSince() const
+    {
+        return isBusy() || m_isLingering ? std::nullopt : std::optional(m_idleSince);
+    }
+
     /// @return true when either side has closed the connection
     bool isClosed() const { return m_isClosed; }
 
     /// Closes the connection after the next response.
     void closeAfterResponse() { m_closeAfterResponse = true; }
-    /// Closes the connection if no request is in progress.
-    void closeIfIdle();
+    /// Closes the connection if it has been idle for at least a time, and no byte has arrived that
+    /// is not read yet.
+    void closeIfIdle(Duration idleTime);
+    /// Closes the connection at once if it is idle and no byte has arrived that is not read yet.
+    void releaseIfIdle();
 
 private:
     using Parser = boost::beast::http::request_parser<boost::beast::http::string_body>;
@@ -89,6 +98,7 @@
     void startLingeringClose();
     void close();
     void handleDisconnect();
+    bool hasUnreadBytes();
     void setConnectionHeaders(CallerResponseHeader &header);
 
     boost::asio::ip::tcp::socket m_socket;
@@ -98,6 +108,7 @@
     std::optional<Parser> m_parser;
     CallerBounds m_bounds;
     Duration m_idleTimeout{};
+    TimePoint m_idleSince{};
     std::string m_writeBuffer;
     std::string m_pendingWrite;
     bool m_isWriting = false;
--- a/packages/direct/src/directrouter.cpp
+++ b/packages/direct/src/directrouter.cpp
@@ -12,6 +12,8 @@
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/steady_timer.hpp>
 
+#include <algorithm>
+#include <cmath>
 #include <unordered_set>
 
 namespace bilberry::direct {
@@ -33,10 +35,20 @@
 constexpr Duration lagMeasurementPeriod = std::chrono::milliseconds(100);
 /// Period in which a stopping router checks whether it is idle.
 constexpr Duration stopCheckPeriod = std::chrono::milliseconds(50);
+/// Time for which a connection of a stopping router is idle before it is closed: the first request
+/// of a new connection may still be on its way.
+constexpr Duration stopIdleTime = std::chrono::milliseconds(300);
 constexpr int acceptBacklog = 1024;
 /// Limit of pending connections that are accepted in one round of the event loop, so that open
 /// requests continue in between.
 constexpr int maxAcceptsPerRound = 32;
+/// Fraction of the limit of caller connections from which on refused callers are disconnected: they
+/// return on another connection anyway, and leave this one idle.
+constexpr double closeAfterRefusalFill = 0.5;
+/// Fraction of the limit from which on idle connections are closed to make room, and the fraction
+/// of the idle ones that is closed at once.
+constexpr double reclaimFill = 0.9;
+constexpr double reclaimedShare = 0.25;
 /// Delay of the next accept after an error; file descriptors become free within milliseconds.
 constexpr Duration acceptRetryDelay = std::chrono::milliseconds(20);
 
@@ -80,6 +92,7 @@
                                                                              random,
                                                                              {},
                                                                              {},
+                                                                             {},
                                                                              {}}
     {
         connections.findServer = [this](const ServerId &id) { return serverSelector.server(id); };
@@ -89,6 +102,7 @@
         requestContext.recordFirstByteLatency = [this](const PoolId &pool, Duration duration) {
             metrics.recordFirstByteLatency(pool, duration);
         };
+        requestContext.shouldCloseAfterRefusal = [this] { return isFilled(closeAfterRefusalFill); };
         callerHooks.onRequest = [this](const CallerConnectionPtr &caller, CallerRequest &&request) {
             std::make_shared<RequestHandler>(requestContext, caller, std::move(request))->start();
         };
@@ -105,9 +119,10 @@
 
     void listen()
     {
-        acceptor.open(tcp::v4());
+        const tcp::endpoint endpoint = toEndpoint(settings.callerEndpoint);
+        acceptor.open(endpoint.protocol());
         acceptor.set_option(asio::socket_base::reuse_address(true));
-        acceptor.bind(toEndpoint(settings.callerEndpoint));
+        acceptor.bind(endpoint);
         acceptor.listen(acceptBacklog);
         acceptor.non_blocking(true);
     }
@@ -295,18 +310,29 @@
     /// and to open streams.
     void acceptPending()
     {
-        if (overloadDetector.isOverloaded())
-            return;
-        for (int i = 0; i < maxAcceptsPerRound; ++i) {
-            tcp::socket socket(io);
-            boost::system::error_code error;
-            acceptor.accept(socket, error);
-            if (error)
-                return;
-            addCaller(std::move(socket));
+        const int limit = overloadDetector.isOverloaded() ? 0 : maxAcceptsPerRound;
+        for (int i = 0; i < limit && acceptOne(); ++i) {
         }
     }
 
+    void acceptAllPending()
+    {
+        for (int i = 0; i < acceptBacklog && acceptOne(); ++i) {
+        }
+    }
+
+    /// @return false when no connection is pending
+    bool acceptOne()
+    {
+        tcp::socket socket(io);
+        boost::system::error_code error;
+        acceptor.accept(socket, error);
+        if (error)
+            return false;
+        addCaller(std::move(socket));
+        return true;
+    }
+
     /// Accepts again after a delay. Most accept errors are a lack of file descriptors.
     void delayAccept(boost::system::error_code error)
     {
@@ -321,6 +347,8 @@
 
     void addCaller(tcp::socket socket)
     {
+        if (isFilled(reclaimFill))
+            reclaimIdleConnections();
         // A close before the request is read tells the caller that it did not run.
         if (callers.size() >= settings.maxCallerConnections)
             return;
@@ -331,6 +359,34 @@
         caller->start();
     }
 
+    /// @return true when the caller connections exceed a fraction of their limit
+    bool isFilled(double fraction) const
+    {
+        return static_cast<double>(callers.size())
+               >= fraction * static_cast<double>(settings.maxCallerConnections);
+    }
+
+    /// Closes the connections that have been idle for longest. Many at once, because finding them
+    /// takes time.
+    void reclaimIdleConnections()
+    {
+        std::vector<std::pair<TimePoint, CallerConnectionPtr>> idle;
+        for (const CallerConnectionPtr &caller : callers) {
+            if (const auto since = caller->idleSince())
+                idle.emplace_back(*since, caller);
+        }
+        if (idle.empty())
+            return;
+        const auto count = static_cast<std::size_t>(
+                std::ceil(reclaimedShare * static_cast<double>(idle.size())));
+        std::partial_sort(idle.begin(), idle.begin() + static_cast<std::ptrdiff_t>(count),
+                          idle.end());
+        for (std::size_t i = 0; i < count; ++i)
+            idle[i].second->releaseIfIdle();
+        log.decision("Closed idle connections.", {{"closed", std::to_string(count)},
+                                                  {"callers", std::to_string(callers.size())}});
+    }
+
     void refuseRequest(const CallerConnectionPtr &caller, RequestError error)
     {
         const RefusalReason reason = refusalReason(error);
@@ -406,15 +462,19 @@
     void continueStop()
     {
         const Duration elapsed = Clock::now() - stopRequestedAt;
-        if (elapsed >= settings.balancerLag) {
+        if (elapsed >= settings.balancerLag && acceptor.is_open()) {
+            // Closing the acceptor would reset the connections that wait in its queue.
+            acceptAllPending();
             boost::system::error_code ignored;
             acceptor.close(ignored);
+        }
+        if (elapsed >= settings.balancerLag) {
             const auto openCallers = callers;
             for (const CallerConnectionPtr &caller : openCallers)
-                caller->closeIfIdle();
+                caller->closeIfIdle(stopIdleTime);
         }
-        if (elapsed >= settings.shutdownTimeout
-            || (elapsed >= settings.balancerLag && callers.empty())) {
+        const bool isIdle = callers.empty() && peerExchange->isUnregistered();
+        if (elapsed >= settings.shutdownTimeout || (elapsed >= settings.balancerLag && isIdle)) {
             log.decision("Stopped.", {{"callers", std::to_string(callers.size())}});
             io.stop();
             return;
--- a/packages/direct/src/peerexchange.cpp
+++ b/packages/direct/src/peerexchange.cpp
@@ -133,6 +133,7 @@
 void PeerExchange::removePeer(const std::string &router)
 {
     m_peers.erase(router);
+    m_socket.removePeer(RouterId(router));
 }
 
 Duration PeerExchange::reportInterval() const
--- a/packages/direct/src/requesthandler.cpp
+++ b/packages/direct/src/requesthandler.cpp
@@ -554,6 +554,8 @@
                             {"retryAfterMs", retryAfter ? toMillisecondsText(*retryAfter) : ""},
                             {"tookMs", toMillisecondsText(Clock::now() - m_receivedAt)}});
     finish();
+    if (m_context.shouldCloseAfterRefusal())
+        m_caller->closeAfterResponse();
     m_caller->sendResponse(header, problemBody(reason));
 }
 
--- a/packages/direct/src/requesthandler.h
+++ b/packages/direct/src/requesthandler.h
@@ -50,6 +50,8 @@
     std::function<TrafficPlanPtr()> currentPlan;
     std::function<bool()> planIsFresh; ///< false: the plan may still contain withdrawn keys
     std::function<void(const PoolId &, Duration)> recordFirstByteLatency;
+    /// @return true while a refused caller should return on another connection
+    std::function<bool()> shouldCloseAfterRefusal;
 };
 
 /// Handles one request of a caller from its last byte to the end of its response: validates it,
--- a/packages/direct/tests/directrouter_test.cpp
+++ b/packages/direct/tests/directrouter_test.cpp
@@ -7,6 +7,7 @@
 
 #include <catch2/catch.hpp>
 
+#include <list>
 #include <thread>
 
 using namespace bilberry;
@@ -402,3 +403,76 @@
         }
     }
 }
+
+SCENARIO("a graceful shutdown answers requests that have just arrived")
+{
+    GIVEN("a stopping router that is busy while the balancer takes it out")
+    {
+        ScriptedServer server(always(answer("200 OK", "whole")));
+        RouterFixture fixture({&server});
+        fixture.stop();
+        std::this_thread::sleep_for(100ms);
+        fixture.occupy(300ms);
+        WHEN("callers connect and send requests meanwhile")
+        {
+            std::list<RawCaller> callers;
+            for (int i = 0; i < 5; ++i)
+                callers.emplace_back(fixture.port())
+                        .send(InProcessRouter::request("/open/x", "", "", ""));
+            THEN("all of them are answered")
+            {
+                for (RawCaller &caller : callers)
+                    CHECK(caller.readAnswer().status() == 200);
+            }
+        }
+        WHEN("it has stopped")
+        {
+            fixture.waitForStop();
+            THEN("its entry is no longer among the routers in the store")
+            {
+                CHECK(fixture.removedItems() == 1);
+            }
+        }
+    }
+}
+
+SCENARIO("pattern: refused callers leave idle connections behind")
+{
+    GIVEN("a router that holds at most 20 connections of callers, and a server that refuses")
+    {
+        ScriptedServer server(always(answer("503 Busy", "", "Bilberry-Not-Run: 1\r\n")));
+        RouterFixture fixture({&server},
+                              [](DirectSettings &settings) { settings.maxCallerConnections = 20; });
+        WHEN("30 callers open connections and send nothing")
+        {
+            std::list<RawCaller> idle;
+            for (int i = 0; i < 30; ++i)
+                idle.emplace_back(fixture.port());
+            THEN("another caller is still answered")
+            {
+                CHECK(fixture.call("/open/x", "", "", "").status() == 503);
+            }
+        }
+        WHEN("30 callers are refused and keep their connections unless they are told to close")
+        {
+            std::list<RawCaller> refused;
+            int answered = 0;
+            int closed = 0;
+            for (int i = 0; i < 30; ++i) {
+                RawCaller &caller = refused.emplace_back(fixture.port());
+                caller.send(InProcessRouter::request("/open/x", "", "", "", true));
+                const RawAnswer refusal = caller.readAnswer();
+                answered += refusal.status() == 503 ? 1 : 0;
+                if (refusal.contains("Connection: close")) {
+                    ++closed;
+                    refused.pop_back();
+                }
+            }
+            THEN("all get the refusal, and no more than half of the connections stay open")
+            {
+                CHECK(answered == 30);
+                CHECK(closed >= 20);
+            }
+        }
+    }
+}
--- a/packages/wire/include/bilberry/wire/gossipsocket.h
+++ b/packages/wire/include/bilberry/wire/gossipsocket.h
@@ -37,6 +37,9 @@
     /// Replaces the list of peers. A list without a usable address is ignored.
     void setPeers(const std::vector<GossipPeer> &listed);
 
+    /// Removes a router from the list of peers.
+    void removePeer(const RouterId &router) { m_peers.erase(router); }
+
     /// Sends to a listed router, or to an unlisted one that a datagram was received from: the list
     /// may lag behind the fleet. Does nothing when the router's address is unknown.
     void send(const RouterId &router, const GossipMessage &message);
--- a/tests/support/inprocessrouter.cpp
+++ b/tests/support/inprocessrouter.cpp
@@ -18,14 +18,17 @@
 
 namespace {
 
+/// Duration of a removal.
+constexpr Duration removalTime = 400ms;
+
 /// In-memory store with constant collections; list() and watch() fail while `down` is set.
 class MemoryStore : public store::CollectionStore
 {
 public:
     MemoryStore(asio::io_context &context,
                 std::map<std::string, std::vector<store::Item>> &collections,
-                std::atomic<bool> &down)
-        : m_context(context), m_collections(collections), m_down(down)
+                std::atomic<bool> &down, std::atomic<int> &removedItems)
+        : m_context(context), m_collections(collections), m_down(down), m_removedItems(removedItems)
     {
     }
 
@@ -52,6 +55,9 @@
     }
     asio::awaitable<Status> remove(std::string, std::string, Duration) override
     {
+        asio::steady_timer timer(m_context, removalTime);
+        co_await timer.async_wait(asio::use_awaitable);
+        ++m_removedItems;
         co_return success();
     }
 
@@ -59,6 +65,7 @@
     asio::io_context &m_context;
     std::map<std::string, std::vector<store::Item>> &m_collections;
     std::atomic<bool> &m_down;
+    std::atomic<int> &m_removedItems;
 };
 
 /// Occurs in no answer, so that readUntil() reads until the connection ends.
@@ -80,10 +87,10 @@
             = [this](const std::string &id, const std::string &) -> Result<DirectServer> {
         return m_servers.at(id);
     };
-    adapter.openStore
-            = [this](asio::io_context &context, const direct::Endpoint &, direct::StoreCallHook) {
-                  return std::make_unique<MemoryStore>(context, m_collections, m_storeDown);
-              };
+    adapter.openStore = [this](asio::io_context &context, const direct::Endpoint &,
+                               direct::StoreCallHook) {
+        return std::make_unique<MemoryStore>(context, m_collections, m_storeDown, m_removedItems);
+    };
     adapter.headers.reserved = {"Bilberry-Secret"};
     m_settings.router = RouterId("router");
     m_settings.zone = ZoneId("a");
@@ -109,6 +116,8 @@
 
 InProcessRouter::~InProcessRouter()
 {
+    if (!m_thread.joinable())
+        return;
     stop();
     m_thread.join();
 }
--- a/tests/support/inprocessrouter.h
+++ b/tests/support/inprocessrouter.h
@@ -34,7 +34,11 @@
 
     /// Starts a graceful shutdown.
     void stop();
+    /// Waits until the router has stopped.
+    void waitForStop() { m_thread.join(); }
     void setStoreDown(bool down) { m_storeDown = down; }
+    /// @return number of items that the router has removed from the store; each call takes 400 ms
+    int removedItems() const { return m_removedItems; }
     /// Blocks the router's event loop, as on a VM without processor time.
     void occupy(Duration duration);
 
@@ -61,6 +65,7 @@
     std::map<std::string, DirectServer> m_servers;
     std::map<std::string, std::vector<store::Item>> m_collections;
     std::atomic<bool> m_storeDown = false;
+    std::atomic<int> m_removedItems = 0;
     direct::DirectSettings m_settings;
     std::unique_ptr<direct::DirectRouter> m_router;
     std::thread m_thread;
