Two routers prove to the others that the plan is the newest; one revision confirms all collections

Ruled out: stale reads (the plan must be the newest); longer waits alone (a silent connection would be noticed too late); a proof that is passed on without a question (a paused router would read it late and think it young). Change: watches wait 15 s. The store's revision, which every answer tells, confirms each collection that is known up to it; a collection that is behind asks once. Two routers, by rendezvous hashing, ask the store for the plan each second, the others ask these two by datagram; a proof counts from the moment of the question less its age, on a clock that counts suspension. Beyond 1.8 to 2.3 s each router asks the store and any other router. Changed servers are read each second instead of each 0.4 s, changed routers each 3 s. Confirmations carried a time of the steady clock, which stands still while a VM is suspended: an answer read after a suspension proved too much; they carry boot time now.

--- a/packages/base/include/bilberry/base/time.h
+++ b/packages/base/include/bilberry/base/time.h
@@ -10,6 +10,20 @@
 using TimePoint = Clock::time_point;
 using Duration = Clock::duration;
 
+/// Monotonic clock that also counts the time in which the VM was suspended, which Clock leaves out.
+/// Measures how old a permission is.
+struct BootClock
+{
+    using duration = Duration;
+    using rep = duration::rep;
+    using period = duration::period;
+    using time_point = std::chrono::time_point<BootClock>;
+    static constexpr bool is_steady = true;
+
+    static time_point now();
+};
+using BootTime = BootClock::time_point;
+
 /// @return the duration in milliseconds, with fraction
 constexpr double toMilliseconds(Duration duration)
 {
--- a/packages/direct/include/bilberry/direct/directsettings.h
+++ b/packages/direct/include/bilberry/direct/directsettings.h
@@ -31,11 +31,13 @@
     Endpoint peerEndpoint; ///< UDP, receives reports of other routers
     Endpoint storeEndpoint;
     /// Time since the plan was last confirmed as the newest, from which on requests with an API key
-    /// are refused.
+    /// are refused. Less than the time within which a withdrawn key must be refused.
     Duration maxPlanStaleness = std::chrono::milliseconds(3500);
-    /// Timeout of a watch call for the plan and the servers, doubled for the zones without work. It
-    /// delays the detection of a silent connection, whose changes must be applied within seconds.
-    Duration watchTimeout = std::chrono::milliseconds(1800);
+    /// Time since the plan was last confirmed, from which on another confirmation is asked of the
+    /// store, or of a router that asks the store.
+    Duration planRefreshAge = std::chrono::milliseconds(1000);
+    /// The time from which on every router asks the store itself.
+    Duration planFallbackAge = std::chrono::milliseconds(1800);
     Duration shutdownTimeout = std::chrono::milliseconds(7300); ///< limit of a graceful shutdown
     /// Time that the load balancer needs to take a router out of rotation that is not ready.
     Duration balancerLag = std::chrono::milliseconds(2500);
--- a/packages/direct/src/directrouter.cpp
+++ b/packages/direct/src/directrouter.cpp
@@ -1,12 +1,13 @@
 #include "bilberry/direct/directrouter.h"
 
 #include "bilberry/admin/adminserver.h"
+#include "bilberry/base/digest.h"
 #include "bilberry/decision/overloaddetector.h"
+#include "bilberry/decision/planproofs.h"
 #include "bilberry/store/collectionwatcher.h"
 
 #include "directmetrics.h"
 #include "peerexchange.h"
-#include "planfreshness.h"
 #include "requesthandler.h"
 
 #include <boost/asio/ip/tcp.hpp>
@@ -25,12 +26,20 @@
 
 /// Period in which expired idle connections are closed.
 constexpr Duration housekeepingPeriod = std::chrono::seconds(1);
-/// Timeout of a watch call for the routers. They change rarely, and a late update only makes the
-/// choice of a server less exact.
-constexpr Duration routersWatchTimeout = std::chrono::seconds(20);
-/// Pause of the watch after changed servers, so that one response has several changes: a fifth of
-/// the shortest time limit for drained servers.
-constexpr Duration serversWatchPause = std::chrono::milliseconds(400);
+/// Timeout of a watch call. Proofs of the plan tell the store's revision meanwhile, and so whether
+/// a watch may have missed a change.
+constexpr Duration longWatchTimeout = std::chrono::seconds(15);
+/// Pause of the watch after changed servers, so that one response has several changes: half of the
+/// shortest time limit for drained servers.
+constexpr Duration serversWatchPause = std::chrono::milliseconds(1000);
+/// Pause of the watch after changed routers: each one that starts or stops tells all others.
+constexpr Duration routersWatchPause = std::chrono::seconds(3);
+/// Time after which the store is asked for servers when its revision has risen without a change
+/// from their watch.
+constexpr Duration serversBehindLimit = serversWatchPause + std::chrono::milliseconds(200);
+/// The same for the zones that are out, which operators change rarely: half of the shortest time
+/// limit for taking a zone out.
+constexpr Duration zonesBehindLimit = std::chrono::milliseconds(2500);
 /// Period of the measurements of the event loop's lag.
 constexpr Duration lagMeasurementPeriod = std::chrono::milliseconds(100);
 /// Period in which a stopping router checks whether it is idle.
@@ -57,6 +66,15 @@
     return {asio::ip::make_address(endpoint.address), endpoint.port};
 }
 
+decision::PlanProofSettings proofSettings(const DirectSettings &settings)
+{
+    decision::PlanProofSettings proofs;
+    proofs.router = settings.router;
+    proofs.refreshAge = settings.planRefreshAge;
+    proofs.fallbackAge = settings.planFallbackAge;
+    return proofs;
+}
+
 RefusalReason refusalReason(RequestError error)
 {
     switch (error) {
@@ -97,8 +115,7 @@
     {
         connections.findServer = [this](const ServerId &id) { return serverSelector.server(id); };
         requestContext.currentPlan = [this] { return plan; };
-        requestContext.planIsFresh
-                = [this] { return planFreshness.age() < this->settings.maxPlanStaleness; };
+        requestContext.planIsFresh = [this] { return planAge() < this->settings.maxPlanStaleness; };
         requestContext.recordFirstByteLatency = [this](const PoolId &pool, Duration duration) {
             metrics.recordFirstByteLatency(pool, duration);
         };
@@ -153,7 +170,10 @@
         store::WatcherHooks plans;
         plans.onItemChanged = [this](const store::Item &item) { updatePlan(item); };
         plans.onItemRemoved = [](const std::string &) {};
-        plans.onConfirmedCurrent = [this](TimePoint at) { planFreshness.confirm(at); };
+        plans.onConfirmedCurrent = [this](store::StoreRevision revision, BootTime at) {
+            if (plan)
+                planProofs.record({plan->version(), revision, at});
+        };
         store::WatcherHooks servers;
         servers.onItemChanged = [this](const store::Item &item) { updateServer(item); };
         servers.onItemRemoved = [this](const std::string &name) { removeServer(name); };
@@ -171,25 +191,50 @@
         peerExchange = std::make_shared<PeerExchange>(io, settings, *collectionStore,
                                                       adapter.collections.routers, serverSelector,
                                                       usageMeter);
+        peerExchange->onPlanProofQuery = [this](std::uint64_t query) {
+            return planProofs.answer(query, BootClock::now());
+        };
+        peerExchange->onPlanProofAnswer
+                = [this](const decision::PlanProofAnswer &answer) { handlePlanProof(answer); };
         store::WatcherHooks routers;
         routers.onItemChanged = [this](const store::Item &item) { peerExchange->updatePeer(item); };
         routers.onItemRemoved = [this](const std::string &name) { peerExchange->removePeer(name); };
-        watchCollection(adapter.collections.plans, std::move(plans), settings.watchTimeout);
-        watchCollection(adapter.collections.servers, std::move(servers), settings.watchTimeout);
-        watchCollection(adapter.collections.zonesOut, std::move(zones), 2 * settings.watchTimeout);
-        watchCollection(adapter.collections.routers, std::move(routers), routersWatchTimeout);
+        store::WatcherSettings planSettings;
+        planSettings.collection = adapter.collections.plans;
+        planSettings.maxWait = longWatchTimeout;
+        planWatcher = watchCollection(std::move(planSettings), std::move(plans));
+        store::WatcherSettings serverSettings;
+        serverSettings.collection = adapter.collections.servers;
+        serverSettings.maxWait = longWatchTimeout;
+        serverSettings.coalescingDelay = serversWatchPause;
+        serverSettings.behindLimit = serversBehindLimit;
+        watchCollection(std::move(serverSettings), std::move(servers));
+        store::WatcherSettings zoneSettings;
+        zoneSettings.collection = adapter.collections.zonesOut;
+        zoneSettings.maxWait = longWatchTimeout;
+        zoneSettings.behindLimit = zonesBehindLimit;
+        watchCollection(std::move(zoneSettings), std::move(zones));
+        store::WatcherSettings routerSettings;
+        routerSettings.collection = adapter.collections.routers;
+        routerSettings.maxWait = longWatchTimeout;
+        routerSettings.coalescingDelay = routersWatchPause;
+        watchCollection(std::move(routerSettings), std::move(routers));
     }
 
-    void watchCollection(const std::string &collection, store::WatcherHooks hooks, Duration wait)
+    store::CollectionWatcher *watchCollection(store::WatcherSettings watcher,
+                                              store::WatcherHooks hooks)
     {
-        store::WatcherSettings watcher;
-        watcher.collection = collection;
-        watcher.maxWait = wait;
-        if (collection == adapter.collections.servers)
-            watcher.coalescingDelay = serversWatchPause;
+        const std::string collection = watcher.collection;
+        const std::size_t index = watchers.size();
+        hooks.onStoreRevision = [this, index](store::StoreRevision revision, BootTime at) {
+            for (std::size_t other = 0; other < watchers.size(); ++other) {
+                if (other != index)
+                    watchers[other]->recordStoreRevision(revision, at);
+            }
+        };
         // Only the plan's age matters; items of the other collections are used whatever their age.
         if (!hooks.onConfirmedCurrent)
-            hooks.onConfirmedCurrent = [](TimePoint) {};
+            hooks.onConfirmedCurrent = [](store::StoreRevision, BootTime) {};
         if (!hooks.onItemMissing)
             hooks.onItemMissing = [](const std::string &) {};
         if (!hooks.onItemReturned)
@@ -204,6 +249,35 @@
         watchers.push_back(std::make_unique<store::CollectionWatcher>(
                 io, *collectionStore, std::move(watcher), std::move(hooks),
                 [this] { return std::uniform_real_distribution<double>(0.0, 1.0)(random); }));
+        return watchers.back().get();
+    }
+
+    // Proofs that the plan is the newest one.
+
+    Duration planAge() const { return planProofs.age(BootClock::now()); }
+
+    void refreshPlanProof()
+    {
+        const auto step = planProofs.nextStep(peerExchange->routers(), BootClock::now());
+        if (step.askStore)
+            planWatcher->check();
+        if (step.askRouter)
+            peerExchange->queryPlanProof(*step.askRouter, step.query);
+    }
+
+    void handlePlanProof(const decision::PlanProofAnswer &answer)
+    {
+        switch (planProofs.handleAnswer(answer, plan ? plan->version() : 0)) {
+        case decision::PlanProofs::AnswerResult::Ignored:
+            return;
+        case decision::PlanProofs::AnswerResult::NewerPlan:
+            planWatcher->check();
+            return;
+        case decision::PlanProofs::AnswerResult::Confirmed:
+            for (const auto &watcher : watchers)
+                watcher->recordStoreRevision(answer.storeRevision, planProofs.newest()->at);
+            return;
+        }
     }
 
     void start()
@@ -402,8 +476,7 @@
 
     bool isReady() const
     {
-        return plan && !serverEntries.empty() && !stopping
-               && planFreshness.age() < settings.maxPlanStaleness
+        return plan && !serverEntries.empty() && !stopping && planAge() < settings.maxPlanStaleness
                && !overloadDetector.isOverloaded();
     }
 
@@ -425,6 +498,7 @@
                         {{"meanLagMs",
                           std::to_string(static_cast<int>(self->overloadDetector.meanLagMs()))},
                          {"callers", std::to_string(self->callers.size())}});
+            self->refreshPlanProof();
             self->measureLag();
         });
     }
@@ -442,7 +516,7 @@
     void updateMetrics()
     {
         metrics.update(counters, serverSelector, connections.openedCount(),
-                       plan ? plan->version() : 0, planFreshness.age());
+                       plan ? plan->version() : 0, planAge());
     }
 
     /// Reports not ready, serves new connections until the load balancer has noticed, then closes
@@ -492,7 +566,7 @@
     std::mt19937_64 random;
     Log log{"router.direct"};
     TrafficPlanPtr plan;
-    PlanFreshness planFreshness;
+    decision::PlanProofs planProofs{proofSettings(settings), randomId()};
     std::map<std::string, DirectServer> serverEntries;
     std::set<ZoneId> zonesOut;
     decision::ServerSelector serverSelector;
@@ -513,6 +587,7 @@
     std::unique_ptr<store::CollectionStore> collectionStore;
     std::shared_ptr<PeerExchange> peerExchange;
     std::vector<std::unique_ptr<store::CollectionWatcher>> watchers;
+    store::CollectionWatcher *planWatcher = nullptr; ///< one of the watchers
     std::unique_ptr<admin::AdminServer> readinessServer;
     std::unique_ptr<admin::AdminServer> metricsServer;
     bool stopping = false;
--- a/packages/direct/src/directsettings.cpp
+++ b/packages/direct/src/directsettings.cpp
@@ -6,6 +6,9 @@
 
 namespace {
 
+/// Time that a request may take from the check of its key to the server.
+constexpr Duration withdrawalMargin = std::chrono::milliseconds(300);
+
 Endpoint readEndpoint(SettingsReader &reader, const std::string &key)
 {
     Endpoint endpoint;
@@ -75,10 +78,14 @@
     settings.metricsEndpoint = readEndpoint(reader, "metrics.listen");
     settings.peerEndpoint = readEndpoint(reader, "peers.listen");
     settings.storeEndpoint = readEndpoint(reader, "store.address");
-    settings.watchTimeout
-            = readMilliseconds(reader, "store.waitMs", 10, 30000, settings.watchTimeout);
+    settings.planRefreshAge
+            = readMilliseconds(reader, "store.refreshAgeMs", 10, 30000, settings.planRefreshAge);
+    settings.planFallbackAge
+            = readMilliseconds(reader, "store.fallbackAgeMs", 10, 30000, settings.planFallbackAge);
+    const Duration withdrawalTime = readMilliseconds(reader, "keys.withdrawalMs", 500, 600000,
+                                                     settings.maxPlanStaleness + withdrawalMargin);
     settings.maxPlanStaleness = readMilliseconds(reader, "store.proofLimitMs", 100, 600000,
-                                                 settings.maxPlanStaleness);
+                                                 withdrawalTime - withdrawalMargin);
     settings.shutdownTimeout
             = readMilliseconds(reader, "stopLimitMs", 0, 600000, settings.shutdownTimeout);
     settings.connectTimeout
--- a/packages/direct/src/peerexchange.cpp
+++ b/packages/direct/src/peerexchange.cpp
@@ -224,33 +224,70 @@
     return loads;
 }
 
+std::vector<RouterId> PeerExchange::routers() const
+{
+    std::vector<RouterId> routers;
+    routers.reserve(m_peers.size());
+    for (const auto &[name, peer] : m_peers)
+        routers.push_back(peer.router);
+    return routers;
+}
+
+void PeerExchange::queryPlanProof(const RouterId &router, std::uint64_t query)
+{
+    m_socket.send(router, wire::PlanProofQuery{m_sender, query});
+}
+
 void PeerExchange::handleMessage(wire::GossipMessage &&message)
 {
-    const auto *report = std::get_if<wire::DirectRouterReport>(&message);
-    if (!report || report->sender.router == m_settings.router)
+    if (const auto *report = std::get_if<wire::DirectRouterReport>(&message))
+        handleReport(*report);
+    else if (const auto *query = std::get_if<wire::PlanProofQuery>(&message))
+        handleQuery(*query);
+    else if (const auto *reply = std::get_if<wire::PlanProofReply>(&message))
+        onPlanProofAnswer({reply->query, reply->planVersion, reply->storeRevision,
+                           std::chrono::microseconds(reply->ageUs)});
+}
+
+void PeerExchange::handleQuery(const wire::PlanProofQuery &query)
+{
+    const auto answer = onPlanProofQuery(query.query);
+    if (!answer)
+        return;
+    // Rounds up: a proof must not seem younger than it is.
+    const auto age = std::chrono::ceil<std::chrono::microseconds>(answer->age);
+    m_socket.send(query.sender.router,
+                  wire::PlanProofReply{m_sender, answer->query, answer->planVersion,
+                                       answer->storeRevision,
+                                       static_cast<std::uint64_t>(age.count())});
+}
+
+void PeerExchange::handleReport(const wire::DirectRouterReport &report)
+{
+    if (report.sender.router == m_settings.router)
         return;
-    auto &[incarnation, sequence] = m_lastReports[report->sender.router];
-    if (incarnation == report->sender.incarnation && report->sequence <= sequence)
+    auto &[incarnation, sequence] = m_lastReports[report.sender.router];
+    if (incarnation == report.sender.incarnation && report.sequence <= sequence)
         return;
-    incarnation = report->sender.incarnation;
-    sequence = report->sequence;
+    incarnation = report.sender.incarnation;
+    sequence = report.sequence;
     const TimePoint now = Clock::now();
     std::vector<decision::ReportedLoad> loads;
-    loads.reserve(report->loads.size());
-    for (const wire::DirectServerLoad &load : report->loads)
+    loads.reserve(report.loads.size());
+    for (const wire::DirectServerLoad &load : report.loads)
         loads.push_back({load.server, {load.pendingPromptUs / 1000.0, load.inFlight}});
-    m_serverSelector.updatePeerLoads(report->sender.router, loads, report->complete, now);
-    for (const wire::DirectPlacement &placement : report->placements)
+    m_serverSelector.updatePeerLoads(report.sender.router, loads, report.complete, now);
+    for (const wire::DirectPlacement &placement : report.placements)
         m_serverSelector.recordPeerPlacement({placement.server,
                                               {placement.prefix, placement.sharedTokens},
                                               placement.ownTokens});
-    if (report->demands.empty())
+    if (report.demands.empty())
         return;
     std::map<CustomerId, decision::CustomerUsageMeter::Usage> demands;
-    for (const wire::CustomerDemand &demand : report->demands)
+    for (const wire::CustomerDemand &demand : report.demands)
         demands[demand.customer] = {static_cast<double>(demand.requestedTokens),
                                     static_cast<double>(demand.dispatchedTokens)};
-    m_usageMeter.updatePeerUsage(report->sender.router, demands, now);
+    m_usageMeter.updatePeerUsage(report.sender.router, demands, now);
 }
 
 } // namespace bilberry::direct
--- a/packages/direct/src/peerexchange.h
+++ b/packages/direct/src/peerexchange.h
@@ -3,6 +3,7 @@
 
 #include "bilberry/base/log.h"
 #include "bilberry/decision/customerusagemeter.h"
+#include "bilberry/decision/planproofs.h"
 #include "bilberry/decision/serverselector.h"
 #include "bilberry/direct/directsettings.h"
 #include "bilberry/store/collectionstore.h"
@@ -33,6 +34,16 @@
     /// Starts to remove this router's item from the store.
     void unregister();
 
+    /// @return the other routers that are registered
+    std::vector<RouterId> routers() const;
+    /// Asks another router for a proof of its plan.
+    /// @param query number of the question
+    void queryPlanProof(const RouterId &router, std::uint64_t query);
+
+    /// Answers another router's question; set by the owner.
+    std::function<std::optional<decision::PlanProofAnswer>(std::uint64_t query)> onPlanProofQuery;
+    std::function<void(const decision::PlanProofAnswer &)> onPlanProofAnswer;
+
     /// Adds or updates another router.
     /// @param item name, and address and port as JSON; ignored when invalid or of this router
     void updatePeer(const store::Item &item);
@@ -52,6 +63,8 @@
     std::vector<wire::DirectServerLoad> changedLoads(bool complete);
     Duration reportInterval() const;
     void handleMessage(wire::GossipMessage &&message);
+    void handleReport(const wire::DirectRouterReport &report);
+    void handleQuery(const wire::PlanProofQuery &query);
 
     const DirectSettings &m_settings;
     store::CollectionStore &m_store;
--- a/packages/router/include/bilberry/router/coordinator.h
+++ b/packages/router/include/bilberry/router/coordinator.h
@@ -79,6 +79,8 @@
     void handle(const wire::QuarantineGossip &gossip, TimePoint now);
     /// Ignored: only routers that reach their servers directly exchange these reports.
     void handle(const wire::DirectRouterReport &, TimePoint) {}
+    void handle(const wire::PlanProofQuery &, TimePoint) {}
+    void handle(const wire::PlanProofReply &, TimePoint) {}
 
     wire::GossipSender localSender() const;
     bool isConfigurationFrozen(TimePoint now) const;
--- a/packages/store/include/bilberry/store/collectionwatcher.h
+++ b/packages/store/include/bilberry/store/collectionwatcher.h
@@ -7,6 +7,7 @@
 
 #include <functional>
 #include <memory>
+#include <optional>
 #include <set>
 
 namespace bilberry::store {
@@ -20,6 +21,10 @@
     Duration callLimit = std::chrono::milliseconds(900);
     /// Delay between changes and the next watch call, so that one answer carries several changes.
     Duration coalescingDelay = std::chrono::milliseconds(150);
+    /// Time after which the watcher asks the store, when recordStoreRevision() tells a revision
+    /// that its watch call has not reported: the change belongs to another collection, or the
+    /// connection is silent. Absent: never, the watch call's own limit is enough.
+    std::optional<Duration> behindLimit;
     Duration firstBackoff = std::chrono::milliseconds(150); ///< after the first failed call
     Duration maxBackoff = std::chrono::milliseconds(800);
     /// After an outage at least this long, items of live writers may have expired in the store.
@@ -38,10 +43,12 @@
     /// returns in time.
     std::function<void(const std::string &name)> onItemMissing;
     std::function<void(const std::string &name)> onItemReturned;
-    /// The known items were current at this time.
-    std::function<void(TimePoint at)> onConfirmedCurrent;
+    /// The known items were current at this time, when the whole store was at this revision.
+    std::function<void(StoreRevision, BootTime at)> onConfirmedCurrent;
     std::function<void(std::error_code)> onStoreLost; ///< the first failed call after a success
     std::function<void()> onStoreRegained;            ///< the first successful call after a failure
+    /// The whole store was at this revision at this time. May be unset.
+    std::function<void(StoreRevision, BootTime at)> onStoreRevision;
 };
 
 /// Keeps up with one collection: lists it, watches it, and lists it again when the history has
@@ -59,6 +66,17 @@
     /// Starts watching; the destructor stops it.
     void start();
 
+    /// Records what another collection's watcher has learned of the same store. While the store's
+    /// revision is the one up to which this collection is known, the collection is current without
+    /// a call of its own.
+    /// @param revision of the whole store
+    /// @param at when the store was at that revision
+    void recordStoreRevision(StoreRevision revision, BootTime at);
+
+    /// Asks the store whether the collection is current, beside the watch call that waits for
+    /// changes. Does nothing while such a question is open or the store is out of reach.
+    void check();
+
 private:
     struct State;
     std::shared_ptr<State> m_state;
--- a/packages/store/src/collectionwatcher.cpp
+++ b/packages/store/src/collectionwatcher.cpp
@@ -7,6 +7,7 @@
 #include <boost/asio/use_awaitable.hpp>
 
 #include <algorithm>
+#include <limits>
 #include <map>
 #include <optional>
 
@@ -14,12 +15,19 @@
 
 namespace asio = boost::asio;
 
+namespace {
+
+/// Wait of a watch call that only asks for past changes.
+constexpr Duration shortestWait = std::chrono::milliseconds(1);
+
+} // namespace
+
 struct CollectionWatcher::State : std::enable_shared_from_this<State>
 {
     State(asio::io_context &context, CollectionStore &store, WatcherSettings settings,
           WatcherHooks hooks, std::function<double()> random)
         : store(store), settings(std::move(settings)), hooks(std::move(hooks)),
-          random(std::move(random)), pauseTimer(context), returnTimer(context)
+          random(std::move(random)), pauseTimer(context), returnTimer(context), behindTimer(context)
     {
     }
 
@@ -34,7 +42,7 @@
 
     asio::awaitable<bool> listOnce()
     {
-        const TimePoint requestedAt = Clock::now();
+        const BootTime requestedAt = BootClock::now();
         const Result<Snapshot> snapshot
                 = co_await store.list(settings.collection, settings.callLimit);
         if (stopped)
@@ -43,15 +51,16 @@
             co_await handleFailure(snapshot.error());
             co_return false;
         }
-        handleSuccess(requestedAt);
+        handleSuccess();
         applySnapshot(snapshot.value());
+        confirm(requestedAt);
         co_return true;
     }
 
     asio::awaitable<void> watchUntilLost()
     {
         while (!stopped) {
-            const TimePoint requestedAt = Clock::now();
+            const BootTime requestedAt = BootClock::now();
             const Result<Changes> changes = co_await store.watch(
                     settings.collection, revision, settings.maxWait, settings.callLimit);
             if (stopped)
@@ -64,9 +73,10 @@
             const bool unchanged = changes.value().changes.empty();
             // The store sends an empty response only at the end of the wait, so the items were
             // still current then.
-            const TimePoint waitEnd = std::min(requestedAt + settings.maxWait, Clock::now());
-            handleSuccess(unchanged ? waitEnd : requestedAt);
-            applyChanges(changes.value());
+            const BootTime waitEnd = std::min(requestedAt + settings.maxWait, BootClock::now());
+            handleSuccess();
+            if (applyChanges(changes.value()))
+                confirm(unchanged ? waitEnd : requestedAt);
             if (!unchanged)
                 co_await sleep(settings.coalescingDelay);
         }
@@ -79,6 +89,47 @@
         co_await pauseTimer.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
     }
 
+    void recordStoreRevision(StoreRevision storeRevision, BootTime at)
+    {
+        if (stopped || revision == 0)
+            return;
+        if (storeRevision == revision && !failingSince) {
+            hooks.onConfirmedCurrent(revision, at);
+            return;
+        }
+        if (storeRevision > revision && settings.behindLimit)
+            scheduleCheck(*settings.behindLimit, storeRevision);
+    }
+
+    /// @param target revision from which on the check is needless
+    void scheduleCheck(Duration delay, StoreRevision target)
+    {
+        if (stopped || revision == 0 || failingSince || std::exchange(isCheckScheduled, true))
+            return;
+        behindTimer.expires_after(delay);
+        asio::co_spawn(behindTimer.get_executor(), check(shared_from_this(), target),
+                       asio::detached);
+    }
+
+    /// Asks the store for changes that the watch call has not reported. A failure is left to the
+    /// watch call.
+    static asio::awaitable<void> check(std::shared_ptr<State> self, StoreRevision target)
+    {
+        boost::system::error_code ignored;
+        co_await self->behindTimer.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
+        const bool isNeeded = !self->stopped && self->revision < target && !self->failingSince;
+        if (isNeeded) {
+            const BootTime requestedAt = BootClock::now();
+            const Result<Changes> changes
+                    = co_await self->store.watch(self->settings.collection, self->revision,
+                                                 shortestWait, self->settings.callLimit);
+            const bool isUsable = changes && !self->stopped && !self->failingSince;
+            if (isUsable && self->applyChanges(changes.value()))
+                self->confirm(requestedAt);
+        }
+        self->isCheckScheduled = false;
+    }
+
     void applySnapshot(const Snapshot &snapshot)
     {
         revision = snapshot.revision;
@@ -96,8 +147,13 @@
             handleDisappearance(name);
     }
 
-    void applyChanges(const Changes &changes)
+    /// @return false when the changes are outdated: the response of a call on a silent connection
+    /// may
+    ///         arrive after that of a later call
+    bool applyChanges(const Changes &changes)
     {
+        if (changes.revision < revision)
+            return false;
         revision = changes.revision;
         for (const ItemChange &change : changes.changes) {
             if (change.removed)
@@ -105,6 +161,7 @@
             else
                 applyItem(change.item);
         }
+        return true;
     }
 
     void applyItem(const Item &item)
@@ -140,11 +197,12 @@
 
     void removeItem(const std::string &name)
     {
-        valuesByName.erase(name);
-        hooks.onItemRemoved(name);
+        missingNames.erase(name);
+        if (valuesByName.erase(name) > 0)
+            hooks.onItemRemoved(name);
     }
 
-    void handleSuccess(TimePoint currentAt)
+    void handleSuccess()
     {
         consecutiveFailures = 0;
         if (failingSince) {
@@ -154,7 +212,13 @@
             failingSince.reset();
             hooks.onStoreRegained();
         }
-        hooks.onConfirmedCurrent(currentAt);
+    }
+
+    void confirm(BootTime at)
+    {
+        hooks.onConfirmedCurrent(revision, at);
+        if (hooks.onStoreRevision)
+            hooks.onStoreRevision(revision, at);
     }
 
     asio::awaitable<void> handleFailure(std::error_code error)
@@ -175,7 +239,9 @@
     std::function<double()> random;
     asio::steady_timer pauseTimer;
     asio::steady_timer returnTimer;
-    StoreRevision revision = 0;
+    asio::steady_timer behindTimer;
+    StoreRevision revision = 0; ///< up to which the items are known; 0 before the first list
+    bool isCheckScheduled = false;
     std::map<std::string, std::string> valuesByName; ///< of the known items
     std::set<std::string> missingNames; ///< disappeared, may return until returnDeadline
     std::uint32_t consecutiveFailures = 0;
@@ -197,6 +263,17 @@
     m_state->stopped = true;
     m_state->pauseTimer.cancel();
     m_state->returnTimer.cancel();
+    m_state->behindTimer.cancel();
+}
+
+void CollectionWatcher::recordStoreRevision(StoreRevision revision, BootTime at)
+{
+    m_state->recordStoreRevision(revision, at);
+}
+
+void CollectionWatcher::check()
+{
+    m_state->scheduleCheck(Duration::zero(), std::numeric_limits<StoreRevision>::max());
 }
 
 void CollectionWatcher::start()
--- a/packages/store/tests/collectionwatcher_test.cpp
+++ b/packages/store/tests/collectionwatcher_test.cpp
@@ -77,7 +77,7 @@
         hooks.onItemRemoved = [this](const std::string &name) { values.erase(name); };
         hooks.onItemMissing = [this](const std::string &name) { missingNames.insert(name); };
         hooks.onItemReturned = [this](const std::string &name) { missingNames.erase(name); };
-        hooks.onConfirmedCurrent = [this](TimePoint at) { currentAt = at; };
+        hooks.onConfirmedCurrent = [this](StoreRevision, BootTime at) { currentAt = at; };
         hooks.onStoreLost = [this](std::error_code) { ++lostCount; };
         hooks.onStoreRegained = [this] { ++regainedCount; };
     }
@@ -106,7 +106,7 @@
     WatcherHooks hooks;
     std::map<std::string, std::string> values;
     std::set<std::string> missingNames;
-    TimePoint currentAt{};
+    BootTime currentAt{};
     int lostCount = 0;
     int regainedCount = 0;
     std::unique_ptr<CollectionWatcher> watcher;
@@ -140,7 +140,7 @@
             THEN("the collection is confirmed as current at the end of each wait")
             {
                 CHECK(fixture.store.listCalls == 1);
-                CHECK(Clock::now() - fixture.currentAt < 45ms);
+                CHECK(BootClock::now() - fixture.currentAt < 45ms);
             }
         }
         WHEN("the history has expired")
@@ -207,3 +207,100 @@
         }
     }
 }
+
+SCENARIO("a watcher relies on the store's revision that another watcher has learned")
+{
+    GIVEN("a watcher whose watch call waits")
+    {
+        WatcherFixture fixture;
+        fixture.settings.maxWait = 10s;
+        fixture.settings.behindLimit = 10ms;
+        fixture.store.snapshot = {{{"a", "1"}}, 10};
+        fixture.run(5ms);
+        REQUIRE(fixture.store.watchedFrom.size() == 1);
+        const BootTime later = BootClock::now() + 1s;
+
+        WHEN("the store is still at the revision up to which the collection is known")
+        {
+            fixture.watcher->recordStoreRevision(10, later);
+            THEN("the collection is current without a call")
+            {
+                CHECK(fixture.currentAt == later);
+                fixture.run(30ms);
+                CHECK(fixture.store.watchedFrom.size() == 1);
+            }
+        }
+        WHEN("the store is at a higher revision, and the watch stays silent")
+        {
+            fixture.watcher->recordStoreRevision(12, later);
+            CHECK(fixture.currentAt < later);
+            fixture.store.watchResults.push_back(Changes{{{{"a", "2"}, false}}, 12});
+            fixture.run(30ms);
+            THEN("the store is asked once, and the missed change is applied")
+            {
+                CHECK(fixture.store.watchedFrom == std::vector<StoreRevision>{10, 10});
+                CHECK(fixture.values["a"] == "2");
+            }
+        }
+        WHEN("it is told to check")
+        {
+            fixture.watcher->check();
+            fixture.store.watchResults.push_back(Changes{{}, 15});
+            fixture.run(20ms);
+            THEN("the collection is current at the store's revision")
+            {
+                CHECK(fixture.store.watchedFrom == std::vector<StoreRevision>{10, 10});
+                fixture.watcher->recordStoreRevision(15, later);
+                CHECK(fixture.currentAt == later);
+            }
+        }
+    }
+    GIVEN("a watch call whose response is older than that of a check")
+    {
+        WatcherFixture fixture;
+        fixture.settings.maxWait = 30ms;
+        fixture.store.snapshot = {{{"a", "1"}}, 10};
+        fixture.run(5ms);
+        fixture.store.watchResults.push_back(Changes{{{{"a", "3"}, false}}, 13});
+        fixture.watcher->check();
+        fixture.run(5ms);
+        REQUIRE(fixture.values["a"] == "3");
+        const BootTime confirmedAt = fixture.currentAt;
+        WHEN("the response arrives")
+        {
+            // The stand-in answers the first watch with revision 10.
+            fixture.run(28ms);
+            THEN("it neither changes an item nor confirms the collection")
+            {
+                CHECK(fixture.values["a"] == "3");
+                CHECK(fixture.currentAt == confirmedAt);
+            }
+        }
+    }
+}
+
+SCENARIO("an item that disappears around an outage is reported as removed once")
+{
+    GIVEN("an item that is missing after an outage")
+    {
+        WatcherFixture fixture;
+        int removals = 0;
+        fixture.hooks.onItemRemoved = [&](const std::string &) { ++removals; };
+        fixture.settings.returnGracePeriod = 30ms;
+        fixture.store.snapshot = {{{"a", "1"}}, 10};
+        fixture.run(5ms);
+        fixture.store.listErrors = 3;
+        fixture.store.snapshot = {{}, 12};
+        fixture.store.watchResults.push_back(StoreErrc::Unavailable);
+        WHEN("the grace period ends, and the store reports its removal too")
+        {
+            fixture.run(60ms);
+            fixture.store.watchResults.push_back(Changes{{{{"a", ""}, true}}, 14});
+            fixture.run(80ms);
+            THEN("it was removed once")
+            {
+                CHECK(removals == 1);
+            }
+        }
+    }
+}
--- a/packages/wire/include/bilberry/wire/gossipmessages.h
+++ b/packages/wire/include/bilberry/wire/gossipmessages.h
@@ -140,8 +140,27 @@
     bool operator==(const DirectRouterReport &) const = default;
 };
 
+/// Asks another direct router for the proof that its plan is the newest one.
+struct PlanProofQuery
+{
+    GossipSender sender;
+    std::uint64_t query = 0; ///< number that the answer repeats
+    bool operator==(const PlanProofQuery &) const = default;
+};
+
+/// Answer to a PlanProofQuery.
+struct PlanProofReply
+{
+    GossipSender sender;
+    std::uint64_t query = 0;
+    std::uint64_t planVersion = 0;
+    std::uint64_t storeRevision = 0; ///< of the whole store when the plan was the newest one
+    std::uint64_t ageUs = 0;         ///< time since then, in microseconds
+    bool operator==(const PlanProofReply &) const = default;
+};
+
 using GossipMessage = std::variant<Probe, ProbeAck, ServiceReport, ServiceTotals, QuarantineGossip,
-                                   DirectRouterReport>;
+                                   DirectRouterReport, PlanProofQuery, PlanProofReply>;
 
 } // namespace bilberry::wire
 
--- a/packages/wire/src/serialization.h
+++ b/packages/wire/src/serialization.h
@@ -63,6 +63,8 @@
 BILBERRY_FIELDS(DirectPlacement, m.server, m.prefix, m.sharedTokens, m.ownTokens)
 BILBERRY_FIELDS(DirectRouterReport, m.sender, m.sequence, m.complete, m.loads, m.demands,
                 m.placements)
+BILBERRY_FIELDS(PlanProofQuery, m.sender, m.query)
+BILBERRY_FIELDS(PlanProofReply, m.sender, m.query, m.planVersion, m.storeRevision, m.ageUs)
 
 #undef BILBERRY_FIELDS
 
--- a/tests/support/inprocessrouter.cpp
+++ b/tests/support/inprocessrouter.cpp
@@ -100,7 +100,8 @@
         *endpoint = {"127.0.0.1", freePort()};
     m_settings.readinessPath = "/readyz";
     m_settings.maxPlanStaleness = 300ms;
-    m_settings.watchTimeout = 50ms;
+    m_settings.planRefreshAge = 50ms;
+    m_settings.planFallbackAge = 100ms;
     m_settings.balancerLag = 200ms;
     m_settings.shutdownTimeout = 2s;
     if (change)
