Run the store's calls of a direct router on a thread of their own

An answer with tens of servers needs many reads, and each one waits for a round of an event loop that is 100 ms late. The server had said at 26.6 s that it leaves; the router read so at 29.75 s and had sent to it until 29.65 s. Change: calls and decoding run on a thread of their own; the results return to the event loop in one step.

--- a/packages/direct/src/directrouter.cpp
+++ b/packages/direct/src/directrouter.cpp
@@ -5,6 +5,7 @@
 #include "bilberry/decision/overloaddetector.h"
 #include "bilberry/decision/planproofs.h"
 #include "bilberry/store/collectionwatcher.h"
+#include "bilberry/store/threadedcollectionstore.h"
 
 #include "directmetrics.h"
 #include "peerexchange.h"
@@ -164,9 +165,12 @@
 
     void openStore()
     {
-        collectionStore = adapter.openStore(io, settings.storeEndpoint, [this](const char *kind) {
-            metrics.countStoreCall(kind);
-        });
+        collectionStore = std::make_unique<store::ThreadedCollectionStore>(
+                [this](asio::io_context &context) {
+                    return adapter.openStore(
+                            context, settings.storeEndpoint,
+                            [this](const char *kind) { metrics.countStoreCall(kind); });
+                });
         store::WatcherHooks plans;
         plans.onItemChanged = [this](const store::Item &item) { updatePlan(item); };
         plans.onItemRemoved = [](const std::string &) {};
