List a collection again when the history that a check needs is gone

Each second's check was refused, since its revision was no longer in the history, and the refusal was left to the watch call. Ruled out: the age of proofs (keys were refused in time), the two routers that ask for the others (all were behind). Change: a check that meets a dropped history lists the collection beside the waiting call.

--- a/packages/store/src/collectionwatcher.cpp
+++ b/packages/store/src/collectionwatcher.cpp
@@ -123,6 +123,9 @@
             const Result<Changes> changes
                     = co_await self->store.watch(self->settings.collection, self->revision,
                                                  shortestWait, self->settings.callLimit);
+            // A watch call may wait on although the history that it needs is gone.
+            if (!changes && changes.error() == StoreErrc::HistoryExpired)
+                co_await listBeside(self);
             const bool isUsable = changes && !self->stopped && !self->failingSince;
             if (isUsable && self->applyChanges(changes.value()))
                 self->confirm(requestedAt);
@@ -130,6 +133,19 @@
         self->isCheckScheduled = false;
     }
 
+    /// Lists the collection while the watch call waits on. A failure is left to the watch call.
+    static asio::awaitable<void> listBeside(std::shared_ptr<State> self)
+    {
+        const BootTime requestedAt = BootClock::now();
+        const Result<Snapshot> snapshot
+                = co_await self->store.list(self->settings.collection, self->settings.callLimit);
+        const bool isUsable = snapshot && !self->stopped && !self->failingSince;
+        if (!isUsable || snapshot.value().revision < self->revision)
+            co_return;
+        self->applySnapshot(snapshot.value());
+        self->confirm(requestedAt);
+    }
+
     void applySnapshot(const Snapshot &snapshot)
     {
         revision = snapshot.revision;
--- a/packages/store/tests/collectionwatcher_test.cpp
+++ b/packages/store/tests/collectionwatcher_test.cpp
@@ -242,6 +242,18 @@
                 CHECK(fixture.values["a"] == "2");
             }
         }
+        WHEN("it is told to check, and the store has dropped the history")
+        {
+            fixture.store.watchResults.push_back(StoreErrc::HistoryExpired);
+            fixture.store.snapshot = {{{"a", "5"}}, 20};
+            fixture.watcher->check();
+            fixture.run(20ms);
+            THEN("the collection is listed again although the watch call still waits")
+            {
+                CHECK(fixture.values["a"] == "5");
+                CHECK(fixture.store.listCalls == 2);
+            }
+        }
         WHEN("it is told to check")
         {
             fixture.watcher->check();
