--- a/packages/base/include/bilberry/base/time.h
+++ b/packages/base/include/bilberry/base/time.h
@@ -18,7 +18,6 @@
     using rep = duration::rep;
     using period = duration::period;
     using time_point = std::chrono::time_point<BootClock>;
-    static constexpr bool is_steady = true;
 
     static time_point now();
 };
