A watch's response proves no more than the time of its request

Cause: found by rereading. The end of a wait counted as proof that nothing had changed until then. Proofs come from checks of their own each second, so that nothing needs this one. Ruled out: a proof only when the whole wait has passed; a router that is paused beyond the wait still trusts too much. Change: a response confirms the collection for the time of its request. Result: the new case of collectionwatcher_test (an early end, read 15 ms late) failed before and passes now; store tests 456 assertions, all passed.

--- a/packages/store/src/collectionwatcher.cpp
+++ b/packages/store/src/collectionwatcher.cpp
@@ -71,12 +71,10 @@
                 co_return;
             }
             const bool unchanged = changes.value().changes.empty();
-            // The store sends an empty response only at the end of the wait, so the items were
-            // still current then.
-            const BootTime waitEnd = std::min(requestedAt + settings.maxWait, BootClock::now());
             handleSuccess();
+            // Only the time of the request is certain: the response may have waited to be read.
             if (applyChanges(changes.value()))
-                confirm(unchanged ? waitEnd : requestedAt);
+                confirm(requestedAt);
             if (!unchanged)
                 co_await sleep(settings.coalescingDelay);
         }
@@ -163,9 +161,8 @@
             handleDisappearance(name);
     }
 
-    /// @return false when the changes are outdated: the response of a call on a silent connection
-    /// may
-    ///         arrive after that of a later call
+    /// @return false when the changes are outdated, because the response of a later call was
+    ///         received before
     bool applyChanges(const Changes &changes)
     {
         if (changes.revision < revision)
--- a/packages/store/tests/collectionwatcher_test.cpp
+++ b/packages/store/tests/collectionwatcher_test.cpp
@@ -7,6 +7,7 @@
 #include <deque>
 #include <map>
 #include <set>
+#include <thread>
 
 using namespace bilberry;
 using namespace bilberry::store;
@@ -37,6 +38,8 @@
     {
         watchedFrom.push_back(since);
         if (!watchResults.empty()) {
+            if (beforeWatchReturns)
+                std::exchange(beforeWatchReturns, nullptr)();
             const Result<Changes> next = watchResults.front();
             watchResults.pop_front();
             co_return next;
@@ -56,6 +59,7 @@
     int listErrors = 0;
     int listCalls = 0;
     std::deque<Result<Changes>> watchResults;
+    std::function<void()> beforeWatchReturns; ///< called once, before the next scripted result
     std::vector<StoreRevision> watchedFrom;
 
 private:
@@ -134,10 +138,21 @@
                 CHECK(fixture.store.watchedFrom[1] == 13);
             }
         }
+        WHEN("the store ends a wait early, and the response is read late")
+        {
+            fixture.store.watchResults.push_back(Changes{{}, 10});
+            fixture.store.beforeWatchReturns = [] { std::this_thread::sleep_for(15ms); };
+            const BootTime start = BootClock::now();
+            fixture.run(18ms);
+            THEN("the collection was current when it was asked for, and not known to be later")
+            {
+                CHECK(fixture.currentAt < start + 10ms);
+            }
+        }
         WHEN("nothing changes")
         {
             fixture.run(70ms);
-            THEN("the collection is confirmed as current at the end of each wait")
+            THEN("the collection is confirmed as current with each response")
             {
                 CHECK(fixture.store.listCalls == 1);
                 CHECK(BootClock::now() - fixture.currentAt < 45ms);
