Report customers' usage often enough for its lifetime in a large fleet

The interval of usage reports grows with the fleet, 250 ms for each 8 routers; at 68 routers it is 2,250 ms, and a report counts for 2 s. Most of the time a router knew only its own requests, so that a customer that floods other routers passed as below its fair share. Ruled out: a longer lifetime (the window of usage is 4 s, a report of 7 s ago says nothing of it). Change: the interval is at most 900 ms, so that one report may be lost; it moves beside the lifetime that bounds it. Result: customerusagemeter_test, "a flood meets a fleet of many routers": ratio 0 at 68 and 330 routers before, above 1 now.

--- a/packages/decision/include/bilberry/decision/customerusagemeter.h
+++ b/packages/decision/include/bilberry/decision/customerusagemeter.h
@@ -8,6 +8,11 @@
 
 namespace bilberry::decision {
 
+/// @param peers number of other routers
+/// @return interval at which a router reports its usage to the others; longer in a larger fleet,
+///         where each receives more reports, but two reports fit in the lifetime of one
+Duration usageReportInterval(std::size_t peers);
+
 /// Measures each customer's requests in a sliding window, over all routers, and compares them with
 /// the customer's max-min fair share of all dispatched work.
 class CustomerUsageMeter
--- a/packages/decision/src/customerusagemeter.cpp
+++ b/packages/decision/src/customerusagemeter.cpp
@@ -13,8 +13,21 @@
 /// in the next one.
 constexpr Duration refreshPeriod = std::chrono::milliseconds(20);
 
+/// Interval of reports in a small fleet; increases by this much for each reportIntervalPeers
+/// others.
+constexpr Duration minReportInterval = std::chrono::milliseconds(250);
+constexpr std::size_t reportIntervalPeers = 8;
+/// Leaves a tenth of the lifetime for the delay of the second of two reports.
+constexpr Duration maxReportInterval = reportLifetime * 9 / 20;
+
 } // namespace
 
+Duration usageReportInterval(std::size_t peers)
+{
+    const Duration interval = minReportInterval * static_cast<int>(1 + peers / reportIntervalPeers);
+    return std::min(interval, maxReportInterval);
+}
+
 void CustomerUsageMeter::recordRequested(const CustomerId &customer, double cost, TimePoint now)
 {
     account(customer).requested.add(cost, now);
--- a/packages/decision/tests/customerusagemeter_test.cpp
+++ b/packages/decision/tests/customerusagemeter_test.cpp
@@ -15,6 +15,30 @@
 
 } // namespace
 
+SCENARIO("pattern: a flood meets a fleet of many routers")
+{
+    GIVEN("routers that each report their usage at the interval for their number")
+    {
+        for (const std::size_t routers : {4U, 24U, 68U, 330U}) {
+            WHEN(std::to_string(routers)
+                 + " routers have dispatched a flood, and one report is lost")
+            {
+                CustomerUsageMeter meter(4s);
+                TimePoint now = TimePoint() + 1h;
+                const Duration interval = usageReportInterval(routers - 1);
+                meter.updatePeerUsage(RouterId("other"), {{large, {900, 900}}}, now);
+                now += 2 * interval;
+                meter.recordRequested(small, 100, now);
+                meter.recordDispatched(small, 50, now);
+                THEN("the flooding customer is still known to be above the fair level")
+                {
+                    CHECK(meter.usageRatio(large, now) > 1.0);
+                }
+            }
+        }
+    }
+}
+
 SCENARIO("a customer's usage is compared with the max-min fair level")
 {
     GIVEN("a fleet that dispatches a total cost of 120")
--- a/packages/direct/src/peerexchange.cpp
+++ b/packages/direct/src/peerexchange.cpp
@@ -26,10 +26,6 @@
 constexpr Duration reportIntervalPerPeer = std::chrono::milliseconds(4);
 /// Period of complete reports, which compensate for lost ones.
 constexpr Duration completeReportPeriod = std::chrono::milliseconds(400);
-/// Period of demands in reports. They change slowly, so the period increases by this much for each
-/// demandPeriodPeers other routers.
-constexpr Duration demandReportPeriod = std::chrono::milliseconds(250);
-constexpr std::size_t demandPeriodPeers = 8;
 /// Changes of the backlog below this wait for a complete report; in milliseconds of server work.
 constexpr double minBacklogChangeMs = 1.0;
 /// Shared prefixes below this size are not reported: to recompute one takes less of a server than
@@ -174,13 +170,12 @@
 {
     const TimePoint now = Clock::now();
     const bool complete = now - m_lastCompleteReportAt >= completeReportPeriod;
-    const auto periodFactor = static_cast<int>(1 + m_peers.size() / demandPeriodPeers);
     wire::DirectRouterReport report;
     report.loads = changedLoads(complete);
     report.placements = std::exchange(m_placements, {});
     const bool hasChanges = complete || !report.loads.empty() || !report.placements.empty();
     // Demands that are due wait for a report that is sent anyway.
-    if (hasChanges && now - m_lastDemandReportAt >= demandReportPeriod * periodFactor) {
+    if (hasChanges && now - m_lastDemandReportAt >= decision::usageReportInterval(m_peers.size())) {
         m_lastDemandReportAt = now;
         for (const auto &[customer, demand] : m_usageMeter.ownUsage(now))
             report.demands.push_back({customer, static_cast<std::uint64_t>(demand.requested),
