Judge recomputed work among servers that may receive the request

Cause: found by rereading. The least work and the most cached tokens were taken over all servers of the pool, also those that are ejected, silent, at their connection limit or at their rate in a cold start. While the server that has a prompt is out in one of these ways, every other one was more than the limit away from it, and the request was refused as overloaded although servers were idle. Ruled out: servers that refuse connections; their estimated cache is cleared. Change: such servers are left out before the estimates. choose() (120 lines, each cache looked up twice) is now five functions with one job each.

--- a/packages/decision/include/bilberry/decision/serverselector.h
+++ b/packages/decision/include/bilberry/decision/serverselector.h
@@ -221,16 +221,29 @@
         bool awaitingFirstByte = true;
     };
 
+    /// A server that may receive the request, its load from all routers, and the estimates.
+    struct Candidate
+    {
+        Server *server = nullptr;
+        RouterLoad load;
+        ServerChoice choice;
+    };
+
     /// Availability of a server, best first.
     enum class Tier { Healthy, Ejected, Unreachable };
 
     std::optional<Tier> tier(const Server &server, const RequestTraits &traits,
                              TimePoint now) const;
     bool isUnresponsive(const Server &server, TimePoint now) const;
-    ServerChoice estimate(const Server &server, const RouterLoad &load, const RequestTraits &traits,
-                          bool isOwner) const;
-    double score(const Server &server, const RouterLoad &load, const ServerChoice &choice,
-                 double minPrefillMs, const DirectPool *pool) const;
+    std::vector<Server *> bestTierServers(const RequestTraits &traits, TimePoint now);
+    bool isAtConnectionLimit(const Server &server, const DirectPool *pool) const;
+    void estimate(std::vector<Candidate> &candidates, const RequestTraits &traits) const;
+    static void assumeOwnerCache(std::vector<Candidate> &candidates, const Prompt &prompt);
+    double prefillMs(const Prompt &prompt, std::uint32_t cachedTokens) const;
+    const Candidate *bestCandidate(const std::vector<Candidate> &candidates,
+                                   const RequestTraits &traits, const DirectPool *pool,
+                                   TimePoint now) const;
+    double score(const Candidate &candidate, double minPrefillMs, const DirectPool *pool) const;
     double backlogLimitMs(const RequestTraits &traits, bool standalone) const;
     void expirePeers(TimePoint now);
     RouterLoad reportedLoad(ServerKey key) const;
--- a/packages/decision/src/serverselector.cpp
+++ b/packages/decision/src/serverselector.cpp
@@ -27,6 +27,11 @@
 /// Weight of recomputed prefill work against the backlog limit while the pool has capacity to
 /// spare.
 constexpr double spareCapacityRecomputeWeight = 2.0;
+/// Connections to a server that each router may use, however small its share of them is.
+constexpr double minConnections = 4.0;
+/// Cost of a server in a cold start: it is chosen only when no other server may receive the
+/// request.
+constexpr double coldCostMs = 1000.0;
 /// Smallest change of queued prefill work that calls the load-changed hook, in milliseconds.
 constexpr double minReportedChangeMs = 1.0;
 /// Minimum time between two scans for expired reports and routers.
@@ -216,112 +221,136 @@
 
 Result<ServerChoice> ServerSelector::choose(const RequestTraits &traits, TimePoint now)
 {
-    struct Candidate
-    {
-        Server *server = nullptr;
-        Tier tier = Tier::Healthy;
-    };
+    expirePeers(now);
+    const DirectPool *pool = m_plan ? m_plan->pool(traits.pool) : nullptr;
     std::vector<Candidate> candidates;
-    candidates.reserve(m_servers.size());
+    bool overloaded = false;
+    bool coldLimited = false;
+    for (Server *server : bestTierServers(traits, now)) {
+        if (isAtConnectionLimit(*server, pool))
+            overloaded = true;
+        else if (now < server->coldUntil && now < server->nextColdRequestAt)
+            coldLimited = true;
+        else
+            candidates.push_back({server, {}, {}});
+    }
+    estimate(candidates, traits);
+    const Candidate *best = bestCandidate(candidates, traits, pool, now);
+    if (best)
+        return best->choice;
+    if (overloaded || !candidates.empty())
+        return ServerChoiceErrc::Overloaded;
+    return coldLimited ? ServerChoiceErrc::OnlyColdServers : ServerChoiceErrc::NoServer;
+}
+
+/// @return the servers of the request's pool that may receive it, without those that are less
+/// available than the others
+std::vector<ServerSelector::Server *> ServerSelector::bestTierServers(const RequestTraits &traits,
+                                                                      TimePoint now)
+{
+    std::vector<std::pair<Server *, Tier>> eligible;
+    eligible.reserve(m_servers.size());
     std::size_t healthy = 0;
+    std::size_t unreachable = 0;
     for (auto &[id, server] : m_servers) {
         const auto tier = this->tier(server, traits, now);
         if (!tier)
             continue;
-        candidates.push_back({&server, *tier});
+        eligible.emplace_back(&server, *tier);
         healthy += *tier == Tier::Healthy ? 1 : 0;
+        unreachable += *tier == Tier::Unreachable ? 1 : 0;
     }
-    if (candidates.empty())
-        return ServerChoiceErrc::NoServer;
     // When most servers of a pool fail, the cause is rarely the servers, and ejecting them would
     // only concentrate the load on the others.
     Tier worstTier = Tier::Healthy;
-    if (2 * healthy < candidates.size())
-        worstTier = Tier::Ejected;
-    const bool allUnreachable
-            = std::all_of(candidates.begin(), candidates.end(),
-                          [](const Candidate &c) { return c.tier == Tier::Unreachable; });
-    if (allUnreachable)
-        worstTier = Tier::Unreachable;
+    if (2 * healthy < eligible.size())
+        worstTier = unreachable == eligible.size() ? Tier::Unreachable : Tier::Ejected;
+    std::vector<Server *> servers;
+    servers.reserve(eligible.size());
+    for (const auto &[server, tier] : eligible) {
+        if (tier <= worstTier)
+            servers.push_back(server);
+    }
+    return servers;
+}
+
+bool ServerSelector::isAtConnectionLimit(const Server &server, const DirectPool *pool) const
+{
+    return pool
+           && static_cast<double>(server.ownLoad.inFlight) >= std::max(
+                      minConnections, m_settings.maxConnectionShare * pool->maxConnections);
+}
 
+/// Sets the loads of the candidates and the estimates of their work.
+void ServerSelector::estimate(std::vector<Candidate> &candidates, const RequestTraits &traits) const
+{
     std::uint32_t mostCachedTokens = 0;
-    for (const Candidate &candidate : candidates)
-        mostCachedTokens
-                = std::max(mostCachedTokens, candidate.server->cache.cachedTokens(traits.prompt));
-    const Server *owner = nullptr;
-    const std::uint64_t key = traits.prompt.sharedPrefixKey();
-    if (key != 0 && mostCachedTokens < traits.prompt.sharedPrefixTokens()) {
-        owner = std::max_element(candidates.begin(), candidates.end(),
-                                 [key](const Candidate &left, const Candidate &right) {
-                                     return rendezvousWeight(key, left.server->key)
-                                            < rendezvousWeight(key, right.server->key);
-                                 })
-                        ->server;
+    for (Candidate &candidate : candidates) {
+        const Server &server = *candidate.server;
+        candidate.load = {server.ownLoad.backlogMs + server.peerLoad.backlogMs,
+                          server.ownLoad.inFlight + server.peerLoad.inFlight};
+        candidate.choice.cachedTokens = server.cache.cachedTokens(traits.prompt);
+        mostCachedTokens = std::max(mostCachedTokens, candidate.choice.cachedTokens);
     }
-    const DirectPool *pool = m_plan ? m_plan->pool(traits.pool) : nullptr;
-    std::optional<ServerChoice> best;
-    double bestScore = 0.0;
-    bool coldLimited = false;
-    bool overloaded = false;
-    expirePeers(now);
+    if (mostCachedTokens < traits.prompt.sharedPrefixTokens())
+        assumeOwnerCache(candidates, traits.prompt);
+    for (Candidate &candidate : candidates) {
+        candidate.choice.server = candidate.server->descriptor.id;
+        candidate.choice.backlogMs = candidate.load.backlogMs;
+        candidate.choice.prefillMs = prefillMs(traits.prompt, candidate.choice.cachedTokens);
+        candidate.choice.mostCachedTokens = mostCachedTokens;
+    }
+}
+
+/// Assumes that the rendezvous owner has the shared prefix cached, so that routers that know
+/// nothing of the prefix choose the same server.
+void ServerSelector::assumeOwnerCache(std::vector<Candidate> &candidates, const Prompt &prompt)
+{
+    const std::uint64_t key = prompt.sharedPrefixKey();
+    const auto owner = std::max_element(candidates.begin(), candidates.end(),
+                                        [key](const Candidate &left, const Candidate &right) {
+                                            return rendezvousWeight(key, left.server->key)
+                                                   < rendezvousWeight(key, right.server->key);
+                                        });
+    if (key == 0 || owner == candidates.end())
+        return;
+    const auto expectedTokens = static_cast<std::uint32_t>(
+            ownerCacheProbability * static_cast<double>(prompt.sharedPrefixTokens()));
+    owner->choice.cachedTokens = std::max(owner->choice.cachedTokens, expectedTokens);
+}
+
+/// @return the candidate with the lowest cost whose backlog is within the limit, or nullptr
+const ServerSelector::Candidate *
+ServerSelector::bestCandidate(const std::vector<Candidate> &candidates, const RequestTraits &traits,
+                              const DirectPool *pool, TimePoint now) const
+{
     const double limitMs = backlogLimitMs(traits, m_peers.empty());
-    std::vector<RouterLoad> loads;
-    std::vector<ServerChoice> choices;
-    loads.reserve(candidates.size());
-    choices.reserve(candidates.size());
     double minPrefillMs = std::numeric_limits<double>::max();
-    for (std::size_t i = 0; i < candidates.size(); ++i) {
-        const Server &server = *candidates[i].server;
-        const RouterLoad load{server.ownLoad.backlogMs + server.peerLoad.backlogMs,
-                              server.ownLoad.inFlight + server.peerLoad.inFlight};
-        loads.push_back(load);
-        choices.push_back(estimate(server, load, traits, &server == owner));
-        choices.back().mostCachedTokens = mostCachedTokens;
-        minPrefillMs = std::min(minPrefillMs, choices.back().prefillMs);
-    }
     double loadSum = 0.0;
-    for (const ServerChoice &choice : choices)
-        loadSum += std::min(1.0, choice.backlogMs / limitMs);
+    for (const Candidate &candidate : candidates) {
+        minPrefillMs = std::min(minPrefillMs, candidate.choice.prefillMs);
+        loadSum += std::min(1.0, candidate.choice.backlogMs / limitMs);
+    }
     // Under overload, moving a prompt away from the server that has it cached would only add load.
     const bool hasSpareCapacity
-            = loadSum < spareCapacityBacklog * static_cast<double>(choices.size());
+            = loadSum < spareCapacityBacklog * static_cast<double>(candidates.size());
     const double recomputeWeight
             = hasSpareCapacity ? std::min(spareCapacityRecomputeWeight, m_settings.recomputeWeight)
                                : m_settings.recomputeWeight;
-    for (std::size_t i = 0; i < candidates.size(); ++i) {
-        Server &server = *candidates[i].server;
-        if (candidates[i].tier > worstTier)
-            continue;
-        if (pool
-            && static_cast<double>(server.ownLoad.inFlight)
-                       >= std::max(4.0, m_settings.maxConnectionShare * pool->maxConnections)) {
-            overloaded = true;
-            continue;
-        }
-        const bool cold = now < server.coldUntil;
-        if (cold && now < server.nextColdRequestAt) {
-            coldLimited = true;
-            continue;
-        }
-        const ServerChoice &choice = choices[i];
-        const double recomputeMs = recomputeWeight * (choice.prefillMs - minPrefillMs);
-        if (pool && pool->engine && choice.backlogMs + recomputeMs > limitMs) {
-            overloaded = true;
+    const Candidate *best = nullptr;
+    double bestScore = 0.0;
+    for (const Candidate &candidate : candidates) {
+        const double recomputeMs = recomputeWeight * (candidate.choice.prefillMs - minPrefillMs);
+        if (pool && pool->engine && candidate.choice.backlogMs + recomputeMs > limitMs)
             continue;
-        }
-        const double score
-                = this->score(server, loads[i], choice, minPrefillMs, pool) + (cold ? 1000.0 : 0.0);
+        const bool cold = now < candidate.server->coldUntil;
+        const double score = this->score(candidate, minPrefillMs, pool) + (cold ? coldCostMs : 0.0);
         if (!best || score < bestScore) {
-            best = choice;
+            best = &candidate;
             bestScore = score;
         }
     }
-    if (best)
-        return *best;
-    if (overloaded)
-        return ServerChoiceErrc::Overloaded;
-    return coldLimited ? Result<ServerChoice>(ServerChoiceErrc::OnlyColdServers)
-                       : ServerChoiceErrc::NoServer;
+    return best;
 }
 
 AttemptNumber ServerSelector::startAttempt(const ServerChoice &choice, const RequestTraits &traits,
@@ -446,44 +475,30 @@
     return now - std::max(oldest, server.lastFirstByteAt) > allowed;
 }
 
-ServerChoice ServerSelector::estimate(const Server &server, const RouterLoad &load,
-                                      const RequestTraits &traits, bool isOwner) const
+/// @return expected time to prefill the prompt, in milliseconds
+double ServerSelector::prefillMs(const Prompt &prompt, std::uint32_t cachedTokens) const
 {
-    ServerChoice choice;
-    choice.server = server.descriptor.id;
-    choice.backlogMs = load.backlogMs;
-    const Prompt &prompt = traits.prompt;
-    choice.cachedTokens = server.cache.cachedTokens(prompt);
-    if (isOwner) {
-        const double expectedTokens
-                = ownerCacheProbability * static_cast<double>(prompt.sharedPrefixTokens());
-        choice.cachedTokens
-                = std::max(choice.cachedTokens, static_cast<std::uint32_t>(expectedTokens));
-    }
-    const double uncachedTokens = static_cast<double>(prompt.tokens() - choice.cachedTokens);
-    const double meanContext = static_cast<double>(choice.cachedTokens) + uncachedTokens / 2.0;
-    choice.prefillMs = uncachedTokens / m_settings.prefillTokensPerMs
-                       + m_settings.attentionMsPerMillionPairs * uncachedTokens * meanContext / 1e6;
-    return choice;
+    const double uncachedTokens = static_cast<double>(prompt.tokens() - cachedTokens);
+    const double meanContext = static_cast<double>(cachedTokens) + uncachedTokens / 2.0;
+    return uncachedTokens / m_settings.prefillTokensPerMs
+           + m_settings.attentionMsPerMillionPairs * uncachedTokens * meanContext / 1e6;
 }
 
 /// @return cost of choosing the server, in milliseconds: queueing time, weighted recomputed prefill
 /// work and penalties; lower is better
-double ServerSelector::score(const Server &server, const RouterLoad &load,
-                             const ServerChoice &choice, double minPrefillMs,
+double ServerSelector::score(const Candidate &candidate, double minPrefillMs,
                              const DirectPool *pool) const
 {
-    double score = server.descriptor.zone == m_settings.zone
-                           ? 0.0
-                           : toMilliseconds(m_settings.zonePenalty);
-    if (pool && pool->engine) {
-        score += choice.backlogMs + m_settings.recomputeWeight * (choice.prefillMs - minPrefillMs);
-        score += runningRequestCostMs * static_cast<double>(load.inFlight);
-    } else {
-        const double slots = std::max(1U, server.descriptor.slots);
-        score += plainRequestMs * static_cast<double>(load.inFlight) / slots;
-    }
-    return score;
+    const DirectServer &server = candidate.server->descriptor;
+    const auto inFlight = static_cast<double>(candidate.load.inFlight);
+    const double zoneMs
+            = server.zone == m_settings.zone ? 0.0 : toMilliseconds(m_settings.zonePenalty);
+    if (!pool || !pool->engine)
+        return zoneMs + plainRequestMs * inFlight / std::max(1U, server.slots);
+    const ServerChoice &choice = candidate.choice;
+    return zoneMs + choice.backlogMs
+           + m_settings.recomputeWeight * (choice.prefillMs - minPrefillMs)
+           + runningRequestCostMs * inFlight;
 }
 
 double ServerSelector::backlogLimitMs(const RequestTraits &traits, bool standalone) const
--- a/packages/decision/tests/serverselector_test.cpp
+++ b/packages/decision/tests/serverselector_test.cpp
@@ -206,6 +206,59 @@
     }
 }
 
+SCENARIO("pattern: the server that has a prompt cached is out")
+{
+    GIVEN("two servers, one of which has the shared prefix of many requests")
+    {
+        Router router(2);
+        const auto first = router.send(router.traits(prompt(7, 1)));
+        REQUIRE(first);
+        router.finishAll();
+        const ServerId cached = first.value().server;
+        const auto next
+                = [&] { return router.selector.choose(router.traits(prompt(7, 2)), router.now); };
+        REQUIRE(next().value().server == cached);
+
+        WHEN("it fails its requests and is ejected")
+        {
+            RequestTraits request = router.traits(Prompt());
+            request.excluded = {cached == ServerId("s0") ? ServerId("s1") : ServerId("s0")};
+            for (int i = 0; i < 20 && router.send(request); ++i)
+                router.finishAll(AttemptOutcome::BrokenAnswer);
+            THEN("the other one is chosen, although it has to recompute the prefix")
+            {
+                REQUIRE(next());
+                CHECK_FALSE(next().value().server == cached);
+                CHECK(next().value().mostCachedTokens == 0);
+            }
+        }
+        WHEN("it falls silent with a request")
+        {
+            REQUIRE(router.send(router.traits(prompt(7, 3))));
+            router.now += 3s;
+            THEN("the other one is chosen")
+            {
+                REQUIRE(next());
+                CHECK_FALSE(next().value().server == cached);
+            }
+        }
+        WHEN("this router has all the connections to it that it may use")
+        {
+            RequestTraits request = router.traits(Prompt());
+            request.excluded = {cached == ServerId("s0") ? ServerId("s1") : ServerId("s0")};
+            while (router.send(request)) {
+            }
+            for (const AttemptNumber attempt : router.attempts)
+                router.selector.recordFirstByte(attempt, router.now);
+            THEN("the other one is chosen")
+            {
+                REQUIRE(next());
+                CHECK_FALSE(next().value().server == cached);
+            }
+        }
+    }
+}
+
 SCENARIO("another router reports load on a server that isn't listed yet")
 {
     GIVEN("such a report, and then the server's listing")
