Split the sums of other routers' loads from the server selector

Change: PeerLoads keeps the reports and their sums by server, whether or not the server is listed. No decision changes.

--- a/packages/decision/include/bilberry/decision/serverselector.h
+++ b/packages/decision/include/bilberry/decision/serverselector.h
@@ -2,6 +2,7 @@
 #define BILBERRY_DECISION_SERVERSELECTOR_H
 
 #include "bilberry/base/result.h"
+#include "bilberry/decision/peerloads.h"
 #include "bilberry/decision/promptcache.h"
 #include "bilberry/decision/serverhealth.h"
 #include "bilberry/model/ids.h"
@@ -89,28 +90,6 @@
     bool operator==(const ServerChoice &) const = default;
 };
 
-/// Load that one router places on one server.
-struct RouterLoad
-{
-    double backlogMs = 0.0;   ///< prefill work of requests without a first byte
-    std::size_t inFlight = 0; ///< requests that have not ended
-    bool operator==(const RouterLoad &) const = default;
-};
-
-/// Hash of a server's id; identifies the server in reports between routers.
-using ServerKey = std::uint64_t;
-
-/// @return the key of a server, identical on all routers
-ServerKey serverKey(const ServerId &id);
-
-/// Load on one server, as one router reports it to the others.
-struct ReportedLoad
-{
-    ServerKey server = 0;
-    RouterLoad load;
-    bool operator==(const ReportedLoad &) const = default;
-};
-
 /// A prompt that a router sent to a server, as it tells the other routers: the server then has its
 /// shared prefix cached.
 struct PlacedPrefix
@@ -129,7 +108,7 @@
 class ServerSelector
 {
 public:
-    explicit ServerSelector(ServerSelectorSettings settings) : m_settings(std::move(settings)) {}
+    explicit ServerSelector(ServerSelectorSettings settings);
 
     void setPlan(TrafficPlanPtr plan) { m_plan = std::move(plan); }
     /// Adds a server or updates its properties. A server with a new start time or address counts as
@@ -202,18 +181,10 @@
         TimePoint wrongServerAt{};     ///< when another server answered at its address
         TimePoint lastFirstByteAt{};
         RouterLoad ownLoad;
-        RouterLoad peerLoad; ///< sum over the valid reports of other routers
         bool missing = false;
         std::map<AttemptNumber, TimePoint> awaitingFirstByte; ///< with their send times
     };
 
-    /// Newest loads reported by another router.
-    struct Peer
-    {
-        std::unordered_map<ServerKey, RouterLoad> loads;
-        TimePoint reportedAt{};
-    };
-
     struct Attempt
     {
         ServerId server;
@@ -246,8 +217,6 @@
     double score(const Candidate &candidate, double minPrefillMs, const DirectPool *pool) const;
     double backlogLimitMs(const RequestTraits &traits, bool standalone) const;
     void expirePeers(TimePoint now);
-    RouterLoad reportedLoad(ServerKey key) const;
-    void addPeerLoad(ServerKey key, const RouterLoad &load, double sign);
     void notifyLoadChanged(double changeMs) const;
     void markCold(Server &server, TimePoint now);
     void extendColdStart(Server &server, TimePoint until, TimePoint now);
@@ -260,7 +229,7 @@
     std::unordered_map<ServerKey, Server *> m_serversByKey;
     std::function<void()> m_loadChangedHook;
     std::function<void(const PlacedPrefix &)> m_prefixPlacedHook;
-    std::map<RouterId, Peer> m_peers;
+    PeerLoads m_peerLoads;
     std::map<RouterId, TimePoint> m_routersSeenAt; ///< when each other router was last seen
     TimePoint m_expiryCheckedAt{};
     std::set<ZoneId> m_zonesOut;
--- a/packages/decision/src/serverselector.cpp
+++ b/packages/decision/src/serverselector.cpp
@@ -57,14 +57,14 @@
 
 } // namespace
 
-ServerKey serverKey(const ServerId &id)
+std::error_code make_error_code(ServerChoiceErrc error)
 {
-    return stableHash(id.text());
+    return {static_cast<int>(error), category};
 }
 
-std::error_code make_error_code(ServerChoiceErrc error)
+ServerSelector::ServerSelector(ServerSelectorSettings settings)
+    : m_settings(std::move(settings)), m_peerLoads(m_settings.reportLifetime)
 {
-    return {static_cast<int>(error), category};
 }
 
 void ServerSelector::update(const DirectServer &descriptor, TimePoint now)
@@ -88,8 +88,6 @@
     server.descriptor = descriptor;
     server.key = serverKey(descriptor.id);
     m_serversByKey[server.key] = &server;
-    if (added)
-        server.peerLoad = reportedLoad(server.key);
     if (descriptor.warmupLeft > Duration::zero())
         extendColdStart(server, now + descriptor.warmupLeft, now);
     else if (restarted)
@@ -121,19 +119,7 @@
                                      bool complete, TimePoint now)
 {
     recordRouter(router, now);
-    Peer &peer = m_peers[router];
-    peer.reportedAt = now;
-    if (complete) {
-        for (const auto &[key, load] : peer.loads)
-            addPeerLoad(key, load, -1.0);
-        peer.loads.clear();
-    }
-    for (const ReportedLoad &reported : loads) {
-        RouterLoad &known = peer.loads[reported.server];
-        addPeerLoad(reported.server, known, -1.0);
-        addPeerLoad(reported.server, reported.load, 1.0);
-        known = reported.load;
-    }
+    m_peerLoads.update(router, loads, complete, now);
 }
 
 void ServerSelector::recordRouter(const RouterId &router, TimePoint now)
@@ -141,35 +127,6 @@
     m_routersSeenAt[router] = now;
 }
 
-/// Adds a reported load to the server's peerLoad, or subtracts it when the sign is negative.
-/// Keeping the sums avoids computing them for each choice.
-void ServerSelector::addPeerLoad(ServerKey key, const RouterLoad &load, double sign)
-{
-    const auto found = m_serversByKey.find(key);
-    if (found == m_serversByKey.end())
-        return;
-    RouterLoad &peerLoad = found->second->peerLoad;
-    peerLoad.backlogMs = std::max(0.0, peerLoad.backlogMs + sign * load.backlogMs);
-    if (sign > 0.0)
-        peerLoad.inFlight += load.inFlight;
-    else
-        peerLoad.inFlight -= std::min(peerLoad.inFlight, load.inFlight);
-}
-
-/// @return the load that other routers have reported for a server, which may precede its listing
-RouterLoad ServerSelector::reportedLoad(ServerKey key) const
-{
-    RouterLoad sum;
-    for (const auto &[router, peer] : m_peers) {
-        const auto found = peer.loads.find(key);
-        if (found == peer.loads.end())
-            continue;
-        sum.backlogMs += found->second.backlogMs;
-        sum.inFlight += found->second.inFlight;
-    }
-    return sum;
-}
-
 void ServerSelector::recordPeerPlacement(const PlacedPrefix &placed)
 {
     const auto found = m_serversByKey.find(placed.server);
@@ -190,15 +147,7 @@
     m_expiryCheckedAt = now;
     std::erase_if(m_routersSeenAt,
                   [&](const auto &seen) { return now - seen.second > m_settings.routerLifetime; });
-    for (auto peer = m_peers.begin(); peer != m_peers.end();) {
-        if (now - peer->second.reportedAt <= m_settings.reportLifetime) {
-            ++peer;
-            continue;
-        }
-        for (const auto &[key, load] : peer->second.loads)
-            addPeerLoad(key, load, -1.0);
-        peer = m_peers.erase(peer);
-    }
+    m_peerLoads.expire(now);
 }
 
 std::vector<ReportedLoad> ServerSelector::ownLoads() const
@@ -213,10 +162,7 @@
 
 std::size_t ServerSelector::livePeerCount(TimePoint now) const
 {
-    return static_cast<std::size_t>(
-            std::count_if(m_peers.begin(), m_peers.end(), [&](const auto &entry) {
-                return now - entry.second.reportedAt <= m_settings.reportLifetime;
-            }));
+    return m_peerLoads.liveCount(now);
 }
 
 Result<ServerChoice> ServerSelector::choose(const RequestTraits &traits, TimePoint now)
@@ -287,8 +233,9 @@
     std::uint32_t mostCachedTokens = 0;
     for (Candidate &candidate : candidates) {
         const Server &server = *candidate.server;
-        candidate.load = {server.ownLoad.backlogMs + server.peerLoad.backlogMs,
-                          server.ownLoad.inFlight + server.peerLoad.inFlight};
+        const RouterLoad peerLoad = m_peerLoads.load(server.key);
+        candidate.load = {server.ownLoad.backlogMs + peerLoad.backlogMs,
+                          server.ownLoad.inFlight + peerLoad.inFlight};
         candidate.choice.cachedTokens = server.cache.cachedTokens(traits.prompt);
         mostCachedTokens = std::max(mostCachedTokens, candidate.choice.cachedTokens);
     }
@@ -324,7 +271,7 @@
 ServerSelector::bestCandidate(const std::vector<Candidate> &candidates, const RequestTraits &traits,
                               const DirectPool *pool, TimePoint now) const
 {
-    const double limitMs = backlogLimitMs(traits, m_peers.empty());
+    const double limitMs = backlogLimitMs(traits, m_peerLoads.isEmpty());
     double minPrefillMs = std::numeric_limits<double>::max();
     double loadSum = 0.0;
     for (const Candidate &candidate : candidates) {
