Split the direct router: callers' connections and the platform's state

Change: CallerListener accepts, holds and reclaims connections; PlatformState follows the store and keeps the plan's proof; what is left wires them, and decides readiness and the stop. No decision changes.

--- /dev/null
+++ b/packages/direct/src/platformstate.cpp
@@ -0,0 +1,242 @@
+#include "platformstate.h"
+
+#include "bilberry/base/digest.h"
+
+namespace bilberry::direct {
+
+namespace {
+
+/// Timeout of a watch call. Proofs of the plan tell the store's revision meanwhile, and so whether
+/// a watch may have missed a change.
+constexpr Duration watchTimeout = std::chrono::seconds(15);
+/// Pause of the watch after changed servers, so that one response has several changes: half of the
+/// shortest time limit for drained servers.
+constexpr Duration serversWatchPause = std::chrono::milliseconds(1000);
+/// Pause of the watch after changed routers: each one that starts or stops tells all others.
+constexpr Duration routersWatchPause = std::chrono::seconds(3);
+/// Time after which the store is asked for servers when its revision has risen without a change
+/// from their watch.
+constexpr Duration serversBehindLimit = serversWatchPause + std::chrono::milliseconds(200);
+/// The same for the zones that are out, which operators change rarely: half of the shortest time
+/// limit for taking a zone out.
+constexpr Duration zonesBehindLimit = std::chrono::milliseconds(2500);
+
+decision::PlanProofSettings proofSettings(const DirectSettings &settings)
+{
+    decision::PlanProofSettings proofs;
+    proofs.router = settings.router;
+    proofs.refreshAge = settings.planRefreshAge;
+    proofs.fallbackAge = settings.planFallbackAge;
+    return proofs;
+}
+
+store::WatcherSettings watcherSettings(const std::string &collection)
+{
+    store::WatcherSettings settings;
+    settings.collection = collection;
+    settings.maxWait = watchTimeout;
+    return settings;
+}
+
+} // namespace
+
+PlatformState::PlatformState(boost::asio::io_context &io, const DirectSettings &settings,
+                             const PlatformAdapter &adapter, store::CollectionStore &store,
+                             decision::ServerSelector &serverSelector,
+                             ServerConnections &connections, PeerExchange &peers, Log &log,
+                             std::mt19937_64 &random)
+    : m_io(io), m_adapter(adapter), m_store(store), m_serverSelector(serverSelector),
+      m_connections(connections), m_peers(peers), m_log(log), m_random(random),
+      m_planProofs(proofSettings(settings), randomId())
+{
+    m_peers.onPlanProofQuery
+            = [this](std::uint64_t query) { return m_planProofs.answer(query, BootClock::now()); };
+    m_peers.onPlanProofAnswer
+            = [this](const decision::PlanProofAnswer &answer) { handlePlanProof(answer); };
+    watchPlans();
+    watchServers();
+    watchZones();
+    watchRouters();
+}
+
+void PlatformState::start()
+{
+    for (const auto &watcher : m_watchers)
+        watcher->start();
+}
+
+void PlatformState::watchPlans()
+{
+    store::WatcherHooks hooks;
+    hooks.onItemChanged = [this](const store::Item &item) { updatePlan(item); };
+    hooks.onItemRemoved = [](const std::string &) {};
+    hooks.onConfirmedCurrent = [this](store::StoreRevision revision, BootTime at) {
+        if (m_plan)
+            m_planProofs.record({m_plan->version(), revision, at});
+    };
+    m_planWatcher = watch(watcherSettings(m_adapter.collections.plans), std::move(hooks));
+}
+
+void PlatformState::watchServers()
+{
+    store::WatcherSettings settings = watcherSettings(m_adapter.collections.servers);
+    settings.coalescingDelay = serversWatchPause;
+    settings.behindLimit = serversBehindLimit;
+    store::WatcherHooks hooks;
+    hooks.onItemChanged = [this](const store::Item &item) { updateServer(item); };
+    hooks.onItemRemoved = [this](const std::string &name) { removeServer(name); };
+    hooks.onItemMissing = [this](const std::string &name) {
+        m_serverSelector.setMissing(ServerId(name), true);
+        m_log.decision("A server is missing from the list after a store outage.",
+                       {{"server", name}});
+    };
+    hooks.onItemReturned = [this](const std::string &name) {
+        m_serverSelector.setMissing(ServerId(name), false);
+    };
+    watch(std::move(settings), std::move(hooks));
+}
+
+void PlatformState::watchZones()
+{
+    store::WatcherSettings settings = watcherSettings(m_adapter.collections.zonesOut);
+    settings.behindLimit = zonesBehindLimit;
+    store::WatcherHooks hooks;
+    hooks.onItemChanged = [this](const store::Item &item) { setZoneOut(item.name, true); };
+    hooks.onItemRemoved = [this](const std::string &name) { setZoneOut(name, false); };
+    watch(std::move(settings), std::move(hooks));
+}
+
+void PlatformState::watchRouters()
+{
+    store::WatcherSettings settings = watcherSettings(m_adapter.collections.routers);
+    settings.coalescingDelay = routersWatchPause;
+    store::WatcherHooks hooks;
+    hooks.onItemChanged = [this](const store::Item &item) { m_peers.updatePeer(item); };
+    hooks.onItemRemoved = [this](const std::string &name) { m_peers.removePeer(name); };
+    watch(std::move(settings), std::move(hooks));
+}
+
+store::CollectionWatcher *PlatformState::watch(store::WatcherSettings settings,
+                                               store::WatcherHooks hooks)
+{
+    const std::string collection = settings.collection;
+    // Only the plan's age matters; items of the other collections are used whatever their age.
+    if (!hooks.onConfirmedCurrent)
+        hooks.onConfirmedCurrent = [](store::StoreRevision, BootTime) {};
+    if (!hooks.onItemMissing)
+        hooks.onItemMissing = [](const std::string &) {};
+    if (!hooks.onItemReturned)
+        hooks.onItemReturned = [](const std::string &) {};
+    hooks.onStoreLost = [this, collection](std::error_code error) {
+        m_log.decision("Lost the store.", {{"collection", collection}, {"error", error.message()}});
+    };
+    hooks.onStoreRegained = [this, collection] {
+        m_log.decision("Regained the store.", {{"collection", collection}});
+    };
+    hooks.onStoreRevision = [this](store::StoreRevision revision, BootTime at) {
+        recordStoreRevision(revision, at);
+    };
+    m_watchers.push_back(std::make_unique<store::CollectionWatcher>(
+            m_io, m_store, std::move(settings), std::move(hooks),
+            [this] { return std::uniform_real_distribution<double>(0.0, 1.0)(m_random); }));
+    return m_watchers.back().get();
+}
+
+/// Tells all watchers; the one that has learned of the revision already knows it.
+void PlatformState::recordStoreRevision(store::StoreRevision revision, BootTime at)
+{
+    for (const auto &watcher : m_watchers)
+        watcher->recordStoreRevision(revision, at);
+}
+
+void PlatformState::refreshPlanProof()
+{
+    const auto step = m_planProofs.nextStep(m_peers.routers(), BootClock::now());
+    if (step.askStore)
+        m_planWatcher->check();
+    if (step.askRouter)
+        m_peers.queryPlanProof(*step.askRouter, step.query);
+}
+
+void PlatformState::handlePlanProof(const decision::PlanProofAnswer &answer)
+{
+    switch (m_planProofs.handleAnswer(answer, m_plan ? m_plan->version() : 0)) {
+    case decision::PlanProofs::AnswerResult::Ignored:
+        return;
+    case decision::PlanProofs::AnswerResult::NewerPlan:
+        m_planWatcher->check();
+        return;
+    case decision::PlanProofs::AnswerResult::Confirmed:
+        recordStoreRevision(answer.storeRevision, m_planProofs.newest()->at);
+        return;
+    }
+}
+
+void PlatformState::updatePlan(const store::Item &item)
+{
+    if (item.name != m_adapter.collections.planItem)
+        return;
+    const Result<TrafficPlan> decoded = m_adapter.decodePlan(item.value);
+    if (!decoded) {
+        m_log.decision("Ignored an invalid plan.", {{"error", decoded.error().message()}});
+        return;
+    }
+    if (m_plan && decoded.value().version() <= m_plan->version())
+        return;
+    m_plan = std::make_shared<const TrafficPlan>(decoded.value());
+    m_serverSelector.setPlan(m_plan);
+    // Servers that arrived before the plan are updated again, now that their pools are known.
+    for (const auto &[id, server] : m_servers)
+        m_serverSelector.update(server, Clock::now());
+    m_log.decision("Applied a new plan.",
+                   {{"plan", std::to_string(m_plan->version())},
+                    {"routes", std::to_string(m_plan->parts().routes.size())},
+                    {"customers", std::to_string(m_plan->parts().customers.size())}});
+}
+
+void PlatformState::updateServer(const store::Item &item)
+{
+    const Result<DirectServer> decoded = m_adapter.decodeServer(item.name, item.value);
+    if (!decoded) {
+        m_log.decision("Ignored an invalid server entry.",
+                       {{"server", item.name}, {"error", decoded.error().message()}});
+        removeServer(item.name);
+        return;
+    }
+    const DirectServer &server = decoded.value();
+    const auto known = m_servers.find(item.name);
+    if (known != m_servers.end() && known->second == server)
+        return;
+    m_servers[item.name] = server;
+    if (m_plan)
+        m_serverSelector.update(server, Clock::now());
+    if (server.draining)
+        m_connections.dropIdle(server.id);
+    m_log.decision("Updated a server entry.",
+                   {{"server", item.name},
+                    {"state", server.draining ? "draining" : "ready"},
+                    {"warmupLeftMs",
+                     std::to_string(static_cast<int>(toMilliseconds(server.warmupLeft)))}});
+}
+
+void PlatformState::removeServer(const std::string &name)
+{
+    if (m_servers.erase(name) == 0)
+        return;
+    m_serverSelector.remove(ServerId(name));
+    m_connections.dropIdle(ServerId(name));
+    m_log.decision("A server is gone.", {{"server", name}});
+}
+
+void PlatformState::setZoneOut(const std::string &zone, bool out)
+{
+    if (out)
+        m_zonesOut.insert(ZoneId(zone));
+    else
+        m_zonesOut.erase(ZoneId(zone));
+    m_serverSelector.setZonesOut(m_zonesOut, Clock::now());
+    m_log.decision(out ? "A zone receives no work." : "A zone receives work again.",
+                   {{"zone", zone}});
+}
+
+} // namespace bilberry::direct
