Log how an answer's body was framed and whether its event stream ended inside an event

"framing" and "insideEvent" on this line and on "An attempt failed." tell whether the body was ended by its connection, by a broken chunk, or between two events. No decision uses it yet.

--- a/packages/direct/src/requesthandler.cpp
+++ b/packages/direct/src/requesthandler.cpp
@@ -116,6 +116,21 @@
                && header.count(http::field::content_encoding) == 0);
 }
 
+bool isEventStream(const ResponseHeader &header)
+{
+    constexpr std::string_view eventStream = "text/event-stream";
+    const std::string_view type = header[http::field::content_type];
+    return beast::iequals(type.substr(0, eventStream.size()), eventStream);
+}
+
+/// @return how the end of the response's body is found
+const char *bodyFraming(const ResponseHeader &header)
+{
+    if (header.count(http::field::transfer_encoding) > 0)
+        return "chunked";
+    return header.count(http::field::content_length) > 0 ? "length" : "close";
+}
+
 std::string toMillisecondsText(Duration duration)
 {
     const auto whole = std::chrono::duration_cast<std::chrono::milliseconds>(duration).count();
@@ -240,6 +255,7 @@
     m_attemptNumber = m_context.serverSelector.startAttempt(choice, m_traits, Clock::now());
     m_responseHeader.reset();
     m_bufferedBody.clear();
+    m_eventBoundary.reset();
     m_notRun = false;
     m_context.log.decision("Sent to a server.",
                            {{"request", m_requestId},
@@ -310,8 +326,11 @@
     // An unsigned response is buffered, and handled as a failed attempt when it ends.
     m_isStreaming = m_route->kind == RequestKind::Stream && status / 100 == 2
                     && isAuthentic(header, m_context.headerNames);
-    if (m_isStreaming)
+    if (m_isStreaming) {
+        if (isEventStream(header))
+            m_eventBoundary.emplace();
         return;
+    }
     m_firstByteAt = now;
     m_context.serverSelector.recordFirstByte(m_attemptNumber, now);
 }
@@ -325,6 +344,8 @@
         if (m_firstByteAt == TimePoint())
             m_firstByteAt = now;
         m_context.serverSelector.recordFirstByte(m_attemptNumber, now);
+        if (m_eventBoundary)
+            m_eventBoundary->append(data);
         forwardBody(m_eventSplitter ? m_eventSplitter->append(data) : std::move(data));
         if (m_attempt && m_eventSplitter && m_eventSplitter->incompleteBytes() > maxEventBytes)
             abandonAttempt(AttemptOutcome::BrokenAnswer, true);
@@ -428,6 +449,8 @@
                            {{"request", m_requestId},
                             {"server", m_choice.server.text()},
                             {"status", std::to_string(status)},
+                            {"framing", bodyFraming(*m_responseHeader)},
+                            {"insideEvent", isInsideEvent() ? "true" : "false"},
                             {"firstByteMs", toMillisecondsText(m_firstByteAt - m_receivedAt)},
                             {"tookMs", toMillisecondsText(Clock::now() - m_receivedAt)}});
     if (m_responseStarted) {
@@ -459,6 +482,8 @@
                             {"server", m_choice.server.text()},
                             {"outcome", std::to_string(static_cast<int>(outcome))},
                             {"mayHaveRun", mayHaveRun ? "true" : "false"},
+                            {"framing", m_responseHeader ? bodyFraming(*m_responseHeader) : ""},
+                            {"insideEvent", isInsideEvent() ? "true" : "false"},
                             {"remainingMs", toMillisecondsText(remainingTime())}});
     if (m_responseStarted && !(m_eventSplitter && m_eventSplitter->lastId())) {
         failRequest();
--- a/packages/direct/src/requesthandler.h
+++ b/packages/direct/src/requesthandler.h
@@ -10,6 +10,7 @@
 #include "bilberry/decision/serverselector.h"
 #include "bilberry/decision/windowedretrybudget.h"
 #include "bilberry/direct/directsettings.h"
+#include "bilberry/direct/eventboundary.h"
 #include "bilberry/direct/eventsplitter.h"
 #include "bilberry/direct/headernames.h"
 
@@ -80,6 +81,8 @@
     void startResponse();
     void forwardBody(std::string &&data);
     void startSilenceTimer();
+    /// @return true when the event stream being received ends inside an event so far
+    bool isInsideEvent() const { return m_eventBoundary && !m_eventBoundary->isAtEventEnd(); }
 
     void refuse(RefusalReason reason);
     void failRequest();
@@ -118,6 +121,7 @@
     bool m_notRun = false; ///< the response states that the server did not run the request
     bool m_finished = false;
     std::optional<EventSplitter> m_eventSplitter; ///< set for a resumable stream
+    std::optional<EventBoundary> m_eventBoundary; ///< set while an event stream is received
     std::optional<CallerResponseHeader>
             m_serverErrorHeader; ///< of a 5xx response, sent if no other attempt succeeds
     std::string m_serverErrorBody;
