Test a stream that its server breaks off by closing the connection

A route without resumption forwards "id: 2\nda" and then the end of its chunks; a stream closed before its first event is a 200 without a body; a chunked stream that ends inside an event ends as complete, too. Resumed streams and complete ones pass.

--- /dev/null
+++ b/packages/direct/tests/brokenstream_test.cpp
@@ -0,0 +1,113 @@
+#include "routerfixture.h"
+
+#include <catch2/catch.hpp>
+
+using namespace bilberry;
+using namespace bilberry::tests;
+using namespace std::chrono_literals;
+
+namespace {
+
+using Then = ScriptedAnswer::Then;
+
+const std::string endOfChunks = "\r\n0\r\n\r\n";
+
+/// Head of a stream whose body has neither a length nor chunks and ends with its connection.
+const std::string unframedHead
+        = "HTTP/1.1 200 OK\r\nBilberry-Request-Id: r1\r\n"
+          "Bilberry-Signature: sig\r\nContent-Type: text/event-stream\r\n\r\n";
+
+const std::string first = "id: 1\ndata: a\n\n";
+const std::string second = "id: 2\ndata: b\n\n";
+
+/// @return what a caller of a route without resumption gets from a server that sends these bytes
+RawAnswer callServer(const std::string &bytes, Then then)
+{
+    ScriptedServer server(always(bytes, then));
+    RouterFixture fixture({&server});
+    return fixture.call("/stream/x");
+}
+
+} // namespace
+
+// A stream whose server closes the connection inside an event must not reach its caller as
+// complete.
+SCENARIO("a broken-off stream without a length or chunks does not end as if it were complete")
+{
+    GIVEN("a server that closes the connection in the middle of the second event")
+    {
+        for (const std::string rest : {"i", "id: 2\nda", "id: 2\ndata: b", "id: 2\ndata: b\n"}) {
+            WHEN("the stream ends with: " + rest)
+            {
+                const RawAnswer answer = callServer(unframedHead + first + rest, Then::Close);
+                THEN("the caller gets the bytes, and no end of the answer")
+                {
+                    CHECK(answer.contains(first));
+                    CHECK_FALSE(answer.contains(endOfChunks));
+                }
+            }
+        }
+        WHEN("the route allows the stream to be resumed")
+        {
+            int count = 0;
+            const auto script = [&](const ScriptedRequest &) {
+                return ++count == 1
+                               ? ScriptedAnswer{unframedHead + first + "id: 2\nda", Then::Close}
+                               : ScriptedAnswer{unframedHead + second, Then::Close};
+            };
+            ScriptedServer one(script);
+            ScriptedServer two(script);
+            RouterFixture fixture({&one, &two});
+            const RawAnswer answer = fixture.call("/resume/x");
+            THEN("it goes on at another server and ends as complete")
+            {
+                CHECK(count == 2);
+                CHECK(answer.contains(first));
+                CHECK(answer.contains(second));
+                CHECK(answer.contains(endOfChunks));
+            }
+        }
+    }
+    GIVEN("a server that closes the connection inside the first event")
+    {
+        const RawAnswer answer = callServer(unframedHead + "id: 1\nda", Then::Close);
+        THEN("the answer has no end")
+        {
+            CHECK_FALSE(answer.contains(endOfChunks));
+        }
+    }
+    GIVEN("a server that closes the connection before the first event")
+    {
+        const RawAnswer answer = callServer(unframedHead, Then::Close);
+        THEN("the caller gets a failure")
+        {
+            CHECK(answer.status() == 502);
+        }
+    }
+    GIVEN("a server that ends its chunks inside an event")
+    {
+        const RawAnswer answer = callServer(
+                streamHead + chunk(first) + chunk("id: 2\nda") + "0\r\n\r\n", Then::KeepOpen);
+        THEN("the caller gets no end of the answer")
+        {
+            CHECK(answer.contains(first));
+            CHECK_FALSE(answer.contains(endOfChunks));
+        }
+    }
+}
+
+SCENARIO("a complete stream without a length or chunks ends as complete")
+{
+    GIVEN("a server that closes the connection after the last event")
+    {
+        THEN("the caller gets the whole stream and its end, whatever the line endings are")
+        {
+            for (const std::string last : {"id: 2\ndata: b\n\n", "id: 2\r\ndata: b\r\n\r\n"}) {
+                const RawAnswer answer = callServer(unframedHead + first + last, Then::Close);
+                CHECK(answer.status() == 200);
+                CHECK(answer.contains("data: b"));
+                CHECK(answer.contains(endOfChunks));
+            }
+        }
+    }
+}
