Cut a stream that ends inside an event, also when its connection ended in order

Cause: an answer without a length or chunks ends with its connection. The attempt counted as complete, and only streams that may be resumed were split into events, so that an end inside an event was noticed for them alone.

Change: every answer of the type text/event-stream is followed to the end of its last event, with LF, CR LF or CR as line endings. An end inside an event, or without any event and framing, is a broken answer whatever the framing says: the caller's chunks get no end, or a 502 when nothing was sent. Bytes are still forwarded as they arrive.

--- a/packages/direct/src/requesthandler.cpp
+++ b/packages/direct/src/requesthandler.cpp
@@ -123,12 +123,27 @@
     return beast::iequals(type.substr(0, eventStream.size()), eventStream);
 }
 
-/// @return how the end of the response's body is found
-const char *bodyFraming(const ResponseHeader &header)
+/// How the end of a response's body is found.
+enum class BodyFraming { Length, Chunked, Close };
+
+BodyFraming bodyFraming(const ResponseHeader &header)
 {
     if (header.count(http::field::transfer_encoding) > 0)
+        return BodyFraming::Chunked;
+    return header.count(http::field::content_length) > 0 ? BodyFraming::Length : BodyFraming::Close;
+}
+
+const char *toText(BodyFraming framing)
+{
+    switch (framing) {
+    case BodyFraming::Length:
+        return "length";
+    case BodyFraming::Chunked:
         return "chunked";
-    return header.count(http::field::content_length) > 0 ? "length" : "close";
+    case BodyFraming::Close:
+        break;
+    }
+    return "close";
 }
 
 std::string toMillisecondsText(Duration duration)
@@ -426,11 +441,10 @@
                              false);
         return;
     }
-    const bool midEvent = m_eventSplitter && !m_eventSplitter->isAtEventEnd();
     // The error response of the server that should resume a stream can't follow the events that
     // were already forwarded.
     const bool failedToResume = m_eventSplitter && m_responseStarted && !m_isStreaming;
-    if (!isAuthentic(*m_responseHeader, m_context.headerNames) || midEvent || failedToResume) {
+    if (!isAuthentic(*m_responseHeader, m_context.headerNames) || isBrokenOff() || failedToResume) {
         handleAttemptFailure(AttemptOutcome::BrokenAnswer, true);
         return;
     }
@@ -449,7 +463,7 @@
                            {{"request", m_requestId},
                             {"server", m_choice.server.text()},
                             {"status", std::to_string(status)},
-                            {"framing", bodyFraming(*m_responseHeader)},
+                            {"framing", toText(bodyFraming(*m_responseHeader))},
                             {"insideEvent", isInsideEvent() ? "true" : "false"},
                             {"firstByteMs", toMillisecondsText(m_firstByteAt - m_receivedAt)},
                             {"tookMs", toMillisecondsText(Clock::now() - m_receivedAt)}});
@@ -471,20 +485,33 @@
     }
 }
 
+/// @return true when the stream received ends where no complete stream does, whatever its framing
+/// says
+bool RequestHandler::isBrokenOff() const
+{
+    if (isInsideEvent() || (m_eventSplitter && !m_eventSplitter->isAtEventEnd()))
+        return true;
+    // Without a length or chunks, a server that fails before its first event looks like one that
+    // has none to send.
+    return m_eventBoundary && m_eventBoundary->isEmpty()
+           && bodyFraming(*m_responseHeader) == BodyFraming::Close;
+}
+
 void RequestHandler::handleAttemptFailure(AttemptOutcome outcome, bool mayHaveRun)
 {
     m_silenceTimer.cancel();
     recordAttemptOutcome(outcome);
     m_possibleRunCount += mayHaveRun ? 1 : 0;
     m_traits.excluded.insert(m_choice.server);
-    m_context.log.decision("An attempt failed.",
-                           {{"request", m_requestId},
-                            {"server", m_choice.server.text()},
-                            {"outcome", std::to_string(static_cast<int>(outcome))},
-                            {"mayHaveRun", mayHaveRun ? "true" : "false"},
-                            {"framing", m_responseHeader ? bodyFraming(*m_responseHeader) : ""},
-                            {"insideEvent", isInsideEvent() ? "true" : "false"},
-                            {"remainingMs", toMillisecondsText(remainingTime())}});
+    m_context.log.decision(
+            "An attempt failed.",
+            {{"request", m_requestId},
+             {"server", m_choice.server.text()},
+             {"outcome", std::to_string(static_cast<int>(outcome))},
+             {"mayHaveRun", mayHaveRun ? "true" : "false"},
+             {"framing", m_responseHeader ? toText(bodyFraming(*m_responseHeader)) : ""},
+             {"insideEvent", isInsideEvent() ? "true" : "false"},
+             {"remainingMs", toMillisecondsText(remainingTime())}});
     if (m_responseStarted && !(m_eventSplitter && m_eventSplitter->lastId())) {
         failRequest();
         return;
--- a/packages/direct/src/requesthandler.h
+++ b/packages/direct/src/requesthandler.h
@@ -10,9 +10,9 @@
 #include "bilberry/decision/serverselector.h"
 #include "bilberry/decision/windowedretrybudget.h"
 #include "bilberry/direct/directsettings.h"
-#include "bilberry/direct/eventboundary.h"
 #include "bilberry/direct/eventsplitter.h"
 #include "bilberry/direct/headernames.h"
+#include "bilberry/http/eventboundary.h"
 
 #include <boost/asio/steady_timer.hpp>
 
@@ -76,6 +76,7 @@
     void handleAttemptEnd(AttemptResult result);
     void abandonAttempt(decision::AttemptOutcome outcome, bool mayHaveRun);
     void handleCompleteResponse();
+    bool isBrokenOff() const;
     void handleAttemptFailure(decision::AttemptOutcome outcome, bool mayHaveRun);
     bool mayRetry(bool needsBudget);
     void startResponse();
@@ -121,7 +122,8 @@
     bool m_notRun = false; ///< the response states that the server did not run the request
     bool m_finished = false;
     std::optional<EventSplitter> m_eventSplitter; ///< set for a resumable stream
-    std::optional<EventBoundary> m_eventBoundary; ///< set while an event stream is received
+    std::optional<bilberry::http::EventBoundary>
+            m_eventBoundary; ///< set while an event stream is received
     std::optional<CallerResponseHeader>
             m_serverErrorHeader; ///< of a 5xx response, sent if no other attempt succeeds
     std::string m_serverErrorBody;
--- a/packages/direct/include/bilberry/direct/eventboundary.h
+++ b/packages/http/include/bilberry/http/eventboundary.h
@@ -1,10 +1,10 @@
-#ifndef BILBERRY_DIRECT_EVENTBOUNDARY_H
-#define BILBERRY_DIRECT_EVENTBOUNDARY_H
+#ifndef BILBERRY_HTTP_EVENTBOUNDARY_H
+#define BILBERRY_HTTP_EVENTBOUNDARY_H
 
 #include <string>
 #include <string_view>
 
-namespace bilberry::direct {
+namespace bilberry::http {
 
 /// Tells whether the bytes of a text/event-stream so far end with a complete event. An event ends
 /// with a blank line; lines end with LF, CR LF or CR.
@@ -24,6 +24,6 @@
     std::string m_tail; ///< the last bytes, enough for two line endings
 };
 
-} // namespace bilberry::direct
+} // namespace bilberry::http
 
 #endif
--- a/packages/direct/src/eventboundary.cpp
+++ b/packages/http/src/eventboundary.cpp
@@ -1,8 +1,8 @@
-#include "bilberry/direct/eventboundary.h"
+#include "bilberry/http/eventboundary.h"
 
 #include <algorithm>
 
-namespace bilberry::direct {
+namespace bilberry::http {
 
 namespace {
 
@@ -36,4 +36,4 @@
     return removeLineEnding(tail) && (tail.empty() || removeLineEnding(tail));
 }
 
-} // namespace bilberry::direct
+} // namespace bilberry::http
--- a/packages/direct/tests/eventboundary_test.cpp
+++ b/packages/http/tests/eventboundary_test.cpp
@@ -1,8 +1,8 @@
-#include "bilberry/direct/eventboundary.h"
+#include "bilberry/http/eventboundary.h"
 
 #include <catch2/catch.hpp>
 
-using bilberry::direct::EventBoundary;
+using bilberry::http::EventBoundary;
 
 SCENARIO("the end of a stream is told from a stream that ends inside an event")
 {
