Agent: a stream that ends inside an event is broken

backendclient_test is new and failed on the code before in 3 of 5 assertions (close inside an event, after a line that isn't blank, and before the first event). Other readers of HTTP were checked: the store's client and bilberryctl parse JSON, where a part of a document is an error. A response without a body (HEAD, 204) is not judged.

--- a/packages/agent/src/backendclient.cpp
+++ b/packages/agent/src/backendclient.cpp
@@ -1,5 +1,7 @@
 #include "bilberry/agent/backendclient.h"
 
+#include "bilberry/http/eventboundary.h"
+
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/ip/tcp.hpp>
@@ -11,6 +13,7 @@
 #include <boost/beast/http.hpp>
 #include <boost/json.hpp>
 
+#include <optional>
 #include <unordered_map>
 #include <vector>
 
@@ -221,6 +224,11 @@
         if (error)
             co_return BackendOutcome::Broken;
         sendHead(attempt, parser);
+        std::optional<bilberry::http::EventBoundary> eventBoundary;
+        const bool hasBody
+                = method != http::verb::head && parser.get().result() != http::status::no_content;
+        if (hasBody && bilberry::http::isEventStream(parser.get()[http::field::content_type]))
+            eventBoundary.emplace();
         std::vector<char> chunk(readBufferSize);
         while (!parser.is_done()) {
             while (running.credit <= 0 && !running.stopped)
@@ -236,9 +244,14 @@
             const std::size_t size = chunk.size() - parser.get().body().size;
             if (size > 0) {
                 running.credit -= static_cast<std::int64_t>(size);
+                if (eventBoundary)
+                    eventBoundary->append({chunk.data(), size});
                 onEvent(BackendAnswerChunk{attempt, std::string(chunk.data(), size)});
             }
         }
+        const bool endsWithConnection = !parser.chunked() && !parser.content_length();
+        if (eventBoundary && eventBoundary->isBrokenOff(endsWithConnection))
+            co_return BackendOutcome::Broken;
         if (!parser.get().keep_alive())
             running.stream.reset();
         co_return BackendOutcome::Complete;
--- /dev/null
+++ b/packages/agent/tests/backendclient_test.cpp
@@ -0,0 +1,63 @@
+#include "bilberry/agent/backendclient.h"
+
+#include "support/scriptedserver.h"
+
+#include <catch2/catch.hpp>
+
+#include <optional>
+
+using namespace bilberry;
+using namespace bilberry::agent;
+using namespace bilberry::tests;
+using namespace std::chrono_literals;
+
+namespace {
+
+/// @return how an attempt ends whose server sends these bytes and closes the connection
+std::optional<BackendOutcome> outcomeOf(const std::string &bytes)
+{
+    ScriptedServer server([&](const ScriptedRequest &) {
+        return ScriptedAnswer{bytes, ScriptedAnswer::Then::Close};
+    });
+    AgentSettings settings;
+    settings.backendAddress = "127.0.0.1";
+    settings.backendPort = server.port();
+    boost::asio::io_context context;
+    std::optional<BackendOutcome> outcome;
+    BackendClient client(context, settings, [&](BackendEvent &&event) {
+        if (const auto *end = std::get_if<BackendAnswerEnd>(&event))
+            outcome = end->outcome;
+    });
+    client.execute(RunCommand{1, "POST", "/x", {}, "body"});
+    context.run_for(2s);
+    return outcome;
+}
+
+} // namespace
+
+// A stream whose server closes the connection inside an event must not be passed on as complete.
+SCENARIO("an agent's server ends a stream by closing the connection")
+{
+    const std::string head = "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n\r\n";
+    const std::string event = "id: 1\ndata: a\n\n";
+    GIVEN("a stream without a length or chunks")
+    {
+        THEN("it is complete when the last event is")
+        {
+            CHECK(outcomeOf(head + event) == BackendOutcome::Complete);
+        }
+        THEN("it is broken when it ends inside an event or before the first one")
+        {
+            CHECK(outcomeOf(head + event + "id: 2\nda") == BackendOutcome::Broken);
+            CHECK(outcomeOf(head + event + "id: 2\ndata: b\n") == BackendOutcome::Broken);
+            CHECK(outcomeOf(head) == BackendOutcome::Broken);
+        }
+    }
+    GIVEN("an answer of another type")
+    {
+        THEN("the end of the connection is its end")
+        {
+            CHECK(outcomeOf("HTTP/1.1 200 OK\r\n\r\nwhole") == BackendOutcome::Complete);
+        }
+    }
+}
--- a/packages/direct/src/requesthandler.cpp
+++ b/packages/direct/src/requesthandler.cpp
@@ -116,13 +116,6 @@
                && header.count(http::field::content_encoding) == 0);
 }
 
-bool isEventStream(const ResponseHeader &header)
-{
-    constexpr std::string_view eventStream = "text/event-stream";
-    const std::string_view type = header[http::field::content_type];
-    return beast::iequals(type.substr(0, eventStream.size()), eventStream);
-}
-
 /// How the end of a response's body is found.
 enum class BodyFraming { Length, Chunked, Close };
 
@@ -342,7 +335,9 @@
     m_isStreaming = m_route->kind == RequestKind::Stream && status / 100 == 2
                     && isAuthentic(header, m_context.headerNames);
     if (m_isStreaming) {
-        if (isEventStream(header))
+        const bool hasBody = m_request.method() != http::verb::head
+                             && header.result() != http::status::no_content;
+        if (hasBody && bilberry::http::isEventStream(header[http::field::content_type]))
             m_eventBoundary.emplace();
         return;
     }
@@ -485,16 +480,13 @@
     }
 }
 
-/// @return true when the stream received ends where no complete stream does, whatever its framing
-/// says
+/// @return true when the stream received is incomplete, whatever its framing says
 bool RequestHandler::isBrokenOff() const
 {
-    if (isInsideEvent() || (m_eventSplitter && !m_eventSplitter->isAtEventEnd()))
+    if (m_eventSplitter && !m_eventSplitter->isAtEventEnd())
         return true;
-    // Without a length or chunks, a server that fails before its first event looks like one that
-    // has none to send.
-    return m_eventBoundary && m_eventBoundary->isEmpty()
-           && bodyFraming(*m_responseHeader) == BodyFraming::Close;
+    const bool endsWithConnection = bodyFraming(*m_responseHeader) == BodyFraming::Close;
+    return m_eventBoundary && m_eventBoundary->isBrokenOff(endsWithConnection);
 }
 
 void RequestHandler::handleAttemptFailure(AttemptOutcome outcome, bool mayHaveRun)
--- a/packages/http/include/bilberry/http/eventboundary.h
+++ b/packages/http/include/bilberry/http/eventboundary.h
@@ -6,6 +6,9 @@
 
 namespace bilberry::http {
 
+/// @return true when a Content-Type field names text/event-stream
+bool isEventStream(std::string_view contentType);
+
 /// Tells whether the bytes of a text/event-stream so far end with a complete event. An event ends
 /// with a blank line; lines end with LF, CR LF or CR.
 class EventBoundary
@@ -17,8 +20,14 @@
     /// @return true when the last byte ended an event, or nothing was appended
     bool isAtEventEnd() const;
 
-    /// @return true when nothing was appended
-    bool isEmpty() const { return m_tail.empty(); }
+    /// A stream that its server broke off ends inside an event. Without a length or chunks, one
+    /// that was broken off before its first event looks like one without events.
+    /// @param endsWithConnection true when the body has neither a length nor chunks
+    /// @return true when the stream ends where a complete one does not
+    bool isBrokenOff(bool endsWithConnection) const
+    {
+        return !isAtEventEnd() || (endsWithConnection && m_tail.empty());
+    }
 
 private:
     std::string m_tail; ///< the last bytes, enough for two line endings
--- a/packages/http/src/eventboundary.cpp
+++ b/packages/http/src/eventboundary.cpp
@@ -1,5 +1,7 @@
 #include "bilberry/http/eventboundary.h"
 
+#include <boost/beast/core/string.hpp>
+
 #include <algorithm>
 
 namespace bilberry::http {
@@ -22,6 +24,12 @@
 
 } // namespace
 
+bool isEventStream(std::string_view contentType)
+{
+    constexpr std::string_view eventStream = "text/event-stream";
+    return boost::beast::iequals(contentType.substr(0, eventStream.size()), eventStream);
+}
+
 void EventBoundary::append(std::string_view data)
 {
     m_tail += data.substr(data.size() - std::min(data.size(), maxTailBytes));
