--- a/packages/direct/src/requesthandler.cpp
+++ b/packages/direct/src/requesthandler.cpp
@@ -503,6 +503,7 @@
              {"mayHaveRun", mayHaveRun ? "true" : "false"},
              {"framing", m_responseHeader ? toText(bodyFraming(*m_responseHeader)) : ""},
              {"insideEvent", isInsideEvent() ? "true" : "false"},
+             {"parts", std::string(m_request[m_context.headerNames.promptParts])},
              {"remainingMs", toMillisecondsText(remainingTime())}});
     if (m_responseStarted && !(m_eventSplitter && m_eventSplitter->lastId())) {
         failRequest();
