Test requests with a prompt part that crashes the servers that answer them

Sound requests with that first part are served all through. ScriptedServer can end like a process that crashes.

--- /dev/null
+++ b/packages/direct/tests/crashingpart_test.cpp
@@ -0,0 +1,145 @@
+#include "routerfixture.h"
+
+#include "support/fleet.h"
+
+#include <catch2/catch.hpp>
+
+#include <list>
+#include <thread>
+
+using namespace bilberry;
+using namespace bilberry::tests;
+using namespace std::chrono_literals;
+
+namespace {
+
+using Then = ScriptedAnswer::Then;
+
+/// Crashes after which the requests that cause them must reach no server, and the number of them
+/// that may do so all the same.
+constexpr int maxCrashes = 5;
+constexpr int maxLateArrivals = 3;
+
+/// Pause between two requests, in which a router can notice a crash.
+constexpr auto pauseBetweenRequests = 150ms;
+
+const std::string crashingPart = "dead:100";
+const std::string stream = streamHead + chunk("id: 1\ndata: a\n\n") + "0\r\n\r\n";
+
+/// Servers that end when they begin to answer a request with the crashing part, and count these.
+class CrashingServers
+{
+public:
+    explicit CrashingServers(int count)
+    {
+        for (int i = 0; i < count; ++i)
+            m_servers.emplace_back([this](const ScriptedRequest &request) {
+                if (request.field("Bilberry-Prompt-Parts").find(crashingPart) == std::string::npos)
+                    return ScriptedAnswer{stream};
+                ++m_arrivals;
+                return ScriptedAnswer{streamHead, Then::Crash};
+            });
+    }
+
+    std::vector<ScriptedServer *> all()
+    {
+        std::vector<ScriptedServer *> servers;
+        for (ScriptedServer &server : m_servers)
+            servers.push_back(&server);
+        return servers;
+    }
+    int crashed() const
+    {
+        return static_cast<int>(
+                std::count_if(m_servers.begin(), m_servers.end(),
+                              [](const ScriptedServer &server) { return server.crashed(); }));
+    }
+    /// @return number of requests with the crashing part that reached a server
+    int arrivals() const { return m_arrivals; }
+
+private:
+    std::list<ScriptedServer> m_servers;
+    std::atomic<int> m_arrivals = 0;
+};
+
+/// @return status of the answer to a stream request with the same first part as all others
+int call(const InProcessRouter &router, const std::string &middleParts, int number)
+{
+    return router
+            .call("/stream/x", "Bilberry-Model: m\r\nBilberry-Prompt-Parts: f00d:1000,"
+                                       + middleParts + std::to_string(number)
+                                       + ":50\r\nBilberry-Token-Counts: 1150,10\r\n")
+            .status();
+}
+
+int callWithCrashingPart(const InProcessRouter &router, int number)
+{
+    return call(router, crashingPart + ",", number);
+}
+
+} // namespace
+
+// One part of a prompt must not crash server after server, whatever else the requests hold.
+SCENARIO("requests with a part that crashes servers soon reach none, at any router")
+{
+    CrashingServers servers(10);
+    const auto servedOf = [&](const std::vector<const InProcessRouter *> &routers, int requests) {
+        int served = 0;
+        for (int i = 0; i < requests; ++i)
+            served += call(*routers[static_cast<std::size_t>(i) % routers.size()], "", 900 + i)
+                                      == 200
+                              ? 1
+                              : 0;
+        return served;
+    };
+    GIVEN("a router")
+    {
+        const RouterFixture router(servers.all());
+        WHEN("requests with the part come one after another, beside sound ones")
+        {
+            for (int i = 0; i < 14; ++i) {
+                callWithCrashingPart(router, i);
+                std::this_thread::sleep_for(pauseBetweenRequests);
+                call(router, "", 100 + i);
+            }
+            THEN("few servers crash, and sound requests of the same customer and first part are "
+                 "served")
+            {
+                CHECK(servers.crashed() <= maxCrashes);
+                CHECK(servers.arrivals() <= maxCrashes + maxLateArrivals);
+                CHECK(servedOf({&router}, 10) == 10);
+            }
+        }
+    }
+    GIVEN("two routers that know each other")
+    {
+        const std::uint16_t ports[] = {freePort(), freePort()};
+        const auto entry = [&](int router) {
+            return store::Item{"r" + std::to_string(router), R"({"address":"127.0.0.1","port":)"
+                                                                     + std::to_string(ports[router])
+                                                                     + "}"};
+        };
+        const auto settings = [&](int router) {
+            return [&, router](direct::DirectSettings &settings) {
+                settings.router = RouterId("r" + std::to_string(router));
+                settings.peerEndpoint.port = ports[router];
+            };
+        };
+        const RouterFixture first(servers.all(), settings(0), {entry(1)});
+        const RouterFixture second(servers.all(), settings(1), {entry(0)});
+        WHEN("requests with the part come to both")
+        {
+            for (int i = 0; i < 14; ++i) {
+                callWithCrashingPart(i % 2 == 0 ? first : second, i);
+                std::this_thread::sleep_for(pauseBetweenRequests);
+                call(i % 2 == 0 ? first : second, "", 100 + i);
+            }
+            THEN("no more servers crash than with one router")
+            {
+                CHECK(servers.crashed() <= maxCrashes);
+                CHECK(servers.arrivals() <= maxCrashes + maxLateArrivals);
+                CHECK(servedOf({&first, &second}, 10) == 10);
+            }
+        }
+    }
+}
--- a/packages/direct/tests/routerfixture.h
+++ b/packages/direct/tests/routerfixture.h
@@ -49,8 +49,9 @@
 {
 public:
     explicit RouterFixture(const std::vector<ScriptedServer *> &servers,
-                           const ChangeSettings &change = {})
-        : InProcessRouter(testPlan(), entriesOf(servers), change)
+                           const ChangeSettings &change = {},
+                           const std::vector<store::Item> &routers = {})
+        : InProcessRouter(testPlan(), entriesOf(servers), change, routers)
     {
     }
 
--- a/tests/support/inprocessrouter.cpp
+++ b/tests/support/inprocessrouter.cpp
@@ -74,13 +74,15 @@
 } // namespace
 
 InProcessRouter::InProcessRouter(TrafficPlan plan, const std::vector<DirectServer> &servers,
-                                 const ChangeSettings &change)
+                                 const ChangeSettings &change,
+                                 const std::vector<store::Item> &routers)
 {
     for (const DirectServer &server : servers) {
         m_servers[server.id.text()] = server;
         m_collections["servers"].push_back({server.id.text(), server.id.text()});
     }
     m_collections["plans"].push_back({"current", "1"});
+    m_collections["routers"] = routers;
     direct::PlatformAdapter adapter;
     adapter.decodePlan = [plan](const std::string &) -> Result<TrafficPlan> { return plan; };
     adapter.decodeServer
--- a/tests/support/inprocessrouter.h
+++ b/tests/support/inprocessrouter.h
@@ -24,9 +24,11 @@
     /// @param plan traffic plan in force from the start
     /// @param servers servers that the store lists
     /// @param change modifies the default settings before the start
+    /// @param routers other routers that the store lists
     /// @throws std::runtime_error when the router is not ready after 10 seconds
     InProcessRouter(TrafficPlan plan, const std::vector<DirectServer> &servers,
-                    const ChangeSettings &change = {});
+                    const ChangeSettings &change = {},
+                    const std::vector<store::Item> &routers = {});
     ~InProcessRouter();
 
     InProcessRouter(const InProcessRouter &) = delete;
--- a/tests/support/scriptedserver.cpp
+++ b/tests/support/scriptedserver.cpp
@@ -51,10 +51,11 @@
     for (;;) {
         boost::system::error_code error;
         tcp::socket socket = m_acceptor.accept(error);
-        if (m_stopping)
+        if (m_stopping || m_crashed)
             return;
         if (error)
             continue;
+        const std::lock_guard lock(m_mutex);
         m_sockets.push_back(std::move(socket));
         m_threads.emplace_back([this, &accepted = m_sockets.back()] { serve(accepted); });
     }
@@ -110,8 +111,22 @@
             }
             m_abandoned += m_stopping ? 0 : 1;
             return;
+        case ScriptedAnswer::Then::Crash:
+            crash();
+            return;
         }
     }
 }
 
+void ScriptedServer::crash()
+{
+    m_crashed = true;
+    // Unlike close(), this wakes the threads that block on the sockets.
+    ::shutdown(m_acceptor.native_handle(), SHUT_RDWR);
+    const std::lock_guard lock(m_mutex);
+    boost::system::error_code ignored;
+    for (tcp::socket &socket : m_sockets)
+        socket.shutdown(tcp::socket::shutdown_both, ignored);
+}
+
 } // namespace bilberry::tests
--- a/tests/support/scriptedserver.h
+++ b/tests/support/scriptedserver.h
@@ -26,11 +26,12 @@
 };
 
 /// How a scripted server answers a request: the bytes to send, and whether it then reads the next
-/// request, closes or resets the connection, stays silent, or sends further bytes again and again
-/// until the connection ends.
+/// request, closes or resets the connection, stays silent, sends further bytes again and again
+/// until the connection ends, or ends all its connections and accepts no more, as a process that
+/// crashes.
 struct ScriptedAnswer
 {
-    enum class Then { KeepOpen, Close, Reset, StaySilent, Repeat };
+    enum class Then { KeepOpen, Close, Reset, StaySilent, Repeat, Crash };
 
     std::string bytes;
     Then then = Then::KeepOpen;
@@ -52,10 +53,12 @@
     /// @return number of connections that ended or received data while the server stayed silent, or
     ///         ended while it repeated bytes
     int abandoned() const { return m_abandoned; }
+    bool crashed() const { return m_crashed; }
 
 private:
     void accept();
     void serve(boost::asio::ip::tcp::socket &socket);
+    void crash();
 
     Script m_script;
     boost::asio::io_context m_context;
@@ -67,6 +70,7 @@
     std::vector<std::thread> m_threads;
     std::atomic<int> m_abandoned = 0;
     std::atomic<bool> m_stopping = false;
+    std::atomic<bool> m_crashed = false;
     std::thread m_acceptThread;
 };
 
