Refuse requests with a prompt part that crashes servers, at all routers

Cause: direct routers kept no suspicion at all; each new request, and each router, was new to it. Class: a failure whose cause travels with the work is treated as the failure of the place where it shows.

Change: CrashSuspicion (decision) keeps, for each part of a prompt but the last, and for the request as a whole, the crashes at which a request with it waited for its answer. A complete answer acquits all parts of its request, so that what sound requests hold, such as the first part or the caller, is suspected until the next answer only. After three crashes (those within 250 ms count once: a zone may fail) such requests are refused with a 503 that is true; one is tried after 5 to 10 s if it holds only one such part, none after five crashes. CrashDetector counts a failure as a crash only if the server accepts no connection 30 ms later, so that a server that breaks off answers is none. Only requests whose answer had not begun 300 ms before are suspects.

--- /dev/null
+++ b/packages/decision/include/bilberry/decision/crashsuspicion.h
@@ -0,0 +1,143 @@
+#ifndef BILBERRY_DECISION_CRASHSUSPICION_H
+#define BILBERRY_DECISION_CRASHSUSPICION_H
+
+#include "bilberry/base/time.h"
+
+#include <cstdint>
+#include <map>
+#include <set>
+#include <unordered_map>
+#include <unordered_set>
+#include <vector>
+
+namespace bilberry::decision {
+
+/// Hash of something that requests can have in common and that may crash servers, such as a part of
+/// their prompts.
+using RequestFeature = std::uint64_t;
+
+/// Hash of a server's id and the start time of its process. A process crashes once at most.
+using ServerRun = std::uint64_t;
+
+/// What a router knows of a feature that was in flight during crashes, as it tells the others.
+struct CrashSuspect
+{
+    struct Crash
+    {
+        ServerRun run = 0;
+        Duration age{};
+        bool operator==(const Crash &) const = default;
+    };
+
+    RequestFeature feature = 0;
+    std::vector<Crash> crashes;       ///< since the last answer to a request with the feature
+    std::vector<ServerRun> acquitted; ///< crashes before such an answer
+    std::uint32_t trials = 0;         ///< requests admitted although the feature was quarantined
+    bool operator==(const CrashSuspect &) const = default;
+};
+
+struct CrashSuspicionSettings
+{
+    /// Crashes from which on requests with the feature are refused, but for trials.
+    std::size_t quarantineThreshold = 3;
+    /// Crashes from which on there are no trials.
+    std::size_t convictionThreshold = 5;
+    /// Crashes within this time count as one: when an availability zone fails, one feature may be
+    /// in flight at several of its servers.
+    Duration coincidence = std::chrono::milliseconds(250);
+    /// Minimum time between trials. Each router waits up to twice as long, so that their trials
+    /// rarely meet.
+    Duration trialInterval = std::chrono::seconds(5);
+    /// Fraction of trialInterval that this router adds, from 0 to 1.
+    double trialPhase = 0.0;
+    /// Time for which an answer to a request with the feature keeps it from being suspected.
+    Duration acquittalLifetime = std::chrono::seconds(1);
+    /// Time for which a crash counts.
+    Duration lifetime = std::chrono::minutes(10);
+    std::size_t maxSuspects = 4096;
+    std::size_t maxAnsweredFeatures = 4096; ///< within acquittalLifetime
+    bool operator==(const CrashSuspicionSettings &) const = default;
+};
+
+/// Finds what crashes servers by what the requests had in common that waited for their answers at
+/// each crash. A complete answer acquits all features of its request, so that what sound requests
+/// hold is suspected only until one of them is answered. Routers merge what they know; the order
+/// and the number of times do not matter.
+class CrashSuspicion
+{
+public:
+    enum class Admission {
+        Admit,
+        Trial, ///< may run to find out whether the one quarantined feature is to blame
+        Refuse,
+    };
+
+    explicit CrashSuspicion(CrashSuspicionSettings settings) : m_settings(settings) {}
+
+    /// @param features what the request has in common with others
+    Admission check(const std::vector<RequestFeature> &features, TimePoint now) const;
+
+    /// @return time until a refused request may be admitted; the whole lifetime when there are no
+    ///         more trials
+    Duration retryDelay(const std::vector<RequestFeature> &features, TimePoint now) const;
+
+    /// Records that a request was sent to a server although Admission::Trial was its admission.
+    void recordTrial(const std::vector<RequestFeature> &features, TimePoint now);
+
+    /// Records a crash.
+    /// @param features of a request that waited for its answer at the server
+    void recordCrash(ServerRun run, const std::vector<RequestFeature> &features, TimePoint now);
+
+    /// Records a complete answer to a request with these features.
+    void recordAnswer(const std::vector<RequestFeature> &features, TimePoint now);
+
+    /// Adds what another router knows.
+    void merge(const CrashSuspect &suspect, TimePoint now);
+
+    /// @return the suspects that this router has learned something of by itself since the last call
+    std::vector<CrashSuspect> takeChanged(TimePoint now);
+
+    /// @return the quarantined features, and those that have changed within the last two seconds;
+    ///         at most 200, those with the most crashes first
+    std::vector<CrashSuspect> summary(TimePoint now) const;
+
+    bool isEmpty() const { return m_suspects.empty(); }
+    std::size_t suspectCount() const { return m_suspects.size(); }
+    std::size_t quarantinedCount() const;
+
+    /// Forgets crashes that are older than the lifetime.
+    void expire(TimePoint now);
+
+private:
+    struct Suspect
+    {
+        std::map<ServerRun, TimePoint> crashes;
+        std::set<ServerRun> acquitted;
+        std::uint32_t trials = 0;
+        TimePoint nextTrialAt{};
+        TimePoint changedAt{};
+    };
+
+    std::size_t distinctCrashes(const Suspect &suspect) const;
+    bool isQuarantined(const Suspect &suspect) const;
+    void addCrash(Suspect &suspect, ServerRun run, TimePoint at, TimePoint now);
+    static void acquit(Suspect &suspect);
+    void setNextTrial(Suspect &suspect, TimePoint now) const;
+    void markChanged(RequestFeature feature, Suspect &suspect, TimePoint now);
+    bool isAnsweredRecently(RequestFeature feature, TimePoint now);
+    void rotateAnswered(TimePoint now);
+    void evictExcessSuspects();
+    static CrashSuspect describe(RequestFeature feature, const Suspect &suspect, TimePoint now);
+
+    CrashSuspicionSettings m_settings;
+    std::unordered_map<RequestFeature, Suspect> m_suspects;
+    std::unordered_set<RequestFeature> m_changed; ///< by this router since takeChanged()
+    /// Features of answered requests, of this and of the last acquittalLifetime.
+    std::unordered_set<RequestFeature> m_answered;
+    std::unordered_set<RequestFeature> m_answeredBefore;
+    TimePoint m_answeredSince{};
+};
+
+} // namespace bilberry::decision
+
+#endif
--- /dev/null
+++ b/packages/decision/src/crashsuspicion.cpp
@@ -0,0 +1,266 @@
+#include "bilberry/decision/crashsuspicion.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace bilberry::decision {
+
+namespace {
+
+/// Crashes that are kept of one feature; more would not change any decision.
+constexpr std::size_t maxCrashesKept = 16;
+/// Time for which a change is repeated to the other routers, whose datagrams may get lost.
+constexpr Duration repeatTime = std::chrono::seconds(2);
+/// Suspects in one summary, which keeps it within one datagram.
+constexpr std::size_t maxSummarySize = 200;
+
+} // namespace
+
+CrashSuspicion::Admission CrashSuspicion::check(const std::vector<RequestFeature> &features,
+                                                TimePoint now) const
+{
+    const Suspect *quarantined = nullptr;
+    for (const RequestFeature feature : features) {
+        const auto found = m_suspects.find(feature);
+        if (found == m_suspects.end() || !isQuarantined(found->second))
+            continue;
+        // A trial that involves two of them would not tell which one is to blame.
+        if (quarantined || distinctCrashes(found->second) >= m_settings.convictionThreshold)
+            return Admission::Refuse;
+        quarantined = &found->second;
+    }
+    if (!quarantined)
+        return Admission::Admit;
+    return now < quarantined->nextTrialAt ? Admission::Refuse : Admission::Trial;
+}
+
+Duration CrashSuspicion::retryDelay(const std::vector<RequestFeature> &features,
+                                    TimePoint now) const
+{
+    Duration delay{};
+    for (const RequestFeature feature : features) {
+        const auto found = m_suspects.find(feature);
+        if (found == m_suspects.end() || !isQuarantined(found->second))
+            continue;
+        const Suspect &suspect = found->second;
+        const bool hasTrials = distinctCrashes(suspect) < m_settings.convictionThreshold;
+        const TimePoint until = hasTrials ? suspect.nextTrialAt : now + m_settings.lifetime;
+        delay = std::max<Duration>(delay, until - now);
+    }
+    return delay;
+}
+
+void CrashSuspicion::recordTrial(const std::vector<RequestFeature> &features, TimePoint now)
+{
+    for (const RequestFeature feature : features) {
+        const auto found = m_suspects.find(feature);
+        if (found == m_suspects.end() || !isQuarantined(found->second))
+            continue;
+        ++found->second.trials;
+        setNextTrial(found->second, now);
+        markChanged(feature, found->second, now);
+    }
+}
+
+void CrashSuspicion::recordCrash(ServerRun run, const std::vector<RequestFeature> &features,
+                                 TimePoint now)
+{
+    for (const RequestFeature feature : features) {
+        if (isAnsweredRecently(feature, now))
+            continue;
+        Suspect &suspect = m_suspects[feature];
+        addCrash(suspect, run, now, now);
+        markChanged(feature, suspect, now);
+    }
+    evictExcessSuspects();
+}
+
+void CrashSuspicion::recordAnswer(const std::vector<RequestFeature> &features, TimePoint now)
+{
+    rotateAnswered(now);
+    for (const RequestFeature feature : features) {
+        if (m_answered.size() < m_settings.maxAnsweredFeatures)
+            m_answered.insert(feature);
+        const auto found = m_suspects.find(feature);
+        if (found == m_suspects.end() || found->second.crashes.empty())
+            continue;
+        acquit(found->second);
+        markChanged(feature, found->second, now);
+    }
+}
+
+void CrashSuspicion::merge(const CrashSuspect &reported, TimePoint now)
+{
+    Suspect &suspect = m_suspects[reported.feature];
+    if (suspect.changedAt == TimePoint())
+        suspect.changedAt = now;
+    for (const ServerRun run : reported.acquitted) {
+        suspect.crashes.erase(run);
+        if (suspect.acquitted.size() < maxCrashesKept)
+            suspect.acquitted.insert(run);
+    }
+    // An expired crash must not come back from a router that learned of it later.
+    for (const CrashSuspect::Crash &crash : reported.crashes) {
+        if (crash.age <= m_settings.lifetime)
+            addCrash(suspect, crash.run, now - crash.age, now);
+    }
+    if (reported.trials > suspect.trials) {
+        suspect.trials = reported.trials;
+        setNextTrial(suspect, now);
+    }
+    if (!suspect.crashes.empty() && isAnsweredRecently(reported.feature, now)) {
+        acquit(suspect);
+        markChanged(reported.feature, suspect, now);
+    }
+    evictExcessSuspects();
+}
+
+std::vector<CrashSuspect> CrashSuspicion::takeChanged(TimePoint now)
+{
+    std::vector<CrashSuspect> changed;
+    changed.reserve(m_changed.size());
+    for (const RequestFeature feature : m_changed) {
+        const auto found = m_suspects.find(feature);
+        if (found != m_suspects.end())
+            changed.push_back(describe(feature, found->second, now));
+    }
+    m_changed.clear();
+    return changed;
+}
+
+std::vector<CrashSuspect> CrashSuspicion::summary(TimePoint now) const
+{
+    std::vector<CrashSuspect> suspects;
+    for (const auto &[feature, suspect] : m_suspects) {
+        if (isQuarantined(suspect) || now - suspect.changedAt < repeatTime)
+            suspects.push_back(describe(feature, suspect, now));
+    }
+    std::sort(suspects.begin(), suspects.end(),
+              [](const CrashSuspect &left, const CrashSuspect &right) {
+                  return left.crashes.size() > right.crashes.size();
+              });
+    suspects.resize(std::min(suspects.size(), maxSummarySize));
+    return suspects;
+}
+
+std::size_t CrashSuspicion::quarantinedCount() const
+{
+    return static_cast<std::size_t>(
+            std::count_if(m_suspects.begin(), m_suspects.end(),
+                          [this](const auto &item) { return isQuarantined(item.second); }));
+}
+
+void CrashSuspicion::expire(TimePoint now)
+{
+    for (auto &[feature, suspect] : m_suspects) {
+        std::erase_if(suspect.crashes,
+                      [&](const auto &crash) { return now - crash.second > m_settings.lifetime; });
+    }
+    std::erase_if(m_suspects, [&](const auto &item) {
+        return item.second.crashes.empty() && now - item.second.changedAt > m_settings.lifetime;
+    });
+}
+
+/// @return number of crashes, those that coincide counted once
+std::size_t CrashSuspicion::distinctCrashes(const Suspect &suspect) const
+{
+    std::vector<TimePoint> times;
+    times.reserve(suspect.crashes.size());
+    for (const auto &[run, at] : suspect.crashes)
+        times.push_back(at);
+    std::sort(times.begin(), times.end());
+    std::size_t count = 0;
+    TimePoint last{};
+    for (const TimePoint at : times) {
+        if (count > 0 && at - last < m_settings.coincidence)
+            continue;
+        last = at;
+        ++count;
+    }
+    return count;
+}
+
+bool CrashSuspicion::isQuarantined(const Suspect &suspect) const
+{
+    return suspect.crashes.size() >= m_settings.quarantineThreshold
+           && distinctCrashes(suspect) >= m_settings.quarantineThreshold;
+}
+
+void CrashSuspicion::addCrash(Suspect &suspect, ServerRun run, TimePoint at, TimePoint now)
+{
+    if (suspect.acquitted.contains(run) || suspect.crashes.size() >= maxCrashesKept)
+        return;
+    const bool wasQuarantined = isQuarantined(suspect);
+    if (!suspect.crashes.emplace(run, at).second)
+        return;
+    suspect.changedAt = now;
+    if (!wasQuarantined && isQuarantined(suspect))
+        setNextTrial(suspect, now);
+}
+
+void CrashSuspicion::acquit(Suspect &suspect)
+{
+    if (suspect.acquitted.size() + suspect.crashes.size() > maxCrashesKept)
+        suspect.acquitted.clear();
+    for (const auto &[run, at] : suspect.crashes)
+        suspect.acquitted.insert(run);
+    suspect.crashes.clear();
+}
+
+void CrashSuspicion::setNextTrial(Suspect &suspect, TimePoint now) const
+{
+    suspect.nextTrialAt = now
+                          + fromMilliseconds(toMilliseconds(m_settings.trialInterval)
+                                             * (1.0 + m_settings.trialPhase));
+}
+
+void CrashSuspicion::markChanged(RequestFeature feature, Suspect &suspect, TimePoint now)
+{
+    suspect.changedAt = now;
+    m_changed.insert(feature);
+}
+
+bool CrashSuspicion::isAnsweredRecently(RequestFeature feature, TimePoint now)
+{
+    rotateAnswered(now);
+    return m_answered.contains(feature) || m_answeredBefore.contains(feature);
+}
+
+void CrashSuspicion::rotateAnswered(TimePoint now)
+{
+    const Duration age = now - m_answeredSince;
+    if (age < m_settings.acquittalLifetime)
+        return;
+    m_answeredBefore = age < 2 * m_settings.acquittalLifetime
+                               ? std::exchange(m_answered, {})
+                               : std::unordered_set<RequestFeature>();
+    m_answered.clear();
+    m_answeredSince = now;
+}
+
+/// Evicts the suspects with the fewest crashes, and among those the oldest.
+void CrashSuspicion::evictExcessSuspects()
+{
+    while (m_suspects.size() > m_settings.maxSuspects) {
+        const auto victim = std::min_element(
+                m_suspects.begin(), m_suspects.end(), [](const auto &left, const auto &right) {
+                    return std::pair(left.second.crashes.size(), left.second.changedAt)
+                           < std::pair(right.second.crashes.size(), right.second.changedAt);
+                });
+        m_changed.erase(victim->first);
+        m_suspects.erase(victim);
+    }
+}
+
+CrashSuspect CrashSuspicion::describe(RequestFeature feature, const Suspect &suspect, TimePoint now)
+{
+    CrashSuspect described;
+    described.feature = feature;
+    for (const auto &[run, at] : suspect.crashes)
+        described.crashes.push_back({run, now - at});
+    described.acquitted.assign(suspect.acquitted.begin(), suspect.acquitted.end());
+    described.trials = suspect.trials;
+    return described;
+}
+
+} // namespace bilberry::decision
--- /dev/null
+++ b/packages/direct/src/crashdetector.cpp
@@ -0,0 +1,72 @@
+#include "crashdetector.h"
+
+#include "bilberry/decision/rendezvous.h"
+
+namespace bilberry::direct {
+
+namespace {
+
+/// Delay before the check, in which further connections to a crashed server end.
+constexpr Duration checkDelay = std::chrono::milliseconds(30);
+
+decision::ServerRun serverRun(const DirectServer &server)
+{
+    return decision::stableHash(server.id.text() + '/' + std::to_string(server.startedAtMs));
+}
+
+} // namespace
+
+CrashDetector::CrashDetector(boost::asio::io_context &io, ServerConnections &connections,
+                             decision::CrashSuspicion &suspicion, Log &log)
+    : m_io(io), m_connections(connections), m_suspicion(suspicion), m_log(log)
+{
+}
+
+void CrashDetector::recordBrokenAttempt(const DirectServer &server,
+                                        const std::vector<decision::RequestFeature> &features)
+{
+    if (features.empty())
+        return;
+    const decision::ServerRun run = serverRun(server);
+    auto &check = m_checks[run];
+    if (!check) {
+        check = std::make_unique<Check>(m_io, server);
+        check->timer.expires_after(checkDelay);
+        check->timer.async_wait([this, run](boost::system::error_code error) {
+            if (!error)
+                connect(run);
+        });
+    }
+    check->features.insert(features.begin(), features.end());
+}
+
+void CrashDetector::connect(decision::ServerRun run)
+{
+    const DirectServer &server = m_checks.at(run)->server;
+    const ServerConnectionPtr idle
+            = m_connections.acquire(server, [this, run](const ServerConnectionPtr &connection) {
+                  if (connection)
+                      m_connections.release(m_checks.at(run)->server.id, connection);
+                  finish(run, connection == nullptr);
+              });
+    if (!idle)
+        return;
+    m_connections.release(server.id, idle);
+    finish(run, false);
+}
+
+void CrashDetector::finish(decision::ServerRun run, bool crashed)
+{
+    const std::unique_ptr<Check> check = std::move(m_checks.at(run));
+    m_checks.erase(run);
+    if (!crashed)
+        return;
+    m_suspicion.recordCrash(run, {check->features.begin(), check->features.end()}, Clock::now());
+    m_log.decision("A server crashed.",
+                   {{"server", check->server.id.text()},
+                    {"suspects", std::to_string(check->features.size())},
+                    {"quarantined", std::to_string(m_suspicion.quarantinedCount())}});
+    onCrash();
+}
+
+} // namespace bilberry::direct
--- a/packages/direct/src/directmetrics.cpp
+++ b/packages/direct/src/directmetrics.cpp
@@ -32,6 +32,12 @@
       m_refused(addGaugeFamily(m_registry, "bilberry_refused", "Refused requests by reason.")),
       m_inFlight(addGaugeFamily(m_registry, "bilberry_server_in_flight",
                                 "Requests of this router at a server.")),
+      m_crashSuspects(addGaugeFamily(m_registry, "bilberry_crash_suspects",
+                                     "Features of requests that were in flight at crashes.")
+                              .Add({})),
+      m_quarantined(addGaugeFamily(m_registry, "bilberry_crash_quarantined",
+                                   "Features whose requests are refused, since they crash servers.")
+                            .Add({})),
       m_connectionsOpened(addGaugeFamily(m_registry, "bilberry_server_connections_opened",
                                          "Connections to servers opened since the start.")
                                   .Add({})),
@@ -55,6 +61,12 @@
             .Observe(toMilliseconds(duration) / 1000.0);
 }
 
+void DirectMetrics::update(const decision::CrashSuspicion &suspicion)
+{
+    m_crashSuspects.Set(static_cast<double>(suspicion.suspectCount()));
+    m_quarantined.Set(static_cast<double>(suspicion.quarantinedCount()));
+}
+
 void DirectMetrics::update(const RequestCounters &counts,
                            const decision::ServerSelector &serverSelector,
                            std::uint64_t connectionsOpened, std::uint64_t planVersion,
--- a/packages/direct/src/directmetrics.h
+++ b/packages/direct/src/directmetrics.h
@@ -23,6 +23,9 @@
     /// @param duration time from the complete request to the first byte of its response
     void recordFirstByteLatency(const PoolId &pool, Duration duration);
 
+    /// Sets the gauges of what may crash servers.
+    void update(const decision::CrashSuspicion &suspicion);
+
     /// Sets the gauges to the current state of the router.
     /// @param planVersion 0 when there is no plan
     /// @param planAge time since the plan was last confirmed as the newest
@@ -39,6 +42,8 @@
     prometheus::Family<prometheus::Gauge> &m_counts;
     prometheus::Family<prometheus::Gauge> &m_refused;
     prometheus::Family<prometheus::Gauge> &m_inFlight;
+    prometheus::Gauge &m_crashSuspects;
+    prometheus::Gauge &m_quarantined;
     prometheus::Gauge &m_connectionsOpened;
     prometheus::Gauge &m_planVersion;
     prometheus::Gauge &m_planAge;
--- a/packages/direct/src/directrouter.cpp
+++ b/packages/direct/src/directrouter.cpp
@@ -2,9 +2,11 @@
 
 #include "bilberry/admin/adminserver.h"
 #include "bilberry/decision/overloaddetector.h"
+#include "bilberry/decision/rendezvous.h"
 #include "bilberry/store/threadedcollectionstore.h"
 
 #include "callerlistener.h"
+#include "crashdetector.h"
 #include "directmetrics.h"
 #include "peerexchange.h"
 #include "platformstate.h"
@@ -31,6 +33,14 @@
     return {asio::ip::make_address(endpoint.address), endpoint.port};
 }
 
+decision::CrashSuspicionSettings suspicionSettings(const RouterId &router)
+{
+    decision::CrashSuspicionSettings settings;
+    constexpr double hashRange = 18446744073709551616.0;
+    settings.trialPhase = static_cast<double>(decision::stableHash(router.text())) / hashRange;
+    return settings;
+}
+
 RefusalReason refusalReason(RequestError error)
 {
     switch (error) {
@@ -53,13 +63,17 @@
     Impl(const DirectSettings &settings, PlatformAdapter adapter)
         : settings(settings), adapter(std::move(adapter)), random(std::random_device{}()),
           serverSelector(settings.serverSelector), usageMeter(settings.fairnessWindow),
-          connections(io, settings.connectTimeout), housekeepingTimer(io), lagTimer(io),
+          crashSuspicion(suspicionSettings(settings.router)),
+          connections(io, settings.connectTimeout),
+          crashDetector(io, connections, crashSuspicion, log), housekeepingTimer(io), lagTimer(io),
           stopTimer(io), requestContext{.io = io,
                                         .settings = this->settings,
                                         .headerNames = this->adapter.headers,
                                         .connections = connections,
                                         .serverSelector = serverSelector,
                                         .usageMeter = usageMeter,
+                                        .crashSuspicion = crashSuspicion,
+                                        .crashDetector = crashDetector,
                                         .retryBudgets = retryBudgets,
                                         .counters = counters,
                                         .log = log,
@@ -124,7 +138,8 @@
                 });
         peerExchange = std::make_shared<PeerExchange>(io, settings, *collectionStore,
                                                       adapter.collections.routers, serverSelector,
-                                                      usageMeter);
+                                                      usageMeter, crashSuspicion);
+        crashDetector.onCrash = [this] { peerExchange->handleSuspicionChange(); };
         state = std::make_unique<PlatformState>(io, settings, adapter, *collectionStore,
                                                 serverSelector, connections, *peerExchange, log,
                                                 random);
@@ -187,6 +202,7 @@
     void runHousekeeping()
     {
         connections.dropExpired(Clock::now());
+        crashSuspicion.expire(Clock::now());
         housekeepingTimer.expires_after(housekeepingPeriod);
         housekeepingTimer.async_wait([self = shared_from_this()](boost::system::error_code error) {
             if (!error)
@@ -196,6 +212,7 @@
 
     void updateMetrics()
     {
+        metrics.update(crashSuspicion);
         metrics.update(counters, serverSelector, connections.openedCount(),
                        state->plan() ? state->plan()->version() : 0, state->planAge());
     }
@@ -241,10 +258,12 @@
     Log log{"router.direct"};
     decision::ServerSelector serverSelector;
     decision::CustomerUsageMeter usageMeter;
+    decision::CrashSuspicion crashSuspicion;
     std::map<PoolId, decision::WindowedRetryBudget> retryBudgets;
     RequestCounters counters;
     DirectMetrics metrics;
     ServerConnections connections;
+    CrashDetector crashDetector;
     asio::steady_timer housekeepingTimer;
     asio::steady_timer lagTimer;
     asio::steady_timer stopTimer;
--- a/packages/direct/src/peerexchange.cpp
+++ b/packages/direct/src/peerexchange.cpp
@@ -42,9 +42,10 @@
 PeerExchange::PeerExchange(asio::io_context &io, const DirectSettings &settings,
                            store::CollectionStore &store, std::string collection,
                            decision::ServerSelector &serverSelector,
-                           decision::CustomerUsageMeter &usageMeter)
+                           decision::CustomerUsageMeter &usageMeter,
+                           decision::CrashSuspicion &crashSuspicion)
     : m_settings(settings), m_store(store), m_collection(std::move(collection)),
-      m_serverSelector(serverSelector), m_usageMeter(usageMeter),
+      m_serverSelector(serverSelector), m_usageMeter(usageMeter), m_crashSuspicion(crashSuspicion),
       m_socket(
               io, settings.peerEndpoint.address, settings.peerEndpoint.port,
               [this](wire::GossipMessage &&message) { handleMessage(std::move(message)); },
@@ -188,12 +189,30 @@
         m_socket.sendToAll(report);
         m_lastReportAt = now;
     }
+    const std::vector<decision::CrashSuspect> changedSuspects = m_crashSuspicion.takeChanged(now);
+    sendSuspects(complete ? m_crashSuspicion.summary(now) : changedSuspects);
     if (complete)
         m_lastCompleteReportAt = now;
     m_nextReportAt = TimePoint::max();
     scheduleReport(m_lastCompleteReportAt + completeReportPeriod);
 }
 
+void PeerExchange::sendSuspects(const std::vector<decision::CrashSuspect> &suspects)
+{
+    if (suspects.empty() || m_peers.empty())
+        return;
+    wire::CrashSuspectGossip gossip{m_sender, {}};
+    for (const decision::CrashSuspect &suspect : suspects) {
+        wire::CrashSuspectNotice notice{suspect.feature, {}, suspect.acquitted, suspect.trials};
+        for (const decision::CrashSuspect::Crash &crash : suspect.crashes)
+            notice.crashes.push_back(
+                    {crash.run, static_cast<std::uint32_t>(toMilliseconds(crash.age))});
+        gossip.suspects.push_back(std::move(notice));
+    }
+    m_socket.sendToAll(gossip);
+    m_lastReportAt = Clock::now();
+}
+
 /// @param complete true for all work of this router
 /// @return the work at all servers or at those where the backlog has changed since the last report
 std::vector<wire::DirectServerLoad> PeerExchange::changedLoads(bool complete)
@@ -237,6 +256,8 @@
 {
     if (const auto *report = std::get_if<wire::DirectRouterReport>(&message))
         handleReport(*report);
+    else if (const auto *gossip = std::get_if<wire::CrashSuspectGossip>(&message))
+        handleSuspects(*gossip);
     else if (const auto *query = std::get_if<wire::PlanProofQuery>(&message))
         handleQuery(*query);
     else if (const auto *reply = std::get_if<wire::PlanProofReply>(&message))
@@ -244,6 +265,17 @@
                            std::chrono::microseconds(reply->ageUs)});
 }
 
+void PeerExchange::handleSuspects(const wire::CrashSuspectGossip &gossip)
+{
+    const TimePoint now = Clock::now();
+    for (const wire::CrashSuspectNotice &notice : gossip.suspects) {
+        decision::CrashSuspect suspect{notice.feature, {}, notice.acquitted, notice.trials};
+        for (const wire::CrashNotice &crash : notice.crashes)
+            suspect.crashes.push_back({crash.serverRun, std::chrono::milliseconds(crash.ageMs)});
+        m_crashSuspicion.merge(suspect, now);
+    }
+}
+
 void PeerExchange::handleQuery(const wire::PlanProofQuery &query)
 {
     const auto answer = onPlanProofQuery(query.query);
--- a/packages/direct/src/peerexchange.h
+++ b/packages/direct/src/peerexchange.h
@@ -2,6 +2,7 @@
 #define BILBERRY_DIRECT_PEEREXCHANGE_H
 
 #include "bilberry/base/log.h"
+#include "bilberry/decision/crashsuspicion.h"
 #include "bilberry/decision/customerusagemeter.h"
 #include "bilberry/decision/planproofs.h"
 #include "bilberry/decision/serverselector.h"
@@ -18,15 +19,16 @@
 
 namespace bilberry::direct {
 
-/// Exchanges reports between routers as datagrams: their work at the servers and the demands of
-/// customers. Routers find each other in a collection of the store, where each registers itself.
+/// Exchanges reports between routers as datagrams: their work at the servers, the demands of
+/// customers, and what may have crashed servers. Routers find each other in a collection of the
+/// store, where each registers itself.
 class PeerExchange : public std::enable_shared_from_this<PeerExchange>
 {
 public:
     PeerExchange(boost::asio::io_context &io, const DirectSettings &settings,
                  store::CollectionStore &store, std::string collection,
-                 decision::ServerSelector &serverSelector,
-                 decision::CustomerUsageMeter &usageMeter);
+                 decision::ServerSelector &serverSelector, decision::CustomerUsageMeter &usageMeter,
+                 decision::CrashSuspicion &crashSuspicion);
 
     /// Registers this router and starts to send reports.
     void start();
@@ -40,6 +42,9 @@
     /// @param query number of the question
     void queryPlanProof(const RouterId &router, std::uint64_t query);
 
+    /// Sends the next report soon, after what this router suspects of crashes has changed.
+    void handleSuspicionChange() { handleLoadChange(); }
+
     /// Answers another router's question; set by the owner.
     std::function<std::optional<decision::PlanProofAnswer>(std::uint64_t query)> onPlanProofQuery;
     std::function<void(const decision::PlanProofAnswer &)> onPlanProofAnswer;
@@ -60,10 +65,12 @@
     void addPlacement(const decision::PlacedPrefix &placed);
     void scheduleReport(TimePoint when);
     void sendReport();
+    void sendSuspects(const std::vector<decision::CrashSuspect> &suspects);
     std::vector<wire::DirectServerLoad> changedLoads(bool complete);
     Duration reportInterval() const;
     void handleMessage(wire::GossipMessage &&message);
     void handleReport(const wire::DirectRouterReport &report);
+    void handleSuspects(const wire::CrashSuspectGossip &gossip);
     void handleQuery(const wire::PlanProofQuery &query);
 
     const DirectSettings &m_settings;
@@ -71,6 +78,7 @@
     std::string m_collection;
     decision::ServerSelector &m_serverSelector;
     decision::CustomerUsageMeter &m_usageMeter;
+    decision::CrashSuspicion &m_crashSuspicion;
     Log m_log{"router.peers"};
     wire::GossipSocket m_socket;
     boost::asio::steady_timer m_reportTimer;
--- a/packages/direct/src/refusal.cpp
+++ b/packages/direct/src/refusal.cpp
@@ -36,6 +36,9 @@
         return {503, "overloaded", "Each backend server would answer too late."};
     case RefusalReason::NoServer:
         return {503, "no-server", "No backend server may take the request."};
+    case RefusalReason::CrashesServers:
+        return {503, "crashes-servers",
+                "Requests like it crashed backend servers; it did not run."};
     case RefusalReason::NotAccepted:
         return {503, "not-accepted", "The backend servers refused the request; it did not run."};
     case RefusalReason::TimedOut:
--- a/packages/direct/src/refusal.h
+++ b/packages/direct/src/refusal.h
@@ -17,13 +17,14 @@
     HeadTooLarge,
     BodyTooLarge,
     SlowSender,
-    NoPlan,       ///< the router has not received a plan yet
-    StalePlan,    ///< the plan may be outdated, and the key withdrawn
-    Overloaded,   ///< each server would respond too late
-    NoServer,     ///< no server may receive the request
-    NotAccepted,  ///< servers refused the request without running it
-    ServerFailed, ///< the request may have run; there is no complete response
-    TimedOut,     ///< the request may have run; its deadline has passed
+    NoPlan,         ///< the router has not received a plan yet
+    StalePlan,      ///< the plan may be outdated, and the key withdrawn
+    Overloaded,     ///< each server would respond too late
+    NoServer,       ///< no server may receive the request
+    CrashesServers, ///< requests like it have crashed servers
+    NotAccepted,    ///< servers refused the request without running it
+    ServerFailed,   ///< the request may have run; there is no complete response
+    TimedOut,       ///< the request may have run; its deadline has passed
 };
 
 /// A refusal as reported to the caller.
--- a/packages/direct/src/requesthandler.cpp
+++ b/packages/direct/src/requesthandler.cpp
@@ -1,6 +1,7 @@
 #include "requesthandler.h"
 
 #include "bilberry/base/digest.h"
+#include "bilberry/decision/rendezvous.h"
 #include "bilberry/http/requestrules.h"
 
 #include <algorithm>
@@ -35,6 +36,8 @@
 constexpr double silenceTimeoutObjectives = 3.0;
 /// Cost of an output token in prompt tokens, the unit in which the fleet's capacity is given.
 constexpr double outputTokenCost = 2.0;
+/// Time after the first byte of its body for which an answer counts as just begun.
+constexpr Duration answerBeginning = std::chrono::milliseconds(300);
 /// Range of Retry-After for a request refused because of overload, in latency objectives.
 constexpr double minRetryAfterObjectives = 0.2;
 constexpr double maxRetryAfterObjectives = 0.5;
@@ -91,6 +94,17 @@
     return parts;
 }
 
+/// @return hashes of the prompt's parts that other prompts may have, all but the last one
+std::vector<decision::RequestFeature> sharedParts(std::string_view promptParts)
+{
+    std::vector<decision::RequestFeature> features;
+    for (const std::string_view part : split(promptParts, ','))
+        features.push_back(decision::stableHash(part.substr(0, part.find(':'))));
+    if (!features.empty())
+        features.pop_back();
+    return features;
+}
+
 /// @return one of the route's pools, chosen at random by weight
 const PoolId &selectPool(const DirectRoute &route, std::mt19937_64 &random)
 {
@@ -233,10 +247,47 @@
     m_context.usageMeter.recordRequested(m_customer, cost, m_receivedAt);
 }
 
+/// What the request may have in common with others that crash servers: the parts of its prompt but
+/// the last one, and the whole request, which its caller may repeat.
+const std::vector<decision::RequestFeature> &RequestHandler::features()
+{
+    if (!m_features.empty())
+        return m_features;
+    const std::string_view parts = m_request[m_context.headerNames.promptParts];
+    m_features = sharedParts(parts);
+    std::string whole = m_customer.text();
+    for (const std::string_view text :
+         {std::string_view(m_request.method_string()), std::string_view(m_request.target()), parts})
+        whole.append(1, '\n').append(text);
+    whole += '\n' + std::to_string(decision::stableHash(m_request.body()));
+    m_features.push_back(decision::stableHash(whole));
+    return m_features;
+}
+
+/// @return false when the request probably crashes the server that runs it
+bool RequestHandler::admitDespiteCrashes()
+{
+    if (m_context.crashSuspicion.isEmpty())
+        return true;
+    using Admission = decision::CrashSuspicion::Admission;
+    const TimePoint now = Clock::now();
+    const Admission admission = m_context.crashSuspicion.check(features(), now);
+    if (admission == Admission::Trial)
+        m_context.crashSuspicion.recordTrial(features(), now);
+    return admission != Admission::Refuse;
+}
+
 void RequestHandler::selectServer()
 {
     if (m_finished)
         return;
+    if (!admitDespiteCrashes()) {
+        if (m_attemptCount > 0)
+            failRequest();
+        else
+            refuse(RefusalReason::CrashesServers);
+        return;
+    }
     const TimePoint now = Clock::now();
     const Result<decision::ServerChoice> choice = m_context.serverSelector.choose(m_traits, now);
     if (!choice) {
@@ -259,6 +310,8 @@
 {
     const DirectServer *server = m_context.serverSelector.server(choice.server);
     m_choice = choice;
+    m_server = *server;
+    m_attemptBodyBeganAt = {};
     ++m_attemptCount;
     m_attemptNumber = m_context.serverSelector.startAttempt(choice, m_traits, Clock::now());
     m_responseHeader.reset();
@@ -347,6 +400,8 @@
 
 void RequestHandler::handleResponseBody(std::string &&data)
 {
+    if (m_attemptBodyBeganAt == TimePoint())
+        m_attemptBodyBeganAt = Clock::now();
     if (m_isStreaming && !m_notRun) {
         const TimePoint now = Clock::now();
         if (!m_responseStarted)
@@ -422,11 +477,30 @@
         return;
     case AttemptResult::Broken:
         ++m_sentCount;
+        recordPossibleCrash();
         handleAttemptFailure(AttemptOutcome::BrokenAnswer, !m_notRun);
         return;
     }
 }
 
+/// A request crashes its server when the answer begins, so that one whose answer is well under way
+/// is no suspect.
+void RequestHandler::recordPossibleCrash()
+{
+    const bool hasJustBegun = m_attemptBodyBeganAt == TimePoint()
+                              || Clock::now() - m_attemptBodyBeganAt < answerBeginning;
+    if (!m_notRun && hasJustBegun)
+        m_context.crashDetector.recordBrokenAttempt(m_server, features());
+}
+
+/// A server that has given a complete answer was not crashed by the request.
+void RequestHandler::acquitFeatures()
+{
+    const std::string_view parts = m_request[m_context.headerNames.promptParts];
+    m_context.crashSuspicion.recordAnswer(
+            m_context.crashSuspicion.isEmpty() ? sharedParts(parts) : features(), Clock::now());
+}
+
 void RequestHandler::handleCompleteResponse()
 {
     ++m_sentCount;
@@ -443,6 +517,7 @@
         handleAttemptFailure(AttemptOutcome::BrokenAnswer, true);
         return;
     }
+    acquitFeatures();
     // A 5xx response is forwarded only if no other attempt is allowed or succeeds.
     const bool retryable = status >= 500 && m_route->mayRepeat() && !m_responseStarted
                            && m_possibleRunCount + 1 < m_route->maxAttempts;
@@ -593,6 +668,9 @@
     m_context.log.decision("Refused.",
                            {{"request", m_requestId},
                             {"reason", toText(reason)},
+                            {"parts", reason == RefusalReason::CrashesServers ? std::string(
+                                              m_request[m_context.headerNames.promptParts])
+                                                                              : ""},
                             {"customer", m_customer.text()},
                             {"customerUse", std::to_string(m_traits.customerUsageRatio)},
                             {"tries", std::to_string(m_attemptCount)},
@@ -611,6 +689,8 @@
 {
     if (httpStatus(reason) != 503)
         return std::nullopt;
+    if (reason == RefusalReason::CrashesServers)
+        return m_context.crashSuspicion.retryDelay(features(), Clock::now());
     double minMs = 300.0;
     double maxMs = 900.0;
     // A full server completes work soon: a caller that returns early may still be served in time.
--- a/packages/direct/src/requesthandler.h
+++ b/packages/direct/src/requesthandler.h
@@ -2,10 +2,12 @@
 #define BILBERRY_DIRECT_REQUESTHANDLER_H
 
 #include "callerconnection.h"
+#include "crashdetector.h"
 #include "refusal.h"
 #include "serverattempt.h"
 
 #include "bilberry/base/log.h"
+#include "bilberry/decision/crashsuspicion.h"
 #include "bilberry/decision/customerusagemeter.h"
 #include "bilberry/decision/serverselector.h"
 #include "bilberry/decision/windowedretrybudget.h"
@@ -44,6 +46,8 @@
     ServerConnections &connections;
     decision::ServerSelector &serverSelector;
     decision::CustomerUsageMeter &usageMeter;
+    decision::CrashSuspicion &crashSuspicion;
+    CrashDetector &crashDetector;
     std::map<PoolId, decision::WindowedRetryBudget> &retryBudgets;
     RequestCounters &counters;
     Log &log;
@@ -67,6 +71,8 @@
 private:
     std::optional<RefusalReason> validateRequest();
     void collectTraits();
+    const std::vector<decision::RequestFeature> &features();
+    bool admitDespiteCrashes();
     void selectServer();
     void sendToServer(const decision::ServerChoice &choice);
     std::string serializeRequest(const DirectServer &server) const;
@@ -75,6 +81,8 @@
     void handleResponseBody(std::string &&data);
     void handleAttemptEnd(AttemptResult result);
     void abandonAttempt(decision::AttemptOutcome outcome, bool mayHaveRun);
+    void recordPossibleCrash();
+    void acquitFeatures();
     void handleCompleteResponse();
     bool isBrokenOff() const;
     void handleAttemptFailure(decision::AttemptOutcome outcome, bool mayHaveRun);
@@ -108,7 +116,11 @@
     boost::asio::steady_timer m_deadlineTimer;
     boost::asio::steady_timer m_silenceTimer;
 
+    std::vector<decision::RequestFeature> m_features; ///< see features()
+
     std::shared_ptr<ServerAttempt> m_attempt;
+    DirectServer m_server;            ///< of the attempt, as it was when the request was sent
+    TimePoint m_attemptBodyBeganAt{}; ///< first byte of the body in the attempt's response
     decision::AttemptNumber m_attemptNumber = 0;
     decision::ServerChoice m_choice;
     std::uint32_t m_sentCount = 0;        ///< attempts that may have reached a server
--- a/packages/direct/tests/crashingpart_test.cpp
+++ b/packages/direct/tests/crashingpart_test.cpp
@@ -26,6 +26,9 @@
 const std::string crashingPart = "dead:100";
 const std::string stream = streamHead + chunk("id: 1\ndata: a\n\n") + "0\r\n\r\n";
 
+/// Age of the plan's proof that is accepted here, so that a busy machine refuses no request for it.
+constexpr auto patientPlanStaleness = 20s;
+
 /// Servers that end when they begin to answer a request with the crashing part, and count these.
 class CrashingServers
 {
@@ -94,7 +97,9 @@
     };
     GIVEN("a router")
     {
-        const RouterFixture router(servers.all());
+        const RouterFixture router(servers.all(), [](direct::DirectSettings &settings) {
+            settings.maxPlanStaleness = patientPlanStaleness;
+        });
         WHEN("requests with the part come one after another, beside sound ones")
         {
             for (int i = 0; i < 14; ++i) {
@@ -123,6 +128,7 @@
             return [&, router](direct::DirectSettings &settings) {
                 settings.router = RouterId("r" + std::to_string(router));
                 settings.peerEndpoint.port = ports[router];
+                settings.maxPlanStaleness = patientPlanStaleness;
             };
         };
         const RouterFixture first(servers.all(), settings(0), {entry(1)});
--- a/packages/router/include/bilberry/router/coordinator.h
+++ b/packages/router/include/bilberry/router/coordinator.h
@@ -81,6 +81,7 @@
     void handle(const wire::DirectRouterReport &, TimePoint) {}
     void handle(const wire::PlanProofQuery &, TimePoint) {}
     void handle(const wire::PlanProofReply &, TimePoint) {}
+    void handle(const wire::CrashSuspectGossip &, TimePoint) {}
 
     wire::GossipSender localSender() const;
     bool isConfigurationFrozen(TimePoint now) const;
--- a/packages/wire/include/bilberry/wire/gossipmessages.h
+++ b/packages/wire/include/bilberry/wire/gossipmessages.h
@@ -159,8 +159,36 @@
     bool operator==(const PlanProofReply &) const = default;
 };
 
-using GossipMessage = std::variant<Probe, ProbeAck, ServiceReport, ServiceTotals, QuarantineGossip,
-                                   DirectRouterReport, PlanProofQuery, PlanProofReply>;
+/// A crash of a backend server, while a request with some feature waited for its answer there.
+struct CrashNotice
+{
+    std::uint64_t serverRun = 0; ///< hash of the server's id and the start time of its process
+    std::uint32_t ageMs = 0;
+    bool operator==(const CrashNotice &) const = default;
+};
+
+/// What a direct router knows of a feature of requests that may crash servers.
+struct CrashSuspectNotice
+{
+    std::uint64_t feature = 0;            ///< hash of what the requests have in common
+    std::vector<CrashNotice> crashes;     ///< since the last answer to a request with the feature
+    std::vector<std::uint64_t> acquitted; ///< server runs of crashes before such an answer
+    std::uint32_t trials = 0;             ///< requests admitted in spite of the suspicion
+    bool operator==(const CrashSuspectNotice &) const = default;
+};
+
+/// Suspects of a direct router. Receivers merge them with their own, so that repeated and reordered
+/// messages have no effect.
+struct CrashSuspectGossip
+{
+    GossipSender sender;
+    std::vector<CrashSuspectNotice> suspects;
+    bool operator==(const CrashSuspectGossip &) const = default;
+};
+
+using GossipMessage
+        = std::variant<Probe, ProbeAck, ServiceReport, ServiceTotals, QuarantineGossip,
+                       DirectRouterReport, PlanProofQuery, PlanProofReply, CrashSuspectGossip>;
 
 } // namespace bilberry::wire
 
