--- a/packages/direct/src/requesthandler.cpp
+++ b/packages/direct/src/requesthandler.cpp
@@ -264,24 +264,19 @@
     return m_features;
 }
 
-/// @return false when the request probably crashes the server that runs it
-bool RequestHandler::admitDespiteCrashes()
+decision::CrashSuspicion::Admission RequestHandler::crashAdmission()
 {
     if (m_context.crashSuspicion.isEmpty())
-        return true;
-    using Admission = decision::CrashSuspicion::Admission;
-    const TimePoint now = Clock::now();
-    const Admission admission = m_context.crashSuspicion.check(features(), now);
-    if (admission == Admission::Trial)
-        m_context.crashSuspicion.recordTrial(features(), now);
-    return admission != Admission::Refuse;
+        return decision::CrashSuspicion::Admission::Admit;
+    return m_context.crashSuspicion.check(features(), Clock::now());
 }
 
 void RequestHandler::selectServer()
 {
     if (m_finished)
         return;
-    if (!admitDespiteCrashes()) {
+    const auto admission = crashAdmission();
+    if (admission == decision::CrashSuspicion::Admission::Refuse) {
         if (m_attemptCount > 0)
             failRequest();
         else
@@ -299,6 +294,8 @@
                            : RefusalReason::NoServer);
         return;
     }
+    if (admission == decision::CrashSuspicion::Admission::Trial)
+        m_context.crashSuspicion.recordTrial(features(), now);
     if (m_attemptCount == 0 && !m_customer.empty()) {
         const double cost = m_traits.prompt.tokens() + outputTokenCost * m_traits.outputTokens;
         m_context.usageMeter.recordDispatched(m_customer, cost, now);
--- a/packages/direct/src/requesthandler.h
+++ b/packages/direct/src/requesthandler.h
@@ -72,7 +72,7 @@
     std::optional<RefusalReason> validateRequest();
     void collectTraits();
     const std::vector<decision::RequestFeature> &features();
-    bool admitDespiteCrashes();
+    decision::CrashSuspicion::Admission crashAdmission();
     void selectServer();
     void sendToServer(const decision::ServerChoice &choice);
     std::string serializeRequest(const DirectServer &server) const;
--- a/packages/direct/tests/crashingpart_test.cpp
+++ b/packages/direct/tests/crashingpart_test.cpp
@@ -82,6 +82,43 @@
 
 } // namespace
 
+// A caller that repeats a request which crashes servers must not take server after server.
+SCENARIO("a repeated request that crashes servers soon reaches none")
+{
+    int arrivals = 0;
+    std::list<ScriptedServer> servers;
+    std::vector<ScriptedServer *> all;
+    for (int i = 0; i < 10; ++i) {
+        servers.emplace_back([&](const ScriptedRequest &request) {
+            if (request.body != "crash")
+                return ScriptedAnswer{answer("200 OK", "whole")};
+            ++arrivals;
+            return ScriptedAnswer{"", Then::Crash};
+        });
+        all.push_back(&servers.back());
+    }
+    const RouterFixture router(all, [](direct::DirectSettings &settings) {
+        settings.maxPlanStaleness = patientPlanStaleness;
+    });
+    GIVEN("a request that may not be repeated, sent again and again by its caller")
+    {
+        for (int i = 0; i < 12; ++i) {
+            router.call("/book/x", "", "crash");
+            std::this_thread::sleep_for(pauseBetweenRequests);
+        }
+        THEN("it is refused after few crashes, and other requests of the caller are served")
+        {
+            CHECK(arrivals <= maxCrashes);
+            CHECK(router.call("/book/x", "", "crash").contains("crashes-servers"));
+            // A request may find only servers that have just crashed, and is then refused.
+            int served = 0;
+            for (int i = 0; i < 10; ++i)
+                served += router.call("/book/x", "", "sound").status() == 200 ? 1 : 0;
+            CHECK(served >= 5);
+        }
+    }
+}
+
 // One part of a prompt must not crash server after server, whatever else the requests hold.
 SCENARIO("requests with a part that crashes servers soon reach none, at any router")
 {
