Router: refuse a request that crosses the start of a planned stop in place of closing its connection

A caller whose request arrived on an idle connection after the stop had begun got a closed connection and no answer: the wait for a request counted as failed while the server drained, also when bytes were there.

--- a/packages/router/src/callerserver.cpp
+++ b/packages/router/src/callerserver.cpp
@@ -190,7 +190,8 @@
         if (refusal) {
             const ReplyRefusal reply{0, *refusal, RequestOutcome::NotRun,
                                      *refusal == RefusalKind::NoConfiguration ? 1U : 0U, ""};
-            co_return co_await sendRefusal(*stream, reply, request.keep_alive(), request.method());
+            const bool keepAlive = request.keep_alive() && !draining;
+            co_return co_await sendRefusal(*stream, reply, keepAlive, request.method());
         }
         co_return co_await forwardRequest(stream, buffer, request, std::move(submitted));
     }
@@ -201,7 +202,7 @@
         const ReadTimeout timeout(stream, limits.idleTimeout);
         co_await stream->socket().async_wait(asio::ip::tcp::socket::wait_read,
                                              asio::redirect_error(asio::use_awaitable, error));
-        co_return !error && !draining;
+        co_return !error;
     }
 
     std::optional<RefusalKind> checkRequest(const HttpRequest &request,
--- a/packages/router/tests/callerserver_test.cpp
+++ b/packages/router/tests/callerserver_test.cpp
@@ -14,6 +14,7 @@
 using namespace bilberry;
 using namespace bilberry::router;
 using tests::eventually;
+using tests::RawAnswer;
 using tests::RawCaller;
 
 namespace {
@@ -122,3 +123,52 @@
         thread.stop();
     }
 }
+
+// A request on an idle connection that crosses the start of a planned stop must get an answer.
+SCENARIO("a request that arrives on an idle connection during the stop is refused as not run")
+{
+    GIVEN("callers with idle connections")
+    {
+        CoreStandin core;
+        EventLoopThread thread("callers");
+        RouterSettings settings;
+        settings.listenAddress = "127.0.0.1";
+        settings.callerPort = tests::freePort();
+        CallerServer server(thread.context(), settings,
+                            [&](CallerEvent &&event) { return core.push(std::move(event)); });
+        server.setConfiguration(configuration());
+        server.start();
+        thread.start();
+        RawCaller first(settings.callerPort);
+        RawCaller second(settings.callerPort);
+        const std::string request
+                = "GET /v1/a HTTP/1.1\r\nHost: a\r\nX-Api-Key: kitchen-key\r\n\r\n";
+        for (RawCaller *caller : {&first, &second}) {
+            caller->send("GET /nowhere HTTP/1.1\r\nHost: a\r\nX-Api-Key: kitchen-key\r\n\r\n");
+            CHECK(caller->readAnswer().status() == 404);
+        }
+
+        WHEN("the server starts to drain, and they send requests")
+        {
+            std::atomic<bool> draining = false;
+            boost::asio::post(thread.context(), [&] {
+                server.startDraining();
+                draining = true;
+            });
+            REQUIRE(eventually([&] { return draining.load(); }));
+            first.send(request);
+            const RawAnswer refused = first.readAll();
+            second.send(request);
+
+            THEN("each gets a refusal that says so, and its connection is closed")
+            {
+                CHECK(refused.status() == 503);
+                CHECK(refused.contains("not-run"));
+                CHECK(refused.contains("Connection: close"));
+                CHECK(refused.closed);
+                CHECK(second.readAll().status() == 503);
+                CHECK(core.eventsOf<SubmittedRequest>().empty());
+            }
+        }
+    }
+}
