Wire: reject a container length of more than 64 bits

Bits of the tenth byte above the lowest one were lost, so that a length of 2^64 was read as 0. The new row of the table in codec_test was accepted as an empty document before.

--- a/packages/wire/src/boundedarchive.h
+++ b/packages/wire/src/boundedarchive.h
@@ -78,10 +78,11 @@
     std::uint64_t size = 0;
     std::uint8_t byte = continuationBit;
     for (unsigned shift = 0; byte >= continuationBit; shift += bitsPerLengthByte) {
-        if (shift >= 64)
-            throw Exception("container length exceeds 64 bits");
         archive(byte);
-        size |= static_cast<std::uint64_t>(byte & (continuationBit - 1)) << shift;
+        const std::uint64_t bits = byte & (continuationBit - 1);
+        if (shift >= 64 || (bits << shift) >> shift != bits)
+            throw Exception("container length exceeds 64 bits");
+        size |= bits << shift;
     }
     tag.size = size;
     static_cast<const bilberry::wire::BoundedInputArchive &>(archive).checkLength(tag.size);
--- a/packages/wire/tests/codec_test.cpp
+++ b/packages/wire/tests/codec_test.cpp
@@ -169,6 +169,8 @@
             {"string of 2^64 - 1", makeFrame(offer, encodedLength(~0ULL)), WireErrc::Malformed},
             {"unterminated length", makeFrame(offer, '\1' + std::string(12, '\xff')),
              WireErrc::Malformed},
+            {"length of 65 bits whose lowest 64 are 0",
+             makeFrame(offer, '\1' + std::string(9, '\x80') + '\2'), WireErrc::Malformed},
             {"list of 2^28",
              makeFrame(demand, "\1" + std::string(4, '\0') + encodedLength(1U << 28U).substr(1)),
              WireErrc::Malformed},
