Router: charge a failed attempt for the time that it has run

An attempt that failed after running longer than estimated was charged the estimate: what had been charged for its time was given back, so that a customer whose requests run long and fail was served beyond its share.

--- a/packages/decision/include/bilberry/decision/inflightcharges.h
+++ b/packages/decision/include/bilberry/decision/inflightcharges.h
@@ -31,6 +31,10 @@
     /// @param cost true cost, milliseconds of capacity; 0 when the attempt did not run
     void chargeFinal(AttemptId attempt, double cost);
 
+    /// Keeps the charge so far and removes the attempt, whose true cost is unknown: the estimate,
+    /// or the time that it has run if that is longer.
+    void keepCharge(AttemptId attempt) { m_attempts.erase(attempt); }
+
     /// @return number of attempts in flight
     std::size_t size() const { return m_attempts.size(); }
 
--- a/packages/router/src/routeranswers.cpp
+++ b/packages/router/src/routeranswers.cpp
@@ -138,10 +138,8 @@
 
 void RouterCore::failAttempt(RequestId id, Request &request, TimePoint now)
 {
-    // The service that a failed attempt used is unknown, so the estimate is charged.
     m_requestByAttempt.erase(request.attempt);
-    m_inFlightCharges.chargeFinal(request.attempt,
-                                  m_estimator.estimate(keyOf(request), std::nullopt));
+    m_inFlightCharges.keepCharge(request.attempt);
     request.attemptMayHaveRun = true;
     if (request.callerDisconnected) {
         endClaim(request, true);
