Model: tell a prefix without a final slash and a wrong token cost by errors of their own

Operators read "must start with a slash" of a prefix that lacks the final one, and a text on limits of a token cost of 0. UnterminatedPrefix and InvalidTokenCost name what is wrong.

--- a/packages/model/include/bilberry/model/modelerror.h
+++ b/packages/model/include/bilberry/model/modelerror.h
@@ -24,6 +24,8 @@
     StillReferenced,
     UnknownField,
     DigestMismatch,
+    UnterminatedPrefix,
+    InvalidTokenCost,
 };
 
 std::error_code make_error_code(ModelErrc error);
--- a/packages/model/src/modelerror.cpp
+++ b/packages/model/src/modelerror.cpp
@@ -37,6 +37,10 @@
         return "unknown field";
     case ModelErrc::DigestMismatch:
         return "the content does not match its digest";
+    case ModelErrc::UnterminatedPrefix:
+        return "the prefix of a route must end with a slash";
+    case ModelErrc::InvalidTokenCost:
+        return "the cost of a token must be a number above 0";
     }
     return "unknown model error";
 }
--- a/packages/model/tests/releasenote_test.cpp
+++ b/packages/model/tests/releasenote_test.cpp
@@ -37,6 +37,8 @@
         {"a cold limit above the full limit",
          "added:\n  pools:\n    p: { coldLimit: 9, fullLimit: 8 }", ModelErrc::InvalidLimit, 3,
          "pool p"},
+        {"a token cost of 0", "added:\n  pools:\n    p: { tokenCost: 0 }",
+         ModelErrc::InvalidTokenCost, 3, "pool p"},
         {"an objective of 100%", "added:\n  pools:\n    p: { objective: { goodFraction: 1 } }",
          ModelErrc::InvalidObjective, 3, "pool p"},
         {"an unknown cost unit", "changed:\n  pools:\n    p: { costUnit: euros }",
--- a/packages/model/tests/trafficplan_test.cpp
+++ b/packages/model/tests/trafficplan_test.cpp
@@ -80,6 +80,14 @@
         {
             good.prefix = "/a";
             THEN("the prefix is reported")
+            {
+                CHECK(errorOf(good) == ModelErrc::UnterminatedPrefix);
+            }
+        }
+        WHEN("its prefix has no slash at the start")
+        {
+            good.prefix = "a/";
+            THEN("the prefix is reported")
             {
                 CHECK(errorOf(good) == ModelErrc::InvalidPrefix);
             }
