--- a/packages/direct/src/requesthandler.cpp
+++ b/packages/direct/src/requesthandler.cpp
@@ -510,7 +510,10 @@
     // The error response of the server that should resume a stream can't follow the events that
     // were already forwarded.
     const bool failedToResume = m_eventSplitter && m_responseStarted && !m_isStreaming;
-    if (!isAuthentic(*m_responseHeader, m_context.headerNames) || isBrokenOff() || failedToResume) {
+    const bool brokenOff = isBrokenOff();
+    if (brokenOff)
+        recordPossibleCrash();
+    if (!isAuthentic(*m_responseHeader, m_context.headerNames) || brokenOff || failedToResume) {
         handleAttemptFailure(AttemptOutcome::BrokenAnswer, true);
         return;
     }
--- a/packages/direct/tests/brokenstream_test.cpp
+++ b/packages/direct/tests/brokenstream_test.cpp
@@ -12,11 +12,6 @@
 
 const std::string endOfChunks = "\r\n0\r\n\r\n";
 
-/// Head of a stream whose body has neither a length nor chunks and ends with its connection.
-const std::string unframedHead
-        = "HTTP/1.1 200 OK\r\nBilberry-Request-Id: r1\r\n"
-          "Bilberry-Signature: sig\r\nContent-Type: text/event-stream\r\n\r\n";
-
 const std::string first = "id: 1\ndata: a\n\n";
 const std::string second = "id: 2\ndata: b\n\n";
 
@@ -39,7 +34,7 @@
         for (const std::string rest : {"i", "id: 2\nda", "id: 2\ndata: b", "id: 2\ndata: b\n"}) {
             WHEN("the stream ends with: " + rest)
             {
-                const RawAnswer answer = callServer(unframedHead + first + rest, Then::Close);
+                const RawAnswer answer = callServer(unframedStreamHead + first + rest, Then::Close);
                 THEN("the caller gets the bytes, and no end of the answer")
                 {
                     CHECK(answer.contains(first));
@@ -51,9 +46,9 @@
         {
             int count = 0;
             const auto script = [&](const ScriptedRequest &) {
-                return ++count == 1
-                               ? ScriptedAnswer{unframedHead + first + "id: 2\nda", Then::Close}
-                               : ScriptedAnswer{unframedHead + second, Then::Close};
+                return ++count == 1 ? ScriptedAnswer{unframedStreamHead + first + "id: 2\nda",
+                                                     Then::Close}
+                                    : ScriptedAnswer{unframedStreamHead + second, Then::Close};
             };
             ScriptedServer one(script);
             ScriptedServer two(script);
@@ -70,7 +65,7 @@
     }
     GIVEN("a server that closes the connection inside the first event")
     {
-        const RawAnswer answer = callServer(unframedHead + "id: 1\nda", Then::Close);
+        const RawAnswer answer = callServer(unframedStreamHead + "id: 1\nda", Then::Close);
         THEN("the answer has no end")
         {
             CHECK_FALSE(answer.contains(endOfChunks));
@@ -78,7 +73,7 @@
     }
     GIVEN("a server that closes the connection before the first event")
     {
-        const RawAnswer answer = callServer(unframedHead, Then::Close);
+        const RawAnswer answer = callServer(unframedStreamHead, Then::Close);
         THEN("the caller gets a failure")
         {
             CHECK(answer.status() == 502);
@@ -103,7 +98,7 @@
         THEN("the caller gets the whole stream and its end, whatever the line endings are")
         {
             for (const std::string last : {"id: 2\ndata: b\n\n", "id: 2\r\ndata: b\r\n\r\n"}) {
-                const RawAnswer answer = callServer(unframedHead + first + last, Then::Close);
+                const RawAnswer answer = callServer(unframedStreamHead + first + last, Then::Close);
                 CHECK(answer.status() == 200);
                 CHECK(answer.contains("data: b"));
                 CHECK(answer.contains(endOfChunks));
--- a/packages/direct/tests/crashingpart_test.cpp
+++ b/packages/direct/tests/crashingpart_test.cpp
@@ -33,14 +33,15 @@
 class CrashingServers
 {
 public:
-    explicit CrashingServers(int count)
+    /// @param head head of the answer during which they crash
+    explicit CrashingServers(int count, const std::string &head = streamHead)
     {
         for (int i = 0; i < count; ++i)
-            m_servers.emplace_back([this](const ScriptedRequest &request) {
+            m_servers.emplace_back([this, head](const ScriptedRequest &request) {
                 if (request.field("Bilberry-Prompt-Parts").find(crashingPart) == std::string::npos)
                     return ScriptedAnswer{stream};
                 ++m_arrivals;
-                return ScriptedAnswer{streamHead, Then::Crash};
+                return ScriptedAnswer{head, Then::Crash};
             });
     }
 
@@ -82,6 +83,31 @@
 
 } // namespace
 
+// A crash that ends connections in order must count, too, when the answer has no framing.
+SCENARIO("requests with a part that crashes servers reach none soon, when answers have no length")
+{
+    CrashingServers servers(10, unframedStreamHead);
+    GIVEN("a router")
+    {
+        const RouterFixture router(servers.all(), [](direct::DirectSettings &settings) {
+            settings.maxPlanStaleness = patientPlanStaleness;
+        });
+        WHEN("requests with the part come one after another, beside sound ones")
+        {
+            for (int i = 0; i < 14; ++i) {
+                callWithCrashingPart(router, i);
+                std::this_thread::sleep_for(pauseBetweenRequests);
+                call(router, "", 100 + i);
+            }
+            THEN("few servers crash")
+            {
+                CHECK(servers.crashed() <= maxCrashes);
+                CHECK(servers.arrivals() <= maxCrashes + maxLateArrivals);
+            }
+        }
+    }
+}
+
 // A caller that repeats a request which crashes servers must not take server after server.
 SCENARIO("a repeated request that crashes servers soon reaches none")
 {
--- a/packages/direct/tests/routerfixture.h
+++ b/packages/direct/tests/routerfixture.h
@@ -86,6 +86,11 @@
           "Bilberry-Signature: sig\r\nContent-Type: text/event-stream\r\n"
           "Transfer-Encoding: chunked\r\n\r\n";
 
+/// The same for a stream whose body has neither a length nor chunks and ends with its connection.
+inline const std::string unframedStreamHead
+        = "HTTP/1.1 200 OK\r\nBilberry-Request-Id: r1\r\n"
+          "Bilberry-Signature: sig\r\nContent-Type: text/event-stream\r\n\r\n";
+
 /// @return the data as one chunk of a chunked body
 inline std::string chunk(const std::string &data)
 {
