--- a/packages/direct/src/requesthandler.cpp
+++ b/packages/direct/src/requesthandler.cpp
@@ -1,11 +1,12 @@
 #include "requesthandler.h"
 
+#include "headerfields.h"
+#include "requestfeatures.h"
+
 #include "bilberry/base/digest.h"
-#include "bilberry/decision/rendezvous.h"
 #include "bilberry/http/requestrules.h"
 
 #include <algorithm>
-#include <charconv>
 #include <sstream>
 
 namespace bilberry::direct {
@@ -44,67 +45,6 @@
 /// Callers ignore a Retry-After above this fraction of their remaining time.
 constexpr double maxRetryAfterFraction = 1.0 / 3.0;
 
-std::uint64_t parseNumber(std::string_view text, std::uint64_t fallback, int base = 10)
-{
-    std::uint64_t number = 0;
-    const auto parsed = std::from_chars(text.data(), text.data() + text.size(), number, base);
-    return parsed.ec == std::errc() ? number : fallback;
-}
-
-std::string_view trimmed(std::string_view text)
-{
-    while (text.starts_with(' '))
-        text.remove_prefix(1);
-    while (text.ends_with(' '))
-        text.remove_suffix(1);
-    return text;
-}
-
-std::vector<std::string_view> split(std::string_view text, char separator)
-{
-    std::vector<std::string_view> parts;
-    while (!text.empty()) {
-        const std::size_t end = std::min(text.find(separator), text.size());
-        parts.push_back(trimmed(text.substr(0, end)));
-        text.remove_prefix(std::min(end + 1, text.size()));
-    }
-    return parts;
-}
-
-std::string bearerToken(const CallerRequest &request)
-{
-    constexpr std::string_view scheme = "bearer ";
-    const std::string_view value = request[http::field::authorization];
-    if (value.size() <= scheme.size() || !beast::iequals(value.substr(0, scheme.size()), scheme))
-        return {};
-    return std::string(trimmed(value.substr(scheme.size())));
-}
-
-std::vector<decision::PromptPart> promptParts(std::string_view text)
-{
-    std::vector<decision::PromptPart> parts;
-    for (const std::string_view part : split(text, ',')) {
-        const std::size_t colon = part.find(':');
-        if (colon == std::string_view::npos)
-            continue;
-        constexpr int hexadecimal = 16;
-        parts.push_back({parseNumber(part.substr(0, colon), 0, hexadecimal),
-                         static_cast<std::uint32_t>(parseNumber(part.substr(colon + 1), 0))});
-    }
-    return parts;
-}
-
-/// @return hashes of the prompt's parts that other prompts may have, all but the last one
-std::vector<decision::RequestFeature> sharedParts(std::string_view promptParts)
-{
-    std::vector<decision::RequestFeature> features;
-    for (const std::string_view part : split(promptParts, ','))
-        features.push_back(decision::stableHash(part.substr(0, part.find(':'))));
-    if (!features.empty())
-        features.pop_back();
-    return features;
-}
-
 /// @return one of the route's pools, chosen at random by weight
 const PoolId &selectPool(const DirectRoute &route, std::mt19937_64 &random)
 {
@@ -130,29 +70,6 @@
                && header.count(http::field::content_encoding) == 0);
 }
 
-/// How the end of a response's body is found.
-enum class BodyFraming { Length, Chunked, Close };
-
-BodyFraming bodyFraming(const ResponseHeader &header)
-{
-    if (header.count(http::field::transfer_encoding) > 0)
-        return BodyFraming::Chunked;
-    return header.count(http::field::content_length) > 0 ? BodyFraming::Length : BodyFraming::Close;
-}
-
-const char *toText(BodyFraming framing)
-{
-    switch (framing) {
-    case BodyFraming::Length:
-        return "length";
-    case BodyFraming::Chunked:
-        return "chunked";
-    case BodyFraming::Close:
-        break;
-    }
-    return "close";
-}
-
 std::string toMillisecondsText(Duration duration)
 {
     const auto whole = std::chrono::duration_cast<std::chrono::milliseconds>(duration).count();
@@ -247,20 +164,10 @@
     m_context.usageMeter.recordRequested(m_customer, cost, m_receivedAt);
 }
 
-/// What the request may have in common with others that crash servers: the parts of its prompt but
-/// the last one, and the whole request, which its caller may repeat.
 const std::vector<decision::RequestFeature> &RequestHandler::features()
 {
-    if (!m_features.empty())
-        return m_features;
-    const std::string_view parts = m_request[m_context.headerNames.promptParts];
-    m_features = sharedParts(parts);
-    std::string whole = m_customer.text();
-    for (const std::string_view text :
-         {std::string_view(m_request.method_string()), std::string_view(m_request.target()), parts})
-        whole.append(1, '\n').append(text);
-    whole += '\n' + std::to_string(decision::stableHash(m_request.body()));
-    m_features.push_back(decision::stableHash(whole));
+    if (m_features.empty())
+        m_features = requestFeatures(m_customer, m_request, m_context.headerNames);
     return m_features;
 }
 
@@ -495,7 +402,8 @@
 {
     const std::string_view parts = m_request[m_context.headerNames.promptParts];
     m_context.crashSuspicion.recordAnswer(
-            m_context.crashSuspicion.isEmpty() ? sharedParts(parts) : features(), Clock::now());
+            m_context.crashSuspicion.isEmpty() ? sharedPartFeatures(parts) : features(),
+            Clock::now());
 }
 
 void RequestHandler::handleCompleteResponse()
