Name the suspicion of crashes in the field's terms

trial, acquitted and convicted become probe (as of a half-open circuit breaker), cleared and permanent threshold. No change of behaviour; 716 assertions of decision_tests, 179 of direct_tests and 17,271 of wire_tests pass as before.

--- a/packages/decision/include/bilberry/decision/crashsuspicion.h
+++ b/packages/decision/include/bilberry/decision/crashsuspicion.h
@@ -30,37 +30,37 @@
     };
 
     RequestFeature feature = 0;
-    std::vector<Crash> crashes;       ///< since the last answer to a request with the feature
-    std::vector<ServerRun> acquitted; ///< crashes before such an answer
-    std::uint32_t trials = 0;         ///< requests admitted although the feature was quarantined
+    std::vector<Crash> crashes;     ///< since the last answer to a request with the feature
+    std::vector<ServerRun> cleared; ///< crashes before such an answer
+    std::uint32_t probes = 0;       ///< requests admitted although the feature was quarantined
     bool operator==(const CrashSuspect &) const = default;
 };
 
 struct CrashSuspicionSettings
 {
-    /// Crashes from which on requests with the feature are refused, but for trials.
+    /// Crashes from which on requests with the feature are refused, but for probes.
     std::size_t quarantineThreshold = 3;
-    /// Crashes of a quarantined feature, coincident ones too, from which on there are no trials.
-    std::size_t convictionThreshold = 5;
+    /// Crashes of a quarantined feature, coincident ones too, from which on there are no probes.
+    std::size_t permanentThreshold = 5;
     /// Crashes within this time count as one for the quarantine: when an availability zone fails,
     /// one feature may be in flight at several of its servers.
     Duration coincidence = std::chrono::milliseconds(250);
-    /// Minimum time between trials. Each router waits up to twice as long, so that their trials
+    /// Minimum time between probes. Each router waits up to twice as long, so that their probes
     /// rarely meet.
-    Duration trialInterval = std::chrono::seconds(5);
-    /// Fraction of trialInterval that this router adds, from 0 to 1.
-    double trialPhase = 0.0;
+    Duration probeInterval = std::chrono::seconds(5);
+    /// Fraction of probeInterval that this router adds, from 0 to 1.
+    double probePhase = 0.0;
     /// Time for which an answer to a request with the feature keeps it from being suspected.
-    Duration acquittalLifetime = std::chrono::seconds(1);
+    Duration answerLifetime = std::chrono::seconds(1);
     /// Time for which a crash counts.
     Duration lifetime = std::chrono::minutes(10);
     std::size_t maxSuspects = 4096;
-    std::size_t maxAnsweredFeatures = 4096; ///< within acquittalLifetime
+    std::size_t maxAnsweredFeatures = 4096; ///< within answerLifetime
     bool operator==(const CrashSuspicionSettings &) const = default;
 };
 
 /// Finds what crashes servers by what the requests had in common that waited for their answers at
-/// each crash. A complete answer acquits all features of its request, so that what sound requests
+/// each crash. A complete answer clears all features of its request, so that what sound requests
 /// hold is suspected only until one of them is answered. Routers merge what they know; the order
 /// and the number of times do not matter.
 class CrashSuspicion
@@ -68,7 +68,7 @@
 public:
     enum class Admission {
         Admit,
-        Trial, ///< may run to find out whether the one quarantined feature is to blame
+        Probe, ///< may run to find out whether the one quarantined feature is to blame
         Refuse,
     };
 
@@ -78,11 +78,11 @@
     Admission check(const std::vector<RequestFeature> &features, TimePoint now) const;
 
     /// @return time until a refused request may be admitted; the whole lifetime when there are no
-    ///         more trials
+    ///         more probes
     Duration retryDelay(const std::vector<RequestFeature> &features, TimePoint now) const;
 
-    /// Records that a request was sent to a server although Admission::Trial was its admission.
-    void recordTrial(const std::vector<RequestFeature> &features, TimePoint now);
+    /// Records that a request was sent to a server although Admission::Probe was its admission.
+    void recordProbe(const std::vector<RequestFeature> &features, TimePoint now);
 
     /// Records a crash.
     /// @param features of a request that waited for its answer at the server
@@ -112,21 +112,21 @@
     struct Suspect
     {
         std::map<ServerRun, TimePoint> crashes;
-        std::set<ServerRun> acquitted;
-        std::uint32_t trials = 0;
-        TimePoint nextTrialAt{};
+        std::set<ServerRun> cleared;
+        std::uint32_t probes = 0;
+        TimePoint nextProbeAt{};
         TimePoint changedAt{};
     };
 
     std::size_t distinctCrashes(const Suspect &suspect) const;
     bool isQuarantined(const Suspect &suspect) const;
-    bool hasTrials(const Suspect &suspect) const
+    bool mayProbe(const Suspect &suspect) const
     {
-        return suspect.crashes.size() < m_settings.convictionThreshold;
+        return suspect.crashes.size() < m_settings.permanentThreshold;
     }
     void addCrash(Suspect &suspect, ServerRun run, TimePoint at, TimePoint now);
-    static void acquit(Suspect &suspect);
-    void setNextTrial(Suspect &suspect, TimePoint now) const;
+    static void clearCrashes(Suspect &suspect);
+    void setNextProbe(Suspect &suspect, TimePoint now) const;
     void markChanged(RequestFeature feature, Suspect &suspect, TimePoint now);
     bool isAnsweredRecently(RequestFeature feature, TimePoint now);
     void rotateAnswered(TimePoint now);
@@ -136,7 +136,7 @@
     CrashSuspicionSettings m_settings;
     std::unordered_map<RequestFeature, Suspect> m_suspects;
     std::unordered_set<RequestFeature> m_changed; ///< by this router since takeChanged()
-    /// Features of answered requests, of this and of the last acquittalLifetime.
+    /// Features of answered requests, of this and of the last answerLifetime.
     std::unordered_set<RequestFeature> m_answered;
     std::unordered_set<RequestFeature> m_answeredBefore;
     TimePoint m_answeredSince{};
--- a/packages/decision/src/crashsuspicion.cpp
+++ b/packages/decision/src/crashsuspicion.cpp
@@ -24,14 +24,14 @@
         const auto found = m_suspects.find(feature);
         if (found == m_suspects.end() || !isQuarantined(found->second))
             continue;
-        // A trial that involves two of them would not tell which one is to blame.
-        if (quarantined || !hasTrials(found->second))
+        // A probe that involves two of them would not tell which one is to blame.
+        if (quarantined || !mayProbe(found->second))
             return Admission::Refuse;
         quarantined = &found->second;
     }
     if (!quarantined)
         return Admission::Admit;
-    return now < quarantined->nextTrialAt ? Admission::Refuse : Admission::Trial;
+    return now < quarantined->nextProbeAt ? Admission::Refuse : Admission::Probe;
 }
 
 Duration CrashSuspicion::retryDelay(const std::vector<RequestFeature> &features,
@@ -43,21 +43,20 @@
         if (found == m_suspects.end() || !isQuarantined(found->second))
             continue;
         const Suspect &suspect = found->second;
-        const TimePoint until
-                = hasTrials(suspect) ? suspect.nextTrialAt : now + m_settings.lifetime;
+        const TimePoint until = mayProbe(suspect) ? suspect.nextProbeAt : now + m_settings.lifetime;
         delay = std::max<Duration>(delay, until - now);
     }
     return delay;
 }
 
-void CrashSuspicion::recordTrial(const std::vector<RequestFeature> &features, TimePoint now)
+void CrashSuspicion::recordProbe(const std::vector<RequestFeature> &features, TimePoint now)
 {
     for (const RequestFeature feature : features) {
         const auto found = m_suspects.find(feature);
         if (found == m_suspects.end() || !isQuarantined(found->second))
             continue;
-        ++found->second.trials;
-        setNextTrial(found->second, now);
+        ++found->second.probes;
+        setNextProbe(found->second, now);
         markChanged(feature, found->second, now);
     }
 }
@@ -84,7 +83,7 @@
         const auto found = m_suspects.find(feature);
         if (found == m_suspects.end() || found->second.crashes.empty())
             continue;
-        acquit(found->second);
+        clearCrashes(found->second);
         markChanged(feature, found->second, now);
     }
 }
@@ -94,22 +93,22 @@
     Suspect &suspect = m_suspects[reported.feature];
     if (suspect.changedAt == TimePoint())
         suspect.changedAt = now;
-    for (const ServerRun run : reported.acquitted) {
+    for (const ServerRun run : reported.cleared) {
         suspect.crashes.erase(run);
-        if (suspect.acquitted.size() < maxCrashesKept)
-            suspect.acquitted.insert(run);
+        if (suspect.cleared.size() < maxCrashesKept)
+            suspect.cleared.insert(run);
     }
     // An expired crash must not come back from a router that learned of it later.
     for (const CrashSuspect::Crash &crash : reported.crashes) {
         if (crash.age <= m_settings.lifetime)
             addCrash(suspect, crash.run, now - crash.age, now);
     }
-    if (reported.trials > suspect.trials) {
-        suspect.trials = reported.trials;
-        setNextTrial(suspect, now);
+    if (reported.probes > suspect.probes) {
+        suspect.probes = reported.probes;
+        setNextProbe(suspect, now);
     }
     if (!suspect.crashes.empty() && isAnsweredRecently(reported.feature, now)) {
-        acquit(suspect);
+        clearCrashes(suspect);
         markChanged(reported.feature, suspect, now);
     }
     evictExcessSuspects();
@@ -188,30 +187,30 @@
 
 void CrashSuspicion::addCrash(Suspect &suspect, ServerRun run, TimePoint at, TimePoint now)
 {
-    if (suspect.acquitted.contains(run) || suspect.crashes.size() >= maxCrashesKept)
+    if (suspect.cleared.contains(run) || suspect.crashes.size() >= maxCrashesKept)
         return;
     const bool wasQuarantined = isQuarantined(suspect);
     if (!suspect.crashes.emplace(run, at).second)
         return;
     suspect.changedAt = now;
     if (!wasQuarantined && isQuarantined(suspect))
-        setNextTrial(suspect, now);
+        setNextProbe(suspect, now);
 }
 
-void CrashSuspicion::acquit(Suspect &suspect)
+void CrashSuspicion::clearCrashes(Suspect &suspect)
 {
-    if (suspect.acquitted.size() + suspect.crashes.size() > maxCrashesKept)
-        suspect.acquitted.clear();
+    if (suspect.cleared.size() + suspect.crashes.size() > maxCrashesKept)
+        suspect.cleared.clear();
     for (const auto &[run, at] : suspect.crashes)
-        suspect.acquitted.insert(run);
+        suspect.cleared.insert(run);
     suspect.crashes.clear();
 }
 
-void CrashSuspicion::setNextTrial(Suspect &suspect, TimePoint now) const
+void CrashSuspicion::setNextProbe(Suspect &suspect, TimePoint now) const
 {
-    suspect.nextTrialAt = now
-                          + fromMilliseconds(toMilliseconds(m_settings.trialInterval)
-                                             * (1.0 + m_settings.trialPhase));
+    suspect.nextProbeAt = now
+                          + fromMilliseconds(toMilliseconds(m_settings.probeInterval)
+                                             * (1.0 + m_settings.probePhase));
 }
 
 void CrashSuspicion::markChanged(RequestFeature feature, Suspect &suspect, TimePoint now)
@@ -229,11 +228,10 @@
 void CrashSuspicion::rotateAnswered(TimePoint now)
 {
     const Duration age = now - m_answeredSince;
-    if (age < m_settings.acquittalLifetime)
+    if (age < m_settings.answerLifetime)
         return;
-    m_answeredBefore = age < 2 * m_settings.acquittalLifetime
-                               ? std::exchange(m_answered, {})
-                               : std::unordered_set<RequestFeature>();
+    m_answeredBefore = age < 2 * m_settings.answerLifetime ? std::exchange(m_answered, {})
+                                                           : std::unordered_set<RequestFeature>();
     m_answered.clear();
     m_answeredSince = now;
 }
@@ -258,8 +256,8 @@
     described.feature = feature;
     for (const auto &[run, at] : suspect.crashes)
         described.crashes.push_back({run, now - at});
-    described.acquitted.assign(suspect.acquitted.begin(), suspect.acquitted.end());
-    described.trials = suspect.trials;
+    described.cleared.assign(suspect.cleared.begin(), suspect.cleared.end());
+    described.probes = suspect.probes;
     return described;
 }
 
--- a/packages/decision/tests/crashsuspicion_test.cpp
+++ b/packages/decision/tests/crashsuspicion_test.cpp
@@ -29,7 +29,7 @@
     {
         for (std::size_t i = 0; i < routers; ++i) {
             CrashSuspicionSettings settings;
-            settings.trialPhase = static_cast<double>(i) / static_cast<double>(routers);
+            settings.probePhase = static_cast<double>(i) / static_cast<double>(routers);
             m_routers.emplace_back(settings);
         }
     }
@@ -41,8 +41,8 @@
         const Admission admission = suspicion.check(features, m_now);
         if (admission == Admission::Refuse)
             return false;
-        if (admission == Admission::Trial)
-            suspicion.recordTrial(features, m_now);
+        if (admission == Admission::Probe)
+            suspicion.recordProbe(features, m_now);
         const bool crashes = std::any_of(features.begin(), features.end(), [](auto feature) {
             return feature == crashing || feature == otherCrashing;
         });
@@ -176,7 +176,7 @@
         playCrashingPart(fleet, crashing, 40s, 60ms);
         THEN("those that crash a server before all know of it are few")
         {
-            // Crashes within a quarter of a second count once: four each, and as many per trial.
+            // Crashes within a quarter of a second count once: four each, and as many per probe.
             CHECK(fleet.crashes() <= 5 * 5);
             CHECK(fleet.router(0).check({crashing}, fleet.now()) == Admission::Refuse);
         }
@@ -211,7 +211,7 @@
         }
         fleet.send(0, {document, 0x6100U});
         const int before = fleet.crashes();
-        THEN("no further request with the part reaches a server, not even as a trial")
+        THEN("no further request with the part reaches a server, not even as a probe")
         {
             for (std::size_t i = 0; i < 60; ++i) {
                 fleet.advance(1s);
@@ -275,7 +275,7 @@
             fleet.advance(1s);
         }
         CHECK_FALSE(fleet.send(0, {document, 0x9000U}));
-        WHEN("the time of a trial has come")
+        WHEN("the time of a probe has come")
         {
             fleet.advance(12s);
             THEN("one request with it is answered, and all routers admit the others")
@@ -296,11 +296,11 @@
             fleet.advance(1s);
         }
         CHECK(fleet.crashes() == 3);
-        WHEN("the time of a trial has come")
+        WHEN("the time of a probe has come")
         {
             fleet.advance(12s);
-            THEN("only a request that holds one of both is the trial, and the document is "
-                 "acquitted")
+            THEN("only a request that holds one of both is the probe, and the document is "
+                 "cleared")
             {
                 CHECK_FALSE(fleet.send(0, {document, crashing, 0x2000U}));
                 CHECK(fleet.send(0, {document, 0x2001U}));
@@ -338,7 +338,7 @@
             CHECK(suspicion.check({crashing}, now) == Admission::Refuse);
         }
     }
-    GIVEN("a convicted part")
+    GIVEN("a permanently quarantined part")
     {
         for (ServerRun run = 0; run < 5; ++run) {
             suspicion.recordCrash(run, {crashing}, now);
--- a/packages/direct/src/directrouter.cpp
+++ b/packages/direct/src/directrouter.cpp
@@ -37,7 +37,7 @@
 {
     decision::CrashSuspicionSettings settings;
     constexpr double hashRange = 18446744073709551616.0;
-    settings.trialPhase = static_cast<double>(decision::stableHash(router.text())) / hashRange;
+    settings.probePhase = static_cast<double>(decision::stableHash(router.text())) / hashRange;
     return settings;
 }
 
--- a/packages/direct/src/peerexchange.cpp
+++ b/packages/direct/src/peerexchange.cpp
@@ -203,7 +203,7 @@
         return;
     wire::CrashSuspectGossip gossip{m_sender, {}};
     for (const decision::CrashSuspect &suspect : suspects) {
-        wire::CrashSuspectNotice notice{suspect.feature, {}, suspect.acquitted, suspect.trials};
+        wire::CrashSuspectNotice notice{suspect.feature, {}, suspect.cleared, suspect.probes};
         for (const decision::CrashSuspect::Crash &crash : suspect.crashes)
             notice.crashes.push_back(
                     {crash.run, static_cast<std::uint32_t>(toMilliseconds(crash.age))});
@@ -269,7 +269,7 @@
 {
     const TimePoint now = Clock::now();
     for (const wire::CrashSuspectNotice &notice : gossip.suspects) {
-        decision::CrashSuspect suspect{notice.feature, {}, notice.acquitted, notice.trials};
+        decision::CrashSuspect suspect{notice.feature, {}, notice.cleared, notice.probes};
         for (const wire::CrashNotice &crash : notice.crashes)
             suspect.crashes.push_back({crash.serverRun, std::chrono::milliseconds(crash.ageMs)});
         m_crashSuspicion.merge(suspect, now);
--- a/packages/direct/src/requesthandler.cpp
+++ b/packages/direct/src/requesthandler.cpp
@@ -201,8 +201,8 @@
                            : RefusalReason::NoServer);
         return;
     }
-    if (admission == decision::CrashSuspicion::Admission::Trial)
-        m_context.crashSuspicion.recordTrial(features(), now);
+    if (admission == decision::CrashSuspicion::Admission::Probe)
+        m_context.crashSuspicion.recordProbe(features(), now);
     if (m_attemptCount == 0 && !m_customer.empty()) {
         const double cost = m_traits.prompt.tokens() + outputTokenCost * m_traits.outputTokens;
         m_context.usageMeter.recordDispatched(m_customer, cost, now);
@@ -398,7 +398,7 @@
 }
 
 /// A server that has given a complete answer was not crashed by the request.
-void RequestHandler::acquitFeatures()
+void RequestHandler::clearFeatures()
 {
     const std::string_view parts = m_request[m_context.headerNames.promptParts];
     m_context.crashSuspicion.recordAnswer(
@@ -425,7 +425,7 @@
         handleAttemptFailure(AttemptOutcome::BrokenAnswer, true);
         return;
     }
-    acquitFeatures();
+    clearFeatures();
     // A 5xx response is forwarded only if no other attempt is allowed or succeeds.
     const bool retryable = status >= 500 && m_route->mayRepeat() && !m_responseStarted
                            && m_possibleRunCount + 1 < m_route->maxAttempts;
--- a/packages/direct/src/requesthandler.h
+++ b/packages/direct/src/requesthandler.h
@@ -82,7 +82,7 @@
     void handleAttemptEnd(AttemptResult result);
     void abandonAttempt(decision::AttemptOutcome outcome, bool mayHaveRun);
     void recordPossibleCrash();
-    void acquitFeatures();
+    void clearFeatures();
     void handleCompleteResponse();
     bool isBrokenOff() const;
     void handleAttemptFailure(decision::AttemptOutcome outcome, bool mayHaveRun);
--- a/packages/wire/include/bilberry/wire/gossipmessages.h
+++ b/packages/wire/include/bilberry/wire/gossipmessages.h
@@ -170,10 +170,10 @@
 /// What a direct router knows of a feature of requests that may crash servers.
 struct CrashSuspectNotice
 {
-    std::uint64_t feature = 0;            ///< hash of what the requests have in common
-    std::vector<CrashNotice> crashes;     ///< since the last answer to a request with the feature
-    std::vector<std::uint64_t> acquitted; ///< server runs of crashes before such an answer
-    std::uint32_t trials = 0;             ///< requests admitted in spite of the suspicion
+    std::uint64_t feature = 0;          ///< hash of what the requests have in common
+    std::vector<CrashNotice> crashes;   ///< since the last answer to a request with the feature
+    std::vector<std::uint64_t> cleared; ///< server runs of crashes before such an answer
+    std::uint32_t probes = 0;           ///< requests admitted in spite of the suspicion
     bool operator==(const CrashSuspectNotice &) const = default;
 };
 
--- a/packages/wire/src/serialization.h
+++ b/packages/wire/src/serialization.h
@@ -65,7 +65,7 @@
                 m.placements)
 BILBERRY_FIELDS(PlanProofQuery, m.sender, m.query)
 BILBERRY_FIELDS(CrashNotice, m.serverRun, m.ageMs)
-BILBERRY_FIELDS(CrashSuspectNotice, m.feature, m.crashes, m.acquitted, m.trials)
+BILBERRY_FIELDS(CrashSuspectNotice, m.feature, m.crashes, m.cleared, m.probes)
 BILBERRY_FIELDS(CrashSuspectGossip, m.sender, m.suspects)
 BILBERRY_FIELDS(PlanProofReply, m.sender, m.query, m.planVersion, m.storeRevision, m.ageUs)
 
