Tests: one running server for callers, one way to play a crashing part

Cause: the set-up of callerserver_test and the loop of crashingpart_test stood twice. The newer scenario of callerserver_test also left out thread.stop(), so that the server was destroyed while its thread could still use it. Change: RunningServer stops its thread before its members go; playCrashingPart and acceptOldPlans replace the copies. No check or bound changes.

--- a/packages/direct/tests/crashingpart_test.cpp
+++ b/packages/direct/tests/crashingpart_test.cpp
@@ -26,9 +26,12 @@
 const std::string crashingPart = "dead:100";
 const std::string stream = streamHead + chunk("id: 1\ndata: a\n\n") + "0\r\n\r\n";
 
-/// Age of the plan's proof that is accepted here, so that a busy machine refuses no request for it.
+/// Age of the plan's proof that is accepted here.
 constexpr auto patientPlanStaleness = 20s;
 
+/// Number of the first sound request; those with the part count from 0.
+constexpr int firstSoundNumber = 100;
+
 /// Servers that end when they begin to answer a request with the crashing part, and count these.
 class CrashingServers
 {
@@ -76,9 +79,23 @@
             .status();
 }
 
-int callWithCrashingPart(const InProcessRouter &router, int number)
+/// Accepts a proof of the plan of any age, so that a busy machine refuses no request for it.
+void acceptOldPlans(direct::DirectSettings &settings)
 {
-    return call(router, crashingPart + ",", number);
+    settings.maxPlanStaleness = patientPlanStaleness;
+}
+
+/// Sends requests with the part to the routers in turn, no two alike, each before a sound one.
+void playCrashingPart(const std::vector<const InProcessRouter *> &routers)
+{
+    constexpr std::size_t requests = 14;
+    for (std::size_t i = 0; i < requests; ++i) {
+        const InProcessRouter &router = *routers[i % routers.size()];
+        const int number = static_cast<int>(i);
+        call(router, crashingPart + ",", number);
+        std::this_thread::sleep_for(pauseBetweenRequests);
+        call(router, "", firstSoundNumber + number);
+    }
 }
 
 } // namespace
@@ -89,16 +106,10 @@
     CrashingServers servers(10, unframedStreamHead);
     GIVEN("a router")
     {
-        const RouterFixture router(servers.all(), [](direct::DirectSettings &settings) {
-            settings.maxPlanStaleness = patientPlanStaleness;
-        });
+        const RouterFixture router(servers.all(), acceptOldPlans);
         WHEN("requests with the part come one after another, beside sound ones")
         {
-            for (int i = 0; i < 14; ++i) {
-                callWithCrashingPart(router, i);
-                std::this_thread::sleep_for(pauseBetweenRequests);
-                call(router, "", 100 + i);
-            }
+            playCrashingPart({&router});
             THEN("few servers crash")
             {
                 CHECK(servers.crashed() <= maxCrashes);
@@ -123,9 +134,7 @@
         });
         all.push_back(&servers.back());
     }
-    const RouterFixture router(all, [](direct::DirectSettings &settings) {
-        settings.maxPlanStaleness = patientPlanStaleness;
-    });
+    const RouterFixture router(all, acceptOldPlans);
     GIVEN("a request that may not be repeated, sent again and again by its caller")
     {
         for (int i = 0; i < 12; ++i) {
@@ -160,16 +169,10 @@
     };
     GIVEN("a router")
     {
-        const RouterFixture router(servers.all(), [](direct::DirectSettings &settings) {
-            settings.maxPlanStaleness = patientPlanStaleness;
-        });
+        const RouterFixture router(servers.all(), acceptOldPlans);
         WHEN("requests with the part come one after another, beside sound ones")
         {
-            for (int i = 0; i < 14; ++i) {
-                callWithCrashingPart(router, i);
-                std::this_thread::sleep_for(pauseBetweenRequests);
-                call(router, "", 100 + i);
-            }
+            playCrashingPart({&router});
             THEN("few servers crash, and sound requests of the same customer and first part are "
                  "served")
             {
@@ -191,18 +194,14 @@
             return [&, router](direct::DirectSettings &settings) {
                 settings.router = RouterId("r" + std::to_string(router));
                 settings.peerEndpoint.port = ports[router];
-                settings.maxPlanStaleness = patientPlanStaleness;
+                acceptOldPlans(settings);
             };
         };
         const RouterFixture first(servers.all(), settings(0), {entry(1)});
         const RouterFixture second(servers.all(), settings(1), {entry(0)});
         WHEN("requests with the part come to both")
         {
-            for (int i = 0; i < 14; ++i) {
-                callWithCrashingPart(i % 2 == 0 ? first : second, i);
-                std::this_thread::sleep_for(pauseBetweenRequests);
-                call(i % 2 == 0 ? first : second, "", 100 + i);
-            }
+            playCrashingPart({&first, &second});
             THEN("no more servers crash than with one router")
             {
                 CHECK(servers.crashed() <= maxCrashes);
--- a/packages/router/tests/callerserver_test.cpp
+++ b/packages/router/tests/callerserver_test.cpp
@@ -67,60 +67,91 @@
     std::vector<CallerEvent> events;
 };
 
+/// A server for callers on its own thread, in front of a core that the test plays.
+class RunningServer
+{
+public:
+    RunningServer()
+        : thread("callers"), settings(localSettings()),
+          server(thread.context(), settings,
+                 [this](CallerEvent &&event) { return core.push(std::move(event)); })
+    {
+        server.setConfiguration(configuration());
+        server.start();
+        thread.start();
+    }
+    // The members are used by the thread until it has stopped.
+    ~RunningServer() { thread.stop(); }
+
+    std::uint16_t port() const { return settings.callerPort; }
+
+    CoreStandin core;
+    EventLoopThread thread;
+    RouterSettings settings;
+    CallerServer server;
+
+private:
+    static RouterSettings localSettings()
+    {
+        RouterSettings settings;
+        settings.listenAddress = "127.0.0.1";
+        settings.callerPort = tests::freePort();
+        return settings;
+    }
+};
+
+/// @return a request of the customer of the configuration
+std::string requestTo(const std::string &path)
+{
+    return "GET " + path + " HTTP/1.1\r\nHost: a\r\nX-Api-Key: kitchen-key\r\n\r\n";
+}
+
 } // namespace
 
 SCENARIO("events of callers reach the core after its queue was full")
 {
     GIVEN("a caller whose request was passed to the core")
     {
-        CoreStandin core;
-        EventLoopThread thread("callers");
-        RouterSettings settings;
-        settings.listenAddress = "127.0.0.1";
-        settings.callerPort = tests::freePort();
-        CallerServer server(thread.context(), settings,
-                            [&](CallerEvent &&event) { return core.push(std::move(event)); });
-        server.setConfiguration(configuration());
-        server.start();
-        thread.start();
-        RawCaller caller(settings.callerPort);
-        caller.send("GET /v1/a HTTP/1.1\r\nHost: a\r\nX-Api-Key: kitchen-key\r\n\r\n");
-        REQUIRE(eventually([&] { return core.eventsOf<SubmittedRequest>().size() == 1; }));
-        const RequestId id = core.eventsOf<SubmittedRequest>().front().request;
+        RunningServer running;
+        RawCaller caller(running.port());
+        caller.send(requestTo("/v1/a"));
+        REQUIRE(eventually([&] { return running.core.eventsOf<SubmittedRequest>().size() == 1; }));
+        const RequestId id = running.core.eventsOf<SubmittedRequest>().front().request;
 
         WHEN("the caller disconnects while the queue is full")
         {
-            core.full = true;
+            running.core.full = true;
             caller.close();
-            REQUIRE(eventually([&] { return core.rejected > 0; }));
-            CHECK(core.eventsOf<CallerDisconnected>().empty());
-            core.full = false;
+            REQUIRE(eventually([&] { return running.core.rejected > 0; }));
+            CHECK(running.core.eventsOf<CallerDisconnected>().empty());
+            running.core.full = false;
 
             THEN("the core receives the disconnect afterwards, once")
             {
-                REQUIRE(eventually([&] { return !core.eventsOf<CallerDisconnected>().empty(); }));
-                CHECK(core.eventsOf<CallerDisconnected>().size() == 1);
-                CHECK(core.eventsOf<CallerDisconnected>().front().request == id);
+                REQUIRE(eventually(
+                        [&] { return !running.core.eventsOf<CallerDisconnected>().empty(); }));
+                CHECK(running.core.eventsOf<CallerDisconnected>().size() == 1);
+                CHECK(running.core.eventsOf<CallerDisconnected>().front().request == id);
             }
         }
         WHEN("parts of the answer are written while the queue is full")
         {
             constexpr std::size_t partBytes = 100000;
-            core.full = true;
-            boost::asio::post(thread.context(), [&] {
-                server.reply(ReplyHead{id, 200, {}});
-                server.reply(ReplyChunk{id, std::string(partBytes, 'x')});
+            running.core.full = true;
+            boost::asio::post(running.thread.context(), [&] {
+                running.server.reply(ReplyHead{id, 200, {}});
+                running.server.reply(ReplyChunk{id, std::string(partBytes, 'x')});
             });
-            REQUIRE(eventually([&] { return core.rejected > 0; }));
-            core.full = false;
+            REQUIRE(eventually([&] { return running.core.rejected > 0; }));
+            running.core.full = false;
 
             THEN("the core receives the number of written bytes afterwards")
             {
-                REQUIRE(eventually([&] { return !core.eventsOf<AnswerBytesWritten>().empty(); }));
-                CHECK(core.eventsOf<AnswerBytesWritten>().front().bytes == partBytes);
+                REQUIRE(eventually(
+                        [&] { return !running.core.eventsOf<AnswerBytesWritten>().empty(); }));
+                CHECK(running.core.eventsOf<AnswerBytesWritten>().front().bytes == partBytes);
             }
         }
-        thread.stop();
     }
 }
 
@@ -129,36 +160,25 @@
 {
     GIVEN("callers with idle connections")
     {
-        CoreStandin core;
-        EventLoopThread thread("callers");
-        RouterSettings settings;
-        settings.listenAddress = "127.0.0.1";
-        settings.callerPort = tests::freePort();
-        CallerServer server(thread.context(), settings,
-                            [&](CallerEvent &&event) { return core.push(std::move(event)); });
-        server.setConfiguration(configuration());
-        server.start();
-        thread.start();
-        RawCaller first(settings.callerPort);
-        RawCaller second(settings.callerPort);
-        const std::string request
-                = "GET /v1/a HTTP/1.1\r\nHost: a\r\nX-Api-Key: kitchen-key\r\n\r\n";
+        RunningServer running;
+        RawCaller first(running.port());
+        RawCaller second(running.port());
         for (RawCaller *caller : {&first, &second}) {
-            caller->send("GET /nowhere HTTP/1.1\r\nHost: a\r\nX-Api-Key: kitchen-key\r\n\r\n");
+            caller->send(requestTo("/nowhere"));
             CHECK(caller->readAnswer().status() == 404);
         }
 
         WHEN("the server starts to drain, and they send requests")
         {
             std::atomic<bool> draining = false;
-            boost::asio::post(thread.context(), [&] {
-                server.startDraining();
+            boost::asio::post(running.thread.context(), [&] {
+                running.server.startDraining();
                 draining = true;
             });
             REQUIRE(eventually([&] { return draining.load(); }));
-            first.send(request);
+            first.send(requestTo("/v1/a"));
             const RawAnswer refused = first.readAll();
-            second.send(request);
+            second.send(requestTo("/v1/a"));
 
             THEN("each gets a refusal that says so, and its connection is closed")
             {
@@ -167,7 +187,7 @@
                 CHECK(refused.contains("Connection: close"));
                 CHECK(refused.closed);
                 CHECK(second.readAll().status() == 503);
-                CHECK(core.eventsOf<SubmittedRequest>().empty());
+                CHECK(running.core.eventsOf<SubmittedRequest>().empty());
             }
         }
     }
