Resume streams whose lines end with CR LF, too

Cause: the end of an event was found twice, with different rules: EventBoundary knows LF, CR LF and CR, EventSplitter only two LF in a row. A resumable stream with CR LF never had a complete event, so that its caller got nothing, and a break was not resumed. Ruled out: the other streams, whose bytes are forwarded as they come. Change: EventSplitter ends an event at a blank line that ends with LF or CR LF; CR alone can't be told from the first half of CR LF before the next byte.

--- a/packages/direct/src/eventsplitter.cpp
+++ b/packages/direct/src/eventsplitter.cpp
@@ -6,7 +6,6 @@
 
 namespace {
 
-constexpr std::string_view eventSeparator = "\n\n";
 constexpr std::string_view idField = "id:";
 
 std::optional<std::uint64_t> parseId(std::string_view event)
@@ -31,6 +30,20 @@
     return std::nullopt;
 }
 
+/// @param begin start of an event
+/// @return position behind the blank line that ends the event; npos when it has not arrived
+std::size_t findEventEnd(std::string_view stream, std::size_t begin)
+{
+    for (std::size_t lineEnd = stream.find('\n', begin); lineEnd != std::string_view::npos;
+         lineEnd = stream.find('\n', lineEnd + 1)) {
+        for (const std::string_view blankLine : {"\n", "\r\n"}) {
+            if (stream.substr(lineEnd + 1).starts_with(blankLine))
+                return lineEnd + 1 + blankLine.size();
+        }
+    }
+    return std::string_view::npos;
+}
+
 } // namespace
 
 std::string EventSplitter::append(std::string_view data)
@@ -38,13 +51,13 @@
     m_incompleteEvent += data;
     std::string complete;
     std::size_t begin = 0;
-    for (std::size_t end = m_incompleteEvent.find(eventSeparator, begin); end != std::string::npos;
-         end = m_incompleteEvent.find(eventSeparator, begin)) {
-        const std::size_t size = end + eventSeparator.size() - begin;
-        const std::string_view event = std::string_view(m_incompleteEvent).substr(begin, size);
+    for (std::size_t end = findEventEnd(m_incompleteEvent, begin); end != std::string::npos;
+         end = findEventEnd(m_incompleteEvent, begin)) {
+        const std::string_view event
+                = std::string_view(m_incompleteEvent).substr(begin, end - begin);
         if (!isDuplicate(event))
             complete += event;
-        begin += size;
+        begin = end;
     }
     m_incompleteEvent.erase(0, begin);
     return complete;
--- a/packages/direct/tests/brokenstream_test.cpp
+++ b/packages/direct/tests/brokenstream_test.cpp
@@ -91,6 +91,36 @@
     }
 }
 
+// A resumable stream whose lines end with CR LF must reach its caller event by event.
+SCENARIO("a resumable stream may end its lines with CR LF")
+{
+    const std::string firstEvent = "id: 1\r\ndata: a\r\n\r\n";
+    const std::string secondEvent = "id: 2\r\ndata: b\r\n\r\n";
+    GIVEN("a server that breaks off in the second event, and one that goes on")
+    {
+        int count = 0;
+        std::string resumedAfter;
+        const auto script = [&](const ScriptedRequest &request) {
+            resumedAfter += request.field("Last-Event-Id");
+            return ++count == 1
+                           ? ScriptedAnswer{streamHead + chunk(firstEvent) + chunk("id: 2\r\nda"),
+                                            Then::Reset}
+                           : ScriptedAnswer{streamHead + chunk(secondEvent) + "0\r\n\r\n"};
+        };
+        ScriptedServer one(script);
+        ScriptedServer two(script);
+        RouterFixture fixture({&one, &two});
+        THEN("the caller gets both events once and a regular end")
+        {
+            const RawAnswer answer = fixture.call("/resume/x");
+            CHECK(resumedAfter == "1");
+            CHECK(answer.contains(firstEvent));
+            CHECK(answer.contains(secondEvent));
+            CHECK(answer.contains(endOfChunks));
+        }
+    }
+}
+
 SCENARIO("a complete stream without a length or chunks ends as complete")
 {
     GIVEN("a server that closes the connection after the last event")
