Split the server's request and the delays of Retry-After from the request's handler

Change: serverrequest.{h,cpp} forms the request to a server, refusal.cpp chooses the delays, with named limits in place of 300 and 900; Refusal is gone. No change of behaviour: the draws of random numbers are the same.

--- a/packages/direct/src/headerfields.cpp
+++ b/packages/direct/src/headerfields.cpp
@@ -39,6 +39,12 @@
     return parts;
 }
 
+std::string toMillisecondsText(Duration duration)
+{
+    const auto whole = std::chrono::duration_cast<std::chrono::milliseconds>(duration).count();
+    return std::to_string(std::max<std::int64_t>(whole, 0));
+}
+
 std::string bearerToken(const CallerRequest &request)
 {
     constexpr std::string_view scheme = "bearer ";
--- a/packages/direct/src/headerfields.h
+++ b/packages/direct/src/headerfields.h
@@ -4,6 +4,7 @@
 #include "callerconnection.h"
 #include "serverattempt.h"
 
+#include "bilberry/base/time.h"
 #include "bilberry/decision/promptcache.h"
 
 #include <cstdint>
@@ -19,6 +20,9 @@
 /// @return the elements of a list, without the spaces around them
 std::vector<std::string_view> split(std::string_view text, char separator);
 
+/// @return whole milliseconds, 0 for a negative duration
+std::string toMillisecondsText(Duration duration);
+
 /// @return API key in the Authorization field; empty when there is none
 std::string bearerToken(const CallerRequest &request);
 
--- a/packages/direct/src/refusal.cpp
+++ b/packages/direct/src/refusal.cpp
@@ -1,9 +1,30 @@
 #include "refusal.h"
 
+#include <algorithm>
+
 namespace bilberry::direct {
 
 namespace {
 
+/// Range of Retry-After, in milliseconds.
+constexpr double minRetryAfterMs = 300.0;
+constexpr double maxRetryAfterMs = 900.0;
+/// The same for overload, in latency objectives.
+constexpr double minRetryAfterObjectives = 0.2;
+constexpr double maxRetryAfterObjectives = 0.5;
+/// Callers ignore a Retry-After above this fraction of their remaining time.
+constexpr double maxRetryAfterFraction = 1.0 / 3.0;
+
+Duration randomRetryAfter(double minMs, double maxMs, Duration remaining, std::mt19937_64 &random)
+{
+    const Duration delay
+            = fromMilliseconds(std::uniform_real_distribution<double>(minMs, maxMs)(random));
+    if (remaining == Duration::max())
+        return delay;
+    const Duration limit = fromMilliseconds(maxRetryAfterFraction * toMilliseconds(remaining));
+    return std::max(std::min(delay, limit), Duration::zero());
+}
+
 struct Description
 {
     unsigned status;
@@ -69,4 +90,16 @@
            + std::to_string(description.status) + "}";
 }
 
+Duration defaultRetryAfter(Duration remaining, std::mt19937_64 &random)
+{
+    return randomRetryAfter(minRetryAfterMs, maxRetryAfterMs, remaining, random);
+}
+
+Duration overloadRetryAfter(Duration objective, Duration remaining, std::mt19937_64 &random)
+{
+    const double objectiveMs = toMilliseconds(objective);
+    return randomRetryAfter(minRetryAfterObjectives * objectiveMs,
+                            maxRetryAfterObjectives * objectiveMs, remaining, random);
+}
+
 } // namespace bilberry::direct
--- a/packages/direct/src/refusal.h
+++ b/packages/direct/src/refusal.h
@@ -3,7 +3,7 @@
 
 #include "bilberry/base/time.h"
 
-#include <optional>
+#include <random>
 #include <string>
 
 namespace bilberry::direct {
@@ -27,14 +27,6 @@
     TimedOut,       ///< the request may have run; its deadline has passed
 };
 
-/// A refusal as reported to the caller.
-struct Refusal
-{
-    RefusalReason reason{};
-    std::optional<Duration> retryAfter;
-    bool operator==(const Refusal &) const = default;
-};
-
 /// @return HTTP status; 429, 503 and 408 state that the request did not run
 unsigned httpStatus(RefusalReason reason);
 
@@ -44,6 +36,16 @@
 /// @return body of the response, application/problem+json
 std::string problemBody(RefusalReason reason);
 
+/// Random delays for Retry-After, so that refused callers do not return together. They are short
+/// enough for a caller to observe them within its remaining time.
+/// @param remaining until the caller's deadline; Duration::max() when it is unknown
+Duration defaultRetryAfter(Duration remaining, std::mt19937_64 &random);
+
+/// The same for a full pool, which completes work soon: a caller that returns early may still be
+/// served in time.
+/// @param objective time within which the route's callers expect the first byte
+Duration overloadRetryAfter(Duration objective, Duration remaining, std::mt19937_64 &random);
+
 } // namespace bilberry::direct
 
 #endif
--- a/packages/direct/src/requesthandler.cpp
+++ b/packages/direct/src/requesthandler.cpp
@@ -2,6 +2,7 @@
 
 #include "headerfields.h"
 #include "requestfeatures.h"
+#include "serverrequest.h"
 
 #include "bilberry/base/digest.h"
 #include "bilberry/http/requestrules.h"
@@ -39,12 +40,6 @@
 constexpr double outputTokenCost = 2.0;
 /// Time after the first byte of its body for which an answer counts as just begun.
 constexpr Duration answerBeginning = std::chrono::milliseconds(300);
-/// Range of Retry-After for a request refused because of overload, in latency objectives.
-constexpr double minRetryAfterObjectives = 0.2;
-constexpr double maxRetryAfterObjectives = 0.5;
-/// Callers ignore a Retry-After above this fraction of their remaining time.
-constexpr double maxRetryAfterFraction = 1.0 / 3.0;
-
 /// @return one of the route's pools, chosen at random by weight
 const PoolId &selectPool(const DirectRoute &route, std::mt19937_64 &random)
 {
@@ -70,12 +65,6 @@
                && header.count(http::field::content_encoding) == 0);
 }
 
-std::string toMillisecondsText(Duration duration)
-{
-    const auto whole = std::chrono::duration_cast<std::chrono::milliseconds>(duration).count();
-    return std::to_string(std::max<std::int64_t>(whole, 0));
-}
-
 } // namespace
 
 RequestHandler::RequestHandler(RequestContext &context, CallerConnectionPtr caller,
@@ -242,45 +231,17 @@
     hooks.onHeader = [self](const ResponseHeader &header) { self->handleResponseHeader(header); };
     hooks.onBody = [self](std::string &&data) { self->handleResponseBody(std::move(data)); };
     hooks.onEnd = [self](AttemptResult result) { self->handleAttemptEnd(result); };
-    m_attempt->start(serializeRequest(*server), std::move(hooks));
+    ServerRequestFields fields;
+    fields.server = server->id;
+    fields.customer = m_customer;
+    fields.remainingTime = remainingTime();
+    if (m_eventSplitter)
+        fields.lastEventId = m_eventSplitter->lastId();
+    m_attempt->start(serializeServerRequest(m_request, fields, m_context.headerNames),
+                     std::move(hooks));
     startSilenceTimer();
 }
 
-std::string RequestHandler::serializeRequest(const DirectServer &server) const
-{
-    const HeaderNames &names = m_context.headerNames;
-    http::request_header<> header;
-    header.version(11);
-    header.method_string(m_request.method_string());
-    header.target(m_request.target());
-    const auto isSetByRouter = [&](beast::string_view name) {
-        const auto matches = [&](const std::string &other) { return beast::iequals(name, other); };
-        return matches(names.remainingMs) || matches(names.targetServer) || matches(names.customer)
-               || matches(names.notRun) || matches(names.signature)
-               || std::any_of(names.reserved.begin(), names.reserved.end(), matches);
-    };
-    for (const auto &field : m_request) {
-        const beast::string_view name = field.name_string();
-        if (field.name() == http::field::authorization || isSetByRouter(name)
-            || bilberry::http::isHopByHop(m_request, field.name(), name))
-            continue;
-        header.insert(field.name(), name, field.value());
-    }
-    header.set(names.remainingMs, toMillisecondsText(remainingTime()));
-    header.set(names.targetServer, server.id.text());
-    if (!m_customer.empty())
-        header.set(names.customer, m_customer.text());
-    if (m_eventSplitter && m_eventSplitter->lastId())
-        header.set(names.lastEventId, std::to_string(*m_eventSplitter->lastId()));
-    const bool hasLength = m_request.count(http::field::content_length) > 0
-                           || m_request.count(http::field::transfer_encoding) > 0;
-    if (hasLength || !m_request.body().empty())
-        header.set(http::field::content_length, std::to_string(m_request.body().size()));
-    std::ostringstream text;
-    text << header;
-    return text.str() + m_request.body();
-}
-
 void RequestHandler::handleResponseHeader(const ResponseHeader &header)
 {
     const TimePoint now = Clock::now();
@@ -590,8 +551,6 @@
     m_caller->sendResponse(header, problemBody(reason));
 }
 
-/// Randomizes the delay, so that refused callers do not return together, and keeps it short enough
-/// for them to observe it.
 /// @return delay for Retry-After, absent when the status is not 503
 std::optional<Duration> RequestHandler::retryAfterDelay(RefusalReason reason)
 {
@@ -599,20 +558,10 @@
         return std::nullopt;
     if (reason == RefusalReason::CrashesServers)
         return m_context.crashSuspicion.retryDelay(features(), Clock::now());
-    double minMs = 300.0;
-    double maxMs = 900.0;
-    // A full server completes work soon: a caller that returns early may still be served in time.
-    if (reason == RefusalReason::Overloaded) {
-        const double objective = toMilliseconds(m_route->latencyObjective);
-        minMs = minRetryAfterObjectives * objective;
-        maxMs = maxRetryAfterObjectives * objective;
-    }
-    std::uniform_real_distribution<double> distribution(minMs, maxMs);
-    Duration wait = fromMilliseconds(distribution(m_context.random));
-    if (m_deadline != TimePoint())
-        wait = std::min(wait,
-                        fromMilliseconds(maxRetryAfterFraction * toMilliseconds(remainingTime())));
-    return std::max(wait, Duration::zero());
+    const Duration remaining = m_deadline == TimePoint() ? Duration::max() : remainingTime();
+    return reason == RefusalReason::Overloaded
+                   ? overloadRetryAfter(m_route->latencyObjective, remaining, m_context.random)
+                   : defaultRetryAfter(remaining, m_context.random);
 }
 
 void RequestHandler::handleCallerDisconnect()
--- a/packages/direct/src/requesthandler.h
+++ b/packages/direct/src/requesthandler.h
@@ -75,7 +75,6 @@
     decision::CrashSuspicion::Admission crashAdmission();
     void selectServer();
     void sendToServer(const decision::ServerChoice &choice);
-    std::string serializeRequest(const DirectServer &server) const;
 
     void handleResponseHeader(const ResponseHeader &header);
     void handleResponseBody(std::string &&data);
