Keep what crashes servers in the store, for routers that start

Change: CrashRecords. Two routers, by rendezvous hashing, write a feature when it is quarantined and when its probes end, and remove it when an answer clears it; each router reads the collection once, at its start. Records have wall-clock times; a clock behind the writer's keeps their distances, and expired ones are removed.

--- a/packages/decision/include/bilberry/decision/crashsuspicion.h
+++ b/packages/decision/include/bilberry/decision/crashsuspicion.h
@@ -101,25 +101,42 @@
     ///         at most 200, those with the most crashes first
     std::vector<CrashSuspect> summary(TimePoint now) const;
 
+    /// What must be written to a store that serves routers which start later.
+    struct StoreChanges
+    {
+        std::vector<CrashSuspect> quarantined; ///< newly, or without probes from now on
+        std::vector<RequestFeature> cleared;   ///< were quarantined and have been answered since
+    };
+
+    /// @return the changes since the last call
+    StoreChanges takeStoreChanges(TimePoint now);
+
     bool isEmpty() const { return m_suspects.empty(); }
     std::size_t suspectCount() const { return m_suspects.size(); }
     std::size_t quarantinedCount() const;
 
+    /// @return true when none of the crashes counts any more
+    bool isExpired(const CrashSuspect &suspect) const;
+
     /// Forgets crashes that are older than the lifetime.
     void expire(TimePoint now);
 
 private:
+    enum class Stage { Suspected, Quarantined, Permanent };
+
     struct Suspect
     {
         std::map<ServerRun, TimePoint> crashes;
         std::set<ServerRun> cleared;
         std::uint32_t probes = 0;
+        Stage stored = Stage::Suspected; ///< as of the last takeStoreChanges()
         TimePoint nextProbeAt{};
         TimePoint changedAt{};
     };
 
     std::size_t distinctCrashes(const Suspect &suspect) const;
     bool isQuarantined(const Suspect &suspect) const;
+    Stage stage(const Suspect &suspect) const;
     bool mayProbe(const Suspect &suspect) const
     {
         return suspect.crashes.size() < m_settings.permanentThreshold;
--- a/packages/decision/src/crashsuspicion.cpp
+++ b/packages/decision/src/crashsuspicion.cpp
@@ -142,6 +142,29 @@
     return suspects;
 }
 
+CrashSuspicion::StoreChanges CrashSuspicion::takeStoreChanges(TimePoint now)
+{
+    StoreChanges changes;
+    for (auto &[feature, suspect] : m_suspects) {
+        const Stage current = stage(suspect);
+        const Stage stored = std::exchange(suspect.stored, std::max(current, suspect.stored));
+        if (current > stored)
+            changes.quarantined.push_back(describe(feature, suspect, now));
+        if (stored == Stage::Suspected || !suspect.crashes.empty())
+            continue;
+        changes.cleared.push_back(feature);
+        suspect.stored = Stage::Suspected;
+    }
+    return changes;
+}
+
+CrashSuspicion::Stage CrashSuspicion::stage(const Suspect &suspect) const
+{
+    if (!isQuarantined(suspect))
+        return Stage::Suspected;
+    return mayProbe(suspect) ? Stage::Quarantined : Stage::Permanent;
+}
+
 std::size_t CrashSuspicion::quarantinedCount() const
 {
     return static_cast<std::size_t>(
@@ -149,6 +172,13 @@
                           [this](const auto &item) { return isQuarantined(item.second); }));
 }
 
+bool CrashSuspicion::isExpired(const CrashSuspect &suspect) const
+{
+    return std::all_of(
+            suspect.crashes.begin(), suspect.crashes.end(),
+            [this](const CrashSuspect::Crash &crash) { return crash.age > m_settings.lifetime; });
+}
+
 void CrashSuspicion::expire(TimePoint now)
 {
     for (auto &[feature, suspect] : m_suspects) {
--- a/packages/decision/tests/crashsuspicion_test.cpp
+++ b/packages/decision/tests/crashsuspicion_test.cpp
@@ -362,3 +362,49 @@
         }
     }
 }
+
+SCENARIO("what is refused is told to a store that serves routers which start later")
+{
+    CrashSuspicion suspicion({});
+    TimePoint now = TimePoint() + 1h;
+    const auto crash = [&](ServerRun run) {
+        suspicion.recordCrash(run, {crashing}, now);
+        now += 1s;
+    };
+    GIVEN("a part that has crashed two servers")
+    {
+        crash(1);
+        crash(2);
+        CHECK(suspicion.takeStoreChanges(now).quarantined.empty());
+        WHEN("it crashes further ones")
+        {
+            crash(3);
+            const auto quarantined = suspicion.takeStoreChanges(now).quarantined;
+            crash(4);
+            const auto unchanged = suspicion.takeStoreChanges(now).quarantined;
+            crash(5);
+            const auto permanent = suspicion.takeStoreChanges(now).quarantined;
+            THEN("it is told when it is quarantined, and when its probes end")
+            {
+                REQUIRE(quarantined.size() == 1);
+                CHECK(quarantined.front().crashes.size() == 3);
+                CHECK(unchanged.empty());
+                REQUIRE(permanent.size() == 1);
+                CHECK(permanent.front().feature == crashing);
+                CHECK(permanent.front().crashes.size() == 5);
+                CHECK(suspicion.takeStoreChanges(now).quarantined.empty());
+            }
+        }
+        WHEN("it is quarantined, and a request with it is answered")
+        {
+            crash(3);
+            CHECK(suspicion.takeStoreChanges(now).cleared.empty());
+            suspicion.recordAnswer({crashing}, now);
+            THEN("it is told once that it is cleared")
+            {
+                CHECK(suspicion.takeStoreChanges(now).cleared == Features{crashing});
+                CHECK(suspicion.takeStoreChanges(now).cleared.empty());
+            }
+        }
+    }
+}
--- a/packages/direct/include/bilberry/direct/directrouter.h
+++ b/packages/direct/include/bilberry/direct/directrouter.h
@@ -21,6 +21,8 @@
     std::string servers = "servers";    ///< one item for each server
     std::string zonesOut = "zones-out"; ///< one item for each zone that receives no work
     std::string routers = "routers"; ///< one item for each router, registered by the router itself
+    /// One item for each feature of requests that is refused since it crashed servers.
+    std::string crashSuspects = "crash-suspects";
     bool operator==(const CollectionNames &) const = default;
 };
 
--- a/packages/direct/include/bilberry/direct/directsettings.h
+++ b/packages/direct/include/bilberry/direct/directsettings.h
@@ -2,6 +2,7 @@
 #define BILBERRY_DIRECT_DIRECTSETTINGS_H
 
 #include "bilberry/base/settings.h"
+#include "bilberry/decision/crashsuspicion.h"
 #include "bilberry/decision/serverselector.h"
 #include "bilberry/decision/windowedretrybudget.h"
 #include "bilberry/model/ids.h"
@@ -47,6 +48,7 @@
     std::size_t maxCallerConnections = 3000;
     decision::WindowedRetryBudgetSettings retryBudget;
     decision::ServerSelectorSettings serverSelector;
+    decision::CrashSuspicionSettings crashSuspicion;
     bool operator==(const DirectSettings &) const = default;
 };
 
--- /dev/null
+++ b/packages/direct/src/crashrecords.cpp
@@ -0,0 +1,210 @@
+#include "crashrecords.h"
+
+#include "bilberry/decision/rendezvous.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/this_coro.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/json.hpp>
+
+#include <algorithm>
+#include <charconv>
+
+namespace bilberry::direct {
+
+namespace asio = boost::asio;
+namespace json = boost::json;
+using std::chrono::system_clock;
+
+namespace {
+
+constexpr Duration storeCallTimeout = std::chrono::seconds(1);
+constexpr Duration retryDelay = std::chrono::seconds(1);
+/// Routers that write a record, so that the loss of one of them does not lose it.
+constexpr std::size_t writersPerRecord = 2;
+constexpr int hexadecimal = 16;
+
+std::string toHex(std::uint64_t number)
+{
+    std::array<char, 16> digits{};
+    const auto written
+            = std::to_chars(digits.data(), digits.data() + digits.size(), number, hexadecimal);
+    return {digits.data(), written.ptr};
+}
+
+std::optional<std::uint64_t> parseHex(std::string_view text)
+{
+    std::uint64_t number = 0;
+    const char *end = text.data() + text.size();
+    const auto parsed = std::from_chars(text.data(), end, number, hexadecimal);
+    if (parsed.ec != std::errc() || parsed.ptr != end)
+        return std::nullopt;
+    return number;
+}
+
+std::int64_t toUnixMs(system_clock::time_point time)
+{
+    return std::chrono::duration_cast<std::chrono::milliseconds>(time.time_since_epoch()).count();
+}
+
+struct RecordedCrash
+{
+    decision::ServerRun run = 0;
+    std::int64_t atMs = 0; ///< Unix time
+};
+
+std::optional<RecordedCrash> decodeCrash(const json::value &value)
+{
+    const json::object *object = value.if_object();
+    const json::value *run = object ? object->if_contains("run") : nullptr;
+    const json::value *at = object ? object->if_contains("atMs") : nullptr;
+    if (!run || !run->is_string() || !at || !at->is_int64())
+        return std::nullopt;
+    const auto number = parseHex(std::string_view(run->get_string()));
+    if (!number)
+        return std::nullopt;
+    return RecordedCrash{*number, at->get_int64()};
+}
+
+} // namespace
+
+store::Item encodeCrashRecord(const decision::CrashSuspect &suspect, system_clock::time_point now)
+{
+    json::array crashes;
+    for (const decision::CrashSuspect::Crash &crash : suspect.crashes) {
+        const auto at = now - std::chrono::duration_cast<system_clock::duration>(crash.age);
+        crashes.push_back(json::object{{"run", toHex(crash.run)}, {"atMs", toUnixMs(at)}});
+    }
+    return {toHex(suspect.feature), json::serialize(json::object{{"crashes", crashes}})};
+}
+
+std::optional<decision::CrashSuspect> decodeCrashRecord(const store::Item &item,
+                                                        system_clock::time_point now)
+{
+    const auto feature = parseHex(item.name);
+    boost::system::error_code error;
+    const json::value value = json::parse(item.value, error);
+    const json::object *object = error ? nullptr : value.if_object();
+    const json::value *crashes = object ? object->if_contains("crashes") : nullptr;
+    if (!feature || !crashes || !crashes->is_array())
+        return std::nullopt;
+    std::vector<RecordedCrash> recorded;
+    std::int64_t newestMs = 0;
+    for (const json::value &entry : crashes->get_array()) {
+        const auto crash = decodeCrash(entry);
+        if (!crash)
+            return std::nullopt;
+        recorded.push_back(*crash);
+        newestMs = std::max(newestMs, crash->atMs);
+    }
+    // A clock behind the writer's must not make the crashes coincide.
+    const std::int64_t newestAgeMs = std::max<std::int64_t>(0, toUnixMs(now) - newestMs);
+    decision::CrashSuspect suspect;
+    suspect.feature = *feature;
+    for (const RecordedCrash &crash : recorded)
+        suspect.crashes.push_back(
+                {crash.run, std::chrono::milliseconds(newestAgeMs + newestMs - crash.atMs)});
+    return suspect;
+}
+
+CrashRecords::CrashRecords(asio::io_context &io, store::CollectionStore &store,
+                           std::string collection, decision::CrashSuspicion &suspicion, Log &log)
+    : m_io(io), m_store(store), m_collection(std::move(collection)), m_suspicion(suspicion),
+      m_log(log)
+{
+}
+
+void CrashRecords::load()
+{
+    asio::co_spawn(m_io, loadRecords(shared_from_this()), asio::detached);
+}
+
+void CrashRecords::saveChanges(const RouterId &router, const std::vector<RouterId> &others)
+{
+    const auto changes = m_suspicion.takeStoreChanges(Clock::now());
+    if (changes.quarantined.empty() && changes.cleared.empty())
+        return;
+    std::vector<std::string> routers{router.text()};
+    for (const RouterId &other : others)
+        routers.push_back(other.text());
+    const auto isWriter = [&](const std::string &name) {
+        const auto writers = decision::rendezvousSubset(name, routers, writersPerRecord);
+        // The first router is this one.
+        return std::find(writers.begin(), writers.end(), 0U) != writers.end();
+    };
+    for (const decision::CrashSuspect &suspect : changes.quarantined) {
+        const store::Item item = encodeCrashRecord(suspect, system_clock::now());
+        if (isWriter(item.name))
+            asio::co_spawn(m_io, saveRecord(shared_from_this(), item), asio::detached);
+    }
+    for (const decision::RequestFeature feature : changes.cleared) {
+        if (isWriter(toHex(feature)))
+            asio::co_spawn(m_io, removeRecord(shared_from_this(), toHex(feature)), asio::detached);
+    }
+}
+
+asio::awaitable<void> CrashRecords::loadRecords(std::shared_ptr<CrashRecords> self)
+{
+    for (;;) {
+        const Result<store::Snapshot> records
+                = co_await self->m_store.list(self->m_collection, storeCallTimeout);
+        if (records) {
+            self->merge(records.value().items);
+            co_return;
+        }
+        self->m_log.decision("Could not read what crashes servers.",
+                             {{"error", records.error().message()}});
+        co_await pause();
+    }
+}
+
+void CrashRecords::merge(const std::vector<store::Item> &items)
+{
+    const TimePoint now = Clock::now();
+    for (const store::Item &item : items) {
+        const auto suspect = decodeCrashRecord(item, system_clock::now());
+        if (!suspect)
+            m_log.decision("Ignored an invalid record of what crashes servers.",
+                           {{"feature", item.name}});
+        else if (m_suspicion.isExpired(*suspect))
+            asio::co_spawn(m_io, removeRecord(shared_from_this(), item.name), asio::detached);
+        else
+            m_suspicion.merge(*suspect, now);
+    }
+    // What was read needs not be written again.
+    m_suspicion.takeStoreChanges(now);
+}
+
+asio::awaitable<void> CrashRecords::saveRecord(std::shared_ptr<CrashRecords> self, store::Item item)
+{
+    for (;;) {
+        const Status saved = co_await self->m_store.put(self->m_collection, item, storeCallTimeout);
+        if (saved)
+            co_return;
+        self->m_log.decision("Could not write what crashes servers.",
+                             {{"feature", item.name}, {"error", saved.error().message()}});
+        co_await pause();
+    }
+}
+
+asio::awaitable<void> CrashRecords::removeRecord(std::shared_ptr<CrashRecords> self,
+                                                 std::string name)
+{
+    const Status removed
+            = co_await self->m_store.remove(self->m_collection, name, storeCallTimeout);
+    if (!removed)
+        self->m_log.decision("Could not remove a record of what crashes servers.",
+                             {{"feature", name}, {"error", removed.error().message()}});
+}
+
+asio::awaitable<void> CrashRecords::pause()
+{
+    asio::steady_timer timer(co_await asio::this_coro::executor, retryDelay);
+    boost::system::error_code ignored;
+    co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
+}
+
+} // namespace bilberry::direct
--- a/packages/direct/src/directrouter.cpp
+++ b/packages/direct/src/directrouter.cpp
@@ -7,6 +7,7 @@
 
 #include "callerlistener.h"
 #include "crashdetector.h"
+#include "crashrecords.h"
 #include "directmetrics.h"
 #include "peerexchange.h"
 #include "platformstate.h"
@@ -33,12 +34,14 @@
     return {asio::ip::make_address(endpoint.address), endpoint.port};
 }
 
-decision::CrashSuspicionSettings suspicionSettings(const RouterId &router)
+/// Spreads the probes of the routers.
+decision::CrashSuspicionSettings suspicionSettings(const DirectSettings &settings)
 {
-    decision::CrashSuspicionSettings settings;
+    decision::CrashSuspicionSettings suspicion = settings.crashSuspicion;
     constexpr double hashRange = 18446744073709551616.0;
-    settings.probePhase = static_cast<double>(decision::stableHash(router.text())) / hashRange;
-    return settings;
+    suspicion.probePhase
+            = static_cast<double>(decision::stableHash(settings.router.text())) / hashRange;
+    return suspicion;
 }
 
 RefusalReason refusalReason(RequestError error)
@@ -63,8 +66,7 @@
     Impl(const DirectSettings &settings, PlatformAdapter adapter)
         : settings(settings), adapter(std::move(adapter)), random(std::random_device{}()),
           serverSelector(settings.serverSelector), usageMeter(settings.fairnessWindow),
-          crashSuspicion(suspicionSettings(settings.router)),
-          connections(io, settings.connectTimeout),
+          crashSuspicion(suspicionSettings(settings)), connections(io, settings.connectTimeout),
           crashDetector(io, connections, crashSuspicion, log), housekeepingTimer(io), lagTimer(io),
           stopTimer(io), requestContext{.io = io,
                                         .settings = this->settings,
@@ -140,6 +142,8 @@
                                                       adapter.collections.routers, serverSelector,
                                                       usageMeter, crashSuspicion);
         crashDetector.onCrash = [this] { peerExchange->handleSuspicionChange(); };
+        crashRecords = std::make_shared<CrashRecords>(
+                io, *collectionStore, adapter.collections.crashSuspects, crashSuspicion, log);
         state = std::make_unique<PlatformState>(io, settings, adapter, *collectionStore,
                                                 serverSelector, connections, *peerExchange, log,
                                                 random);
@@ -150,6 +154,7 @@
         callers->start();
         state->start();
         peerExchange->start();
+        crashRecords->load();
         runHousekeeping();
         measureLag();
         log.decision("Started.",
@@ -203,6 +208,7 @@
     {
         connections.dropExpired(Clock::now());
         crashSuspicion.expire(Clock::now());
+        crashRecords->saveChanges(settings.router, peerExchange->routers());
         housekeepingTimer.expires_after(housekeepingPeriod);
         housekeepingTimer.async_wait([self = shared_from_this()](boost::system::error_code error) {
             if (!error)
@@ -271,6 +277,7 @@
     RequestContext requestContext;
     std::unique_ptr<store::CollectionStore> collectionStore;
     std::shared_ptr<PeerExchange> peerExchange;
+    std::shared_ptr<CrashRecords> crashRecords;
     std::unique_ptr<PlatformState> state;
     std::shared_ptr<CallerListener> callers;
     std::unique_ptr<admin::AdminServer> readinessServer;
--- a/packages/direct/tests/crashingpart_test.cpp
+++ b/packages/direct/tests/crashingpart_test.cpp
@@ -1,3 +1,4 @@
+#include "crashrecords.h"
 #include "routerfixture.h"
 
 #include "support/fleet.h"
@@ -79,6 +80,13 @@
             .status();
 }
 
+/// @return number of crashes in a record of the store
+int crashCount(const store::Item &record)
+{
+    const auto suspect = direct::decodeCrashRecord(record, std::chrono::system_clock::now());
+    return suspect ? static_cast<int>(suspect->crashes.size()) : 0;
+}
+
 /// Accepts a proof of the plan of any age, so that a busy machine refuses no request for it.
 void acceptOldPlans(direct::DirectSettings &settings)
 {
@@ -197,8 +205,8 @@
                 acceptOldPlans(settings);
             };
         };
-        const RouterFixture first(servers.all(), settings(0), {entry(1)});
-        const RouterFixture second(servers.all(), settings(1), {entry(0)});
+        const RouterFixture first(servers.all(), settings(0), {{"routers", {entry(1)}}});
+        const RouterFixture second(servers.all(), settings(1), {{"routers", {entry(0)}}});
         WHEN("requests with the part come to both")
         {
             playCrashingPart({&first, &second});
@@ -211,3 +219,39 @@
         }
     }
 }
+
+// What crashes servers must not be forgotten when all routers restart at the same time.
+SCENARIO("a router that starts after all others have ended refuses what crashed servers before")
+{
+    CrashingServers servers(12);
+    GIVEN("a router that has refused a part for good")
+    {
+        std::vector<store::Item> records;
+        {
+            const RouterFixture router(servers.all(), [](direct::DirectSettings &settings) {
+                acceptOldPlans(settings);
+                settings.crashSuspicion.coincidence = 10ms;
+                settings.crashSuspicion.probeInterval = 50ms;
+            });
+            playCrashingPart({&router});
+            REQUIRE(eventually([&] {
+                records = router.written("crash-suspects");
+                return !records.empty() && crashCount(records.back()) == maxCrashes;
+            }));
+            records = {records.back()};
+        }
+        const int crashesBefore = servers.crashed();
+        CHECK(crashesBefore <= maxCrashes);
+        WHEN("another one starts with nothing but the store")
+        {
+            const RouterFixture router(servers.all(), acceptOldPlans,
+                                       {{"crash-suspects", records}});
+            playCrashingPart({&router});
+            THEN("no further server crashes, and sound requests are served")
+            {
+                CHECK(servers.crashed() == crashesBefore);
+                CHECK(call(router, "", 500) == 200);
+            }
+        }
+    }
+}
--- a/packages/direct/tests/routerfixture.h
+++ b/packages/direct/tests/routerfixture.h
@@ -49,9 +49,8 @@
 {
 public:
     explicit RouterFixture(const std::vector<ScriptedServer *> &servers,
-                           const ChangeSettings &change = {},
-                           const std::vector<store::Item> &routers = {})
-        : InProcessRouter(testPlan(), entriesOf(servers), change, routers)
+                           const ChangeSettings &change = {}, const Collections &stored = {})
+        : InProcessRouter(testPlan(), entriesOf(servers), change, stored)
     {
     }
 
--- a/tests/support/inprocessrouter.cpp
+++ b/tests/support/inprocessrouter.cpp
@@ -21,14 +21,16 @@
 /// Duration of a removal.
 constexpr Duration removalTime = 400ms;
 
-/// In-memory store with constant collections; list() and watch() fail while `down` is set.
+/// In-memory store with constant collections, which records what is written; list() and watch()
+/// fail while `down` is set.
 class MemoryStore : public store::CollectionStore
 {
 public:
-    MemoryStore(asio::io_context &context,
-                std::map<std::string, std::vector<store::Item>> &collections,
+    MemoryStore(asio::io_context &context, InProcessRouter::Collections &collections,
+                std::function<void(const std::string &, const store::Item &)> onPut,
                 std::atomic<bool> &down, std::atomic<int> &removedItems)
-        : m_context(context), m_collections(collections), m_down(down), m_removedItems(removedItems)
+        : m_context(context), m_collections(collections), m_onPut(std::move(onPut)), m_down(down),
+          m_removedItems(removedItems)
     {
     }
 
@@ -49,8 +51,9 @@
         co_return store::Changes{{}, since};
     }
 
-    asio::awaitable<Status> put(std::string, store::Item, Duration) override
+    asio::awaitable<Status> put(std::string collection, store::Item item, Duration) override
     {
+        m_onPut(collection, item);
         co_return success();
     }
     asio::awaitable<Status> remove(std::string, std::string, Duration) override
@@ -63,7 +66,8 @@
 
 private:
     asio::io_context &m_context;
-    std::map<std::string, std::vector<store::Item>> &m_collections;
+    InProcessRouter::Collections &m_collections;
+    std::function<void(const std::string &, const store::Item &)> m_onPut;
     std::atomic<bool> &m_down;
     std::atomic<int> &m_removedItems;
 };
@@ -74,25 +78,30 @@
 } // namespace
 
 InProcessRouter::InProcessRouter(TrafficPlan plan, const std::vector<DirectServer> &servers,
-                                 const ChangeSettings &change,
-                                 const std::vector<store::Item> &routers)
+                                 const ChangeSettings &change, const Collections &stored)
+    : m_collections(stored)
 {
     for (const DirectServer &server : servers) {
         m_servers[server.id.text()] = server;
         m_collections["servers"].push_back({server.id.text(), server.id.text()});
     }
     m_collections["plans"].push_back({"current", "1"});
-    m_collections["routers"] = routers;
     direct::PlatformAdapter adapter;
     adapter.decodePlan = [plan](const std::string &) -> Result<TrafficPlan> { return plan; };
     adapter.decodeServer
             = [this](const std::string &id, const std::string &) -> Result<DirectServer> {
         return m_servers.at(id);
     };
-    adapter.openStore = [this](asio::io_context &context, const direct::Endpoint &,
-                               direct::StoreCallHook) {
-        return std::make_unique<MemoryStore>(context, m_collections, m_storeDown, m_removedItems);
-    };
+    adapter.openStore
+            = [this](asio::io_context &context, const direct::Endpoint &, direct::StoreCallHook) {
+                  return std::make_unique<MemoryStore>(
+                          context, m_collections,
+                          [this](const std::string &collection, const store::Item &item) {
+                              const std::lock_guard lock(m_writtenMutex);
+                              m_written[collection].push_back(item);
+                          },
+                          m_storeDown, m_removedItems);
+              };
     adapter.headers.reserved = {"Bilberry-Secret"};
     m_settings.router = RouterId("router");
     m_settings.zone = ZoneId("a");
@@ -135,6 +144,13 @@
     asio::post(m_router->context(), [duration] { std::this_thread::sleep_for(duration); });
 }
 
+std::vector<store::Item> InProcessRouter::written(const std::string &collection) const
+{
+    const std::lock_guard lock(m_writtenMutex);
+    const auto found = m_written.find(collection);
+    return found == m_written.end() ? std::vector<store::Item>() : found->second;
+}
+
 bool InProcessRouter::ready() const
 {
     RawCaller caller(m_settings.readinessEndpoint.port);
--- a/tests/support/inprocessrouter.h
+++ b/tests/support/inprocessrouter.h
@@ -8,6 +8,7 @@
 #include <atomic>
 #include <map>
 #include <memory>
+#include <mutex>
 #include <string>
 #include <thread>
 #include <vector>
@@ -19,16 +20,16 @@
 {
 public:
     using ChangeSettings = std::function<void(direct::DirectSettings &)>;
+    using Collections = std::map<std::string, std::vector<store::Item>>; ///< items by collection
 
     /// Starts the router and waits until it is ready.
     /// @param plan traffic plan in force from the start
     /// @param servers servers that the store lists
     /// @param change modifies the default settings before the start
-    /// @param routers other routers that the store lists
+    /// @param stored what else the store holds, such as other routers
     /// @throws std::runtime_error when the router is not ready after 10 seconds
     InProcessRouter(TrafficPlan plan, const std::vector<DirectServer> &servers,
-                    const ChangeSettings &change = {},
-                    const std::vector<store::Item> &routers = {});
+                    const ChangeSettings &change = {}, const Collections &stored = {});
     ~InProcessRouter();
 
     InProcessRouter(const InProcessRouter &) = delete;
@@ -41,6 +42,8 @@
     void setStoreDown(bool down) { m_storeDown = down; }
     /// @return number of items that the router has removed from the store; each call takes 400 ms
     int removedItems() const { return m_removedItems; }
+    /// @return what the router has written to a collection of the store, oldest first
+    std::vector<store::Item> written(const std::string &collection) const;
     /// Blocks the router's event loop, as on a VM without processor time.
     void occupy(Duration duration);
 
@@ -65,7 +68,9 @@
     void run();
 
     std::map<std::string, DirectServer> m_servers;
-    std::map<std::string, std::vector<store::Item>> m_collections;
+    Collections m_collections;
+    mutable std::mutex m_writtenMutex;
+    Collections m_written;
     std::atomic<bool> m_storeDown = false;
     std::atomic<int> m_removedItems = 0;
     direct::DirectSettings m_settings;
