Split what keeps a request from crashing servers from the request's handler

Cause: features, admission, the server of the attempt and the beginning of its answer stood in four places of requesthandler.cpp and shared three members with nothing else there. Change: CrashGuard has them, one for each request.

--- /dev/null
+++ b/packages/direct/src/crashguard.cpp
@@ -0,0 +1,72 @@
+#include "crashguard.h"
+
+#include "requestfeatures.h"
+
+namespace bilberry::direct {
+
+using Admission = decision::CrashSuspicion::Admission;
+
+namespace {
+
+/// Time after the first byte of its body for which a response counts as just begun.
+constexpr Duration responseBeginning = std::chrono::milliseconds(300);
+
+} // namespace
+
+CrashGuard::CrashGuard(decision::CrashSuspicion &suspicion, CrashDetector &detector,
+                       const CustomerId &customer, const CallerRequest &request,
+                       const HeaderNames &names)
+    : m_suspicion(suspicion), m_detector(detector), m_customer(customer), m_request(request),
+      m_names(names)
+{
+}
+
+Admission CrashGuard::admission()
+{
+    if (m_suspicion.isEmpty())
+        return Admission::Admit;
+    return m_suspicion.check(features(), Clock::now());
+}
+
+void CrashGuard::startAttempt(const DirectServer &server, Admission admission)
+{
+    m_server = server;
+    m_bodyBeganAt = {};
+    if (admission == Admission::Probe)
+        m_suspicion.recordProbe(features(), Clock::now());
+}
+
+void CrashGuard::recordBody()
+{
+    if (m_bodyBeganAt == TimePoint())
+        m_bodyBeganAt = Clock::now();
+}
+
+/// A request crashes its server when the response begins, so that one whose response is well under
+/// way is no suspect.
+void CrashGuard::recordBroken()
+{
+    const bool hasJustBegun
+            = m_bodyBeganAt == TimePoint() || Clock::now() - m_bodyBeganAt < responseBeginning;
+    if (hasJustBegun)
+        m_detector.recordBrokenAttempt(m_server, features());
+}
+
+void CrashGuard::recordAnswer()
+{
+    // Without suspects only the parts matter, which other requests have: they are known as sound
+    // for a while.
+    const bool wholeMatters = !m_suspicion.isEmpty();
+    m_suspicion.recordAnswer(wholeMatters ? features()
+                                          : sharedPartFeatures(m_request[m_names.promptParts]),
+                             Clock::now());
+}
+
+const std::vector<decision::RequestFeature> &CrashGuard::features()
+{
+    if (m_features.empty())
+        m_features = requestFeatures(m_customer, m_request, m_names);
+    return m_features;
+}
+
+} // namespace bilberry::direct
--- a/packages/direct/src/requesthandler.cpp
+++ b/packages/direct/src/requesthandler.cpp
@@ -1,7 +1,6 @@
 #include "requesthandler.h"
 
 #include "headerfields.h"
-#include "requestfeatures.h"
 #include "serverrequest.h"
 
 #include "bilberry/base/digest.h"
@@ -38,8 +37,6 @@
 constexpr double silenceTimeoutObjectives = 3.0;
 /// Cost of an output token in prompt tokens, the unit in which the fleet's capacity is given.
 constexpr double outputTokenCost = 2.0;
-/// Time after the first byte of its body for which an answer counts as just begun.
-constexpr Duration answerBeginning = std::chrono::milliseconds(300);
 /// @return one of the route's pools, chosen at random by weight
 const PoolId &selectPool(const DirectRoute &route, std::mt19937_64 &random)
 {
@@ -71,7 +68,9 @@
                                CallerRequest &&request)
     : m_context(context), m_caller(std::move(caller)), m_request(std::move(request)),
       m_requestId(m_request[context.headerNames.requestId]), m_receivedAt(Clock::now()),
-      m_deadlineTimer(context.io), m_silenceTimer(context.io)
+      m_deadlineTimer(context.io), m_silenceTimer(context.io),
+      m_crashGuard(context.crashSuspicion, context.crashDetector, m_customer, m_request,
+                   context.headerNames)
 {
 }
 
@@ -153,25 +152,11 @@
     m_context.usageMeter.recordRequested(m_customer, cost, m_receivedAt);
 }
 
-const std::vector<decision::RequestFeature> &RequestHandler::features()
-{
-    if (m_features.empty())
-        m_features = requestFeatures(m_customer, m_request, m_context.headerNames);
-    return m_features;
-}
-
-decision::CrashSuspicion::Admission RequestHandler::crashAdmission()
-{
-    if (m_context.crashSuspicion.isEmpty())
-        return decision::CrashSuspicion::Admission::Admit;
-    return m_context.crashSuspicion.check(features(), Clock::now());
-}
-
 void RequestHandler::selectServer()
 {
     if (m_finished)
         return;
-    const auto admission = crashAdmission();
+    const auto admission = m_crashGuard.admission();
     if (admission == decision::CrashSuspicion::Admission::Refuse) {
         if (m_attemptCount > 0)
             failRequest();
@@ -190,12 +175,11 @@
                            : RefusalReason::NoServer);
         return;
     }
-    if (admission == decision::CrashSuspicion::Admission::Probe)
-        m_context.crashSuspicion.recordProbe(features(), now);
     if (m_attemptCount == 0 && !m_customer.empty()) {
         const double cost = m_traits.prompt.tokens() + outputTokenCost * m_traits.outputTokens;
         m_context.usageMeter.recordDispatched(m_customer, cost, now);
     }
+    m_crashGuard.startAttempt(*m_context.serverSelector.server(choice.value().server), admission);
     sendToServer(choice.value());
 }
 
@@ -203,8 +187,6 @@
 {
     const DirectServer *server = m_context.serverSelector.server(choice.server);
     m_choice = choice;
-    m_server = *server;
-    m_attemptBodyBeganAt = {};
     ++m_attemptCount;
     m_attemptNumber = m_context.serverSelector.startAttempt(choice, m_traits, Clock::now());
     m_responseHeader.reset();
@@ -265,8 +247,7 @@
 
 void RequestHandler::handleResponseBody(std::string &&data)
 {
-    if (m_attemptBodyBeganAt == TimePoint())
-        m_attemptBodyBeganAt = Clock::now();
+    m_crashGuard.recordBody();
     if (m_isStreaming && !m_notRun) {
         const TimePoint now = Clock::now();
         if (!m_responseStarted)
@@ -342,31 +323,13 @@
         return;
     case AttemptResult::Broken:
         ++m_sentCount;
-        recordPossibleCrash();
+        if (!m_notRun)
+            m_crashGuard.recordBroken();
         handleAttemptFailure(AttemptOutcome::BrokenAnswer, !m_notRun);
         return;
     }
 }
 
-/// A request crashes its server when the answer begins, so that one whose answer is well under way
-/// is no suspect.
-void RequestHandler::recordPossibleCrash()
-{
-    const bool hasJustBegun = m_attemptBodyBeganAt == TimePoint()
-                              || Clock::now() - m_attemptBodyBeganAt < answerBeginning;
-    if (!m_notRun && hasJustBegun)
-        m_context.crashDetector.recordBrokenAttempt(m_server, features());
-}
-
-/// A server that has given a complete answer was not crashed by the request.
-void RequestHandler::clearFeatures()
-{
-    const std::string_view parts = m_request[m_context.headerNames.promptParts];
-    m_context.crashSuspicion.recordAnswer(
-            m_context.crashSuspicion.isEmpty() ? sharedPartFeatures(parts) : features(),
-            Clock::now());
-}
-
 void RequestHandler::handleCompleteResponse()
 {
     ++m_sentCount;
@@ -381,12 +344,12 @@
     const bool failedToResume = m_eventSplitter && m_responseStarted && !m_isStreaming;
     const bool brokenOff = isBrokenOff();
     if (brokenOff)
-        recordPossibleCrash();
+        m_crashGuard.recordBroken();
     if (!isAuthentic(*m_responseHeader, m_context.headerNames) || brokenOff || failedToResume) {
         handleAttemptFailure(AttemptOutcome::BrokenAnswer, true);
         return;
     }
-    clearFeatures();
+    m_crashGuard.recordAnswer();
     // A 5xx response is forwarded only if no other attempt is allowed or succeeds.
     const bool retryable = status >= 500 && m_route->mayRepeat() && !m_responseStarted
                            && m_possibleRunCount + 1 < m_route->maxAttempts;
@@ -557,7 +520,7 @@
     if (httpStatus(reason) != 503)
         return std::nullopt;
     if (reason == RefusalReason::CrashesServers)
-        return m_context.crashSuspicion.retryDelay(features(), Clock::now());
+        return m_crashGuard.retryDelay();
     const Duration remaining = m_deadline == TimePoint() ? Duration::max() : remainingTime();
     return reason == RefusalReason::Overloaded
                    ? overloadRetryAfter(m_route->latencyObjective, remaining, m_context.random)
--- a/packages/direct/src/requesthandler.h
+++ b/packages/direct/src/requesthandler.h
@@ -2,12 +2,11 @@
 #define BILBERRY_DIRECT_REQUESTHANDLER_H
 
 #include "callerconnection.h"
-#include "crashdetector.h"
+#include "crashguard.h"
 #include "refusal.h"
 #include "serverattempt.h"
 
 #include "bilberry/base/log.h"
-#include "bilberry/decision/crashsuspicion.h"
 #include "bilberry/decision/customerusagemeter.h"
 #include "bilberry/decision/serverselector.h"
 #include "bilberry/decision/windowedretrybudget.h"
@@ -71,8 +70,6 @@
 private:
     std::optional<RefusalReason> validateRequest();
     void collectTraits();
-    const std::vector<decision::RequestFeature> &features();
-    decision::CrashSuspicion::Admission crashAdmission();
     void selectServer();
     void sendToServer(const decision::ServerChoice &choice);
 
@@ -80,8 +77,6 @@
     void handleResponseBody(std::string &&data);
     void handleAttemptEnd(AttemptResult result);
     void abandonAttempt(decision::AttemptOutcome outcome, bool mayHaveRun);
-    void recordPossibleCrash();
-    void clearFeatures();
     void handleCompleteResponse();
     bool isBrokenOff() const;
     void handleAttemptFailure(decision::AttemptOutcome outcome, bool mayHaveRun);
@@ -115,11 +110,9 @@
     boost::asio::steady_timer m_deadlineTimer;
     boost::asio::steady_timer m_silenceTimer;
 
-    std::vector<decision::RequestFeature> m_features; ///< see features()
+    CrashGuard m_crashGuard;
 
     std::shared_ptr<ServerAttempt> m_attempt;
-    DirectServer m_server;            ///< of the attempt, as it was when the request was sent
-    TimePoint m_attemptBodyBeganAt{}; ///< first byte of the body in the attempt's response
     decision::AttemptNumber m_attemptNumber = 0;
     decision::ServerChoice m_choice;
     std::uint32_t m_sentCount = 0;        ///< attempts that may have reached a server
