Review: with an empty list of tenants every key runs

Cause: a request's key is looked at only if the plan has customers, and an empty list of tenants gives none.

--- a/review/3/case.cpp
+++ b/review/3/case.cpp
@@ -1,6 +1,6 @@
-// The open connections between the routers and the store go silent, new ones work. From 3.5 s
-// later on, servers report one after the other that they are draining. Counts the requests that
-// reach such a server too late.
+// The operator takes the keys of all tenants away, one tenant after the other, so that the list of
+// tenants is empty at last. Counts the requests with a withdrawn key that run later than revoke_ms
+// after that, and the requests with a key that no configuration ever held.
 
 #include "../support/standins.h"
 
@@ -11,70 +11,83 @@
 namespace {
 
 constexpr int routerCount = 4;
-constexpr auto drainLimit = 2000ms; // drain_ms
-/// contact_ms and a margin: from then on the routers are in touch again.
-constexpr auto contactTime = 3500ms;
-constexpr auto drainPause = 1830ms;
-constexpr std::size_t drainCount = 5;
+constexpr auto revokeLimit = 5000ms; // revoke_ms
+/// Between the two versions that take a key away.
+constexpr auto revokePause = 1500ms;
+constexpr int rounds = 10;
+constexpr auto roundPause = 200ms;
+constexpr char otherTenant[]
+        = R"({"name":"vemi417","priority":1,"api_keys":["p3kfw70dzq2hs8xnbt51"]})";
+constexpr char otherKey[] = "p3kfw70dzq2hs8xnbt51";
+constexpr char foreignKey[] = "zz0zz0zz0zz0zz0zz0zz"; ///< of no tenant, ever
+
+/// Sends a request with a key.
+/// @return true when a server has run it
+bool runs(Fleet &fleet, const Router &router, const std::string &key)
+{
+    const std::string id = newRequestId();
+    Socket socket = Socket::connect(router.front());
+    if (!socket.isOpen() || !socket.send(requestText("POST", bookingPath, id, key, 2500)))
+        return false;
+    const auto answer = MessageReader(socket).read(3s);
+    fleet.record.line("client: request " + id + " with key " + key + " at " + router.name()
+                      + " gets " + (answer ? std::to_string(answer->status()) : "no answer"));
+    return fleet.runs.count(id) > 0;
+}
 
 } // namespace
 
 int main(int, char **arguments)
 {
     Fleet fleet(arguments[1]);
+    fleet.store.put("config", "main",
+                    Fleet::configuration(9, std::string("[") + tenant + ',' + otherTenant + ']'));
     std::vector<std::unique_ptr<Server>> servers;
-    for (const char *number : {"1", "2", "3"}) {
-        for (const char *zone : {"adum", "suame", "bantama"}) {
-            servers.push_back(std::make_unique<Server>(std::string("i-") + zone + number, "wuno96b",
-                                                       zone, fleet.runs, fleet.record));
-            fleet.store.put("servers", servers.back()->id(), servers.back()->entry("ready"));
-        }
+    for (const char *zone : {"adum", "suame", "bantama"}) {
+        servers.push_back(std::make_unique<Server>(std::string("i-") + zone, "wuno96b", zone,
+                                                   fleet.runs, fleet.record));
+        fleet.store.put("servers", servers.back()->id(), servers.back()->entry("ready"));
     }
-    fleet.startRouters(routerCount, true);
+    fleet.startRouters(routerCount);
     if (!fleet.awaitReady())
         return NotRun;
 
-    Traffic traffic(fleet, 4, 10ms, false);
-    std::this_thread::sleep_for(2s);
-    if (hasTrouble()) {
-        for (const auto &proxy : fleet.proxies)
-            fleet.record.line("trouble: " + std::to_string(proxy->silenceOpen())
-                              + " connections to the store go silent");
+    bool canRun = true;
+    for (const auto &router : fleet.routers) {
+        canRun = canRun && runs(fleet, *router, apiKey) && runs(fleet, *router, otherKey)
+                 && !runs(fleet, *router, foreignKey);
     }
-    std::this_thread::sleep_for(contactTime);
-    std::vector<std::pair<std::string, TimePoint>> drained;
-    for (std::size_t i = 0; i < drainCount; ++i) {
-        const Server &leaving = *servers[i];
-        fleet.store.put("servers", leaving.id(), leaving.entry("draining"));
-        drained.emplace_back(leaving.id(), Clock::now());
-        std::this_thread::sleep_for(drainPause);
+    std::this_thread::sleep_for(1s);
+    if (hasTrouble()) {
+        fleet.store.put("config", "main",
+                        Fleet::configuration(12, std::string("[") + tenant + ']'));
+        std::this_thread::sleep_for(revokePause);
+        fleet.store.put("config", "main", Fleet::configuration(13, "[]"));
     }
-    std::this_thread::sleep_for(drainLimit);
-    traffic.stop();
-
-    int late = 0;
-    bool allUsed = true;
-    for (const auto &[id, at] : drained) {
-        int before = 0;
-        int lateHere = 0;
-        double last = 0.0;
-        for (const Arrival &arrival : fleet.runs.arrivals()) {
-            if (arrival.server != id)
-                continue;
-            before += arrival.at < at ? 1 : 0;
-            lateHere += arrival.at > at + drainLimit ? 1 : 0;
-            last = std::chrono::duration<double>(arrival.at - at).count();
+    const TimePoint acknowledged = Clock::now();
+    std::this_thread::sleep_until(acknowledged + revokeLimit + 100ms);
+    int withdrawn = 0;
+    int foreign = 0;
+    for (int i = 0; i < rounds; ++i) {
+        for (const auto &router : fleet.routers) {
+            for (const char *key : {apiKey, otherKey}) {
+                const bool hasRun = runs(fleet, *router, key);
+                withdrawn += hasTrouble() && hasRun ? 1 : 0;
+            }
+            foreign += runs(fleet, *router, foreignKey) ? 1 : 0;
         }
-        allUsed = allUsed && before > 0;
-        late += lateHere;
-        std::cout << id << ": last request " << last << " s after its drain, " << lateHere
-                  << " later than 2 s\n";
+        std::this_thread::sleep_for(roundPause);
     }
     for (const auto &server : servers)
         server->stop();
-    if (!allUsed)
+    if (!canRun)
         return NotRun;
-    std::cout << (late > 0 ? "DRAIN: broken" : "DRAIN: held") << std::endl;
-    fleet.record.line(late > 0 ? "DRAIN: broken" : "DRAIN: held");
-    return late > 0 ? RuleBroken : RuleHeld;
+    const bool broken = withdrawn > 0 || foreign > 0;
+    std::cout << withdrawn << " of " << 2 * rounds * routerCount
+              << " requests with a withdrawn key ran later than 5 s after its withdrawal\n"
+              << foreign << " of " << rounds * routerCount
+              << " requests ran with a key that no configuration ever held\n"
+              << (broken ? "CONFIG: broken" : "CONFIG: held") << std::endl;
+    fleet.record.line(broken ? "CONFIG: broken" : "CONFIG: held");
+    return broken ? RuleBroken : RuleHeld;
 }
--- a/review/support/standins.cpp
+++ b/review/support/standins.cpp
@@ -383,9 +383,7 @@
         const auto request = reader.read(10min);
         if (!request || !request->complete)
             return;
-        const std::string bytes = answer(*request);
-        // An answer that is lost: the connection returns nothing further.
-        if (!bytes.empty() && !socket.send(bytes))
+        if (!socket.send(answer(*request)))
             return;
     }
 }
@@ -430,19 +428,6 @@
     m_changed.notify_all();
 }
 
-void Store::delayNextRemoval(const std::string &kind, const std::string &name, Milliseconds delay)
-{
-    const std::lock_guard lock(m_mutex);
-    m_delayedRemoval = kind + '/' + name;
-    m_removalDelay = delay;
-}
-
-bool Store::has(const std::string &kind, const std::string &name)
-{
-    const std::lock_guard lock(m_mutex);
-    return m_objects[kind].contains(name);
-}
-
 void Store::stop()
 {
     {
@@ -450,8 +435,6 @@
         m_stopping = true;
     }
     m_changed.notify_all();
-    for (std::thread &thread : m_delayed)
-        thread.join();
     m_listener->stop();
 }
 
@@ -488,22 +471,6 @@
                                const std::string &name)
 {
     if (request.method() == "DELETE") {
-        std::unique_lock lock(m_mutex);
-        if (m_delayedRemoval == kind + '/' + name) {
-            m_delayedRemoval.clear();
-            m_record.line("trouble: the removal of " + kind + '/' + name
-                          + " gets no answer and is done later");
-            m_delayed.emplace_back([this, kind, name, delay = m_removalDelay] {
-                const TimePoint due = Clock::now() + delay;
-                std::unique_lock waiting(m_mutex);
-                m_changed.wait_until(waiting, due,
-                                     [&] { return m_stopping || Clock::now() >= due; });
-                waiting.unlock();
-                remove(kind, name);
-            });
-            return "";
-        }
-        lock.unlock();
         remove(kind, name);
         return jsonResponse("200 OK", "{}");
     }
@@ -797,7 +764,7 @@
         std::cerr << "target/bin/bilberryd is missing: build the deploy file first\n";
         std::exit(NotRun);
     }
-    store.put("config", "main", configuration());
+    store.put("config", "main", configuration(7, std::string("[") + tenant + "]"));
 }
 
 Fleet::~Fleet()
@@ -840,7 +807,7 @@
     return false;
 }
 
-std::string Fleet::configuration()
+std::string Fleet::configuration(int version, const std::string &tenants)
 {
     const auto route = [](const std::string &name, const std::string &prefix,
                           const std::string &kind, int attempts) {
@@ -850,13 +817,13 @@
                + R"("max_attempts":)" + std::to_string(attempts)
                + R"(,"public":false,"sticky":false,"resumable":false})";
     };
-    return R"({"version":7,"routes":[)" + route("r-mvtdhbj", "/puxa403/", "non_idempotent", 1) + ','
+    return R"({"version":)" + std::to_string(version) + R"(,"routes":[)"
+           + route("r-mvtdhbj", "/puxa403/", "non_idempotent", 1) + ','
            + route("r-3j6q5rm", "/cufi504/", "idempotent", 2)
            + R"(],"services":[{"name":"wuno96b","health_path":"/healthz","max_connections":100,)"
            + R"("protocol":"h1","tls":false,"warmup_s":0.0,"warmup_per_s":0.0}],)"
            + R"("limits":{"max_header_bytes":16384,"max_body_bytes":4194304,)"
-           + R"("header_timeout_ms":3000,"idle_timeout_ms":15000},)"
-           + R"("tenants":[{"name":"hule930","priority":1,"api_keys":[")" + apiKey + R"("]}]})";
+           + R"("header_timeout_ms":3000,"idle_timeout_ms":15000},"tenants":)" + tenants + '}';
 }
 
 Traffic::Traffic(Fleet &fleet, int perRouter, Milliseconds pause, bool bookings) : m_fleet(fleet)
--- a/review/support/standins.h
+++ b/review/support/standins.h
@@ -153,10 +153,6 @@
     /// @param spec the bytes that stand as the object's spec in responses
     void put(const std::string &kind, const std::string &name, const std::string &spec);
     void remove(const std::string &kind, const std::string &name);
-    /// From now on, the next removal of the object by a client gets no answer and is done after
-    /// the delay.
-    void delayNextRemoval(const std::string &kind, const std::string &name, Milliseconds delay);
-    bool has(const std::string &kind, const std::string &name);
     void stop();
 
 private:
@@ -189,9 +185,6 @@
     std::uint64_t m_revision = 1;
     std::map<std::string, std::map<std::string, Object>> m_objects;
     std::deque<Change> m_history;
-    std::string m_delayedRemoval; ///< KIND/NAME; empty when none is to be delayed
-    Milliseconds m_removalDelay{};
-    std::vector<std::thread> m_delayed;
     std::unique_ptr<Listener> m_listener;
 };
 
@@ -325,7 +318,8 @@
     void startRouters(int count, bool throughProxy = false);
     /// @return false when not all routers are ready within 20 s
     bool awaitReady() const;
-    static std::string configuration();
+    /// @param tenants the list of tenants, as JSON
+    static std::string configuration(int version, const std::string &tenants);
 
     Record record;
     std::filesystem::path folder;
@@ -383,6 +377,9 @@
 bool hasTrouble();
 
 inline constexpr char apiKey[] = "asnmgkcuyj8pjbvk9m68";
+/// The tenant that holds the key, as JSON.
+inline constexpr char tenant[]
+        = R"({"name":"hule930","priority":1,"api_keys":["asnmgkcuyj8pjbvk9m68"]})";
 inline constexpr char readPath[] = "/cufi504/2f";    ///< of an idempotent route
 inline constexpr char bookingPath[] = "/puxa403/2f"; ///< of a non-idempotent route
 
