--- a/review/4/case.cpp
+++ b/review/4/case.cpp
@@ -4,6 +4,7 @@
 
 #include "../support/standins.h"
 
+#include <array>
 #include <iostream>
 
 using namespace bilberry::review;
@@ -14,8 +15,8 @@
 constexpr auto drainLimit = 2000ms; // drain_ms
 /// contact_ms and a margin: from then on the routers are in touch again.
 constexpr auto contactTime = 3500ms;
-constexpr auto drainPause = 1830ms;
-constexpr std::size_t drainCount = 5;
+/// After each drain, before the next one.
+constexpr std::array drainPauses{1830ms, 2070ms, 1690ms, 2210ms, 1950ms, 0ms};
 
 } // namespace
 
@@ -23,7 +24,7 @@
 {
     Fleet fleet(arguments[1]);
     std::vector<std::unique_ptr<Server>> servers;
-    for (const char *number : {"1", "2", "3"}) {
+    for (const char *number : {"1", "2", "3", "4"}) {
         for (const char *zone : {"adum", "suame", "bantama"}) {
             servers.push_back(std::make_unique<Server>(std::string("i-") + zone + number, "wuno96b",
                                                        zone, fleet.runs, fleet.record));
@@ -43,11 +44,11 @@
     }
     std::this_thread::sleep_for(contactTime);
     std::vector<std::pair<std::string, TimePoint>> drained;
-    for (std::size_t i = 0; i < drainCount; ++i) {
+    for (std::size_t i = 0; i < drainPauses.size(); ++i) {
         const Server &leaving = *servers[i];
         fleet.store.put("servers", leaving.id(), leaving.entry("draining"));
         drained.emplace_back(leaving.id(), Clock::now());
-        std::this_thread::sleep_for(drainPause);
+        std::this_thread::sleep_for(drainPauses[i]);
     }
     std::this_thread::sleep_for(drainLimit);
     traffic.stop();
