--- a/review/support/standins.cpp
+++ b/review/support/standins.cpp
@@ -201,13 +201,6 @@
         ::shutdown(m_descriptor, SHUT_RDWR);
 }
 
-void Socket::reset()
-{
-    const linger immediate{1, 0};
-    ::setsockopt(m_descriptor, SOL_SOCKET, SO_LINGER, &immediate, sizeof immediate);
-    close();
-}
-
 void Socket::close()
 {
     if (m_descriptor >= 0)
--- a/review/support/standins.h
+++ b/review/support/standins.h
@@ -77,8 +77,6 @@
     std::optional<std::string> receive(Milliseconds limit);
     /// Ends both directions without releasing the descriptor; wakes a receive() elsewhere.
     void shutdown();
-    /// Closes the connection with a reset.
-    void reset();
     void close();
 
 private:
