Log which feature has crashed most servers, and how many of its crashes count

'A server crashed.' told the number of suspects only, so that a chain of crashes that counts once looked like suspects of their own. It now names the feature with the most crashes, their number and the number that counts; 'Sent to a server.' tells the crashes known then.

--- a/packages/decision/include/bilberry/decision/crashsuspicion.h
+++ b/packages/decision/include/bilberry/decision/crashsuspicion.h
@@ -111,6 +111,19 @@
     /// @return the changes since the last call
     StoreChanges takeStoreChanges(TimePoint now);
 
+    /// Crashes of one feature.
+    struct CrashCount
+    {
+        RequestFeature feature = 0;
+        std::size_t crashes = 0;
+        std::size_t distinct = 0; ///< without those that coincide with another one
+        bool operator==(const CrashCount &) const = default;
+    };
+
+    /// @return the feature with the most distinct crashes and their numbers; the first one and 0
+    ///         when none of them is suspected
+    CrashCount mostCrashes(const std::vector<RequestFeature> &features) const;
+
     bool isEmpty() const { return m_suspects.empty(); }
     std::size_t suspectCount() const { return m_suspects.size(); }
     std::size_t quarantinedCount() const;
--- a/packages/decision/src/crashsuspicion.cpp
+++ b/packages/decision/src/crashsuspicion.cpp
@@ -165,6 +165,23 @@
     return mayProbe(suspect) ? Stage::Quarantined : Stage::Permanent;
 }
 
+CrashSuspicion::CrashCount
+CrashSuspicion::mostCrashes(const std::vector<RequestFeature> &features) const
+{
+    CrashCount most;
+    most.feature = features.empty() ? 0 : features.front();
+    for (const RequestFeature feature : features) {
+        const auto found = m_suspects.find(feature);
+        if (found == m_suspects.end())
+            continue;
+        const CrashCount count{feature, found->second.crashes.size(),
+                               distinctCrashes(found->second)};
+        if (std::pair(count.distinct, count.crashes) > std::pair(most.distinct, most.crashes))
+            most = count;
+    }
+    return most;
+}
+
 std::size_t CrashSuspicion::quarantinedCount() const
 {
     return static_cast<std::size_t>(
--- a/packages/direct/src/crashdetector.cpp
+++ b/packages/direct/src/crashdetector.cpp
@@ -1,5 +1,7 @@
 #include "crashdetector.h"
 
+#include "hexnumber.h"
+
 #include "bilberry/decision/rendezvous.h"
 
 namespace bilberry::direct {
@@ -61,10 +63,17 @@
     m_checks.erase(run);
     if (!crashed)
         return;
-    m_suspicion.recordCrash(run, {check->features.begin(), check->features.end()}, Clock::now());
+    const std::vector<decision::RequestFeature> features(check->features.begin(),
+                                                         check->features.end());
+    m_suspicion.recordCrash(run, features, Clock::now());
+    const auto most = m_suspicion.mostCrashes(features);
     m_log.decision("A server crashed.",
                    {{"server", check->server.id.text()},
-                    {"suspects", std::to_string(check->features.size())},
+                    {"run", toHex(run)},
+                    {"suspects", std::to_string(features.size())},
+                    {"feature", toHex(most.feature)},
+                    {"crashes", std::to_string(most.crashes)},
+                    {"distinctCrashes", std::to_string(most.distinct)},
                     {"quarantined", std::to_string(m_suspicion.quarantinedCount())}});
     onCrash();
 }
--- a/packages/direct/src/crashguard.cpp
+++ b/packages/direct/src/crashguard.cpp
@@ -28,6 +28,13 @@
     return m_suspicion.check(features(), Clock::now());
 }
 
+decision::CrashSuspicion::CrashCount CrashGuard::knownCrashes()
+{
+    if (m_suspicion.isEmpty())
+        return {};
+    return m_suspicion.mostCrashes(features());
+}
+
 void CrashGuard::startAttempt(const DirectServer &server, Admission admission)
 {
     m_server = server;
--- a/packages/direct/src/crashguard.h
+++ b/packages/direct/src/crashguard.h
@@ -27,6 +27,9 @@
     /// @return time until a refused request may be admitted
     Duration retryDelay() { return m_suspicion.retryDelay(features(), Clock::now()); }
 
+    /// @return crashes of what the request has in common with others; for the log
+    decision::CrashSuspicion::CrashCount knownCrashes();
+
     /// Records that the request is sent to a server.
     /// @param admission as it was returned for the attempt
     void startAttempt(const DirectServer &server, decision::CrashSuspicion::Admission admission);
--- a/packages/direct/src/crashrecords.cpp
+++ b/packages/direct/src/crashrecords.cpp
@@ -1,5 +1,7 @@
 #include "crashrecords.h"
 
+#include "hexnumber.h"
+
 #include "bilberry/decision/rendezvous.h"
 
 #include <boost/asio/co_spawn.hpp>
@@ -11,7 +13,6 @@
 #include <boost/json.hpp>
 
 #include <algorithm>
-#include <charconv>
 
 namespace bilberry::direct {
 
@@ -25,25 +26,6 @@
 constexpr Duration retryDelay = std::chrono::seconds(1);
 /// Routers that write a record, so that the loss of one of them does not lose it.
 constexpr std::size_t writersPerRecord = 2;
-constexpr int hexadecimal = 16;
-
-std::string toHex(std::uint64_t number)
-{
-    std::array<char, 16> digits{};
-    const auto written
-            = std::to_chars(digits.data(), digits.data() + digits.size(), number, hexadecimal);
-    return {digits.data(), written.ptr};
-}
-
-std::optional<std::uint64_t> parseHex(std::string_view text)
-{
-    std::uint64_t number = 0;
-    const char *end = text.data() + text.size();
-    const auto parsed = std::from_chars(text.data(), end, number, hexadecimal);
-    if (parsed.ec != std::errc() || parsed.ptr != end)
-        return std::nullopt;
-    return number;
-}
 
 std::int64_t toUnixMs(system_clock::time_point time)
 {
--- a/packages/direct/src/requesthandler.cpp
+++ b/packages/direct/src/requesthandler.cpp
@@ -202,6 +202,7 @@
                             {"cachedTokens", std::to_string(choice.cachedTokens)},
                             {"mostCachedTokens", std::to_string(choice.mostCachedTokens)},
                             {"plan", std::to_string(m_plan->version())},
+                            {"suspectCrashes", std::to_string(m_crashGuard.knownCrashes().crashes)},
                             {"remainingMs", toMillisecondsText(remainingTime())}});
     m_attempt = std::make_shared<ServerAttempt>(m_context.connections, choice.server,
                                                 m_context.headerNames.requestId, m_requestId,
