Count each crash of attempts that were sent one after another

Cause: crashes within 250 ms count as one, so that an availability zone that fails accuses nothing that was in flight at its servers. A retry is sent within a millisecond of the crash before, so the attempts of one request, and the crashes of a request that comes in groups, counted once for three servers. Class: time stands in for causality.

Change: a crash also counts when a request was sent to that server after its router had seen an earlier crash of the same feature. The router that sees the crash decides by its own clock and tells the others ('resent' in gossip and store records), so that delays between routers don't matter. Requests sent before the first crash still count once.

The direct test failed before: 8 arrivals, bound 5.

Gossip of crashes has one more field: routers of the version before and of this one don't understand each other's crash notices during a rollout.

--- a/packages/decision/include/bilberry/decision/crashsuspicion.h
+++ b/packages/decision/include/bilberry/decision/crashsuspicion.h
@@ -26,6 +26,8 @@
     {
         ServerRun run = 0;
         Duration age{};
+        bool resent
+                = false; ///< a request with the feature was sent after an earlier crash was seen
         bool operator==(const Crash &) const = default;
     };
 
@@ -42,8 +44,9 @@
     std::size_t quarantineThreshold = 3;
     /// Crashes of a quarantined feature, coincident ones too, from which on there are no probes.
     std::size_t permanentThreshold = 5;
-    /// Crashes within this time count as one for the quarantine: when an availability zone fails,
-    /// one feature may be in flight at several of its servers.
+    /// Crashes within this time count as one for the quarantine, unless the request was sent after
+    /// the earlier one was seen: when an availability zone fails, one feature may be in flight at
+    /// several of its servers.
     Duration coincidence = std::chrono::milliseconds(250);
     /// Minimum time between probes. Each router waits up to twice as long, so that their probes
     /// rarely meet.
@@ -86,7 +89,10 @@
 
     /// Records a crash.
     /// @param features of a request that waited for its answer at the server
-    void recordCrash(ServerRun run, const std::vector<RequestFeature> &features, TimePoint now);
+    /// @param sentAt when that request was sent
+    /// @param crashedAt when its connection ended
+    void recordCrash(ServerRun run, const std::vector<RequestFeature> &features, TimePoint sentAt,
+                     TimePoint crashedAt);
 
     /// Records a complete answer to a request with these features.
     void recordAnswer(const std::vector<RequestFeature> &features, TimePoint now);
@@ -137,9 +143,16 @@
 private:
     enum class Stage { Suspected, Quarantined, Permanent };
 
+    struct SeenCrash
+    {
+        TimePoint at{};
+        TimePoint sentAt{};  ///< of the newest request; unset when another router saw the crash
+        bool resent = false; ///< see CrashSuspect::Crash; as the other routers say
+    };
+
     struct Suspect
     {
-        std::map<ServerRun, TimePoint> crashes;
+        std::map<ServerRun, SeenCrash> crashes;
         std::set<ServerRun> cleared;
         std::uint32_t probes = 0;
         Stage stored = Stage::Suspected; ///< as of the last takeStoreChanges()
@@ -147,6 +160,7 @@
         TimePoint changedAt{};
     };
 
+    static bool isResent(const Suspect &suspect, const SeenCrash &crash);
     std::size_t distinctCrashes(const Suspect &suspect) const;
     bool isQuarantined(const Suspect &suspect) const;
     Stage stage(const Suspect &suspect) const;
@@ -154,7 +168,7 @@
     {
         return suspect.crashes.size() < m_settings.permanentThreshold;
     }
-    void addCrash(Suspect &suspect, ServerRun run, TimePoint at, TimePoint now);
+    void addCrash(Suspect &suspect, ServerRun run, const SeenCrash &crash, TimePoint now);
     static void clearCrashes(Suspect &suspect);
     void setNextProbe(Suspect &suspect, TimePoint now) const;
     void markChanged(RequestFeature feature, Suspect &suspect, TimePoint now);
--- a/packages/decision/src/crashsuspicion.cpp
+++ b/packages/decision/src/crashsuspicion.cpp
@@ -62,14 +62,14 @@
 }
 
 void CrashSuspicion::recordCrash(ServerRun run, const std::vector<RequestFeature> &features,
-                                 TimePoint now)
+                                 TimePoint sentAt, TimePoint crashedAt)
 {
     for (const RequestFeature feature : features) {
-        if (isAnsweredRecently(feature, now))
+        if (isAnsweredRecently(feature, crashedAt))
             continue;
         Suspect &suspect = m_suspects[feature];
-        addCrash(suspect, run, now, now);
-        markChanged(feature, suspect, now);
+        addCrash(suspect, run, {crashedAt, sentAt, false}, crashedAt);
+        markChanged(feature, suspect, crashedAt);
     }
     evictExcessSuspects();
 }
@@ -101,7 +101,7 @@
     // An expired crash must not come back from a router that learned of it later.
     for (const CrashSuspect::Crash &crash : reported.crashes) {
         if (crash.age <= m_settings.lifetime)
-            addCrash(suspect, crash.run, now - crash.age, now);
+            addCrash(suspect, crash.run, {now - crash.age, {}, crash.resent}, now);
     }
     if (reported.probes > suspect.probes) {
         suspect.probes = reported.probes;
@@ -200,27 +200,39 @@
 {
     for (auto &[feature, suspect] : m_suspects) {
         std::erase_if(suspect.crashes,
-                      [&](const auto &crash) { return now - crash.second > m_settings.lifetime; });
+                      [&](const auto &seen) { return now - seen.second.at > m_settings.lifetime; });
     }
     std::erase_if(m_suspects, [&](const auto &item) {
         return item.second.crashes.empty() && now - item.second.changedAt > m_settings.lifetime;
     });
 }
 
+/// @return true when a request was sent to the server that crashed after another server had
+/// crashed, so that both crashes can't have a common cause outside of the requests
+bool CrashSuspicion::isResent(const Suspect &suspect, const SeenCrash &crash)
+{
+    return crash.resent
+           || std::any_of(suspect.crashes.begin(), suspect.crashes.end(), [&](const auto &other) {
+                  return &other.second != &crash && crash.sentAt >= other.second.at;
+              });
+}
+
 /// @return number of crashes, those that coincide counted once
 std::size_t CrashSuspicion::distinctCrashes(const Suspect &suspect) const
 {
-    std::vector<TimePoint> times;
-    times.reserve(suspect.crashes.size());
-    for (const auto &[run, at] : suspect.crashes)
-        times.push_back(at);
-    std::sort(times.begin(), times.end());
+    std::vector<const SeenCrash *> crashes;
+    crashes.reserve(suspect.crashes.size());
+    for (const auto &[run, crash] : suspect.crashes)
+        crashes.push_back(&crash);
+    std::sort(crashes.begin(), crashes.end(),
+              [](const SeenCrash *left, const SeenCrash *right) { return left->at < right->at; });
     std::size_t count = 0;
     TimePoint last{};
-    for (const TimePoint at : times) {
-        if (count > 0 && at - last < m_settings.coincidence)
+    for (const SeenCrash *crash : crashes) {
+        const bool coincides = count > 0 && crash->at - last < m_settings.coincidence;
+        if (coincides && !isResent(suspect, *crash))
             continue;
-        last = at;
+        last = crash->at;
         ++count;
     }
     return count;
@@ -232,14 +244,20 @@
            && distinctCrashes(suspect) >= m_settings.quarantineThreshold;
 }
 
-void CrashSuspicion::addCrash(Suspect &suspect, ServerRun run, TimePoint at, TimePoint now)
+void CrashSuspicion::addCrash(Suspect &suspect, ServerRun run, const SeenCrash &crash,
+                              TimePoint now)
 {
-    if (suspect.cleared.contains(run) || suspect.crashes.size() >= maxCrashesKept)
+    if (suspect.cleared.contains(run))
         return;
     const bool wasQuarantined = isQuarantined(suspect);
-    if (!suspect.crashes.emplace(run, at).second)
-        return;
-    suspect.changedAt = now;
+    const auto known = suspect.crashes.find(run);
+    if (known != suspect.crashes.end()) {
+        known->second.sentAt = std::max(known->second.sentAt, crash.sentAt);
+        known->second.resent = known->second.resent || crash.resent;
+    } else if (suspect.crashes.size() < maxCrashesKept) {
+        suspect.crashes.emplace(run, crash);
+        suspect.changedAt = now;
+    }
     if (!wasQuarantined && isQuarantined(suspect))
         setNextProbe(suspect, now);
 }
@@ -248,7 +266,7 @@
 {
     if (suspect.cleared.size() + suspect.crashes.size() > maxCrashesKept)
         suspect.cleared.clear();
-    for (const auto &[run, at] : suspect.crashes)
+    for (const auto &[run, crash] : suspect.crashes)
         suspect.cleared.insert(run);
     suspect.crashes.clear();
 }
@@ -301,8 +319,8 @@
 {
     CrashSuspect described;
     described.feature = feature;
-    for (const auto &[run, at] : suspect.crashes)
-        described.crashes.push_back({run, now - at});
+    for (const auto &[run, crash] : suspect.crashes)
+        described.crashes.push_back({run, now - crash.at, isResent(suspect, crash)});
     described.cleared.assign(suspect.cleared.begin(), suspect.cleared.end());
     described.probes = suspect.probes;
     return described;
--- a/packages/decision/tests/crashsuspicion_test.cpp
+++ b/packages/decision/tests/crashsuspicion_test.cpp
@@ -17,6 +17,8 @@
 constexpr RequestFeature crashing = 0xdead;
 constexpr RequestFeature otherCrashing = 0xbad;
 
+/// Time from a request to the crash of its server.
+constexpr auto crashDelay = 1ms;
 /// Time that a change takes to the other routers.
 constexpr auto exchangeDelay = 20ms;
 
@@ -58,7 +60,7 @@
     {
         ++m_crashes;
         for (const auto &[router, features] : waiting)
-            m_routers[router].recordCrash(m_crashes, features, m_now);
+            m_routers[router].recordCrash(m_crashes, features, m_now - crashDelay, m_now);
     }
 
     void advance(Duration duration)
@@ -311,6 +313,46 @@
     }
 }
 
+SCENARIO("pattern: a request that may be repeated crashes one server after another at once")
+{
+    CrashSuspicion router({});
+    CrashSuspicion other({});
+    TimePoint now = TimePoint() + 1h;
+    /// Sends the request, whose server crashes.
+    const auto sendAndCrash = [&](ServerRun run) {
+        const TimePoint sentAt = now;
+        now += crashDelay;
+        router.recordCrash(run, {crashing}, sentAt, now);
+    };
+    GIVEN("three attempts, each sent when the one before has crashed its server")
+    {
+        for (ServerRun run = 1; run <= 3; ++run)
+            sendAndCrash(run);
+        THEN("each crash counts, and further requests are refused")
+        {
+            CHECK(router.mostCrashes({crashing}).distinct == 3);
+            CHECK(router.check({crashing}, now) == Admission::Refuse);
+        }
+        THEN("another router refuses them, too, however long the notice was under way")
+        {
+            for (const CrashSuspect &suspect : router.takeChanged(now))
+                other.merge(suspect, now + 300ms);
+            CHECK(other.check({crashing}, now + 300ms) == Admission::Refuse);
+        }
+    }
+    GIVEN("three requests, sent at once before the first of their servers crashes")
+    {
+        const TimePoint sentAt = now;
+        for (ServerRun run = 1; run <= 3; ++run)
+            router.recordCrash(run, {crashing}, sentAt, now += 10ms);
+        THEN("the crashes count as one, which may have a cause outside of the requests")
+        {
+            CHECK(router.mostCrashes({crashing}).distinct == 1);
+            CHECK(router.check({crashing}, now) == Admission::Admit);
+        }
+    }
+}
+
 SCENARIO("suspicion takes bounded memory and ends")
 {
     CrashSuspicionSettings settings;
@@ -319,7 +361,7 @@
     GIVEN("crashes beside which every prompt is new")
     {
         for (std::size_t i = 0; i < 2 * settings.maxSuspects; ++i) {
-            suspicion.recordCrash(i, {2 * i, 2 * i + 1}, now);
+            suspicion.recordCrash(i, {2 * i, 2 * i + 1}, now - crashDelay, now);
             suspicion.recordAnswer({3 * i}, now);
         }
         THEN("the number of suspects is bounded, and so is what is told of them")
@@ -331,17 +373,17 @@
         {
             for (ServerRun run = 0; run < 3; ++run) {
                 now += 1s;
-                suspicion.recordCrash(0x100000U + run, {crashing}, now);
+                suspicion.recordCrash(0x100000U + run, {crashing}, now - crashDelay, now);
             }
             for (std::size_t i = 0; i < 2 * settings.maxSuspects; ++i)
-                suspicion.recordCrash(0x200000U + i, {0x300000U + i}, now);
+                suspicion.recordCrash(0x200000U + i, {0x300000U + i}, now - crashDelay, now);
             CHECK(suspicion.check({crashing}, now) == Admission::Refuse);
         }
     }
     GIVEN("a permanently quarantined part")
     {
         for (ServerRun run = 0; run < 5; ++run) {
-            suspicion.recordCrash(run, {crashing}, now);
+            suspicion.recordCrash(run, {crashing}, now - crashDelay, now);
             now += 1s;
         }
         CHECK(suspicion.check({crashing}, now + 1min) == Admission::Refuse);
@@ -368,7 +410,7 @@
     CrashSuspicion suspicion({});
     TimePoint now = TimePoint() + 1h;
     const auto crash = [&](ServerRun run) {
-        suspicion.recordCrash(run, {crashing}, now);
+        suspicion.recordCrash(run, {crashing}, now - crashDelay, now);
         now += 1s;
     };
     GIVEN("a part that has crashed two servers")
--- a/packages/direct/src/crashdetector.cpp
+++ b/packages/direct/src/crashdetector.cpp
@@ -25,7 +25,8 @@
 }
 
 void CrashDetector::recordBrokenAttempt(const DirectServer &server,
-                                        const std::vector<decision::RequestFeature> &features)
+                                        const std::vector<decision::RequestFeature> &features,
+                                        TimePoint sentAt)
 {
     if (features.empty())
         return;
@@ -39,7 +40,7 @@
                 connect(run);
         });
     }
-    check->features.insert(features.begin(), features.end());
+    check->attempts.push_back({features, sentAt});
 }
 
 void CrashDetector::connect(decision::ServerRun run)
@@ -63,14 +64,16 @@
     m_checks.erase(run);
     if (!crashed)
         return;
-    const std::vector<decision::RequestFeature> features(check->features.begin(),
-                                                         check->features.end());
-    m_suspicion.recordCrash(run, features, Clock::now());
-    const auto most = m_suspicion.mostCrashes(features);
+    std::set<decision::RequestFeature> suspects;
+    for (const BrokenAttempt &attempt : check->attempts) {
+        m_suspicion.recordCrash(run, attempt.features, attempt.sentAt, check->brokenAt);
+        suspects.insert(attempt.features.begin(), attempt.features.end());
+    }
+    const auto most = m_suspicion.mostCrashes({suspects.begin(), suspects.end()});
     m_log.decision("A server crashed.",
                    {{"server", check->server.id.text()},
                     {"run", toHex(run)},
-                    {"suspects", std::to_string(features.size())},
+                    {"suspects", std::to_string(suspects.size())},
                     {"feature", toHex(most.feature)},
                     {"crashes", std::to_string(most.crashes)},
                     {"distinctCrashes", std::to_string(most.distinct)},
--- a/packages/direct/src/crashdetector.h
+++ b/packages/direct/src/crashdetector.h
@@ -28,14 +28,22 @@
     /// Records that a connection ended before an answer was under way.
     /// @param server the server with the start time of the process that the request was sent to
     /// @param features of the request
+    /// @param sentAt when the request was sent
     void recordBrokenAttempt(const DirectServer &server,
-                             const std::vector<decision::RequestFeature> &features);
+                             const std::vector<decision::RequestFeature> &features,
+                             TimePoint sentAt);
 
     /// Called when a crash was recorded; set by the owner.
     std::function<void()> onCrash;
 
 private:
-    /// A run of a server's process that may have crashed, and the features of its requests.
+    struct BrokenAttempt
+    {
+        std::vector<decision::RequestFeature> features;
+        TimePoint sentAt{};
+    };
+
+    /// A run of a server's process that may have crashed, and the requests that failed there.
     struct Check
     {
         Check(boost::asio::io_context &io, DirectServer checked)
@@ -44,7 +52,8 @@
         }
 
         DirectServer server;
-        std::set<decision::RequestFeature> features;
+        TimePoint brokenAt = Clock::now(); ///< when the first attempt failed
+        std::vector<BrokenAttempt> attempts;
         boost::asio::steady_timer timer;
     };
 
--- a/packages/direct/src/crashguard.cpp
+++ b/packages/direct/src/crashguard.cpp
@@ -38,6 +38,7 @@
 void CrashGuard::startAttempt(const DirectServer &server, Admission admission)
 {
     m_server = server;
+    m_sentAt = Clock::now();
     m_bodyBeganAt = {};
     if (admission == Admission::Probe)
         m_suspicion.recordProbe(features(), Clock::now());
@@ -56,7 +57,7 @@
     const bool hasJustBegun
             = m_bodyBeganAt == TimePoint() || Clock::now() - m_bodyBeganAt < responseBeginning;
     if (hasJustBegun)
-        m_detector.recordBrokenAttempt(m_server, features());
+        m_detector.recordBrokenAttempt(m_server, features(), m_sentAt);
 }
 
 void CrashGuard::recordAnswer()
--- a/packages/direct/src/crashguard.h
+++ b/packages/direct/src/crashguard.h
@@ -49,7 +49,8 @@
     const CallerRequest &m_request;
     const HeaderNames &m_names;
     std::vector<decision::RequestFeature> m_features; ///< see features()
-    DirectServer m_server;     ///< of the attempt, as it was when the request was sent
+    DirectServer m_server; ///< of the attempt, as it was when the request was sent
+    TimePoint m_sentAt{};
     TimePoint m_bodyBeganAt{}; ///< in the attempt's response
 };
 
--- a/packages/direct/src/crashrecords.cpp
+++ b/packages/direct/src/crashrecords.cpp
@@ -36,6 +36,7 @@
 {
     decision::ServerRun run = 0;
     std::int64_t atMs = 0; ///< Unix time
+    bool resent = false;
 };
 
 std::optional<RecordedCrash> decodeCrash(const json::value &value)
@@ -48,7 +49,9 @@
     const auto number = parseHex(std::string_view(run->get_string()));
     if (!number)
         return std::nullopt;
-    return RecordedCrash{*number, at->get_int64()};
+    const json::value *resent = object->if_contains("resent");
+    return RecordedCrash{*number, at->get_int64(),
+                         resent && resent->is_bool() && resent->get_bool()};
 }
 
 } // namespace
@@ -58,7 +61,8 @@
     json::array crashes;
     for (const decision::CrashSuspect::Crash &crash : suspect.crashes) {
         const auto at = now - std::chrono::duration_cast<system_clock::duration>(crash.age);
-        crashes.push_back(json::object{{"run", toHex(crash.run)}, {"atMs", toUnixMs(at)}});
+        crashes.push_back(json::object{
+                {"run", toHex(crash.run)}, {"atMs", toUnixMs(at)}, {"resent", crash.resent}});
     }
     return {toHex(suspect.feature), json::serialize(json::object{{"crashes", crashes}})};
 }
@@ -87,8 +91,9 @@
     decision::CrashSuspect suspect;
     suspect.feature = *feature;
     for (const RecordedCrash &crash : recorded)
-        suspect.crashes.push_back(
-                {crash.run, std::chrono::milliseconds(newestAgeMs + newestMs - crash.atMs)});
+        suspect.crashes.push_back({crash.run,
+                                   std::chrono::milliseconds(newestAgeMs + newestMs - crash.atMs),
+                                   crash.resent});
     return suspect;
 }
 
--- a/packages/direct/src/peerexchange.cpp
+++ b/packages/direct/src/peerexchange.cpp
@@ -205,8 +205,9 @@
     for (const decision::CrashSuspect &suspect : suspects) {
         wire::CrashSuspectNotice notice{suspect.feature, {}, suspect.cleared, suspect.probes};
         for (const decision::CrashSuspect::Crash &crash : suspect.crashes)
-            notice.crashes.push_back(
-                    {crash.run, static_cast<std::uint32_t>(toMilliseconds(crash.age))});
+            notice.crashes.push_back({crash.run,
+                                      static_cast<std::uint32_t>(toMilliseconds(crash.age)),
+                                      crash.resent});
         gossip.suspects.push_back(std::move(notice));
     }
     m_socket.sendToAll(gossip);
@@ -271,7 +272,8 @@
     for (const wire::CrashSuspectNotice &notice : gossip.suspects) {
         decision::CrashSuspect suspect{notice.feature, {}, notice.cleared, notice.probes};
         for (const wire::CrashNotice &crash : notice.crashes)
-            suspect.crashes.push_back({crash.serverRun, std::chrono::milliseconds(crash.ageMs)});
+            suspect.crashes.push_back(
+                    {crash.serverRun, std::chrono::milliseconds(crash.ageMs), crash.resent});
         m_crashSuspicion.merge(suspect, now);
     }
 }
--- a/packages/direct/tests/crashingpart_test.cpp
+++ b/packages/direct/tests/crashingpart_test.cpp
@@ -162,6 +162,42 @@
     }
 }
 
+// The attempts of one request crash servers within milliseconds of each other, and all must count.
+SCENARIO("a repeated read that crashes servers soon reaches none, though it is sent to two each "
+         "time")
+{
+    int arrivals = 0;
+    std::list<ScriptedServer> servers;
+    std::vector<ScriptedServer *> all;
+    for (int i = 0; i < 12; ++i) {
+        servers.emplace_back([&](const ScriptedRequest &request) {
+            if (request.body != "crash")
+                return ScriptedAnswer{answer("200 OK", "whole")};
+            ++arrivals;
+            return ScriptedAnswer{"", Then::Crash};
+        });
+        all.push_back(&servers.back());
+    }
+    const RouterFixture router(all, acceptOldPlans);
+    GIVEN("a request that may be sent to two servers, sent again and again by its caller")
+    {
+        for (int i = 0; i < 8; ++i) {
+            router.call("/read/x", "", "crash");
+            std::this_thread::sleep_for(pauseBetweenRequests);
+        }
+        THEN("it is refused after few crashes, and other requests are served")
+        {
+            CHECK(arrivals <= maxCrashes);
+            CHECK(router.call("/read/x", "", "crash").contains("crashes-servers"));
+            // A request may find only servers that have just crashed, and is then refused.
+            int served = 0;
+            for (int i = 0; i < 10; ++i)
+                served += router.call("/read/x", "", "sound").status() == 200 ? 1 : 0;
+            CHECK(served >= 5);
+        }
+    }
+}
+
 // One part of a prompt must not crash server after server, whatever else the requests hold.
 SCENARIO("requests with a part that crashes servers soon reach none, at any router")
 {
--- a/packages/direct/tests/crashrecords_test.cpp
+++ b/packages/direct/tests/crashrecords_test.cpp
@@ -12,7 +12,7 @@
     const system_clock::time_point written(1000000h);
     decision::CrashSuspect suspect;
     suspect.feature = 0xfedcba9876543210U;
-    suspect.crashes = {{0xffffffffffffffffU, 4s}, {7, 1500ms}};
+    suspect.crashes = {{0xffffffffffffffffU, 4s, false}, {7, 1500ms, true}};
     const store::Item record = encodeCrashRecord(suspect, written);
     GIVEN("a record and the same clock")
     {
@@ -22,8 +22,9 @@
             REQUIRE(read);
             CHECK(read->feature == suspect.feature);
             REQUIRE(read->crashes.size() == 2);
-            CHECK(read->crashes[0] == decision::CrashSuspect::Crash{0xffffffffffffffffU, 14s});
-            CHECK(read->crashes[1] == decision::CrashSuspect::Crash{7, 11500ms});
+            CHECK(read->crashes[0]
+                  == decision::CrashSuspect::Crash{0xffffffffffffffffU, 14s, false});
+            CHECK(read->crashes[1] == decision::CrashSuspect::Crash{7, 11500ms, true});
         }
     }
     GIVEN("a clock that is behind the writer's")
--- a/packages/wire/include/bilberry/wire/gossipmessages.h
+++ b/packages/wire/include/bilberry/wire/gossipmessages.h
@@ -164,6 +164,7 @@
 {
     std::uint64_t serverRun = 0; ///< hash of the server's id and the start time of its process
     std::uint32_t ageMs = 0;
+    bool resent = false; ///< such a request was sent after an earlier crash was seen
     bool operator==(const CrashNotice &) const = default;
 };
 
--- a/packages/wire/src/serialization.h
+++ b/packages/wire/src/serialization.h
@@ -64,7 +64,7 @@
 BILBERRY_FIELDS(DirectRouterReport, m.sender, m.sequence, m.complete, m.loads, m.demands,
                 m.placements)
 BILBERRY_FIELDS(PlanProofQuery, m.sender, m.query)
-BILBERRY_FIELDS(CrashNotice, m.serverRun, m.ageMs)
+BILBERRY_FIELDS(CrashNotice, m.serverRun, m.ageMs, m.resent)
 BILBERRY_FIELDS(CrashSuspectNotice, m.feature, m.crashes, m.cleared, m.probes)
 BILBERRY_FIELDS(CrashSuspectGossip, m.sender, m.suspects)
 BILBERRY_FIELDS(PlanProofReply, m.sender, m.query, m.planVersion, m.storeRevision, m.ageUs)
