Keep crashes below the quarantine over the restart of all routers

Cause: a feature's first two crashes stood in the memory of the routers only. The store got them with the third one, and a router tells others of a suspect for two seconds after a change only, so that one that starts later learns nothing. Class: state that decides lives in processes that all restart.

Change: the store has the record from the second crash that counts (two writers, as before); one crash alone happens by chance and costs no call. For that one the routers repeat all suspects for two seconds when they hear a router that has started.

The decision test of what is told to the store expected nothing at two crashes; it now expects the record then, and nothing at one.

--- a/packages/decision/include/bilberry/decision/crashsuspicion.h
+++ b/packages/decision/include/bilberry/decision/crashsuspicion.h
@@ -107,11 +107,17 @@
     ///         at most 200, those with the most crashes first
     std::vector<CrashSuspect> summary(TimePoint now) const;
 
+    /// Includes every suspect in the summaries of the next two seconds, for a router that has
+    /// started and knows nothing yet.
+    void repeatAll(TimePoint now);
+
     /// What must be written to a store that serves routers which start later.
     struct StoreChanges
     {
-        std::vector<CrashSuspect> quarantined; ///< newly, or without probes from now on
-        std::vector<RequestFeature> cleared;   ///< were quarantined and have been answered since
+        /// Newly with as many crashes as leave one until the quarantine, quarantined, or without
+        /// probes from now on.
+        std::vector<CrashSuspect> suspected;
+        std::vector<RequestFeature> cleared; ///< were suspected so and have been answered since
     };
 
     /// @return the changes since the last call
@@ -141,7 +147,7 @@
     void expire(TimePoint now);
 
 private:
-    enum class Stage { Suspected, Quarantined, Permanent };
+    enum class Stage { Suspected, LikelyCause, Quarantined, Permanent };
 
     struct SeenCrash
     {
@@ -180,6 +186,7 @@
     CrashSuspicionSettings m_settings;
     std::unordered_map<RequestFeature, Suspect> m_suspects;
     std::unordered_set<RequestFeature> m_changed; ///< by this router since takeChanged()
+    TimePoint m_repeatAllUntil{};                 ///< see repeatAll()
     /// Features of answered requests, of this and of the last answerLifetime.
     std::unordered_set<RequestFeature> m_answered;
     std::unordered_set<RequestFeature> m_answeredBefore;
--- a/packages/decision/src/crashsuspicion.cpp
+++ b/packages/decision/src/crashsuspicion.cpp
@@ -131,7 +131,8 @@
 {
     std::vector<CrashSuspect> suspects;
     for (const auto &[feature, suspect] : m_suspects) {
-        if (isQuarantined(suspect) || now - suspect.changedAt < repeatTime)
+        const bool isRepeated = now < m_repeatAllUntil && !suspect.crashes.empty();
+        if (isRepeated || isQuarantined(suspect) || now - suspect.changedAt < repeatTime)
             suspects.push_back(describe(feature, suspect, now));
     }
     std::sort(suspects.begin(), suspects.end(),
@@ -142,6 +143,11 @@
     return suspects;
 }
 
+void CrashSuspicion::repeatAll(TimePoint now)
+{
+    m_repeatAllUntil = now + repeatTime;
+}
+
 CrashSuspicion::StoreChanges CrashSuspicion::takeStoreChanges(TimePoint now)
 {
     StoreChanges changes;
@@ -149,7 +155,7 @@
         const Stage current = stage(suspect);
         const Stage stored = std::exchange(suspect.stored, std::max(current, suspect.stored));
         if (current > stored)
-            changes.quarantined.push_back(describe(feature, suspect, now));
+            changes.suspected.push_back(describe(feature, suspect, now));
         if (stored == Stage::Suspected || !suspect.crashes.empty())
             continue;
         changes.cleared.push_back(feature);
@@ -160,8 +166,10 @@
 
 CrashSuspicion::Stage CrashSuspicion::stage(const Suspect &suspect) const
 {
-    if (!isQuarantined(suspect))
+    if (distinctCrashes(suspect) + 1 < m_settings.quarantineThreshold)
         return Stage::Suspected;
+    if (!isQuarantined(suspect))
+        return Stage::LikelyCause;
     return mayProbe(suspect) ? Stage::Quarantined : Stage::Permanent;
 }
 
--- a/packages/decision/tests/crashsuspicion_test.cpp
+++ b/packages/decision/tests/crashsuspicion_test.cpp
@@ -416,16 +416,28 @@
     GIVEN("a part that has crashed two servers")
     {
         crash(1);
+        CHECK(suspicion.takeStoreChanges(now).suspected.empty());
         crash(2);
-        CHECK(suspicion.takeStoreChanges(now).quarantined.empty());
+        const auto likely = suspicion.takeStoreChanges(now).suspected;
+        REQUIRE(likely.size() == 1);
+        CHECK(likely.front().crashes.size() == 2);
+        WHEN("a request with it is answered")
+        {
+            suspicion.recordAnswer({crashing}, now);
+            THEN("it is told once that it is cleared")
+            {
+                CHECK(suspicion.takeStoreChanges(now).cleared == Features{crashing});
+                CHECK(suspicion.takeStoreChanges(now).cleared.empty());
+            }
+        }
         WHEN("it crashes further ones")
         {
             crash(3);
-            const auto quarantined = suspicion.takeStoreChanges(now).quarantined;
+            const auto quarantined = suspicion.takeStoreChanges(now).suspected;
             crash(4);
-            const auto unchanged = suspicion.takeStoreChanges(now).quarantined;
+            const auto unchanged = suspicion.takeStoreChanges(now).suspected;
             crash(5);
-            const auto permanent = suspicion.takeStoreChanges(now).quarantined;
+            const auto permanent = suspicion.takeStoreChanges(now).suspected;
             THEN("it is told when it is quarantined, and when its probes end")
             {
                 REQUIRE(quarantined.size() == 1);
@@ -434,7 +446,7 @@
                 REQUIRE(permanent.size() == 1);
                 CHECK(permanent.front().feature == crashing);
                 CHECK(permanent.front().crashes.size() == 5);
-                CHECK(suspicion.takeStoreChanges(now).quarantined.empty());
+                CHECK(suspicion.takeStoreChanges(now).suspected.empty());
             }
         }
         WHEN("it is quarantined, and a request with it is answered")
--- a/packages/direct/src/crashrecords.cpp
+++ b/packages/direct/src/crashrecords.cpp
@@ -112,7 +112,7 @@
 void CrashRecords::saveChanges(const RouterId &router, const std::vector<RouterId> &others)
 {
     const auto changes = m_suspicion.takeStoreChanges(Clock::now());
-    if (changes.quarantined.empty() && changes.cleared.empty())
+    if (changes.suspected.empty() && changes.cleared.empty())
         return;
     std::vector<std::string> routers{router.text()};
     for (const RouterId &other : others)
@@ -122,7 +122,7 @@
         // The first router is this one.
         return std::find(writers.begin(), writers.end(), 0U) != writers.end();
     };
-    for (const decision::CrashSuspect &suspect : changes.quarantined) {
+    for (const decision::CrashSuspect &suspect : changes.suspected) {
         const store::Item item = encodeCrashRecord(suspect, system_clock::now());
         if (isWriter(item.name))
             asio::co_spawn(m_io, saveRecord(shared_from_this(), item), asio::detached);
--- a/packages/direct/src/crashrecords.h
+++ b/packages/direct/src/crashrecords.h
@@ -15,8 +15,8 @@
 
 namespace bilberry::direct {
 
-/// Keeps in the store what is refused because it crashes servers. Running routers tell each
-/// other; the store serves a fleet whose routers all restart at the same time.
+/// Keeps in the store what is refused because it crashes servers, or will be after one more crash.
+/// Running routers tell each other; the store serves a fleet whose routers all restart.
 class CrashRecords : public std::enable_shared_from_this<CrashRecords>
 {
 public:
--- a/packages/direct/src/peerexchange.cpp
+++ b/packages/direct/src/peerexchange.cpp
@@ -298,6 +298,8 @@
     auto &[incarnation, sequence] = m_lastReports[report.sender.router];
     if (incarnation == report.sender.incarnation && report.sequence <= sequence)
         return;
+    if (incarnation != report.sender.incarnation)
+        m_crashSuspicion.repeatAll(Clock::now());
     incarnation = report.sender.incarnation;
     sequence = report.sequence;
     const TimePoint now = Clock::now();
--- a/packages/direct/tests/crashingpart_test.cpp
+++ b/packages/direct/tests/crashingpart_test.cpp
@@ -24,6 +24,12 @@
 /// Pause between two requests, in which a router can notice a crash.
 constexpr auto pauseBetweenRequests = 150ms;
 
+/// More than the time within which a router writes what it suspects to the store, or tells another
+/// one that has started.
+constexpr auto recordPeriod = 1500ms;
+/// More than the time for which a router repeats a change to others.
+constexpr auto suspectRepeatTime = 2500ms;
+
 const std::string crashingPart = "dead:100";
 const std::string stream = streamHead + chunk("id: 1\ndata: a\n\n") + "0\r\n\r\n";
 
@@ -287,6 +293,72 @@
     }
 }
 
+// Crashes that don't suffice for a quarantine must not be forgotten when all routers restart.
+SCENARIO("routers that start count the crashes that the ones before have seen")
+{
+    const auto probeAtOnce = [](direct::DirectSettings &settings) {
+        acceptOldPlans(settings);
+        settings.crashSuspicion.coincidence = 10ms;
+        settings.crashSuspicion.probeInterval = 50ms;
+    };
+    CrashingServers servers(12);
+    GIVEN("a part that has crashed two servers, and the store with what their router wrote")
+    {
+        std::vector<store::Item> records;
+        {
+            const RouterFixture router(servers.all(), probeAtOnce);
+            for (int i = 0; i < 2; ++i) {
+                call(router, crashingPart + ",", i);
+                std::this_thread::sleep_for(pauseBetweenRequests);
+                call(router, "", firstSoundNumber + i);
+            }
+            std::this_thread::sleep_for(recordPeriod);
+            records = router.written("crash-suspects");
+        }
+        WHEN("another router starts")
+        {
+            const RouterFixture router(servers.all(), probeAtOnce, {{"crash-suspects", records}});
+            playCrashingPart({&router});
+            THEN("few further servers crash")
+            {
+                CHECK(servers.crashed() <= maxCrashes);
+            }
+        }
+    }
+    GIVEN("a part that has crashed one server some seconds ago, and the router that knows of it")
+    {
+        const std::uint16_t ports[] = {freePort(), freePort()};
+        const auto start = [&](int number) {
+            const int other = 1 - number;
+            const store::Item peer{"r" + std::to_string(other),
+                                   R"({"address":"127.0.0.1","port":)"
+                                           + std::to_string(ports[other]) + "}"};
+            return std::make_unique<RouterFixture>(
+                    servers.all(),
+                    [&](direct::DirectSettings &settings) {
+                        probeAtOnce(settings);
+                        settings.router = RouterId("r" + std::to_string(number));
+                        settings.peerEndpoint.port = ports[number];
+                    },
+                    RouterFixture::Collections{{"routers", {peer}}});
+        };
+        auto first = start(0);
+        call(*first, crashingPart + ",", 0);
+        std::this_thread::sleep_for(suspectRepeatTime);
+        WHEN("another router starts, and the first one ends")
+        {
+            const auto second = start(1);
+            std::this_thread::sleep_for(recordPeriod);
+            first.reset();
+            playCrashingPart({second.get()});
+            THEN("few further servers crash")
+            {
+                CHECK(servers.crashed() <= maxCrashes);
+            }
+        }
+    }
+}
+
 // What crashes servers must not be forgotten when all routers restart at the same time.
 SCENARIO("a router that starts after all others have ended refuses what crashed servers before")
 {
