Probe a quarantined request in turn, and ever more rarely without an answer

What callers would see: a request that is known to crash servers is tried again every 5 to 10 s at each router, as long as no probe gets an answer: its callers leave, or its servers stay silent. Probes of routers whose times lie close together may also start before they hear of each other.

Cause: the bound was on crashes that were seen, not on sends: only a probe that crashes its server counted. Class: a budget that is charged by the outcome.

Change: a probe multiplies the time to the next one by eight, whatever becomes of it, and stands in the store's record. Routers probe in the rendezvous order of the feature, 500 ms apart, more than a report takes; the fixed phase of each router is gone.

The decision test failed on the code before (with its phases): 12 probes in 60 s at 20 routers, bound 3.

--- a/packages/decision/include/bilberry/decision/crashsuspicion.h
+++ b/packages/decision/include/bilberry/decision/crashsuspicion.h
@@ -4,6 +4,7 @@
 #include "bilberry/base/time.h"
 
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <set>
 #include <unordered_map>
@@ -48,11 +49,13 @@
     /// the earlier one was seen: when an availability zone fails, one feature may be in flight at
     /// several of its servers.
     Duration coincidence = std::chrono::milliseconds(250);
-    /// Minimum time between probes. Each router waits up to twice as long, so that their probes
-    /// rarely meet.
+    /// Time from the quarantine to the first probe.
     Duration probeInterval = std::chrono::seconds(5);
-    /// Fraction of probeInterval that this router adds, from 0 to 1.
-    double probePhase = 0.0;
+    /// Factor by which the interval grows with each probe that got no answer.
+    double probeBackoff = 8.0;
+    /// Time that each router lets the ones before it in the feature's order probe first: more than
+    /// a report takes from one to another.
+    Duration probeTurn = std::chrono::milliseconds(500);
     /// Time for which an answer to a request with the feature keeps it from being suspected.
     Duration answerLifetime = std::chrono::seconds(1);
     /// Time for which a crash counts.
@@ -77,6 +80,13 @@
 
     explicit CrashSuspicion(CrashSuspicionSettings settings) : m_settings(settings) {}
 
+    /// @param hook returns how many routers come before this one in the order in which they probe
+    ///        the feature
+    void setProbeOrderHook(std::function<std::size_t(RequestFeature)> hook)
+    {
+        m_probeOrderHook = std::move(hook);
+    }
+
     /// @param features what the request has in common with others
     Admission check(const std::vector<RequestFeature> &features, TimePoint now) const;
 
@@ -114,8 +124,8 @@
     /// What must be written to a store that serves routers which start later.
     struct StoreChanges
     {
-        /// Newly with as many crashes as leave one until the quarantine, quarantined, or without
-        /// probes from now on.
+        /// Newly with as many crashes as leave one until the quarantine, quarantined, probed, or
+        /// without probes from now on.
         std::vector<CrashSuspect> suspected;
         std::vector<RequestFeature> cleared; ///< were suspected so and have been answered since
     };
@@ -162,6 +172,7 @@
         std::set<ServerRun> cleared;
         std::uint32_t probes = 0;
         Stage stored = Stage::Suspected; ///< as of the last takeStoreChanges()
+        std::uint32_t storedProbes = 0;  ///< the same
         TimePoint nextProbeAt{};
         TimePoint changedAt{};
     };
@@ -174,9 +185,10 @@
     {
         return suspect.crashes.size() < m_settings.permanentThreshold;
     }
-    void addCrash(Suspect &suspect, ServerRun run, const SeenCrash &crash, TimePoint now);
+    void addCrash(RequestFeature feature, Suspect &suspect, ServerRun run, const SeenCrash &crash,
+                  TimePoint now);
     static void clearCrashes(Suspect &suspect);
-    void setNextProbe(Suspect &suspect, TimePoint now) const;
+    void setNextProbe(RequestFeature feature, Suspect &suspect, TimePoint now) const;
     void markChanged(RequestFeature feature, Suspect &suspect, TimePoint now);
     bool isAnsweredRecently(RequestFeature feature, TimePoint now);
     void rotateAnswered(TimePoint now);
@@ -184,6 +196,8 @@
     static CrashSuspect describe(RequestFeature feature, const Suspect &suspect, TimePoint now);
 
     CrashSuspicionSettings m_settings;
+    std::function<std::size_t(RequestFeature)> m_probeOrderHook
+            = [](RequestFeature) { return std::size_t{0}; };
     std::unordered_map<RequestFeature, Suspect> m_suspects;
     std::unordered_set<RequestFeature> m_changed; ///< by this router since takeChanged()
     TimePoint m_repeatAllUntil{};                 ///< see repeatAll()
--- a/packages/decision/src/crashsuspicion.cpp
+++ b/packages/decision/src/crashsuspicion.cpp
@@ -1,6 +1,7 @@
 #include "bilberry/decision/crashsuspicion.h"
 
 #include <algorithm>
+#include <cmath>
 #include <utility>
 
 namespace bilberry::decision {
@@ -56,7 +57,7 @@
         if (found == m_suspects.end() || !isQuarantined(found->second))
             continue;
         ++found->second.probes;
-        setNextProbe(found->second, now);
+        setNextProbe(feature, found->second, now);
         markChanged(feature, found->second, now);
     }
 }
@@ -68,7 +69,7 @@
         if (isAnsweredRecently(feature, crashedAt))
             continue;
         Suspect &suspect = m_suspects[feature];
-        addCrash(suspect, run, {crashedAt, sentAt, false}, crashedAt);
+        addCrash(feature, suspect, run, {crashedAt, sentAt, false}, crashedAt);
         markChanged(feature, suspect, crashedAt);
     }
     evictExcessSuspects();
@@ -101,11 +102,12 @@
     // An expired crash must not come back from a router that learned of it later.
     for (const CrashSuspect::Crash &crash : reported.crashes) {
         if (crash.age <= m_settings.lifetime)
-            addCrash(suspect, crash.run, {now - crash.age, {}, crash.resent}, now);
+            addCrash(reported.feature, suspect, crash.run, {now - crash.age, {}, crash.resent},
+                     now);
     }
     if (reported.probes > suspect.probes) {
         suspect.probes = reported.probes;
-        setNextProbe(suspect, now);
+        setNextProbe(reported.feature, suspect, now);
     }
     if (!suspect.crashes.empty() && isAnsweredRecently(reported.feature, now)) {
         clearCrashes(suspect);
@@ -154,7 +156,10 @@
     for (auto &[feature, suspect] : m_suspects) {
         const Stage current = stage(suspect);
         const Stage stored = std::exchange(suspect.stored, std::max(current, suspect.stored));
-        if (current > stored)
+        const bool isProbed
+                = current != Stage::Suspected
+                  && std::exchange(suspect.storedProbes, suspect.probes) < suspect.probes;
+        if (current > stored || isProbed)
             changes.suspected.push_back(describe(feature, suspect, now));
         if (stored == Stage::Suspected || !suspect.crashes.empty())
             continue;
@@ -252,8 +257,8 @@
            && distinctCrashes(suspect) >= m_settings.quarantineThreshold;
 }
 
-void CrashSuspicion::addCrash(Suspect &suspect, ServerRun run, const SeenCrash &crash,
-                              TimePoint now)
+void CrashSuspicion::addCrash(RequestFeature feature, Suspect &suspect, ServerRun run,
+                              const SeenCrash &crash, TimePoint now)
 {
     if (suspect.cleared.contains(run))
         return;
@@ -267,7 +272,7 @@
         suspect.changedAt = now;
     }
     if (!wasQuarantined && isQuarantined(suspect))
-        setNextProbe(suspect, now);
+        setNextProbe(feature, suspect, now);
 }
 
 void CrashSuspicion::clearCrashes(Suspect &suspect)
@@ -279,11 +284,15 @@
     suspect.crashes.clear();
 }
 
-void CrashSuspicion::setNextProbe(Suspect &suspect, TimePoint now) const
+void CrashSuspicion::setNextProbe(RequestFeature feature, Suspect &suspect, TimePoint now) const
 {
-    suspect.nextProbeAt = now
-                          + fromMilliseconds(toMilliseconds(m_settings.probeInterval)
-                                             * (1.0 + m_settings.probePhase));
+    const double interval = toMilliseconds(m_settings.probeInterval)
+                            * std::pow(m_settings.probeBackoff, suspect.probes);
+    const double turn
+            = toMilliseconds(m_settings.probeTurn) * static_cast<double>(m_probeOrderHook(feature));
+    suspect.nextProbeAt
+            = now
+              + fromMilliseconds(std::min(interval + turn, toMilliseconds(m_settings.lifetime)));
 }
 
 void CrashSuspicion::markChanged(RequestFeature feature, Suspect &suspect, TimePoint now)
--- a/packages/decision/tests/crashsuspicion_test.cpp
+++ b/packages/decision/tests/crashsuspicion_test.cpp
@@ -30,9 +30,8 @@
     explicit Fleet(std::size_t routers)
     {
         for (std::size_t i = 0; i < routers; ++i) {
-            CrashSuspicionSettings settings;
-            settings.probePhase = static_cast<double>(i) / static_cast<double>(routers);
-            m_routers.emplace_back(settings);
+            m_routers.emplace_back(CrashSuspicionSettings());
+            m_routers.back().setProbeOrderHook([i](RequestFeature) { return i; });
         }
     }
 
@@ -55,6 +54,16 @@
         return true;
     }
 
+    /// Sends a request whose caller leaves before there is an answer; returns false when it is
+    /// refused.
+    bool probeWithoutAnswer(std::size_t router, const Features &features)
+    {
+        if (m_routers[router].check(features, m_now) == Admission::Refuse)
+            return false;
+        m_routers[router].recordProbe(features, m_now);
+        return true;
+    }
+
     /// Crashes a server at which requests of some routers wait for their answers.
     void crashServer(const std::vector<std::pair<std::size_t, Features>> &waiting)
     {
@@ -313,6 +322,33 @@
     }
 }
 
+// Probes whose callers leave, or whose servers stay silent, must not go on every few seconds.
+SCENARIO("pattern: probes of a quarantined request get no answer")
+{
+    Fleet fleet(20);
+    GIVEN("a request that has crashed three servers")
+    {
+        for (std::size_t i = 0; i < 3; ++i) {
+            fleet.send(i, {crashing});
+            fleet.advance(1s);
+        }
+        WHEN("it comes to all routers ten times a second, and no probe gets an answer")
+        {
+            int probes = 0;
+            for (Duration done{}; done < 60s; done += 100ms) {
+                for (std::size_t router = 0; router < fleet.size(); ++router)
+                    probes += fleet.probeWithoutAnswer(router, {crashing}) ? 1 : 0;
+                fleet.advance(100ms);
+            }
+            THEN("few probes reach a server")
+            {
+                CHECK(probes >= 1);
+                CHECK(probes <= 3);
+            }
+        }
+    }
+}
+
 SCENARIO("pattern: a request that may be repeated crashes one server after another at once")
 {
     CrashSuspicion router({});
--- a/packages/direct/src/crashrecords.cpp
+++ b/packages/direct/src/crashrecords.cpp
@@ -64,7 +64,8 @@
         crashes.push_back(json::object{
                 {"run", toHex(crash.run)}, {"atMs", toUnixMs(at)}, {"resent", crash.resent}});
     }
-    return {toHex(suspect.feature), json::serialize(json::object{{"crashes", crashes}})};
+    return {toHex(suspect.feature),
+            json::serialize(json::object{{"crashes", crashes}, {"probes", suspect.probes}})};
 }
 
 std::optional<decision::CrashSuspect> decodeCrashRecord(const store::Item &item,
@@ -90,6 +91,9 @@
     const std::int64_t newestAgeMs = std::max<std::int64_t>(0, toUnixMs(now) - newestMs);
     decision::CrashSuspect suspect;
     suspect.feature = *feature;
+    const json::value *probes = object->if_contains("probes");
+    if (probes && probes->is_int64() && probes->get_int64() >= 0)
+        suspect.probes = static_cast<std::uint32_t>(probes->get_int64());
     for (const RecordedCrash &crash : recorded)
         suspect.crashes.push_back({crash.run,
                                    std::chrono::milliseconds(newestAgeMs + newestMs - crash.atMs),
--- a/packages/direct/src/directrouter.cpp
+++ b/packages/direct/src/directrouter.cpp
@@ -16,6 +16,8 @@
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/steady_timer.hpp>
 
+#include <algorithm>
+
 namespace bilberry::direct {
 
 namespace asio = boost::asio;
@@ -34,16 +36,6 @@
     return {asio::ip::make_address(endpoint.address), endpoint.port};
 }
 
-/// Spreads the probes of the routers.
-decision::CrashSuspicionSettings suspicionSettings(const DirectSettings &settings)
-{
-    decision::CrashSuspicionSettings suspicion = settings.crashSuspicion;
-    constexpr double hashRange = 18446744073709551616.0;
-    suspicion.probePhase
-            = static_cast<double>(decision::stableHash(settings.router.text())) / hashRange;
-    return suspicion;
-}
-
 RefusalReason refusalReason(RequestError error)
 {
     switch (error) {
@@ -66,7 +58,7 @@
     Impl(const DirectSettings &settings, PlatformAdapter adapter)
         : settings(settings), adapter(std::move(adapter)), random(std::random_device{}()),
           serverSelector(settings.serverSelector), usageMeter(settings.fairnessWindow),
-          crashSuspicion(suspicionSettings(settings)), connections(io, settings.connectTimeout),
+          crashSuspicion(settings.crashSuspicion), connections(io, settings.connectTimeout),
           crashDetector(io, connections, crashSuspicion, log), housekeepingTimer(io), lagTimer(io),
           stopTimer(io), requestContext{.io = io,
                                         .settings = this->settings,
@@ -142,6 +134,8 @@
                                                       adapter.collections.routers, serverSelector,
                                                       usageMeter, crashSuspicion);
         crashDetector.onCrash = [this] { peerExchange->handleSuspicionChange(); };
+        crashSuspicion.setProbeOrderHook(
+                [this](decision::RequestFeature feature) { return probeOrder(feature); });
         crashRecords = std::make_shared<CrashRecords>(
                 io, *collectionStore, adapter.collections.crashSuspects, crashSuspicion, log);
         state = std::make_unique<PlatformState>(io, settings, adapter, *collectionStore,
@@ -149,6 +143,19 @@
                                                 random);
     }
 
+    /// @return number of routers that come before this one in the rendezvous order of the feature
+    std::size_t probeOrder(decision::RequestFeature feature) const
+    {
+        const auto weight = [feature](const RouterId &router) {
+            return decision::rendezvousWeight(feature, decision::stableHash(router.text()));
+        };
+        const std::uint64_t own = weight(settings.router);
+        const std::vector<RouterId> others = peerExchange->routers();
+        return static_cast<std::size_t>(
+                std::count_if(others.begin(), others.end(),
+                              [&](const RouterId &other) { return weight(other) > own; }));
+    }
+
     void start()
     {
         callers->start();
--- a/packages/direct/tests/crashrecords_test.cpp
+++ b/packages/direct/tests/crashrecords_test.cpp
@@ -13,6 +13,7 @@
     decision::CrashSuspect suspect;
     suspect.feature = 0xfedcba9876543210U;
     suspect.crashes = {{0xffffffffffffffffU, 4s, false}, {7, 1500ms, true}};
+    suspect.probes = 1;
     const store::Item record = encodeCrashRecord(suspect, written);
     GIVEN("a record and the same clock")
     {
@@ -21,6 +22,7 @@
         {
             REQUIRE(read);
             CHECK(read->feature == suspect.feature);
+            CHECK(read->probes == 1);
             REQUIRE(read->crashes.size() == 2);
             CHECK(read->crashes[0]
                   == decision::CrashSuspect::Crash{0xffffffffffffffffU, 14s, false});
