Count crashes of a server that restarts while its entry is out of date

Cause: a crash is known by the server's id and the start time in its entry. While the store doesn't respond, or the watch is behind, a server that starts again under its old id keeps the run that has crashed, and each further crash there counted as the first one. Class: an identity taken from an outdated list.

Change: a crash of a run to which the request was sent a second or more after that run had crashed is the crash of another run. All routers that saw the first crash derive the same one.

The decision test failed before: three crashes 4 s apart counted as one.

--- a/packages/decision/include/bilberry/decision/crashsuspicion.h
+++ b/packages/decision/include/bilberry/decision/crashsuspicion.h
@@ -177,6 +177,7 @@
         TimePoint changedAt{};
     };
 
+    static ServerRun runAt(const Suspect &suspect, ServerRun run, TimePoint sentAt);
     static bool isResent(const Suspect &suspect, const SeenCrash &crash);
     std::size_t distinctCrashes(const Suspect &suspect) const;
     bool isQuarantined(const Suspect &suspect) const;
--- a/packages/decision/src/crashsuspicion.cpp
+++ b/packages/decision/src/crashsuspicion.cpp
@@ -12,6 +12,8 @@
 constexpr std::size_t maxCrashesKept = 16;
 /// Time for which a change is repeated to the other routers, whose datagrams may get lost.
 constexpr Duration repeatTime = std::chrono::seconds(2);
+/// Time that a server needs at least to start again after a crash.
+constexpr Duration minRestartTime = std::chrono::seconds(1);
 /// Suspects in one summary, which keeps it within one datagram.
 constexpr std::size_t maxSummarySize = 200;
 
@@ -69,7 +71,8 @@
         if (isAnsweredRecently(feature, crashedAt))
             continue;
         Suspect &suspect = m_suspects[feature];
-        addCrash(feature, suspect, run, {crashedAt, sentAt, false}, crashedAt);
+        addCrash(feature, suspect, runAt(suspect, run, sentAt), {crashedAt, sentAt, false},
+                 crashedAt);
         markChanged(feature, suspect, crashedAt);
     }
     evictExcessSuspects();
@@ -220,6 +223,17 @@
     });
 }
 
+/// @return the run of the server's process to which a request was sent: not the given one when that
+/// one had crashed some time before. The list of servers may be out of date, and a server may start
+/// again under the id that it had.
+ServerRun CrashSuspicion::runAt(const Suspect &suspect, ServerRun run, TimePoint sentAt)
+{
+    auto known = suspect.crashes.find(run);
+    while (known != suspect.crashes.end() && sentAt - known->second.at >= minRestartTime)
+        known = suspect.crashes.find(++run);
+    return run;
+}
+
 /// @return true when a request was sent to the server that crashed after another server had
 /// crashed, so that both crashes can't have a common cause outside of the requests
 bool CrashSuspicion::isResent(const Suspect &suspect, const SeenCrash &crash)
--- a/packages/decision/tests/crashsuspicion_test.cpp
+++ b/packages/decision/tests/crashsuspicion_test.cpp
@@ -389,6 +389,35 @@
     }
 }
 
+// While the store doesn't respond, a server that restarts under its old id looks like the one that
+// crashed.
+SCENARIO("pattern: a request crashes the same server again and again, and the list is out of date")
+{
+    CrashSuspicion router({});
+    TimePoint now = TimePoint() + 1h;
+    constexpr ServerRun listedRun = 7;
+    GIVEN("three crashes of one listed run, seconds apart")
+    {
+        for (int i = 0; i < 3; ++i) {
+            now += 4s;
+            router.recordCrash(listedRun, {crashing}, now - crashDelay, now);
+        }
+        THEN("each counts")
+        {
+            CHECK(router.check({crashing}, now) == Admission::Refuse);
+        }
+    }
+    GIVEN("three attempts that fail at the same crash")
+    {
+        for (int i = 0; i < 3; ++i)
+            router.recordCrash(listedRun, {crashing}, now + i * 10ms, now + i * 100ms);
+        THEN("it counts once")
+        {
+            CHECK(router.mostCrashes({crashing}).crashes == 1);
+        }
+    }
+}
+
 SCENARIO("suspicion takes bounded memory and ends")
 {
     CrashSuspicionSettings settings;
