Send a server no more requests than it says that it takes

What operators saw: a back end that names a limit of requests a second got two to four times as many (39 in 4 s at 2.7 a second).

Cause: no code read the header. Class: a server's own word about its load is ignored in favour of the routers' model of it.

Change: RequestLimit. The limit counts all routers' requests, so each router has every N-th turn of the server's rate; the turns start in the rendezvous order of the server and are valid for a while, which bounds what may come at once after a pause. First sends, retries and resumed streams all take one in startAttempt(). Without a turn the server isn't chosen; without any server callers get a true 503 at once. The newest answer holds, also for the end of the limit; routers tell each other in datagrams and count the age, so that one that starts, or gets no answer from there, keeps it too. A router that is cut off keeps its N-th. A restarted server has no limit. Limits below 0.1 a second count as 0.1, so that answers go on telling them; values that are no finite decimal number are ignored and logged. Weighed: counting all routers' sends by their reports needs a bound for what is under way between N routers (N requests at once at 68 routers), so it would need turns as well.

--- /dev/null
+++ b/packages/decision/include/bilberry/decision/requestlimit.h
@@ -0,0 +1,64 @@
+#ifndef BILBERRY_DECISION_REQUESTLIMIT_H
+#define BILBERRY_DECISION_REQUESTLIMIT_H
+
+#include "bilberry/base/time.h"
+
+#include <cstddef>
+#include <optional>
+
+namespace bilberry::decision {
+
+/// This router's place among all routers that send to a server.
+struct RouterPlace
+{
+    std::size_t routers = 1; ///< all of them, this one included
+    std::size_t before = 0;  ///< those that come before this one in the server's order
+    bool operator==(const RouterPlace &) const = default;
+};
+
+/// The rate of requests that a server takes from all routers together, as it says itself, and this
+/// router's part of it. Each router has turns at even intervals, each of which is valid for a
+/// while; the turns of all routers are spread. So they keep the limit together without an exchange
+/// for each request, and a router that hears nothing of the others keeps its part.
+class RequestLimit
+{
+public:
+    enum class Change {
+        None,
+        Began, ///< the server names a limit and named none before; startTurns() must follow
+        Other, ///< the limit has another value, or has ended
+    };
+
+    /// Applies what an answer of the server said. Older answers than the newest one are ignored.
+    /// @param perSecond limit of all routers together; absent when the answer named none
+    /// @param saidAt when this or another router received the answer
+    Change record(std::optional<double> perSecond, TimePoint saidAt);
+
+    /// Starts this router's turns.
+    void startTurns(const RouterPlace &place, TimePoint now);
+
+    /// @param routers number of all routers
+    /// @return true when the server names no limit, or a turn of this router is valid
+    bool allows(std::size_t routers, TimePoint now);
+
+    /// Records that a request is sent to the server, which takes one turn.
+    /// @param routers number of all routers
+    void recordSent(std::size_t routers);
+
+    std::optional<double> perSecond() const { return m_perSecond; }
+    /// @return when the answer was received that the limit, or its end, is known from; unset when
+    /// no
+    ///         answer has named a limit yet
+    TimePoint saidAt() const { return m_saidAt; }
+
+private:
+    Duration interval(std::size_t routers) const;
+
+    std::optional<double> m_perSecond;
+    TimePoint m_saidAt{};
+    TimePoint m_nextTurnAt{};
+};
+
+} // namespace bilberry::decision
+
+#endif
--- a/packages/decision/include/bilberry/decision/serverselector.h
+++ b/packages/decision/include/bilberry/decision/serverselector.h
@@ -4,6 +4,7 @@
 #include "bilberry/base/result.h"
 #include "bilberry/decision/peerloads.h"
 #include "bilberry/decision/promptcache.h"
+#include "bilberry/decision/requestlimit.h"
 #include "bilberry/decision/serverhealth.h"
 #include "bilberry/model/ids.h"
 #include "bilberry/model/trafficplan.h"
@@ -100,6 +101,16 @@
     bool operator==(const PlacedPrefix &) const = default;
 };
 
+/// The limit that a server has named, as routers tell each other.
+struct ReportedLimit
+{
+    ServerKey server = 0;
+    std::uint64_t startedAtMs = 0;   ///< start time of the server's process
+    std::optional<double> perSecond; ///< absent when the server names none any more
+    Duration age{};                  ///< since the answer that said so
+    bool operator==(const ReportedLimit &) const = default;
+};
+
 /// Identifies an attempt: one request sent to one server.
 using AttemptNumber = std::uint64_t;
 
@@ -137,6 +148,17 @@
     {
         m_prefixPlacedHook = std::move(hook);
     }
+    /// Records what an answer of the server says of the requests that it takes.
+    /// @param perSecond limit of all routers together; absent when the answer names none
+    /// @return true when the limit has changed
+    bool recordLimit(const ServerId &id, std::optional<double> perSecond, TimePoint now);
+    /// Applies what another router knows of a server's limit.
+    /// @return true when the limit has changed
+    bool mergeLimit(const ReportedLimit &limit, TimePoint now);
+    /// @return the limits that servers name, and those that have ended within the last seconds
+    std::vector<ReportedLimit> limits(TimePoint now) const;
+    /// @return number of servers that name a limit
+    std::size_t limitedCount() const;
     /// @return number of other routers whose newest report has not expired
     std::size_t livePeerCount(TimePoint now) const;
     /// @param zones zones that receive no requests; servers of a zone that is no longer in the set
@@ -175,6 +197,7 @@
         DirectServer descriptor;
         ServerKey key = 0;
         ServerHealth health;
+        RequestLimit limit;
         PromptCache cache;
         TimePoint coldUntil{};
         TimePoint nextColdRequestAt{}; ///< earliest time of the next request during a cold start
@@ -220,6 +243,10 @@
     void notifyLoadChanged(double changeMs) const;
     void markCold(Server &server, TimePoint now);
     void extendColdStart(Server &server, TimePoint until, TimePoint now);
+    std::size_t routerCount() const { return m_routersSeenAt.size() + 1; }
+    RouterPlace placeAt(const Server &server) const;
+    bool applyLimit(Server &server, std::optional<double> perSecond, TimePoint saidAt,
+                    TimePoint now);
     Duration coldRequestInterval(const Server &server) const;
     Server *find(const ServerId &id);
 
--- /dev/null
+++ b/packages/decision/src/requestlimit.cpp
@@ -0,0 +1,65 @@
+#include "bilberry/decision/requestlimit.h"
+
+#include <algorithm>
+#include <cmath>
+#include <utility>
+
+namespace bilberry::decision {
+
+namespace {
+
+/// Limits below this count as this one, so that answers go on telling the limit.
+constexpr double minPerSecond = 0.1;
+/// Time for which a turn is valid: the requests that wait for none can then exceed the limit by
+/// those of a second, and by two.
+constexpr double turnValidityS = 1.0;
+constexpr double turnValidityTurns = 2.0;
+constexpr double msPerS = 1000.0;
+
+} // namespace
+
+RequestLimit::Change RequestLimit::record(std::optional<double> perSecond, TimePoint saidAt)
+{
+    if (saidAt < m_saidAt || (!perSecond && !m_perSecond))
+        return Change::None;
+    m_saidAt = saidAt;
+    if (perSecond)
+        perSecond = std::max(*perSecond, minPerSecond);
+    const auto before = std::exchange(m_perSecond, perSecond);
+    if (before == m_perSecond)
+        return Change::None;
+    return before ? Change::Other : Change::Began;
+}
+
+void RequestLimit::startTurns(const RouterPlace &place, TimePoint now)
+{
+    m_nextTurnAt = now + interval(place.before);
+}
+
+bool RequestLimit::allows(std::size_t routers, TimePoint now)
+{
+    if (!m_perSecond)
+        return true;
+    const Duration validity
+            = fromMilliseconds(msPerS * (turnValidityS + turnValidityTurns / *m_perSecond));
+    const double expired = toMilliseconds(now - validity - m_nextTurnAt);
+    if (expired > 0.0) {
+        const double step = toMilliseconds(interval(routers));
+        m_nextTurnAt += fromMilliseconds(step * std::ceil(expired / step));
+    }
+    return m_nextTurnAt <= now;
+}
+
+void RequestLimit::recordSent(std::size_t routers)
+{
+    if (m_perSecond)
+        m_nextTurnAt += interval(routers);
+}
+
+/// @return time in which the server takes one request from each of so many routers
+Duration RequestLimit::interval(std::size_t routers) const
+{
+    return fromMilliseconds(msPerS * static_cast<double>(routers) / *m_perSecond);
+}
+
+} // namespace bilberry::decision
--- a/packages/decision/src/serverselector.cpp
+++ b/packages/decision/src/serverselector.cpp
@@ -39,6 +39,8 @@
 /// Time for which a server isn't chosen after another server answered at its address, so that the
 /// platform's list can catch up.
 constexpr Duration wrongServerCooldown = std::chrono::seconds(5);
+/// Time for which the end of a server's limit is repeated to the other routers.
+constexpr Duration endedLimitRepeatTime = std::chrono::seconds(2);
 
 const char *describe(int code)
 {
@@ -82,6 +84,7 @@
     if (restarted) {
         server.cache.clear();
         server.health = ServerHealth(m_settings.health);
+        server.limit = {};
         server.wrongServerAt = {};
     }
     server.cache.setCapacity(cacheTokens);
@@ -160,6 +163,54 @@
     return loads;
 }
 
+bool ServerSelector::recordLimit(const ServerId &id, std::optional<double> perSecond, TimePoint now)
+{
+    Server *server = find(id);
+    if (!server || !applyLimit(*server, perSecond, now, now))
+        return false;
+    if (m_loadChangedHook)
+        m_loadChangedHook();
+    return true;
+}
+
+bool ServerSelector::mergeLimit(const ReportedLimit &limit, TimePoint now)
+{
+    const auto found = m_serversByKey.find(limit.server);
+    if (found == m_serversByKey.end() || found->second->descriptor.startedAtMs != limit.startedAtMs)
+        return false;
+    return applyLimit(*found->second, limit.perSecond, now - limit.age, now);
+}
+
+/// @return true when the limit has changed
+bool ServerSelector::applyLimit(Server &server, std::optional<double> perSecond, TimePoint saidAt,
+                                TimePoint now)
+{
+    const auto change = server.limit.record(perSecond, saidAt);
+    if (change == RequestLimit::Change::Began)
+        server.limit.startTurns(placeAt(server), now);
+    return change != RequestLimit::Change::None;
+}
+
+std::vector<ReportedLimit> ServerSelector::limits(TimePoint now) const
+{
+    std::vector<ReportedLimit> limits;
+    for (const auto &[id, server] : m_servers) {
+        const Duration age = now - server.limit.saidAt();
+        if (server.limit.perSecond() || age < endedLimitRepeatTime)
+            limits.push_back(
+                    {server.key, server.descriptor.startedAtMs, server.limit.perSecond(), age});
+    }
+    return limits;
+}
+
+std::size_t ServerSelector::limitedCount() const
+{
+    return static_cast<std::size_t>(
+            std::count_if(m_servers.begin(), m_servers.end(), [](const auto &item) {
+                return item.second.limit.perSecond().has_value();
+            }));
+}
+
 std::size_t ServerSelector::livePeerCount(TimePoint now) const
 {
     return m_peerLoads.liveCount(now);
@@ -173,7 +224,7 @@
     bool overloaded = false;
     bool coldLimited = false;
     for (Server *server : bestTierServers(traits, now)) {
-        if (isAtConnectionLimit(*server, pool))
+        if (isAtConnectionLimit(*server, pool) || !server->limit.allows(routerCount(), now))
             overloaded = true;
         else if (now < server->coldUntil && now < server->nextColdRequestAt)
             coldLimited = true;
@@ -319,6 +370,7 @@
         }
         if (now < server->coldUntil)
             server->nextColdRequestAt = now + coldRequestInterval(*server);
+        server->limit.recordSent(routerCount());
         notifyLoadChanged(choice.prefillMs);
     }
     return number;
@@ -477,17 +529,22 @@
     server.coldUntil = std::max(server.coldUntil, until);
     if (wasCold)
         return;
+    const RouterPlace place = placeAt(server);
+    const double phase = static_cast<double>(place.before) / static_cast<double>(place.routers);
+    server.nextColdRequestAt
+            = now + fromMilliseconds(phase * toMilliseconds(coldRequestInterval(server)));
+}
+
+/// @return this router's place in the rendezvous order of the server
+RouterPlace ServerSelector::placeAt(const Server &server) const
+{
     const auto weight = [&](const RouterId &router) {
         return rendezvousWeight(server.key, stableHash(router.text()));
     };
     const std::uint64_t own = weight(m_settings.router);
-    const auto routersBefore
-            = std::count_if(m_routersSeenAt.begin(), m_routersSeenAt.end(),
-                            [&](const auto &seen) { return weight(seen.first) > own; });
-    const double phase
-            = static_cast<double>(routersBefore) / static_cast<double>(m_routersSeenAt.size() + 1);
-    server.nextColdRequestAt
-            = now + fromMilliseconds(phase * toMilliseconds(coldRequestInterval(server)));
+    const auto before = std::count_if(m_routersSeenAt.begin(), m_routersSeenAt.end(),
+                                      [&](const auto &seen) { return weight(seen.first) > own; });
+    return {routerCount(), static_cast<std::size_t>(before)};
 }
 
 /// @return time between two requests of this router to a server in a cold start, chosen so that all
--- a/packages/direct/src/directmetrics.cpp
+++ b/packages/direct/src/directmetrics.cpp
@@ -38,6 +38,9 @@
       m_quarantined(addGaugeFamily(m_registry, "bilberry_crash_quarantined",
                                    "Features whose requests are refused, since they crash servers.")
                             .Add({})),
+      m_limitedServers(addGaugeFamily(m_registry, "bilberry_limited_servers",
+                                      "Servers that name a limit of requests a second.")
+                               .Add({})),
       m_connectionsOpened(addGaugeFamily(m_registry, "bilberry_server_connections_opened",
                                          "Connections to servers opened since the start.")
                                   .Add({})),
@@ -86,6 +89,7 @@
     for (const ServerId &server : serverSelector.servers())
         m_inFlight.Add({{"server", server.text()}})
                 .Set(static_cast<double>(serverSelector.inFlight(server)));
+    m_limitedServers.Set(static_cast<double>(serverSelector.limitedCount()));
     m_connectionsOpened.Set(static_cast<double>(connectionsOpened));
     m_planVersion.Set(static_cast<double>(planVersion));
     m_planAge.Set(toMilliseconds(planAge) / 1000.0);
--- a/packages/direct/src/directmetrics.h
+++ b/packages/direct/src/directmetrics.h
@@ -44,6 +44,7 @@
     prometheus::Family<prometheus::Gauge> &m_inFlight;
     prometheus::Gauge &m_crashSuspects;
     prometheus::Gauge &m_quarantined;
+    prometheus::Gauge &m_limitedServers;
     prometheus::Gauge &m_connectionsOpened;
     prometheus::Gauge &m_planVersion;
     prometheus::Gauge &m_planAge;
--- a/packages/direct/src/headerfields.cpp
+++ b/packages/direct/src/headerfields.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <charconv>
+#include <cmath>
 
 namespace bilberry::direct {
 
@@ -68,6 +69,19 @@
     return parts;
 }
 
+std::optional<double> parseDecimalField(const ResponseHeader &header, const std::string &name)
+{
+    if (header.count(name) != 1)
+        return std::nullopt;
+    const std::string_view text = trimmed(header[name]);
+    double number = 0.0;
+    const char *end = text.data() + text.size();
+    const auto parsed = std::from_chars(text.data(), end, number, std::chars_format::fixed);
+    if (parsed.ec != std::errc() || parsed.ptr != end || !std::isfinite(number) || number < 0.0)
+        return std::nullopt;
+    return number;
+}
+
 BodyFraming bodyFraming(const ResponseHeader &header)
 {
     if (header.count(http::field::transfer_encoding) > 0)
--- a/packages/direct/src/headerfields.h
+++ b/packages/direct/src/headerfields.h
@@ -8,6 +8,7 @@
 #include "bilberry/decision/promptcache.h"
 
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -29,6 +30,11 @@
 /// @param text ID:TOKENS entries, comma-separated, with hexadecimal ids; others are skipped
 std::vector<decision::PromptPart> promptParts(std::string_view text);
 
+/// @param name of a field that holds a decimal number
+/// @return the number; absent when there is not exactly one such field, or its value is not one
+///         finite number of at least 0
+std::optional<double> parseDecimalField(const ResponseHeader &header, const std::string &name);
+
 /// How the end of a response's body is found.
 enum class BodyFraming {
     Length,
--- a/packages/direct/src/peerexchange.cpp
+++ b/packages/direct/src/peerexchange.cpp
@@ -33,6 +33,8 @@
 constexpr std::uint32_t minReportedPrefixTokens = 512;
 /// Limit of the placements in one report, which keeps it within one datagram.
 constexpr std::size_t maxReportedPlacements = 512;
+/// In a notice of a server's limit: the server names none.
+constexpr double noLimit = -1.0;
 constexpr Duration storeCallTimeout = std::chrono::seconds(1);
 /// Delay between two attempts to register this router.
 constexpr Duration registrationRetryDelay = std::chrono::milliseconds(700);
@@ -189,6 +191,7 @@
         m_socket.sendToAll(report);
         m_lastReportAt = now;
     }
+    sendLimits();
     const std::vector<decision::CrashSuspect> changedSuspects = m_crashSuspicion.takeChanged(now);
     sendSuspects(complete ? m_crashSuspicion.summary(now) : changedSuspects);
     if (complete)
@@ -197,6 +200,19 @@
     scheduleReport(m_lastCompleteReportAt + completeReportPeriod);
 }
 
+void PeerExchange::sendLimits()
+{
+    const TimePoint now = Clock::now();
+    const std::vector<decision::ReportedLimit> limits = m_serverSelector.limits(now);
+    if (limits.empty() || m_peers.empty())
+        return;
+    wire::ServerLimitGossip gossip{m_sender, {}};
+    for (const decision::ReportedLimit &limit : limits)
+        gossip.limits.push_back({limit.server, limit.startedAtMs, limit.perSecond.value_or(noLimit),
+                                 static_cast<std::uint32_t>(toMilliseconds(limit.age))});
+    m_socket.sendToAll(gossip);
+}
+
 void PeerExchange::sendSuspects(const std::vector<decision::CrashSuspect> &suspects)
 {
     if (suspects.empty() || m_peers.empty())
@@ -259,6 +275,8 @@
         handleReport(*report);
     else if (const auto *gossip = std::get_if<wire::CrashSuspectGossip>(&message))
         handleSuspects(*gossip);
+    else if (const auto *gossip = std::get_if<wire::ServerLimitGossip>(&message))
+        handleLimits(*gossip);
     else if (const auto *query = std::get_if<wire::PlanProofQuery>(&message))
         handleQuery(*query);
     else if (const auto *reply = std::get_if<wire::PlanProofReply>(&message))
@@ -266,6 +284,22 @@
                            std::chrono::microseconds(reply->ageUs)});
 }
 
+void PeerExchange::handleLimits(const wire::ServerLimitGossip &gossip)
+{
+    const TimePoint now = Clock::now();
+    for (const wire::ServerLimitNotice &notice : gossip.limits) {
+        decision::ReportedLimit limit{notice.server, notice.startedAtMs, std::nullopt,
+                                      std::chrono::milliseconds(notice.ageMs)};
+        if (notice.perSecond >= 0.0)
+            limit.perSecond = notice.perSecond;
+        if (m_serverSelector.mergeLimit(limit, now))
+            m_log.decision("Another router knows a server's request limit.",
+                           {{"router", gossip.sender.router.text()},
+                            {"perSecond", std::to_string(notice.perSecond)},
+                            {"ageMs", std::to_string(notice.ageMs)}});
+    }
+}
+
 void PeerExchange::handleSuspects(const wire::CrashSuspectGossip &gossip)
 {
     const TimePoint now = Clock::now();
--- a/packages/direct/src/requesthandler.cpp
+++ b/packages/direct/src/requesthandler.cpp
@@ -232,6 +232,7 @@
     const unsigned status = header.result_int();
     m_notRun = status == 421 || header.count(m_context.headerNames.notRun) > 0;
     m_responseHeader = header;
+    recordLimit(header);
     // An unsigned response is buffered, and handled as a failed attempt when it ends.
     m_isStreaming = m_route->kind == RequestKind::Stream && status / 100 == 2
                     && isAuthentic(header, m_context.headerNames);
@@ -246,6 +247,27 @@
     m_context.serverSelector.recordFirstByte(m_attemptNumber, now);
 }
 
+/// Tells the server selector the limit that the server names in its response.
+void RequestHandler::recordLimit(const ResponseHeader &header)
+{
+    const std::string &name = m_context.headerNames.requestLimit;
+    const auto limit = parseDecimalField(header, name);
+    // Another server answers 421. Only a success shows that the limit has ended.
+    const bool isNamed = header.count(name) > 0;
+    if (header.result_int() == 421 || (!isNamed && header.result_int() / 100 != 2))
+        return;
+    if (isNamed && !limit) {
+        m_context.log.decision(
+                "Ignored an invalid request limit.",
+                {{"server", m_choice.server.text()}, {"limit", std::string(header[name])}});
+        return;
+    }
+    if (m_context.serverSelector.recordLimit(m_choice.server, limit, Clock::now()))
+        m_context.log.decision("A server's request limit has changed.",
+                               {{"server", m_choice.server.text()},
+                                {"perSecond", limit ? std::to_string(*limit) : "none"}});
+}
+
 void RequestHandler::handleResponseBody(std::string &&data)
 {
     m_crashGuard.recordBody();
--- a/packages/direct/tests/crashingpart_test.cpp
+++ b/packages/direct/tests/crashingpart_test.cpp
@@ -33,9 +33,6 @@
 const std::string crashingPart = "dead:100";
 const std::string stream = streamHead + chunk("id: 1\ndata: a\n\n") + "0\r\n\r\n";
 
-/// Age of the plan's proof that is accepted here.
-constexpr auto patientPlanStaleness = 20s;
-
 /// Number of the first sound request; those with the part count from 0.
 constexpr int firstSoundNumber = 100;
 
@@ -93,12 +90,6 @@
     return suspect ? static_cast<int>(suspect->crashes.size()) : 0;
 }
 
-/// Accepts a proof of the plan of any age, so that a busy machine refuses no request for it.
-void acceptOldPlans(direct::DirectSettings &settings)
-{
-    settings.maxPlanStaleness = patientPlanStaleness;
-}
-
 /// Sends requests with the part to the routers in turn, no two alike, each before a sound one.
 void playCrashingPart(const std::vector<const InProcessRouter *> &routers)
 {
--- a/packages/direct/tests/routerfixture.h
+++ b/packages/direct/tests/routerfixture.h
@@ -64,6 +64,13 @@
     }
 };
 
+/// Accepts a proof of the plan of any age in a test, so that a busy machine refuses no request for
+/// it.
+inline void acceptOldPlans(direct::DirectSettings &settings)
+{
+    settings.maxPlanStaleness = std::chrono::seconds(20);
+}
+
 /// @return a complete answer to the request r1
 inline std::string answer(const std::string &status, const std::string &body,
                           const std::string &fields = "Bilberry-Signature: sig\r\n")
--- a/packages/wire/include/bilberry/wire/gossipmessages.h
+++ b/packages/wire/include/bilberry/wire/gossipmessages.h
@@ -187,9 +187,27 @@
     bool operator==(const CrashSuspectGossip &) const = default;
 };
 
-using GossipMessage
-        = std::variant<Probe, ProbeAck, ServiceReport, ServiceTotals, QuarantineGossip,
-                       DirectRouterReport, PlanProofQuery, PlanProofReply, CrashSuspectGossip>;
+/// The limit that a backend server names in its answers.
+struct ServerLimitNotice
+{
+    std::uint64_t server = 0;      ///< hash of the server's id
+    std::uint64_t startedAtMs = 0; ///< start time of its process
+    double perSecond = 0.0;        ///< requests that it takes from all routers; negative: no limit
+    std::uint32_t ageMs = 0;       ///< since the answer that said so
+    bool operator==(const ServerLimitNotice &) const = default;
+};
+
+/// What a direct router knows of the servers' limits. The newest answer holds.
+struct ServerLimitGossip
+{
+    GossipSender sender;
+    std::vector<ServerLimitNotice> limits;
+    bool operator==(const ServerLimitGossip &) const = default;
+};
+
+using GossipMessage = std::variant<Probe, ProbeAck, ServiceReport, ServiceTotals, QuarantineGossip,
+                                   DirectRouterReport, PlanProofQuery, PlanProofReply,
+                                   CrashSuspectGossip, ServerLimitGossip>;
 
 } // namespace bilberry::wire
 
