At a server with a request limit, give turns to large requests first

A server that counts requests takes a long prompt for the same turn as a short one.

Change: a request below the mean prompt size of its pool takes a turn only when it has been left for half of its validity.

--- a/packages/decision/include/bilberry/decision/requestlimit.h
+++ b/packages/decision/include/bilberry/decision/requestlimit.h
@@ -38,8 +38,11 @@
     void startTurns(const RouterPlace &place, TimePoint now);
 
     /// @param routers number of all routers
+    /// @param isSmall true for a request below the usual size, which takes a turn only when no
+    /// other
+    ///        has taken it for half of its validity: the server counts requests, not their work
     /// @return true when the server names no limit, or a turn of this router is valid
-    bool allows(std::size_t routers, TimePoint now);
+    bool allows(std::size_t routers, bool isSmall, TimePoint now);
 
     /// Records that a request is sent to the server, which takes one turn.
     /// @param routers number of all routers
--- a/packages/decision/include/bilberry/decision/serverselector.h
+++ b/packages/decision/include/bilberry/decision/serverselector.h
@@ -244,6 +244,7 @@
     void markCold(Server &server, TimePoint now);
     void extendColdStart(Server &server, TimePoint until, TimePoint now);
     std::size_t routerCount() const { return m_routersSeenAt.size() + 1; }
+    bool isSmall(const RequestTraits &traits);
     RouterPlace placeAt(const Server &server) const;
     bool applyLimit(Server &server, std::optional<double> perSecond, TimePoint saidAt,
                     TimePoint now);
@@ -259,6 +260,7 @@
     PeerLoads m_peerLoads;
     std::map<RouterId, TimePoint> m_routersSeenAt; ///< when each other router was last seen
     TimePoint m_expiryCheckedAt{};
+    std::map<PoolId, double> m_meanTokens; ///< of the prompts of recent requests
     std::set<ZoneId> m_zonesOut;
     std::unordered_map<AttemptNumber, Attempt> m_attempts;
     AttemptNumber m_lastAttempt = 0;
--- a/packages/decision/src/serverselector.cpp
+++ b/packages/decision/src/serverselector.cpp
@@ -39,6 +39,8 @@
 /// Time for which a server isn't chosen after another server answered at its address, so that the
 /// platform's list can catch up.
 constexpr Duration wrongServerCooldown = std::chrono::seconds(5);
+/// Weight of a request in the mean prompt size of its pool.
+constexpr double meanTokensWeight = 0.02;
 /// Time for which the end of a server's limit is repeated to the other routers.
 constexpr Duration endedLimitRepeatTime = std::chrono::seconds(2);
 
@@ -223,8 +225,9 @@
     std::vector<Candidate> candidates;
     bool overloaded = false;
     bool coldLimited = false;
+    const bool small = isSmall(traits);
     for (Server *server : bestTierServers(traits, now)) {
-        if (isAtConnectionLimit(*server, pool) || !server->limit.allows(routerCount(), now))
+        if (isAtConnectionLimit(*server, pool) || !server->limit.allows(routerCount(), small, now))
             overloaded = true;
         else if (now < server->coldUntil && now < server->nextColdRequestAt)
             coldLimited = true;
@@ -535,6 +538,15 @@
             = now + fromMilliseconds(phase * toMilliseconds(coldRequestInterval(server)));
 }
 
+/// @return true for a prompt below the mean of the pool's recent requests
+bool ServerSelector::isSmall(const RequestTraits &traits)
+{
+    const double tokens = traits.prompt.tokens();
+    double &mean = m_meanTokens.try_emplace(traits.pool, tokens).first->second;
+    mean += meanTokensWeight * (tokens - mean);
+    return tokens < mean;
+}
+
 /// @return this router's place in the rendezvous order of the server
 RouterPlace ServerSelector::placeAt(const Server &server) const
 {
--- /dev/null
+++ b/packages/decision/tests/limitedserver_test.cpp
@@ -0,0 +1,142 @@
+#include "selectingrouter.h"
+
+#include <catch2/catch.hpp>
+
+using namespace bilberry;
+using namespace bilberry::decision;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr std::uint32_t largeTokens = 17000;
+constexpr std::uint32_t smallTokens = 1400;
+
+const ServerId limited("s0");
+const ServerId other("s1");
+
+RequestTraits requestOf(const SelectingRouter &router, std::uint64_t number, std::uint32_t tokens)
+{
+    return router.traits(prompt(number, number, tokens / 2, tokens / 2));
+}
+
+} // namespace
+
+// A server that counts requests, not their work, must not be filled with small ones.
+SCENARIO("pattern: a server takes few requests, and small and large ones come")
+{
+    SelectingRouter router(2);
+    router.selector.recordLimit(limited, 2.0, router.now);
+    GIVEN("twelve small requests and eight large ones a second")
+    {
+        int largeThere = 0;
+        int smallThere = 0;
+        constexpr auto step = 500ms;
+        for (std::uint64_t i = 0; i < 40; ++i) {
+            for (std::uint64_t small = 0; small < 6; ++small) {
+                const auto choice
+                        = router.send(requestOf(router, 1000 + 10 * i + small, smallTokens));
+                smallThere += choice && choice.value().server == limited ? 1 : 0;
+            }
+            for (std::uint64_t large = 0; large < 4; ++large) {
+                const auto choice
+                        = router.send(requestOf(router, 5000 + 10 * i + large, largeTokens));
+                largeThere += choice && choice.value().server == limited ? 1 : 0;
+            }
+            router.now += step;
+            router.finishAll();
+        }
+        THEN("most turns go to large ones")
+        {
+            CHECK(largeThere >= 25);
+            CHECK(largeThere >= 4 * smallThere);
+        }
+    }
+    GIVEN("small requests only")
+    {
+        int there = 0;
+        for (std::uint64_t i = 0; i < 400; ++i) {
+            const auto choice = router.send(requestOf(router, 1000 + i, smallTokens));
+            there += choice && choice.value().server == limited ? 1 : 0;
+            router.now += 50ms;
+            router.finishAll();
+        }
+        THEN("they take the turns")
+        {
+            CHECK(there >= 15);
+        }
+    }
+}
+
+SCENARIO("routers tell each other the limits that servers name")
+{
+    SelectingRouter heard(2);
+    SelectingRouter told(2);
+    heard.selector.recordLimit(limited, 2.0, heard.now);
+    const auto exchange = [&] {
+        for (const ReportedLimit &limit : heard.selector.limits(heard.now))
+            told.selector.mergeLimit(limit, told.now);
+    };
+    exchange();
+    GIVEN("a router that got no answer from there")
+    {
+        THEN("it keeps the limit")
+        {
+            CHECK(told.selector.limitedCount() == 1);
+        }
+        WHEN("the limit ends in an answer to the other router")
+        {
+            heard.now += 1s;
+            told.now += 1s;
+            heard.selector.recordLimit(limited, std::nullopt, heard.now);
+            exchange();
+            THEN("it hears that, too")
+            {
+                CHECK(told.selector.limitedCount() == 0);
+            }
+        }
+        WHEN("its own answer is newer than what the other router says")
+        {
+            told.now += 1s;
+            heard.now += 1s;
+            told.selector.recordLimit(limited, std::nullopt, told.now);
+            exchange();
+            THEN("its own holds")
+            {
+                CHECK(told.selector.limitedCount() == 0);
+            }
+        }
+        WHEN("the server restarts, and the other router doesn't know yet")
+        {
+            DirectServer restarted = *told.selector.server(limited);
+            restarted.startedAtMs = 2;
+            told.selector.update(restarted, told.now);
+            exchange();
+            THEN("the new process has no limit")
+            {
+                CHECK(told.selector.limitedCount() == 0);
+            }
+        }
+    }
+}
+
+SCENARIO("all servers of a pool name a limit")
+{
+    SelectingRouter router(2);
+    router.selector.recordLimit(limited, 1.0, router.now);
+    router.selector.recordLimit(other, 1.0, router.now);
+    int sent = 0;
+    int refused = 0;
+    for (std::uint64_t i = 0; i < 100; ++i) {
+        const auto choice = router.send(requestOf(router, 1000 + i, largeTokens));
+        sent += choice ? 1 : 0;
+        refused += !choice && choice.error() == ServerChoiceErrc::Overloaded ? 1 : 0;
+        router.now += 100ms;
+        router.finishAll();
+    }
+    THEN("they get what they take, and the other callers are told that the pool is overloaded")
+    {
+        CHECK(sent >= 18);
+        CHECK(sent <= 24);
+        CHECK(sent + refused == 100);
+    }
+}
