At a server with a request limit, turns go to customers within their fair share first

Cause: a customer's use beyond its fair part lowers the backlog limit, but a limited server has no backlog.

--- a/packages/decision/include/bilberry/decision/requestlimit.h
+++ b/packages/decision/include/bilberry/decision/requestlimit.h
@@ -38,11 +38,10 @@
     void startTurns(const RouterPlace &place, TimePoint now);
 
     /// @param routers number of all routers
-    /// @param isSmall true for a request below the usual size, which takes a turn only when no
-    /// other
-    ///        has taken it for half of its validity: the server counts requests, not their work
+    /// @param leftFor part of its validity, from 0 to 1, for which other requests must have left
+    ///        the turn that this one may take
     /// @return true when the server names no limit, or a turn of this router is valid
-    bool allows(std::size_t routers, bool isSmall, TimePoint now);
+    bool allows(std::size_t routers, double leftFor, TimePoint now);
 
     /// Records that a request is sent to the server, which takes one turn.
     /// @param routers number of all routers
--- a/packages/decision/include/bilberry/decision/serverselector.h
+++ b/packages/decision/include/bilberry/decision/serverselector.h
@@ -245,6 +245,8 @@
     void extendColdStart(Server &server, TimePoint until, TimePoint now);
     std::size_t routerCount() const { return m_routersSeenAt.size() + 1; }
     bool isSmall(const RequestTraits &traits);
+    double turnLeftFor(const RequestTraits &traits);
+    double overuseFactor(const RequestTraits &traits) const;
     RouterPlace placeAt(const Server &server) const;
     bool applyLimit(Server &server, std::optional<double> perSecond, TimePoint saidAt,
                     TimePoint now);
--- a/packages/decision/src/requestlimit.cpp
+++ b/packages/decision/src/requestlimit.cpp
@@ -36,7 +36,7 @@
     m_nextTurnAt = now + interval(place.before);
 }
 
-bool RequestLimit::allows(std::size_t routers, bool isSmall, TimePoint now)
+bool RequestLimit::allows(std::size_t routers, double leftFor, TimePoint now)
 {
     if (!m_perSecond)
         return true;
@@ -47,7 +47,7 @@
         const double step = toMilliseconds(interval(routers));
         m_nextTurnAt += fromMilliseconds(step * std::ceil(expired / step));
     }
-    return m_nextTurnAt + (isSmall ? validity / 2 : Duration::zero()) <= now;
+    return m_nextTurnAt + fromMilliseconds(leftFor * toMilliseconds(validity)) <= now;
 }
 
 void RequestLimit::recordSent(std::size_t routers)
--- a/packages/decision/src/serverselector.cpp
+++ b/packages/decision/src/serverselector.cpp
@@ -39,6 +39,10 @@
 /// Time for which a server isn't chosen after another server answered at its address, so that the
 /// platform's list can catch up.
 constexpr Duration wrongServerCooldown = std::chrono::seconds(5);
+/// Part of a turn's validity for which small requests leave it to others.
+constexpr double smallRequestLeftFor = 0.5;
+/// Part of its fair share below which a customer's small requests needn't do so.
+constexpr double underservedUsageRatio = 0.5;
 /// Weight of a request in the mean prompt size of its pool.
 constexpr double meanTokensWeight = 0.02;
 /// Time for which the end of a server's limit is repeated to the other routers.
@@ -225,9 +229,10 @@
     std::vector<Candidate> candidates;
     bool overloaded = false;
     bool coldLimited = false;
-    const bool small = isSmall(traits);
+    const double leftFor = turnLeftFor(traits);
     for (Server *server : bestTierServers(traits, now)) {
-        if (isAtConnectionLimit(*server, pool) || !server->limit.allows(routerCount(), small, now))
+        if (isAtConnectionLimit(*server, pool)
+            || !server->limit.allows(routerCount(), leftFor, now))
             overloaded = true;
         else if (now < server->coldUntil && now < server->nextColdRequestAt)
             coldLimited = true;
@@ -510,10 +515,15 @@
     limit *= toMilliseconds(traits.latencyObjective) / referenceObjectiveMs;
     if (traits.previouslyRefused)
         limit *= m_settings.previouslyRefusedFactor;
-    // Above the fair level the limit decreases steeply. The level itself rises while all other
-    // customers get what they request, so that no capacity stays idle.
+    return limit * overuseFactor(traits);
+}
+
+/// @return 1 up to the customer's fair level; above it decreases steeply. The level itself rises
+/// while all other customers get what they request, so that no capacity stays idle.
+double ServerSelector::overuseFactor(const RequestTraits &traits) const
+{
     const double overuse = std::max(0.0, traits.customerUsageRatio - 1.0);
-    return limit * std::max(m_settings.minOveruseFactor, 1.0 - m_settings.overuseSlope * overuse);
+    return std::max(m_settings.minOveruseFactor, 1.0 - m_settings.overuseSlope * overuse);
 }
 
 void ServerSelector::markCold(Server &server, TimePoint now)
@@ -547,6 +557,15 @@
     return tokens < mean;
 }
 
+/// @return part of the validity for which other requests must have left a turn at a limited server
+/// before this one takes it: small ones, since the server counts requests and not their work, and
+/// those of customers above their fair share
+double ServerSelector::turnLeftFor(const RequestTraits &traits)
+{
+    const bool small = isSmall(traits) && traits.customerUsageRatio >= underservedUsageRatio;
+    return std::max(small ? smallRequestLeftFor : 0.0, 1.0 - overuseFactor(traits));
+}
+
 /// @return this router's place in the rendezvous order of the server
 RouterPlace ServerSelector::placeAt(const Server &server) const
 {
--- a/packages/decision/tests/limitedserver_test.cpp
+++ b/packages/decision/tests/limitedserver_test.cpp
@@ -16,7 +16,9 @@
 
 RequestTraits requestOf(const SelectingRouter &router, std::uint64_t number, std::uint32_t tokens)
 {
-    return router.traits(prompt(number, number, tokens / 2, tokens / 2));
+    RequestTraits traits = router.traits(prompt(number, number, tokens / 2, tokens / 2));
+    traits.customerUsageRatio = 1.0;
+    return traits;
 }
 
 } // namespace
@@ -67,6 +69,36 @@
     }
 }
 
+// The turns must not go to whoever comes first: one customer's flood would take them all.
+SCENARIO("pattern: all servers take few requests, and one customer sends many times its usual load")
+{
+    SelectingRouter router(2);
+    router.selector.recordLimit(limited, 2.0, router.now);
+    router.selector.recordLimit(other, 2.0, router.now);
+    GIVEN("ten requests of a customer above its fair share for each one of another below it")
+    {
+        int within = 0;
+        int beyond = 0;
+        for (std::uint64_t i = 0; i < 40; ++i) {
+            for (std::uint64_t flood = 0; flood < 10; ++flood) {
+                RequestTraits traits = requestOf(router, 1000 + 20 * i + flood, largeTokens);
+                traits.customerUsageRatio = 1.5;
+                beyond += router.send(traits) ? 1 : 0;
+                router.now += 50ms;
+            }
+            RequestTraits traits = requestOf(router, 5000 + i, smallTokens);
+            traits.customerUsageRatio = 0.2;
+            within += router.send(traits) ? 1 : 0;
+            router.finishAll();
+        }
+        THEN("nearly all of the other one's are sent, and the flood gets what they leave")
+        {
+            CHECK(within >= 36);
+            CHECK(beyond >= 20);
+        }
+    }
+}
+
 SCENARIO("routers tell each other the limits that servers name")
 {
     SelectingRouter heard(2);
--- a/packages/decision/tests/requestlimit_test.cpp
+++ b/packages/decision/tests/requestlimit_test.cpp
@@ -44,7 +44,7 @@
             if (!comes(m_random))
                 continue;
             RequestLimit &limit = m_limits[router(m_random)];
-            if (!limit.allows(m_limits.size(), false, m_now))
+            if (!limit.allows(m_limits.size(), 0.0, m_now))
                 continue;
             limit.recordSent(m_limits.size());
             m_sentAt.push_back(m_now);
@@ -55,7 +55,7 @@
     void playMoment()
     {
         for (RequestLimit &limit : m_limits) {
-            while (limit.allows(m_limits.size(), false, m_now)) {
+            while (limit.allows(m_limits.size(), 0.0, m_now)) {
                 limit.recordSent(m_limits.size());
                 m_sentAt.push_back(m_now);
             }
@@ -118,13 +118,13 @@
 {
     RequestLimit limit;
     const TimePoint start = TimePoint() + 1h;
-    CHECK(limit.allows(1, false, start));
+    CHECK(limit.allows(1, 0.0, start));
     CHECK(limit.record(std::nullopt, start) == RequestLimit::Change::None);
     CHECK(limit.record(2.0, start) == RequestLimit::Change::Began);
     limit.startTurns({1, 0}, start);
     const auto sendAll = [&](TimePoint now) {
         int sent = 0;
-        for (; sent < 100 && limit.allows(1, false, now); ++sent)
+        for (; sent < 100 && limit.allows(1, 0.0, now); ++sent)
             limit.recordSent(1);
         return sent;
     };
@@ -137,10 +137,10 @@
             CHECK(sendAll(start + 500ms) == 1);
             CHECK(sendAll(start + 60s) <= 5);
         }
-        THEN("a small request takes a turn only when it has been left for a while")
+        THEN("a turn may be kept for others for a part of its validity")
         {
-            CHECK_FALSE(limit.allows(1, true, start));
-            CHECK(limit.allows(1, true, start + 1s));
+            CHECK_FALSE(limit.allows(1, 0.5, start));
+            CHECK(limit.allows(1, 0.5, start + 1s));
         }
         WHEN("the limit changes")
         {
