Share a server's request limit by the requests that come to each router

Cause: equal parts of something that is asked for unequally. Change: a router's part is its part of all routers' requests, those of each customer counted up to its fair share, from the reports that routers exchange anyway; three tenths stay equal for requests that belong to no customer. For routers without a valid report an equal part is kept free, so that one that hears nobody has 1/N as before.

CustomerUsageMeter test by pattern: callers at few routers, no reports, a flood at one.

--- a/packages/decision/include/bilberry/decision/customerusagemeter.h
+++ b/packages/decision/include/bilberry/decision/customerusagemeter.h
@@ -49,6 +49,11 @@
     ///         nothing was dispatched
     double usageRatio(const CustomerId &customer, TimePoint now);
 
+    /// @param routers number of all routers, also of those whose reports are missing
+    /// @return this router's part of the requests of all routers, those of each customer counted up
+    ///         to its fair share
+    double routerShare(std::size_t routers, TimePoint now);
+
     /// @return number of customers of which requests of this router are kept
     std::size_t customerCount() const { return m_accounts.size(); }
 
@@ -69,6 +74,7 @@
     Account &account(const CustomerId &customer);
     /// @return this router's usage and the valid reports of the others, added up
     const std::map<CustomerId, Usage> &fleetUsage(TimePoint now);
+    double fairRequested(const std::map<CustomerId, Usage> &usages) const;
     /// @return highest dispatched cost that is within the max-min fair share
     static double fairLevel(const std::map<CustomerId, Usage> &usages);
 
@@ -78,6 +84,8 @@
     std::map<CustomerId, Usage> m_fleetUsage;
     double m_fairLevel = 0.0;
     TimePoint m_fleetUsageAt{};
+    double m_routerShare = 1.0;
+    TimePoint m_routerShareAt{};
 };
 
 } // namespace bilberry::decision
--- a/packages/decision/include/bilberry/decision/requestlimit.h
+++ b/packages/decision/include/bilberry/decision/requestlimit.h
@@ -8,18 +8,10 @@
 
 namespace bilberry::decision {
 
-/// This router's place among all routers that send to a server.
-struct RouterPlace
-{
-    std::size_t routers = 1; ///< all of them, this one included
-    std::size_t before = 0;  ///< those that come before this one in the server's order
-    bool operator==(const RouterPlace &) const = default;
-};
-
 /// The rate of requests that a server takes from all routers together, as it says itself, and this
 /// router's part of it. Each router has turns at even intervals, each of which is valid for a
 /// while; the turns of all routers are spread. So they keep the limit together without an exchange
-/// for each request, and a router that hears nothing of the others keeps its part.
+/// for each request.
 class RequestLimit
 {
 public:
@@ -35,26 +27,26 @@
     Change record(std::optional<double> perSecond, TimePoint saidAt);
 
     /// Starts this router's turns.
-    void startTurns(const RouterPlace &place, TimePoint now);
+    /// @param routersBefore number of routers whose first turns come before
+    void startTurns(std::size_t routersBefore, TimePoint now);
 
-    /// @param routers number of all routers
+    /// @param share this router's part of the limit, from 0 to 1
     /// @param leftFor part of its validity, from 0 to 1, for which other requests must have left
     ///        the turn that this one may take
     /// @return true when the server names no limit, or a turn of this router is valid
-    bool allows(std::size_t routers, double leftFor, TimePoint now);
+    bool allows(double share, double leftFor, TimePoint now);
 
     /// Records that a request is sent to the server, which takes one turn.
-    /// @param routers number of all routers
-    void recordSent(std::size_t routers);
+    /// @param share this router's part of the limit, from 0 to 1
+    void recordSent(double share);
 
     std::optional<double> perSecond() const { return m_perSecond; }
-    /// @return when the answer was received that the limit, or its end, is known from; unset when
-    /// no
-    ///         answer has named a limit yet
+    /// @return when the answer was received that told the limit or its end; unset when no answer
+    ///         has named a limit yet
     TimePoint saidAt() const { return m_saidAt; }
 
 private:
-    Duration interval(std::size_t routers) const;
+    Duration interval(double share) const;
 
     std::optional<double> m_perSecond;
     TimePoint m_saidAt{};
--- a/packages/decision/include/bilberry/decision/serverselector.h
+++ b/packages/decision/include/bilberry/decision/serverselector.h
@@ -157,6 +157,14 @@
     bool mergeLimit(const ReportedLimit &limit, TimePoint now);
     /// @return the limits that servers name, and those that have ended within the last seconds
     std::vector<ReportedLimit> limits(TimePoint now) const;
+    /// @param hook returns this router's part of the requests of all routers, and so of each
+    ///        server's limit; without it, all routers have the same part
+    void setRouterShareHook(std::function<double(TimePoint now)> hook)
+    {
+        m_routerShareHook = std::move(hook);
+    }
+    /// @return number of routers, this one included
+    std::size_t routerCount() const { return m_routersSeenAt.size() + 1; }
     /// @return number of servers that name a limit
     std::size_t limitedCount() const;
     /// @return number of other routers whose newest report has not expired
@@ -243,11 +251,11 @@
     void notifyLoadChanged(double changeMs) const;
     void markCold(Server &server, TimePoint now);
     void extendColdStart(Server &server, TimePoint until, TimePoint now);
-    std::size_t routerCount() const { return m_routersSeenAt.size() + 1; }
     bool isSmall(const RequestTraits &traits);
     double turnLeftFor(const RequestTraits &traits);
     double overuseFactor(const RequestTraits &traits) const;
-    RouterPlace placeAt(const Server &server) const;
+    bool mayTakeTurn(Server &server, double leftFor, TimePoint now) const;
+    std::size_t routersBefore(const Server &server) const;
     bool applyLimit(Server &server, std::optional<double> perSecond, TimePoint saidAt,
                     TimePoint now);
     Duration coldRequestInterval(const Server &server) const;
@@ -260,6 +268,7 @@
     std::function<void()> m_loadChangedHook;
     std::function<void(const PlacedPrefix &)> m_prefixPlacedHook;
     PeerLoads m_peerLoads;
+    std::function<double(TimePoint now)> m_routerShareHook;
     std::map<RouterId, TimePoint> m_routersSeenAt; ///< when each other router was last seen
     TimePoint m_expiryCheckedAt{};
     std::map<PoolId, double> m_meanTokens; ///< of the prompts of recent requests
--- a/packages/decision/src/customerusagemeter.cpp
+++ b/packages/decision/src/customerusagemeter.cpp
@@ -13,6 +13,11 @@
 /// in the next one.
 constexpr Duration refreshPeriod = std::chrono::milliseconds(20);
 
+/// Minimum time between two computations of this router's share.
+constexpr Duration sharePeriod = std::chrono::milliseconds(200);
+/// Part of the shares that is the same for all routers: requests that count for no customer come
+/// to all of them.
+constexpr double evenPart = 0.3;
 /// Interval of reports in a small fleet; increases by this much for each reportIntervalPeers
 /// others.
 constexpr Duration minReportInterval = std::chrono::milliseconds(250);
@@ -67,6 +72,43 @@
                                                        : found->second.dispatched / m_fairLevel;
 }
 
+double CustomerUsageMeter::routerShare(std::size_t routers, TimePoint now)
+{
+    if (m_routerShareAt != TimePoint() && now - m_routerShareAt < sharePeriod)
+        return m_routerShare;
+    m_routerShareAt = now;
+    fleetUsage(now);
+    const double own = fairRequested(ownUsage(now));
+    double sum = own;
+    std::size_t known = 1;
+    for (const auto &[router, peer] : m_peers) {
+        if (now - peer.reportedAt > reportLifetime)
+            continue;
+        sum += fairRequested(peer.usages);
+        ++known;
+    }
+    const double equalShare = 1.0 / static_cast<double>(std::max(routers, known));
+    // A router whose report is missing may get as many requests as the others do in the mean.
+    const double missing = 1.0 - static_cast<double>(known) * equalShare;
+    const double ownShare = sum > 0.0 ? (1.0 - missing) * own / sum : equalShare;
+    m_routerShare = evenPart * equalShare + (1.0 - evenPart) * ownShare;
+    return m_routerShare;
+}
+
+/// @return the requested costs of one router, those of each customer reduced to its fair share of
+/// what the customer requested from all routers
+double CustomerUsageMeter::fairRequested(const std::map<CustomerId, Usage> &usages) const
+{
+    double sum = 0.0;
+    for (const auto &[customer, usage] : usages) {
+        const auto fleet = m_fleetUsage.find(customer);
+        const double requested = fleet == m_fleetUsage.end() ? 0.0 : fleet->second.requested;
+        sum += requested > m_fairLevel ? usage.requested * m_fairLevel / requested
+                                       : usage.requested;
+    }
+    return sum;
+}
+
 const std::map<CustomerId, CustomerUsageMeter::Usage> &CustomerUsageMeter::fleetUsage(TimePoint now)
 {
     if (m_fleetUsageAt != TimePoint() && now - m_fleetUsageAt < refreshPeriod)
--- a/packages/decision/src/requestlimit.cpp
+++ b/packages/decision/src/requestlimit.cpp
@@ -14,6 +14,8 @@
 /// those of a second, and by two.
 constexpr double turnValidityS = 1.0;
 constexpr double turnValidityTurns = 2.0;
+/// Shares below this count as this one.
+constexpr double minShare = 1e-4;
 constexpr double msPerS = 1000.0;
 
 } // namespace
@@ -31,12 +33,12 @@
     return before ? Change::Other : Change::Began;
 }
 
-void RequestLimit::startTurns(const RouterPlace &place, TimePoint now)
+void RequestLimit::startTurns(std::size_t routersBefore, TimePoint now)
 {
-    m_nextTurnAt = now + interval(place.before);
+    m_nextTurnAt = now + static_cast<int>(routersBefore) * interval(1.0);
 }
 
-bool RequestLimit::allows(std::size_t routers, double leftFor, TimePoint now)
+bool RequestLimit::allows(double share, double leftFor, TimePoint now)
 {
     if (!m_perSecond)
         return true;
@@ -44,22 +46,22 @@
             = fromMilliseconds(msPerS * (turnValidityS + turnValidityTurns / *m_perSecond));
     const double expired = toMilliseconds(now - validity - m_nextTurnAt);
     if (expired > 0.0) {
-        const double step = toMilliseconds(interval(routers));
+        const double step = toMilliseconds(interval(share));
         m_nextTurnAt += fromMilliseconds(step * std::ceil(expired / step));
     }
     return m_nextTurnAt + fromMilliseconds(leftFor * toMilliseconds(validity)) <= now;
 }
 
-void RequestLimit::recordSent(std::size_t routers)
+void RequestLimit::recordSent(double share)
 {
     if (m_perSecond)
-        m_nextTurnAt += interval(routers);
+        m_nextTurnAt += interval(share);
 }
 
-/// @return time in which the server takes one request from each of so many routers
-Duration RequestLimit::interval(std::size_t routers) const
+/// @return time between two turns of a router with this share
+Duration RequestLimit::interval(double share) const
 {
-    return fromMilliseconds(msPerS * static_cast<double>(routers) / *m_perSecond);
+    return fromMilliseconds(msPerS / (std::max(share, minShare) * *m_perSecond));
 }
 
 } // namespace bilberry::decision
--- a/packages/decision/src/serverselector.cpp
+++ b/packages/decision/src/serverselector.cpp
@@ -71,7 +71,8 @@
 }
 
 ServerSelector::ServerSelector(ServerSelectorSettings settings)
-    : m_settings(std::move(settings)), m_peerLoads(m_settings.reportLifetime)
+    : m_settings(std::move(settings)), m_peerLoads(m_settings.reportLifetime),
+      m_routerShareHook([this](TimePoint) { return 1.0 / static_cast<double>(routerCount()); })
 {
 }
 
@@ -193,7 +194,7 @@
 {
     const auto change = server.limit.record(perSecond, saidAt);
     if (change == RequestLimit::Change::Began)
-        server.limit.startTurns(placeAt(server), now);
+        server.limit.startTurns(routersBefore(server), now);
     return change != RequestLimit::Change::None;
 }
 
@@ -231,8 +232,7 @@
     bool coldLimited = false;
     const double leftFor = turnLeftFor(traits);
     for (Server *server : bestTierServers(traits, now)) {
-        if (isAtConnectionLimit(*server, pool)
-            || !server->limit.allows(routerCount(), leftFor, now))
+        if (isAtConnectionLimit(*server, pool) || !mayTakeTurn(*server, leftFor, now))
             overloaded = true;
         else if (now < server->coldUntil && now < server->nextColdRequestAt)
             coldLimited = true;
@@ -378,7 +378,8 @@
         }
         if (now < server->coldUntil)
             server->nextColdRequestAt = now + coldRequestInterval(*server);
-        server->limit.recordSent(routerCount());
+        if (server->limit.perSecond())
+            server->limit.recordSent(m_routerShareHook(now));
         notifyLoadChanged(choice.prefillMs);
     }
     return number;
@@ -542,8 +543,8 @@
     server.coldUntil = std::max(server.coldUntil, until);
     if (wasCold)
         return;
-    const RouterPlace place = placeAt(server);
-    const double phase = static_cast<double>(place.before) / static_cast<double>(place.routers);
+    const double phase = static_cast<double>(routersBefore(server))
+                         / static_cast<double>(m_routersSeenAt.size() + 1);
     server.nextColdRequestAt
             = now + fromMilliseconds(phase * toMilliseconds(coldRequestInterval(server)));
 }
@@ -557,6 +558,11 @@
     return tokens < mean;
 }
 
+bool ServerSelector::mayTakeTurn(Server &server, double leftFor, TimePoint now) const
+{
+    return !server.limit.perSecond() || server.limit.allows(m_routerShareHook(now), leftFor, now);
+}
+
 /// @return part of the validity for which other requests must have left a turn at a limited server
 /// before this one takes it: small ones, since the server counts requests and not their work, and
 /// those of customers above their fair share
@@ -566,16 +572,16 @@
     return std::max(small ? smallRequestLeftFor : 0.0, 1.0 - overuseFactor(traits));
 }
 
-/// @return this router's place in the rendezvous order of the server
-RouterPlace ServerSelector::placeAt(const Server &server) const
+/// @return number of routers that come before this one in the rendezvous order of the server
+std::size_t ServerSelector::routersBefore(const Server &server) const
 {
     const auto weight = [&](const RouterId &router) {
         return rendezvousWeight(server.key, stableHash(router.text()));
     };
     const std::uint64_t own = weight(m_settings.router);
-    const auto before = std::count_if(m_routersSeenAt.begin(), m_routersSeenAt.end(),
-                                      [&](const auto &seen) { return weight(seen.first) > own; });
-    return {routerCount(), static_cast<std::size_t>(before)};
+    return static_cast<std::size_t>(
+            std::count_if(m_routersSeenAt.begin(), m_routersSeenAt.end(),
+                          [&](const auto &seen) { return weight(seen.first) > own; }));
 }
 
 /// @return time between two requests of this router to a server in a cold start, chosen so that all
--- a/packages/decision/tests/customerusagemeter_test.cpp
+++ b/packages/decision/tests/customerusagemeter_test.cpp
@@ -39,6 +39,46 @@
     }
 }
 
+// A part that is equal for all routers would leave the capacity of idle ones unused.
+SCENARIO("pattern: callers come to few of the routers")
+{
+    CustomerUsageMeter meter(4s);
+    const TimePoint now = TimePoint() + 1h;
+    const auto report = [&](const std::string &router, double requested) {
+        meter.updatePeerUsage(RouterId(router), {{middle, {requested, requested}}}, now);
+    };
+    meter.recordRequested(middle, 300, now);
+    meter.recordDispatched(middle, 300, now);
+    GIVEN("three other routers, one of which gets requests, too")
+    {
+        report("r1", 100);
+        report("r2", 0);
+        report("r3", 0);
+        THEN("this router's share is near its part of the requests")
+        {
+            CHECK(meter.routerShare(4, now) > 0.5);
+            CHECK(meter.routerShare(4, now) < 0.75);
+        }
+    }
+    GIVEN("no report of the other routers")
+    {
+        THEN("it has an equal part")
+        {
+            CHECK(meter.routerShare(4, now) == Approx(0.25));
+        }
+    }
+    GIVEN("a customer that floods this router")
+    {
+        report("r1", 300);
+        meter.recordRequested(large, 100000, now);
+        meter.recordDispatched(large, 300, now);
+        THEN("its requests count up to its fair share")
+        {
+            CHECK(meter.routerShare(2, now) < 0.75);
+        }
+    }
+}
+
 SCENARIO("a customer's usage is compared with the max-min fair level")
 {
     GIVEN("a fleet that dispatches a total cost of 120")
--- a/packages/direct/src/directrouter.cpp
+++ b/packages/direct/src/directrouter.cpp
@@ -81,6 +81,9 @@
                                         .shouldCloseAfterRefusal
                                         = [this] { return callers->shouldCloseAfterRefusal(); }}
     {
+        serverSelector.setRouterShareHook([this](TimePoint now) {
+            return usageMeter.routerShare(serverSelector.routerCount(), now);
+        });
         connections.findServer = [this](const ServerId &id) { return serverSelector.server(id); };
         listen();
         startAdminServers();
