Continue a broken-off stream with events only

Cause: what may follow forwarded events was decided by the status alone, and at the end of the answer: a large body had been forwarded by then. Class: an answer is judged after parts of it have been passed on.

Change: when the response to the caller has begun, an answer that is not a successful event stream with a body ends its attempt at its head.

The new case of brokenstream_test failed before in 4 of its 7 answers (two long errors, text with a 200, 204); a short error, JSON and a redirect were cut before, too.

--- a/packages/direct/src/requesthandler.cpp
+++ b/packages/direct/src/requesthandler.cpp
@@ -236,13 +236,19 @@
     // An unsigned response is buffered, and handled as a failed attempt when it ends.
     m_isStreaming = m_route->kind == RequestKind::Stream && status / 100 == 2
                     && isAuthentic(header, m_context.headerNames);
-    if (m_isStreaming) {
-        const bool hasBody = m_request.method() != http::verb::head
-                             && header.result() != http::status::no_content;
-        if (hasBody && bilberry::http::isEventStream(header[http::field::content_type]))
-            m_eventBoundary.emplace();
+    const bool hasEvents = m_isStreaming && m_request.method() != http::verb::head
+                           && header.result() != http::status::no_content
+                           && bilberry::http::isEventStream(header[http::field::content_type]);
+    // Only events may follow the ones that were already forwarded.
+    if (m_responseStarted && !hasEvents) {
+        const auto refused = status == 421 ? AttemptOutcome::WrongServer : AttemptOutcome::Shed;
+        abandonAttempt(m_notRun ? refused : AttemptOutcome::BrokenAnswer, !m_notRun);
         return;
     }
+    if (hasEvents)
+        m_eventBoundary.emplace();
+    if (m_isStreaming)
+        return;
     m_firstByteAt = now;
     m_context.serverSelector.recordFirstByte(m_attemptNumber, now);
 }
@@ -362,13 +368,10 @@
                              false);
         return;
     }
-    // The error response of the server that should resume a stream can't follow the events that
-    // were already forwarded.
-    const bool failedToResume = m_eventSplitter && m_responseStarted && !m_isStreaming;
     const bool brokenOff = isBrokenOff();
     if (brokenOff)
         m_crashGuard.recordBroken();
-    if (!isAuthentic(*m_responseHeader, m_context.headerNames) || brokenOff || failedToResume) {
+    if (!isAuthentic(*m_responseHeader, m_context.headerNames) || brokenOff) {
         handleAttemptFailure(AttemptOutcome::BrokenAnswer, true);
         return;
     }
--- a/packages/direct/tests/brokenstream_test.cpp
+++ b/packages/direct/tests/brokenstream_test.cpp
@@ -136,3 +136,44 @@
         }
     }
 }
+
+// What another server answers in place of the rest of a stream must not reach the caller.
+SCENARIO("a broken-off stream is not continued with something else")
+{
+    const std::string longText(400U << 10U, 'x');
+    const auto answerWith = [](const std::string &status, const std::string &body,
+                               const std::string &type = "text/plain") {
+        return answer(status, body, "Bilberry-Signature: sig\r\nContent-Type: " + type + "\r\n");
+    };
+    const std::string instead
+            = GENERATE_COPY(answerWith("500 Internal Server Error", "<error>\n\n"),
+                            answerWith("500 Internal Server Error", longText),
+                            answerWith("503 Service Unavailable", longText),
+                            answerWith("200 OK", "id: 2\n\n<error>\n\n"),
+                            answerWith("200 OK", "{\"error\":1}", "application/json"),
+                            std::string("HTTP/1.1 204 No Content\r\nBilberry-Request-Id: r1\r\n"
+                                        "Bilberry-Signature: sig\r\n\r\n"),
+                            answerWith("302 Found", "<moved>\n\n"));
+    GIVEN("a server that breaks off a stream, and others with the answer: "
+          + instead.substr(0, instead.find('\r')))
+    {
+        int count = 0;
+        const auto script = [&](const ScriptedRequest &) {
+            return ++count == 1 ? ScriptedAnswer{streamHead + chunk(first) + "5\r\nid", Then::Close}
+                                : ScriptedAnswer{instead};
+        };
+        ScriptedServer one(script);
+        ScriptedServer two(script);
+        RouterFixture fixture({&one, &two}, acceptOldPlans);
+        const RawAnswer given = fixture.call("/resume/x");
+        THEN("the caller gets the first event only, and no end of the answer")
+        {
+            CHECK(given.contains(first));
+            CHECK(given.answers() == 1);
+            CHECK_FALSE(given.contains("error"));
+            CHECK_FALSE(given.contains("moved"));
+            CHECK_FALSE(given.contains("xxx"));
+            CHECK_FALSE(given.contains(endOfChunks));
+        }
+    }
+}
