Take no refusal without an id for the answer to a later request

Cause: answers are matched by the request's id, but refusals may lack it, since servers also refuse before they read a request; such a refusal counted whatever the connection had carried before. Class: an unidentified message is taken for the one that is waited for.

Change: on a connection that has carried a request, an answer without an id ends the attempt as broken: it may have run. A copy with the id of its own request was already skipped.

--- a/packages/direct/src/serverattempt.cpp
+++ b/packages/direct/src/serverattempt.cpp
@@ -200,9 +200,10 @@
     m_idMismatch = !id.empty() && id != m_requestId;
     if (const auto limit = keepAliveTimeout(header))
         m_connection->keepAliveTimeout = *limit;
-    // Only refusals may lack the request's id: servers send them before they read it.
+    // Only refusals may lack the request's id: servers send them before they read it. On a kept
+    // connection, such a refusal may be a copy of an earlier one.
     const bool success = header.result_int() / 100 == 2;
-    if (id.empty() && success) {
+    if (id.empty() && (success || m_connection->hasCarriedRequest)) {
         finish(AttemptResult::Broken);
         return false;
     }
@@ -243,6 +244,7 @@
         // Bytes after the response belong to no request.
         const bool isReusable = result == AttemptResult::Complete && m_requestWritten
                                 && m_parser->keep_alive() && m_connection->buffer.size() == 0;
+        m_connection->hasCarriedRequest = true;
         if (isReusable)
             m_connections.release(m_server, m_connection);
         m_connection.reset();
--- a/packages/direct/src/serverconnections.h
+++ b/packages/direct/src/serverconnections.h
@@ -25,6 +25,7 @@
     std::uint64_t startedAtMs = 0; ///< start time of the server process, which identifies the run
     TimePoint expiresAt{};
     Duration keepAliveTimeout = std::chrono::seconds(3);
+    bool hasCarriedRequest = false; ///< an earlier one, whose answer may be repeated
 };
 
 using ServerConnectionPtr = std::shared_ptr<ServerConnection>;
--- a/packages/direct/tests/directrouter_test.cpp
+++ b/packages/direct/tests/directrouter_test.cpp
@@ -476,3 +476,31 @@
         }
     }
 }
+
+// A refusal without the request's id may be a copy of an earlier one, while the server runs the
+// request.
+SCENARIO("a refusal that a server repeats on a kept connection is no answer to the next request")
+{
+    const std::string refusal = "HTTP/1.1 503 Service Unavailable\r\nBilberry-Not-Run: 1\r\n"
+                                "Content-Length: 0\r\n\r\n";
+    std::atomic<int> requests = 0;
+    std::atomic<int> runs = 0;
+    const auto script = [&](const ScriptedRequest &) {
+        if (++requests == 1)
+            return ScriptedAnswer{refusal};
+        ++runs;
+        return ScriptedAnswer{refusal + answer("200 OK", "booked")};
+    };
+    ScriptedServer server(script);
+    RouterFixture fixture({&server}, acceptOldPlans);
+    GIVEN("a request that the server refuses, and a second one that it runs")
+    {
+        CHECK(fixture.call("/book/x").status() == 503);
+        const RawAnswer second = fixture.call("/book/x");
+        THEN("the caller of the second isn't told that it hasn't run")
+        {
+            CHECK(runs == 1);
+            CHECK(second.status() != 503);
+        }
+    }
+}
