Keep to what servers say of themselves: leaving, and a wait

Change: ServerStatement is read from each answer of the request's server, in one place: final or interim, refusal, error or the head of a stream; not from 421, which another server gives, nor from copies of other answers. A process that is leaving is chosen by no router any more, whatever the store lists, also when its entry lapses and returns; routers tell each other. A wait holds for the router that was told. Values that are not understood are ignored and logged. Refusals for lack of a server stay immediate 503s.

--- a/packages/decision/include/bilberry/decision/serverselector.h
+++ b/packages/decision/include/bilberry/decision/serverselector.h
@@ -101,14 +101,15 @@
     bool operator==(const PlacedPrefix &) const = default;
 };
 
-/// The limit that a server has named, as routers tell each other.
-struct ReportedLimit
+/// What a server has said of itself in its answers, as routers tell each other.
+struct ReportedStatement
 {
     ServerKey server = 0;
     std::uint64_t startedAtMs = 0;   ///< start time of the server's process
     std::optional<double> perSecond; ///< absent when the server names none any more
-    Duration age{};                  ///< since the answer that said so
-    bool operator==(const ReportedLimit &) const = default;
+    Duration age{};                  ///< since the answer that named the limit, or its end
+    bool leaving = false;            ///< the process wants no further requests
+    bool operator==(const ReportedStatement &) const = default;
 };
 
 /// Identifies an attempt: one request sent to one server.
@@ -152,11 +153,18 @@
     /// @param perSecond limit of all routers together; absent when the answer names none
     /// @return true when the limit has changed
     bool recordLimit(const ServerId &id, std::optional<double> perSecond, TimePoint now);
-    /// Applies what another router knows of a server's limit.
-    /// @return true when the limit has changed
-    bool mergeLimit(const ReportedLimit &limit, TimePoint now);
-    /// @return the limits that servers name, and those that have ended within the last seconds
-    std::vector<ReportedLimit> limits(TimePoint now) const;
+    /// Records that the server says that it is leaving: its process receives no further request,
+    /// whatever its entry says.
+    /// @return true when that is new
+    bool recordLeaving(const ServerId &id, TimePoint now);
+    /// Records that the server wants no request from this router before a point in time.
+    void recordWait(const ServerId &id, TimePoint until);
+    /// Applies what another router knows by a server's answers.
+    /// @return true when that changes anything
+    bool mergeStatement(const ReportedStatement &statement, TimePoint now);
+    /// @return the limits that servers name or have ended within the last seconds, and the servers
+    ///         that are leaving
+    std::vector<ReportedStatement> statements(TimePoint now) const;
     /// @param hook returns this router's part of the requests of all routers, and so of each
     ///        server's limit; without it, all routers have the same part
     void setRouterShareHook(std::function<double(TimePoint now)> hook)
@@ -206,6 +214,7 @@
         ServerKey key = 0;
         ServerHealth health;
         RequestLimit limit;
+        TimePoint waitUntil{}; ///< see recordWait()
         PromptCache cache;
         TimePoint coldUntil{};
         TimePoint nextColdRequestAt{}; ///< earliest time of the next request during a cold start
@@ -254,6 +263,7 @@
     bool isSmall(const RequestTraits &traits);
     double turnLeftFor(const RequestTraits &traits);
     double overuseFactor(const RequestTraits &traits) const;
+    bool isLeaving(const Server &server) const;
     bool mayTakeTurn(Server &server, double leftFor, TimePoint now) const;
     std::size_t routersBefore(const Server &server) const;
     bool applyLimit(Server &server, std::optional<double> perSecond, TimePoint saidAt,
@@ -271,6 +281,9 @@
     std::function<double(TimePoint now)> m_routerShareHook;
     std::map<RouterId, TimePoint> m_routersSeenAt; ///< when each other router was last seen
     TimePoint m_expiryCheckedAt{};
+    /// Servers' processes that are leaving, by key and start time, and when this was learned. Kept
+    /// beside the servers, whose entries may come and go.
+    std::map<std::pair<ServerKey, std::uint64_t>, TimePoint> m_leaving;
     std::map<PoolId, double> m_meanTokens; ///< of the prompts of recent requests
     std::set<ZoneId> m_zonesOut;
     std::unordered_map<AttemptNumber, Attempt> m_attempts;
--- a/packages/decision/src/serverselector.cpp
+++ b/packages/decision/src/serverselector.cpp
@@ -39,6 +39,10 @@
 /// Time for which a server isn't chosen after another server answered at its address, so that the
 /// platform's list can catch up.
 constexpr Duration wrongServerCooldown = std::chrono::seconds(5);
+/// Upper bound of the age of a statement in reports, far beyond the life of any of them.
+constexpr Duration maxStatementAge = std::chrono::hours(24);
+/// Time for which a process that is leaving is remembered.
+constexpr Duration leavingLifetime = std::chrono::minutes(10);
 /// Part of a turn's validity for which small requests leave it to others.
 constexpr double smallRequestLeftFor = 0.5;
 /// Part of its fair share below which a customer's small requests needn't do so.
@@ -92,6 +96,7 @@
         server.cache.clear();
         server.health = ServerHealth(m_settings.health);
         server.limit = {};
+        server.waitUntil = {};
         server.wrongServerAt = {};
     }
     server.cache.setCapacity(cacheTokens);
@@ -157,6 +162,7 @@
     m_expiryCheckedAt = now;
     std::erase_if(m_routersSeenAt,
                   [&](const auto &seen) { return now - seen.second > m_settings.routerLifetime; });
+    std::erase_if(m_leaving, [&](const auto &left) { return now - left.second > leavingLifetime; });
     m_peerLoads.expire(now);
 }
 
@@ -180,12 +186,53 @@
     return true;
 }
 
-bool ServerSelector::mergeLimit(const ReportedLimit &limit, TimePoint now)
+bool ServerSelector::recordLeaving(const ServerId &id, TimePoint now)
 {
-    const auto found = m_serversByKey.find(limit.server);
-    if (found == m_serversByKey.end() || found->second->descriptor.startedAtMs != limit.startedAtMs)
+    const Server *server = find(id);
+    if (!server || isLeaving(*server))
         return false;
-    return applyLimit(*found->second, limit.perSecond, now - limit.age, now);
+    m_leaving[{server->key, server->descriptor.startedAtMs}] = now;
+    if (m_loadChangedHook)
+        m_loadChangedHook();
+    return true;
+}
+
+void ServerSelector::recordWait(const ServerId &id, TimePoint until)
+{
+    if (Server *server = find(id))
+        server->waitUntil = std::max(server->waitUntil, until);
+}
+
+bool ServerSelector::isLeaving(const Server &server) const
+{
+    return !m_leaving.empty() && m_leaving.contains({server.key, server.descriptor.startedAtMs});
+}
+
+bool ServerSelector::mergeStatement(const ReportedStatement &statement, TimePoint now)
+{
+    const bool newlyLeaving
+            = statement.leaving
+              && m_leaving.try_emplace({statement.server, statement.startedAtMs}, now).second;
+    const auto found = m_serversByKey.find(statement.server);
+    if (found == m_serversByKey.end()
+        || found->second->descriptor.startedAtMs != statement.startedAtMs)
+        return newlyLeaving;
+    return applyLimit(*found->second, statement.perSecond, now - statement.age, now)
+           || newlyLeaving;
+}
+
+std::vector<ReportedStatement> ServerSelector::statements(TimePoint now) const
+{
+    std::vector<ReportedStatement> statements;
+    for (const auto &[id, server] : m_servers) {
+        const Duration age = now - server.limit.saidAt();
+        const bool leaving = isLeaving(server);
+        if (server.limit.perSecond() || age < endedLimitRepeatTime || leaving)
+            statements.push_back({server.key, server.descriptor.startedAtMs,
+                                  server.limit.perSecond(), std::min(age, maxStatementAge),
+                                  leaving});
+    }
+    return statements;
 }
 
 /// @return true when the limit has changed
@@ -198,18 +245,6 @@
     return change != RequestLimit::Change::None;
 }
 
-std::vector<ReportedLimit> ServerSelector::limits(TimePoint now) const
-{
-    std::vector<ReportedLimit> limits;
-    for (const auto &[id, server] : m_servers) {
-        const Duration age = now - server.limit.saidAt();
-        if (server.limit.perSecond() || age < endedLimitRepeatTime)
-            limits.push_back(
-                    {server.key, server.descriptor.startedAtMs, server.limit.perSecond(), age});
-    }
-    return limits;
-}
-
 std::size_t ServerSelector::limitedCount() const
 {
     return static_cast<std::size_t>(
@@ -232,7 +267,8 @@
     bool coldLimited = false;
     const double leftFor = turnLeftFor(traits);
     for (Server *server : bestTierServers(traits, now)) {
-        if (isAtConnectionLimit(*server, pool) || !mayTakeTurn(*server, leftFor, now))
+        if (isAtConnectionLimit(*server, pool) || now < server->waitUntil
+            || !mayTakeTurn(*server, leftFor, now))
             overloaded = true;
         else if (now < server->coldUntil && now < server->nextColdRequestAt)
             coldLimited = true;
@@ -459,7 +495,7 @@
 ServerSelector::tier(const Server &server, const RequestTraits &traits, TimePoint now) const
 {
     const DirectServer &descriptor = server.descriptor;
-    if (descriptor.pool != traits.pool || descriptor.draining
+    if (descriptor.pool != traits.pool || descriptor.draining || isLeaving(server)
         || m_zonesOut.contains(descriptor.zone) || traits.excluded.contains(descriptor.id))
         return std::nullopt;
     const bool inWrongServerCooldown = server.wrongServerAt != TimePoint()
--- a/packages/decision/tests/limitedserver_test.cpp
+++ b/packages/decision/tests/limitedserver_test.cpp
@@ -105,8 +105,8 @@
     SelectingRouter told(2);
     heard.selector.recordLimit(limited, 2.0, heard.now);
     const auto exchange = [&] {
-        for (const ReportedLimit &limit : heard.selector.limits(heard.now))
-            told.selector.mergeLimit(limit, told.now);
+        for (const ReportedStatement &said : heard.selector.statements(heard.now))
+            told.selector.mergeStatement(said, told.now);
     };
     exchange();
     GIVEN("a router that got no answer from there")
@@ -151,6 +151,53 @@
     }
 }
 
+SCENARIO("a server that is leaving is used by no router, whatever the store lists")
+{
+    SelectingRouter heard(2);
+    SelectingRouter told(2);
+    CHECK(heard.selector.recordLeaving(limited, heard.now));
+    const auto neverChosen = [](SelectingRouter &router) {
+        bool never = true;
+        for (std::uint64_t i = 0; i < 50; ++i) {
+            const auto choice = router.send(requestOf(router, 100 + i, smallTokens));
+            never = never && choice && choice.value().server != limited;
+            router.finishAll();
+        }
+        return never;
+    };
+    CHECK(neverChosen(heard));
+    GIVEN("another router that hears of it")
+    {
+        for (const ReportedStatement &said : heard.selector.statements(heard.now))
+            told.selector.mergeStatement(said, told.now);
+        THEN("it doesn't choose it either")
+        {
+            CHECK(neverChosen(told));
+        }
+        WHEN("the server's entry lapses and comes back")
+        {
+            const DirectServer entry = *told.selector.server(limited);
+            told.selector.remove(limited);
+            told.selector.update(entry, told.now);
+            THEN("it still doesn't")
+            {
+                CHECK(neverChosen(told));
+            }
+        }
+        WHEN("a new process starts under the id")
+        {
+            DirectServer restarted = *told.selector.server(limited);
+            restarted.startedAtMs = 2;
+            told.selector.update(restarted, told.now);
+            told.now += 10s;
+            THEN("it is used")
+            {
+                CHECK_FALSE(neverChosen(told));
+            }
+        }
+    }
+}
+
 SCENARIO("all servers of a pool name a limit")
 {
     SelectingRouter router(2);
--- a/packages/direct/include/bilberry/direct/headernames.h
+++ b/packages/direct/include/bilberry/direct/headernames.h
@@ -18,6 +18,7 @@
     std::string notRun = "Bilberry-Not-Run";         ///< the server did not run the request
     std::string serverLoad = "Bilberry-Server-Load"; ///< running, waiting, slots
     std::string requestLimit = "Bilberry-Request-Limit"; ///< requests a second, from all routers
+    std::string leaving = "Bilberry-Leaving"; ///< 1: the server wants no further requests
     std::string model = "Bilberry-Model";
     std::string promptParts = "Bilberry-Prompt-Parts"; ///< hexadecimal ID:TOKENS, comma-separated
     std::string tokenCounts = "Bilberry-Token-Counts"; ///< prompt tokens, most output tokens
--- a/packages/direct/src/peerexchange.cpp
+++ b/packages/direct/src/peerexchange.cpp
@@ -191,7 +191,7 @@
         m_socket.sendToAll(report);
         m_lastReportAt = now;
     }
-    sendLimits();
+    sendServerNotices();
     const std::vector<decision::CrashSuspect> changedSuspects = m_crashSuspicion.takeChanged(now);
     sendSuspects(complete ? m_crashSuspicion.summary(now) : changedSuspects);
     if (complete)
@@ -200,16 +200,17 @@
     scheduleReport(m_lastCompleteReportAt + completeReportPeriod);
 }
 
-void PeerExchange::sendLimits()
+void PeerExchange::sendServerNotices()
 {
-    const TimePoint now = Clock::now();
-    const std::vector<decision::ReportedLimit> limits = m_serverSelector.limits(now);
-    if (limits.empty() || m_peers.empty())
+    const std::vector<decision::ReportedStatement> statements
+            = m_serverSelector.statements(Clock::now());
+    if (statements.empty() || m_peers.empty())
         return;
-    wire::ServerLimitGossip gossip{m_sender, {}};
-    for (const decision::ReportedLimit &limit : limits)
-        gossip.limits.push_back({limit.server, limit.startedAtMs, limit.perSecond.value_or(noLimit),
-                                 static_cast<std::uint32_t>(toMilliseconds(limit.age))});
+    wire::ServerNoticeGossip gossip{m_sender, {}};
+    for (const decision::ReportedStatement &statement : statements)
+        gossip.notices.push_back(
+                {statement.server, statement.startedAtMs, statement.perSecond.value_or(noLimit),
+                 static_cast<std::uint32_t>(toMilliseconds(statement.age)), statement.leaving});
     m_socket.sendToAll(gossip);
 }
 
@@ -275,8 +276,8 @@
         handleReport(*report);
     else if (const auto *gossip = std::get_if<wire::CrashSuspectGossip>(&message))
         handleSuspects(*gossip);
-    else if (const auto *gossip = std::get_if<wire::ServerLimitGossip>(&message))
-        handleLimits(*gossip);
+    else if (const auto *gossip = std::get_if<wire::ServerNoticeGossip>(&message))
+        handleServerNotices(*gossip);
     else if (const auto *query = std::get_if<wire::PlanProofQuery>(&message))
         handleQuery(*query);
     else if (const auto *reply = std::get_if<wire::PlanProofReply>(&message))
@@ -284,18 +285,20 @@
                            std::chrono::microseconds(reply->ageUs)});
 }
 
-void PeerExchange::handleLimits(const wire::ServerLimitGossip &gossip)
+void PeerExchange::handleServerNotices(const wire::ServerNoticeGossip &gossip)
 {
     const TimePoint now = Clock::now();
-    for (const wire::ServerLimitNotice &notice : gossip.limits) {
-        decision::ReportedLimit limit{notice.server, notice.startedAtMs, std::nullopt,
-                                      std::chrono::milliseconds(notice.ageMs)};
+    for (const wire::ServerNotice &notice : gossip.notices) {
+        decision::ReportedStatement statement{notice.server, notice.startedAtMs, std::nullopt,
+                                              std::chrono::milliseconds(notice.ageMs),
+                                              notice.leaving};
         if (notice.perSecond >= 0.0)
-            limit.perSecond = notice.perSecond;
-        if (m_serverSelector.mergeLimit(limit, now))
-            m_log.decision("Another router knows a server's request limit.",
+            statement.perSecond = notice.perSecond;
+        if (m_serverSelector.mergeStatement(statement, now))
+            m_log.decision("Another router knows what a server says of itself.",
                            {{"router", gossip.sender.router.text()},
                             {"perSecond", std::to_string(notice.perSecond)},
+                            {"leaving", notice.leaving ? "true" : "false"},
                             {"ageMs", std::to_string(notice.ageMs)}});
     }
 }
--- a/packages/direct/src/peerexchange.h
+++ b/packages/direct/src/peerexchange.h
@@ -20,7 +20,7 @@
 namespace bilberry::direct {
 
 /// Exchanges reports between routers as datagrams: their work at the servers, the demands of
-/// customers, the limits that servers name, and what may have crashed servers. Routers find each
+/// customers, what servers say of themselves, and what may have crashed servers. Routers find each
 /// other in a collection of the store, where each registers itself.
 class PeerExchange : public std::enable_shared_from_this<PeerExchange>
 {
@@ -65,13 +65,13 @@
     void addPlacement(const decision::PlacedPrefix &placed);
     void scheduleReport(TimePoint when);
     void sendReport();
-    void sendLimits();
+    void sendServerNotices();
     void sendSuspects(const std::vector<decision::CrashSuspect> &suspects);
     std::vector<wire::DirectServerLoad> changedLoads(bool complete);
     Duration reportInterval() const;
     void handleMessage(wire::GossipMessage &&message);
     void handleReport(const wire::DirectRouterReport &report);
-    void handleLimits(const wire::ServerLimitGossip &gossip);
+    void handleServerNotices(const wire::ServerNoticeGossip &gossip);
     void handleSuspects(const wire::CrashSuspectGossip &gossip);
     void handleQuery(const wire::PlanProofQuery &query);
 
--- a/packages/direct/src/requesthandler.cpp
+++ b/packages/direct/src/requesthandler.cpp
@@ -2,6 +2,7 @@
 
 #include "headerfields.h"
 #include "serverrequest.h"
+#include "serverstatement.h"
 
 #include "bilberry/base/digest.h"
 #include "bilberry/http/requestrules.h"
@@ -211,6 +212,7 @@
     AttemptHooks hooks;
     hooks.onConnected
             = [self] { self->m_context.serverSelector.recordConnection(self->m_attemptNumber); };
+    hooks.onStatement = [self](const ResponseHeader &header) { self->recordStatement(header); };
     hooks.onHeader = [self](const ResponseHeader &header) { self->handleResponseHeader(header); };
     hooks.onBody = [self](std::string &&data) { self->handleResponseBody(std::move(data)); };
     hooks.onEnd = [self](AttemptResult result) { self->handleAttemptEnd(result); };
@@ -232,7 +234,6 @@
     const unsigned status = header.result_int();
     m_notRun = status == 421 || header.count(m_context.headerNames.notRun) > 0;
     m_responseHeader = header;
-    recordLimit(header);
     // An unsigned response is buffered, and handled as a failed attempt when it ends.
     m_isStreaming = m_route->kind == RequestKind::Stream && status / 100 == 2
                     && isAuthentic(header, m_context.headerNames);
@@ -253,25 +254,34 @@
     m_context.serverSelector.recordFirstByte(m_attemptNumber, now);
 }
 
-/// Tells the server selector the limit that the server names in its response.
-void RequestHandler::recordLimit(const ResponseHeader &header)
+/// Tells the server selector what the server says of itself.
+void RequestHandler::recordStatement(const ResponseHeader &header)
 {
-    const std::string &name = m_context.headerNames.requestLimit;
-    const auto limit = parseDecimalField(header, name);
-    // Another server answers 421. Only a success shows that the limit has ended.
-    const bool isNamed = header.count(name) > 0;
-    if (header.result_int() == 421 || (!isNamed && header.result_int() / 100 != 2))
-        return;
-    if (isNamed && !limit) {
+    const ServerStatement statement = readServerStatement(header, m_context.headerNames);
+    const ServerId &server = m_choice.server;
+    const TimePoint now = Clock::now();
+    for (const std::string &field : statement.invalid)
+        m_context.log.decision("Ignored an invalid field of a server.",
+                               {{"server", server.text()},
+                                {"field", field},
+                                {"value", std::string(header[field])}});
+    if (statement.leaving && m_context.serverSelector.recordLeaving(server, now)) {
+        m_context.connections.dropIdle(server);
+        m_context.log.decision("A server says that it is leaving.", {{"server", server.text()}});
+    }
+    if (statement.wait) {
+        m_context.serverSelector.recordWait(server, now + *statement.wait);
         m_context.log.decision(
-                "Ignored an invalid request limit.",
-                {{"server", m_choice.server.text()}, {"limit", std::string(header[name])}});
-        return;
+                "A server asks this router to wait.",
+                {{"server", server.text()}, {"waitMs", toMillisecondsText(*statement.wait)}});
     }
-    if (m_context.serverSelector.recordLimit(m_choice.server, limit, Clock::now()))
-        m_context.log.decision("A server's request limit has changed.",
-                               {{"server", m_choice.server.text()},
-                                {"perSecond", limit ? std::to_string(*limit) : "none"}});
+    const bool saysLimit = statement.perSecond || statement.endsLimit;
+    if (saysLimit && m_context.serverSelector.recordLimit(server, statement.perSecond, now))
+        m_context.log.decision(
+                "A server's request limit has changed.",
+                {{"server", server.text()},
+                 {"perSecond",
+                  statement.perSecond ? std::to_string(*statement.perSecond) : "none"}});
 }
 
 void RequestHandler::handleResponseBody(std::string &&data)
--- a/packages/direct/src/requesthandler.h
+++ b/packages/direct/src/requesthandler.h
@@ -74,7 +74,7 @@
     void sendToServer(const decision::ServerChoice &choice);
 
     void handleResponseHeader(const ResponseHeader &header);
-    void recordLimit(const ResponseHeader &header);
+    void recordStatement(const ResponseHeader &header);
     void handleResponseBody(std::string &&data);
     void handleAttemptEnd(AttemptResult result);
     void abandonAttempt(decision::AttemptOutcome outcome, bool mayHaveRun);
--- a/packages/direct/src/serverattempt.cpp
+++ b/packages/direct/src/serverattempt.cpp
@@ -194,10 +194,13 @@
 {
     m_headerHandled = true;
     const auto &header = m_parser->get().base();
+    const std::string id(header[m_requestIdHeader]);
+    const bool isOfOther = !id.empty() && id != m_requestId;
+    if (!isOfOther && m_hooks.onStatement)
+        m_hooks.onStatement(header);
     if (isInformational(header))
         return true;
-    const std::string id(header[m_requestIdHeader]);
-    m_idMismatch = !id.empty() && id != m_requestId;
+    m_idMismatch = isOfOther;
     if (const auto limit = keepAliveTimeout(header))
         m_connection->keepAliveTimeout = *limit;
     // Only refusals may lack the request's id: servers send them before they read it. On a kept
--- a/packages/direct/src/serverattempt.h
+++ b/packages/direct/src/serverattempt.h
@@ -26,6 +26,8 @@
 struct AttemptHooks
 {
     std::function<void()> onConnected;
+    /// Called with the header of each answer, also of interim ones.
+    std::function<void(const ResponseHeader &)> onStatement;
     std::function<void(const ResponseHeader &)> onHeader;
     std::function<void(std::string &&)> onBody;
     std::function<void(AttemptResult)> onEnd; ///< called once and last; never after cancel()
--- a/packages/router/include/bilberry/router/coordinator.h
+++ b/packages/router/include/bilberry/router/coordinator.h
@@ -82,7 +82,7 @@
     void handle(const wire::PlanProofQuery &, TimePoint) {}
     void handle(const wire::PlanProofReply &, TimePoint) {}
     void handle(const wire::CrashSuspectGossip &, TimePoint) {}
-    void handle(const wire::ServerLimitGossip &, TimePoint) {}
+    void handle(const wire::ServerNoticeGossip &, TimePoint) {}
 
     wire::GossipSender localSender() const;
     bool isConfigurationFrozen(TimePoint now) const;
--- a/packages/wire/include/bilberry/wire/gossipmessages.h
+++ b/packages/wire/include/bilberry/wire/gossipmessages.h
@@ -187,27 +187,29 @@
     bool operator==(const CrashSuspectGossip &) const = default;
 };
 
-/// The limit that a backend server names in its answers.
-struct ServerLimitNotice
+/// What a backend server says of itself in its answers.
+struct ServerNotice
 {
     std::uint64_t server = 0;      ///< hash of the server's id
     std::uint64_t startedAtMs = 0; ///< start time of its process
     double perSecond = 0.0;        ///< requests that it takes from all routers; negative: no limit
-    std::uint32_t ageMs = 0;       ///< since the answer that said so
-    bool operator==(const ServerLimitNotice &) const = default;
+    std::uint32_t ageMs = 0;       ///< since the answer that named the limit, or its end
+    bool leaving = false;          ///< it wants no further requests
+    bool operator==(const ServerNotice &) const = default;
 };
 
-/// What a direct router knows of the servers' limits. The newest answer holds.
-struct ServerLimitGossip
+/// What a direct router knows by the servers' answers. The newest one holds for a limit; a process
+/// that is leaving doesn't return.
+struct ServerNoticeGossip
 {
     GossipSender sender;
-    std::vector<ServerLimitNotice> limits;
-    bool operator==(const ServerLimitGossip &) const = default;
+    std::vector<ServerNotice> notices;
+    bool operator==(const ServerNoticeGossip &) const = default;
 };
 
 using GossipMessage = std::variant<Probe, ProbeAck, ServiceReport, ServiceTotals, QuarantineGossip,
                                    DirectRouterReport, PlanProofQuery, PlanProofReply,
-                                   CrashSuspectGossip, ServerLimitGossip>;
+                                   CrashSuspectGossip, ServerNoticeGossip>;
 
 } // namespace bilberry::wire
 
--- a/packages/wire/src/serialization.h
+++ b/packages/wire/src/serialization.h
@@ -67,8 +67,8 @@
 BILBERRY_FIELDS(CrashNotice, m.serverRun, m.ageMs, m.resent)
 BILBERRY_FIELDS(CrashSuspectNotice, m.feature, m.crashes, m.cleared, m.probes)
 BILBERRY_FIELDS(CrashSuspectGossip, m.sender, m.suspects)
-BILBERRY_FIELDS(ServerLimitNotice, m.server, m.startedAtMs, m.perSecond, m.ageMs)
-BILBERRY_FIELDS(ServerLimitGossip, m.sender, m.limits)
+BILBERRY_FIELDS(ServerNotice, m.server, m.startedAtMs, m.perSecond, m.ageMs, m.leaving)
+BILBERRY_FIELDS(ServerNoticeGossip, m.sender, m.notices)
 BILBERRY_FIELDS(PlanProofReply, m.sender, m.query, m.planVersion, m.storeRevision, m.ageUs)
 
 #undef BILBERRY_FIELDS
