--- a/packages/decision/include/bilberry/decision/crashsuspicion.h
+++ b/packages/decision/include/bilberry/decision/crashsuspicion.h
@@ -27,8 +27,7 @@
     {
         ServerRun run = 0;
         Duration age{};
-        bool resent
-                = false; ///< a request with the feature was sent after an earlier crash was seen
+        bool resent = false; ///< such a request was sent after an earlier crash was seen
         bool operator==(const Crash &) const = default;
     };
 
--- a/packages/decision/src/requestlimit.cpp
+++ b/packages/decision/src/requestlimit.cpp
@@ -10,8 +10,8 @@
 
 /// Limits below this count as this one, so that answers go on telling the limit.
 constexpr double minPerSecond = 0.1;
-/// Time for which a turn is valid: the requests that wait for none can then exceed the limit by
-/// those of a second, and by two.
+/// Time for which a turn is valid: a second and the time of two requests. It bounds what may come
+/// at once after a pause.
 constexpr double turnValidityS = 1.0;
 constexpr double turnValidityTurns = 2.0;
 /// Shares below this count as this one.
--- a/packages/direct/tests/crashingpart_test.cpp
+++ b/packages/direct/tests/crashingpart_test.cpp
@@ -73,6 +73,45 @@
     std::atomic<int> m_arrivals = 0;
 };
 
+/// Servers that end when they get a request with the body "crash", and count these.
+class CrashingBodyServers
+{
+public:
+    explicit CrashingBodyServers(int count)
+    {
+        for (int i = 0; i < count; ++i)
+            m_servers.emplace_back([this](const ScriptedRequest &request) {
+                if (request.body != "crash")
+                    return ScriptedAnswer{answer("200 OK", "whole")};
+                ++m_arrivals;
+                return ScriptedAnswer{"", Then::Crash};
+            });
+    }
+
+    std::vector<ScriptedServer *> all()
+    {
+        std::vector<ScriptedServer *> servers;
+        for (ScriptedServer &server : m_servers)
+            servers.push_back(&server);
+        return servers;
+    }
+    int arrivals() const { return m_arrivals; }
+
+private:
+    std::list<ScriptedServer> m_servers;
+    std::atomic<int> m_arrivals = 0;
+};
+
+/// @return how many of ten sound requests are served; one that finds only servers that have just
+///         crashed is refused
+int servedOfTen(const InProcessRouter &router, const std::string &path)
+{
+    int served = 0;
+    for (int i = 0; i < 10; ++i)
+        served += router.call(path, "", "sound").status() == 200 ? 1 : 0;
+    return served;
+}
+
 /// @return status of the answer to a stream request with the same first part as all others
 int call(const InProcessRouter &router, const std::string &middleParts, int number)
 {
@@ -127,19 +166,8 @@
 // A caller that repeats a request which crashes servers must not take server after server.
 SCENARIO("a repeated request that crashes servers soon reaches none")
 {
-    int arrivals = 0;
-    std::list<ScriptedServer> servers;
-    std::vector<ScriptedServer *> all;
-    for (int i = 0; i < 10; ++i) {
-        servers.emplace_back([&](const ScriptedRequest &request) {
-            if (request.body != "crash")
-                return ScriptedAnswer{answer("200 OK", "whole")};
-            ++arrivals;
-            return ScriptedAnswer{"", Then::Crash};
-        });
-        all.push_back(&servers.back());
-    }
-    const RouterFixture router(all, acceptOldPlans);
+    CrashingBodyServers servers(10);
+    const RouterFixture router(servers.all(), acceptOldPlans);
     GIVEN("a request that may not be repeated, sent again and again by its caller")
     {
         for (int i = 0; i < 12; ++i) {
@@ -148,13 +176,9 @@
         }
         THEN("it is refused after few crashes, and other requests of the caller are served")
         {
-            CHECK(arrivals <= maxCrashes);
+            CHECK(servers.arrivals() <= maxCrashes);
             CHECK(router.call("/book/x", "", "crash").contains("crashes-servers"));
-            // A request may find only servers that have just crashed, and is then refused.
-            int served = 0;
-            for (int i = 0; i < 10; ++i)
-                served += router.call("/book/x", "", "sound").status() == 200 ? 1 : 0;
-            CHECK(served >= 5);
+            CHECK(servedOfTen(router, "/book/x") >= 5);
         }
     }
 }
@@ -194,19 +218,8 @@
 SCENARIO("a repeated read that crashes servers soon reaches none, though it is sent to two each "
          "time")
 {
-    int arrivals = 0;
-    std::list<ScriptedServer> servers;
-    std::vector<ScriptedServer *> all;
-    for (int i = 0; i < 12; ++i) {
-        servers.emplace_back([&](const ScriptedRequest &request) {
-            if (request.body != "crash")
-                return ScriptedAnswer{answer("200 OK", "whole")};
-            ++arrivals;
-            return ScriptedAnswer{"", Then::Crash};
-        });
-        all.push_back(&servers.back());
-    }
-    const RouterFixture router(all, acceptOldPlans);
+    CrashingBodyServers servers(12);
+    const RouterFixture router(servers.all(), acceptOldPlans);
     GIVEN("a request that may be sent to two servers, sent again and again by its caller")
     {
         for (int i = 0; i < 8; ++i) {
@@ -215,13 +228,9 @@
         }
         THEN("it is refused after few crashes, and other requests are served")
         {
-            CHECK(arrivals <= maxCrashes);
+            CHECK(servers.arrivals() <= maxCrashes);
             CHECK(router.call("/read/x", "", "crash").contains("crashes-servers"));
-            // A request may find only servers that have just crashed, and is then refused.
-            int served = 0;
-            for (int i = 0; i < 10; ++i)
-                served += router.call("/read/x", "", "sound").status() == 200 ? 1 : 0;
-            CHECK(served >= 5);
+            CHECK(servedOfTen(router, "/read/x") >= 5);
         }
     }
 }
