Take memory for messages as their bytes arrive, and bound fields and trailers

Cause: string_body reserves a declared length at once (std::bad_alloc); Beast's fields throw std::length_error above 64 KiB, and the header limit doesn't cover trailers; both exceptions leave io_context::run().

Ruled out: a limit for the body alone. With one, trailers, chunk extensions and field counts still end the process, and a stream has no length to limit.

Change: all HTTP readers use BoundedParser and GrowingBody; readMessage() turns exceptions of the parser into errors; a caller's incomplete chunk header or trailer is bounded; an exception in one connection's handler, or in that of a datagram, ends that alone. A log line tells what was wrong with a server's bytes; "Start failed: std::bad_alloc." no longer stands for an end in the middle of work.

The tests failed on: direct and admin ended by SIGABRT, router too; store and agent let "field name too large" out of the event loop.

--- a/packages/admin/include/bilberry/admin/adminserver.h
+++ b/packages/admin/include/bilberry/admin/adminserver.h
@@ -41,8 +41,10 @@
     /// @param address IP address
     /// @param handlers keyed by the path for GET and by "METHOD path" for other methods. A path
     /// without a GET handler gets status 404, another method of a known path 405.
+    /// @param maxBodyBytes limit of a request's body; a longer one ends its connection
     AdminServer(boost::asio::io_context &context, const std::string &address, std::uint16_t port,
-                std::map<std::string, AdminHandler> handlers);
+                std::map<std::string, AdminHandler> handlers,
+                std::size_t maxBodyBytes = 16U << 20U);
     ~AdminServer();
 
 private:
--- a/packages/admin/src/adminclient.cpp
+++ b/packages/admin/src/adminclient.cpp
@@ -1,5 +1,8 @@
 #include "bilberry/admin/adminclient.h"
 
+#include "bilberry/http/boundedparser.h"
+#include "bilberry/http/messagereader.h"
+
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/this_coro.hpp>
@@ -42,10 +45,9 @@
     if (error)
         co_return std::error_code(error);
     beast::flat_buffer buffer;
-    http::response_parser<http::string_body> parser;
+    bilberry::http::BoundedResponseParser parser;
     parser.body_limit(maxResponseSize);
-    co_await http::async_read(stream, buffer, parser,
-                              asio::redirect_error(asio::use_awaitable, error));
+    error = co_await bilberry::http::readMessage(stream, buffer, parser);
     if (error)
         co_return std::error_code(error);
     auto response = parser.release();
--- a/packages/admin/src/adminserver.cpp
+++ b/packages/admin/src/adminserver.cpp
@@ -1,5 +1,8 @@
 #include "bilberry/admin/adminserver.h"
 
+#include "bilberry/http/boundedparser.h"
+#include "bilberry/http/messagereader.h"
+
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/ip/tcp.hpp>
@@ -18,7 +21,6 @@
 
 namespace {
 
-constexpr std::size_t maxBodySize = 16U << 20U;
 constexpr auto requestTimeout = std::chrono::seconds(30);
 constexpr std::size_t maxConnections = 64;
 constexpr auto acceptRetryDelay = std::chrono::milliseconds(100);
@@ -27,13 +29,30 @@
 
 struct AdminServer::State : std::enable_shared_from_this<State>
 {
+    /// Counts a connection as long as it is served, also when its handler throws.
+    class ConnectionCount
+    {
+    public:
+        explicit ConnectionCount(std::shared_ptr<State> state) : m_state(std::move(state))
+        {
+            ++m_state->connections;
+        }
+        ~ConnectionCount() { --m_state->connections; }
+        ConnectionCount(const ConnectionCount &) = delete;
+        ConnectionCount &operator=(const ConnectionCount &) = delete;
+
+    private:
+        std::shared_ptr<State> m_state;
+    };
+
     State(asio::io_context &context, const asio::ip::tcp::endpoint &endpoint,
-          std::map<std::string, AdminHandler> handlers)
-        : context(context), acceptor(context, endpoint), handlers(std::move(handlers))
+          std::map<std::string, AdminHandler> handlers, std::size_t maxBodyBytes)
+        : context(context), acceptor(context, endpoint), handlers(std::move(handlers)),
+          maxBodyBytes(maxBodyBytes)
     {
     }
 
-    AdminResponse dispatch(const http::request<http::string_body> &request) const
+    AdminResponse dispatch(const bilberry::http::GrowingRequest &request) const
     {
         const std::string target(request.target().substr(0, request.target().find('?')));
         const std::string method(request.method_string());
@@ -47,15 +66,14 @@
 
     asio::awaitable<void> serve(beast::tcp_stream stream)
     {
-        const auto self = shared_from_this();
+        const ConnectionCount count(shared_from_this());
         boost::system::error_code error;
         beast::flat_buffer buffer;
         while (!error) {
             stream.expires_after(requestTimeout);
-            http::request_parser<http::string_body> parser;
-            parser.body_limit(maxBodySize);
-            co_await http::async_read(stream, buffer, parser,
-                                      asio::redirect_error(asio::use_awaitable, error));
+            bilberry::http::BoundedRequestParser parser;
+            parser.body_limit(maxBodyBytes);
+            error = co_await bilberry::http::readMessage(stream, buffer, parser);
             if (error)
                 break;
             const auto request = parser.release();
@@ -70,7 +88,6 @@
             if (!response.keep_alive())
                 break;
         }
-        --connections;
     }
 
     /// Delays the next accept: while the process has no file descriptor left, accept fails
@@ -96,7 +113,6 @@
                 co_await waitBeforeRetry();
             if (error || connections >= maxConnections)
                 continue;
-            ++connections;
             asio::co_spawn(context, serve(beast::tcp_stream(std::move(socket))), asio::detached);
         }
     }
@@ -104,14 +120,15 @@
     asio::io_context &context;
     asio::ip::tcp::acceptor acceptor;
     std::map<std::string, AdminHandler> handlers;
+    std::size_t maxBodyBytes;
     std::size_t connections = 0;
 };
 
 AdminServer::AdminServer(asio::io_context &context, const std::string &address, std::uint16_t port,
-                         std::map<std::string, AdminHandler> handlers)
+                         std::map<std::string, AdminHandler> handlers, std::size_t maxBodyBytes)
     : m_state(std::make_shared<State>(
             context, asio::ip::tcp::endpoint(asio::ip::make_address(address), port),
-            std::move(handlers)))
+            std::move(handlers), maxBodyBytes))
 {
     asio::co_spawn(context, m_state->accept(), asio::detached);
 }
--- a/packages/admin/tests/admin_test.cpp
+++ b/packages/admin/tests/admin_test.cpp
@@ -2,6 +2,8 @@
 #include "bilberry/base/digest.h"
 #include "bilberry/base/eventloopthread.h"
 
+#include "support/damagedmessages.h"
+
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/ip/tcp.hpp>
@@ -144,6 +146,42 @@
     }
 }
 
+// A declared length or a long trailer field must not end the process that reads it.
+SCENARIO("admin servers and clients receive messages that they can't hold")
+{
+    const AdminServerThread served;
+    for (const tests::DamagedMessage &damaged : tests::damagedMessages()) {
+        GIVEN("an operator's client that sends " + damaged.name)
+        {
+            exchangeRaw(served.endpoint.port,
+                        damaged.after("PUT /echo HTTP/1.1\r\nHost: a\r\nConnection: close\r\n"));
+            THEN("the server still answers valid requests")
+            {
+                CHECK(callBlocking(served.endpoint, "/echo", {"GET", ""}).value().status == 200);
+            }
+        }
+        GIVEN("a daemon that sends " + damaged.name)
+        {
+            asio::io_context context;
+            tcp::acceptor acceptor(context, loopback(0));
+            std::thread daemon([&] {
+                tcp::socket socket = acceptor.accept();
+                std::string request(1, ' ');
+                socket.read_some(asio::buffer(request));
+                boost::system::error_code ignored;
+                asio::write(socket, asio::buffer(damaged.after("HTTP/1.1 200 OK\r\n")), ignored);
+            });
+            const auto answer = callBlocking({"127.0.0.1", acceptor.local_endpoint().port()},
+                                             "/v1/status", {"GET", ""});
+            daemon.join();
+            THEN("the call returns an error or the whole body")
+            {
+                CHECK((answer.error() || answer.value().body == "answ"));
+            }
+        }
+    }
+}
+
 SCENARIO("an admin client returns an error for a faulty daemon")
 {
     for (const FaultyResponseCase &row : faultyResponses) {
--- a/packages/agent/src/backendclient.cpp
+++ b/packages/agent/src/backendclient.cpp
@@ -1,6 +1,8 @@
 #include "bilberry/agent/backendclient.h"
 
+#include "bilberry/http/boundedparser.h"
 #include "bilberry/http/eventboundary.h"
+#include "bilberry/http/messagereader.h"
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
@@ -32,6 +34,7 @@
 constexpr std::size_t maxIdleConnections = 256;
 constexpr auto connectTimeout = std::chrono::seconds(1);
 constexpr auto healthCheckTimeout = std::chrono::milliseconds(500);
+constexpr std::size_t maxHealthBytes = 64U << 10U;
 /// Consecutive failed health checks after which the server counts as unreachable.
 constexpr int failuresToUnreachable = 2;
 
@@ -53,7 +56,7 @@
 }
 
 using Stream = beast::tcp_stream;
-using AnswerParser = http::response_parser<http::buffer_body>;
+using AnswerParser = bilberry::http::BoundedParser<false, http::buffer_body>;
 
 /// State of one request on the server.
 struct RunningRequest
@@ -213,7 +216,7 @@
                                                   http::verb method)
     {
         Stream &stream = *running.stream;
-        beast::flat_buffer buffer;
+        beast::flat_buffer buffer(bilberry::http::maxUnparsedBytes);
         AnswerParser parser;
         parser.body_limit(boost::none);
         // The answer to HEAD has the length of a body but no body.
@@ -309,17 +312,17 @@
             co_await http::async_write(*stream, request,
                                        asio::redirect_error(asio::use_awaitable, error));
         beast::flat_buffer buffer;
-        http::response<http::string_body> response;
+        bilberry::http::BoundedResponseParser parser;
+        parser.body_limit(maxHealthBytes);
         if (!error)
-            co_await http::async_read(*stream, buffer, response,
-                                      asio::redirect_error(asio::use_awaitable, error));
-        if (error || response.result() != http::status::ok) {
+            error = co_await bilberry::http::readMessage(*stream, buffer, parser);
+        if (error || parser.get().result() != http::status::ok) {
             stream.reset();
             BackendHealth health;
             health.connectionRefused = error == asio::error::connection_refused;
             co_return health;
         }
-        co_return parseHealth(response.body());
+        co_return parseHealth(parser.get().body());
     }
 
     asio::io_context &context;
--- a/packages/agent/tests/backendclient_test.cpp
+++ b/packages/agent/tests/backendclient_test.cpp
@@ -1,5 +1,6 @@
 #include "bilberry/agent/backendclient.h"
 
+#include "support/damagedmessages.h"
 #include "support/scriptedserver.h"
 
 #include <catch2/catch.hpp>
@@ -61,3 +62,18 @@
         }
     }
 }
+
+// A declared length or a long trailer field must not end the agent.
+SCENARIO("an agent's server sends a response that no receiver can hold")
+{
+    for (const DamagedMessage &damaged : damagedMessages()) {
+        GIVEN("a server that sends " + damaged.name)
+        {
+            const auto outcome = outcomeOf(damaged.after("HTTP/1.1 200 OK\r\n"));
+            THEN("the attempt ends")
+            {
+                CHECK(outcome.has_value());
+            }
+        }
+    }
+}
--- a/packages/daemon/src/daemon.cpp
+++ b/packages/daemon/src/daemon.cpp
@@ -80,7 +80,12 @@
         });
     };
     awaitReloadSignal();
-    router.run();
+    try {
+        router.run();
+    } catch (const std::exception &exception) {
+        Log("daemon").error(std::string("Ended by an exception: ") + exception.what() + ".");
+        return ExitFailure;
+    }
     return ExitOk;
 }
 
--- a/packages/direct/src/callerconnection.cpp
+++ b/packages/direct/src/callerconnection.cpp
@@ -1,9 +1,12 @@
 #include "callerconnection.h"
 
+#include "guarded.h"
+
 #include <boost/asio/post.hpp>
 #include <boost/asio/write.hpp>
 #include <boost/beast/core/buffers_to_string.hpp>
 
+#include <algorithm>
 #include <sstream>
 
 namespace bilberry::direct {
@@ -15,6 +18,8 @@
 namespace {
 
 constexpr std::size_t readBufferBytes = 16U << 10U;
+/// Upper bound of the limit that the plan sets.
+constexpr std::size_t maxHeaderBytes = 64U << 10U;
 /// Pipelined bytes from which on reading from the caller stops until the current response ends.
 constexpr std::size_t maxPipelinedBytes = 64U << 10U;
 /// Time for the rest of a request after the time limit of its header.
@@ -55,7 +60,8 @@
     m_idleSince = Clock::now();
     m_parser.emplace();
     m_parser->eager(true);
-    m_parser->header_limit(static_cast<std::uint32_t>(m_bounds.headBytes));
+    m_parser->header_limit(
+            static_cast<std::uint32_t>(std::min(m_bounds.headBytes, maxHeaderBytes)));
     m_parser->body_limit(m_bounds.bodyBytes);
     m_isResponding = false;
     m_isReadingRequest = false;
@@ -74,7 +80,7 @@
             m_buffer.prepare(readBufferBytes),
             [self = shared_from_this()](boost::system::error_code error, std::size_t size) {
                 self->m_isReading = false;
-                self->handleRead(error, size);
+                self->guard([&] { self->handleRead(error, size); });
             });
 }
 
@@ -121,6 +127,11 @@
         dispatchRequest();
         return;
     }
+    // The parser consumes body bytes at once, but keeps an incomplete chunk header or trailer.
+    if (m_buffer.size() > bilberry::http::maxUnparsedBytes) {
+        reportParseError(http::error::header_limit);
+        return;
+    }
     if (m_parser->is_header_done() && !m_continueSent
         && beast::iequals(m_parser->get()[http::field::expect], "100-continue")) {
         m_continueSent = true;
@@ -145,7 +156,7 @@
     // request of a caller that has disconnected is not forwarded.
     asio::post(m_socket.get_executor(),
                [self = shared_from_this(), request = std::move(request)]() mutable {
-                   self->m_hooks.onRequest(self, std::move(request));
+                   self->guard([&] { self->m_hooks.onRequest(self, std::move(request)); });
                });
 }
 
@@ -344,6 +355,18 @@
     m_hooks.onRequestError(shared_from_this(), RequestError::SlowSender);
 }
 
+/// Resets the connection when the handler throws.
+void CallerConnection::guard(const std::function<void()> &handler)
+{
+    runGuarded(handler, [this](const std::string &reason) {
+        if (m_hooks.onException)
+            m_hooks.onException(reason);
+        boost::system::error_code ignored;
+        m_socket.set_option(asio::socket_base::linger(true, 0), ignored);
+        handleDisconnect();
+    });
+}
+
 void CallerConnection::handleDisconnect()
 {
     const auto hook = std::exchange(onDisconnected, nullptr);
--- a/packages/direct/src/callerconnection.h
+++ b/packages/direct/src/callerconnection.h
@@ -2,6 +2,7 @@
 #define BILBERRY_DIRECT_CALLERCONNECTION_H
 
 #include "bilberry/base/time.h"
+#include "bilberry/http/boundedparser.h"
 #include "bilberry/model/trafficplan.h"
 
 #include <boost/asio/ip/tcp.hpp>
@@ -16,7 +17,7 @@
 
 namespace bilberry::direct {
 
-using CallerRequest = boost::beast::http::request<boost::beast::http::string_body>;
+using CallerRequest = bilberry::http::GrowingRequest;
 using CallerResponseHeader = boost::beast::http::response_header<>;
 
 /// Why the bytes of a caller can't be handled as a request.
@@ -30,6 +31,8 @@
 {
     std::function<void(const CallerConnectionPtr &, CallerRequest &&)> onRequest;
     std::function<void(const CallerConnectionPtr &, RequestError)> onRequestError;
+    /// Called with the text of an exception that ends the connection. May be unset.
+    std::function<void(const std::string &)> onException;
     std::function<CallerBounds()> currentBounds;
     std::function<void(const CallerConnectionPtr &)> onClosed;
 };
@@ -81,7 +84,7 @@
     void releaseIfIdle();
 
 private:
-    using Parser = boost::beast::http::request_parser<boost::beast::http::string_body>;
+    using Parser = bilberry::http::BoundedRequestParser;
 
     void awaitRequest();
     void startRead();
@@ -98,6 +101,7 @@
     void startLingeringClose();
     void close();
     void handleDisconnect();
+    void guard(const std::function<void()> &handler);
     bool hasUnreadBytes();
     void setConnectionHeaders(CallerResponseHeader &header);
 
--- a/packages/direct/src/directrouter.cpp
+++ b/packages/direct/src/directrouter.cpp
@@ -31,6 +31,8 @@
 constexpr Duration lagMeasurementPeriod = std::chrono::milliseconds(100);
 /// Period in which a stopping router checks whether it is idle.
 constexpr Duration stopCheckPeriod = std::chrono::milliseconds(50);
+/// Limit of the bodies of requests for readiness and metrics, which need none.
+constexpr std::size_t maxAdminBodyBytes = 1024;
 tcp::endpoint toEndpoint(const Endpoint &endpoint)
 {
     return {asio::ip::make_address(endpoint.address), endpoint.port};
@@ -99,9 +101,10 @@
         hooks.onRequestError = [this](const CallerConnectionPtr &caller, RequestError error) {
             refuseRequest(caller, error);
         };
-        hooks.currentBounds = [this] {
-            return state->plan() ? state->plan()->parts().callers : CallerBounds();
+        hooks.onException = [this](const std::string &reason) {
+            log.decision("Closed a caller's connection after an exception.", {{"error", reason}});
         };
+        hooks.currentBounds = [this] { return callerBounds(); };
         callers = std::make_shared<CallerListener>(
                 io, toEndpoint(settings.callerEndpoint), settings.maxCallerConnections,
                 std::move(hooks), [this] { return overloadDetector.isOverloaded(); }, log);
@@ -112,17 +115,21 @@
         readinessServer = std::make_unique<admin::AdminServer>(
                 io, settings.readinessEndpoint.address, settings.readinessEndpoint.port,
                 std::map<std::string, admin::AdminHandler>{
-                        {settings.readinessPath, [this](const admin::AdminRequest &) {
+                        {settings.readinessPath,
+                         [this](const admin::AdminRequest &) {
                              return admin::AdminResponse{isReady() ? 200U : 503U, "{}\n"};
-                         }}});
+                         }}},
+                maxAdminBodyBytes);
         metricsServer = std::make_unique<admin::AdminServer>(
                 io, settings.metricsEndpoint.address, settings.metricsEndpoint.port,
                 std::map<std::string, admin::AdminHandler>{
-                        {"/metrics", [this](const admin::AdminRequest &) {
+                        {"/metrics",
+                         [this](const admin::AdminRequest &) {
                              updateMetrics();
                              return admin::AdminResponse{200, metrics.text(),
                                                          "text/plain; version=0.0.4"};
-                         }}});
+                         }}},
+                maxAdminBodyBytes);
     }
 
     void openStore()
@@ -178,10 +185,19 @@
         CallerResponseHeader header;
         header.result(httpStatus(reason));
         header.set(boost::beast::http::field::content_type, "application/problem+json");
-        log.decision("Refused.", {{"request", ""}, {"reason", toText(reason)}});
+        const CallerBounds bounds = callerBounds();
+        log.decision("Refused.", {{"request", ""},
+                                  {"reason", toText(reason)},
+                                  {"headLimitBytes", std::to_string(bounds.headBytes)},
+                                  {"bodyLimitBytes", std::to_string(bounds.bodyBytes)}});
         caller->sendResponse(header, problemBody(reason));
     }
 
+    CallerBounds callerBounds() const
+    {
+        return state->plan() ? state->plan()->parts().callers : CallerBounds();
+    }
+
     /// @return false when the plan may still contain withdrawn keys
     bool planIsFresh() const { return state->planAge() < settings.maxPlanStaleness; }
 
--- a/packages/direct/src/requesthandler.cpp
+++ b/packages/direct/src/requesthandler.cpp
@@ -215,6 +215,12 @@
     hooks.onStatement = [self](const ResponseHeader &header) { self->recordStatement(header); };
     hooks.onHeader = [self](const ResponseHeader &header) { self->handleResponseHeader(header); };
     hooks.onBody = [self](std::string &&data) { self->handleResponseBody(std::move(data)); };
+    hooks.onInvalid = [self](const std::string &reason) {
+        self->m_context.log.decision("A server's bytes are no valid response.",
+                                     {{"request", self->m_requestId},
+                                      {"server", self->m_choice.server.text()},
+                                      {"error", reason}});
+    };
     hooks.onEnd = [self](AttemptResult result) { self->handleAttemptEnd(result); };
     ServerRequestFields fields;
     fields.server = server->id;
--- a/packages/direct/src/serverattempt.cpp
+++ b/packages/direct/src/serverattempt.cpp
@@ -1,5 +1,7 @@
 #include "serverattempt.h"
 
+#include "guarded.h"
+
 #include <boost/asio/write.hpp>
 
 #include <charconv>
@@ -14,8 +16,6 @@
 
 constexpr std::size_t readBufferBytes = 16U << 10U;
 constexpr std::uint32_t maxHeaderBytes = 64U << 10U;
-/// Bytes that the parser keeps without consuming them, such as an incomplete chunk header.
-constexpr std::size_t maxUnparsedBytes = maxHeaderBytes + 2 * readBufferBytes;
 /// Bytes of late responses to earlier requests that are skipped before the attempt fails.
 constexpr std::size_t maxDiscardedBytes = 1U << 20U;
 
@@ -117,23 +117,27 @@
 {
     m_isReading = true;
     const ServerConnectionPtr connection = m_connection;
-    connection->socket.async_read_some(connection->buffer.prepare(readBufferBytes),
-                                       [self = shared_from_this(), connection](
-                                               boost::system::error_code error, std::size_t size) {
-                                           self->m_isReading = false;
-                                           if (self->m_finished)
-                                               return;
-                                           connection->buffer.commit(size);
-                                           if (error == asio::error::eof) {
-                                               self->handleEof();
-                                               return;
-                                           }
-                                           if (error) {
-                                               self->finish(AttemptResult::Broken);
-                                               return;
-                                           }
-                                           self->parseBuffer();
-                                       });
+    connection->socket.async_read_some(
+            connection->buffer.prepare(readBufferBytes),
+            [self = shared_from_this(), connection](boost::system::error_code error,
+                                                    std::size_t size) {
+                self->m_isReading = false;
+                if (self->m_finished)
+                    return;
+                connection->buffer.commit(size);
+                runGuarded([&] { self->handleRead(error); },
+                           [&](const std::string &reason) { self->finishInvalid(reason); });
+            });
+}
+
+void ServerAttempt::handleRead(boost::system::error_code error)
+{
+    if (error == asio::error::eof)
+        handleEof();
+    else if (error)
+        finish(AttemptResult::Broken);
+    else
+        parseBuffer();
 }
 
 void ServerAttempt::parseBuffer()
@@ -144,8 +148,12 @@
         const std::size_t consumed = m_parser->put(buffer.data(), error);
         buffer.consume(consumed);
         m_discardedBytes += isDiscarding() ? consumed : 0;
-        if ((error && error != http::error::need_more) || isOverLimits()) {
-            finish(AttemptResult::Broken);
+        if (error && error != http::error::need_more) {
+            finishInvalid(error.message());
+            return;
+        }
+        if (isOverLimits()) {
+            finishInvalid("the bytes that are no part of the response exceed their limit");
             return;
         }
         if (!m_headerHandled && m_parser->is_header_done() && !handleHeader())
@@ -167,7 +175,8 @@
 /// Bounds the bytes of a server that sends without end.
 bool ServerAttempt::isOverLimits() const
 {
-    return m_discardedBytes > maxDiscardedBytes || m_connection->buffer.size() > maxUnparsedBytes;
+    return m_discardedBytes > maxDiscardedBytes
+           || m_connection->buffer.size() > bilberry::http::maxUnparsedBytes;
 }
 
 /// @return true while the message being read isn't the response to this request
@@ -238,6 +247,13 @@
     finish(AttemptResult::Complete);
 }
 
+void ServerAttempt::finishInvalid(const std::string &reason)
+{
+    if (!m_finished && m_hooks.onInvalid)
+        m_hooks.onInvalid(m_headerHandled ? "body: " + reason : "header: " + reason);
+    finish(AttemptResult::Broken);
+}
+
 void ServerAttempt::finish(AttemptResult result)
 {
     if (m_finished)
--- a/packages/direct/src/serverattempt.h
+++ b/packages/direct/src/serverattempt.h
@@ -3,6 +3,8 @@
 
 #include "serverconnections.h"
 
+#include "bilberry/http/boundedparser.h"
+
 #include <boost/beast/http.hpp>
 
 #include <functional>
@@ -30,6 +32,9 @@
     std::function<void(const ResponseHeader &)> onStatement;
     std::function<void(const ResponseHeader &)> onHeader;
     std::function<void(std::string &&)> onBody;
+    /// Called with the reason when the bytes received are no valid response, before onEnd. May be
+    /// unset.
+    std::function<void(const std::string &)> onInvalid;
     std::function<void(AttemptResult)> onEnd; ///< called once and last; never after cancel()
 };
 
@@ -56,10 +61,11 @@
     void setPaused(bool paused);
 
 private:
-    using Parser = boost::beast::http::response_parser<boost::beast::http::string_body>;
+    using Parser = bilberry::http::BoundedResponseParser;
 
     void sendRequest();
     void startRead();
+    void handleRead(boost::system::error_code error);
     void parseBuffer();
     bool isOverLimits() const;
     void handleEof();
@@ -68,6 +74,7 @@
     void handleMessageEnd();
     bool isDiscarding() const;
     void finish(AttemptResult result);
+    void finishInvalid(const std::string &reason);
     void resetParser();
 
     ServerConnections &m_connections;
--- /dev/null
+++ b/packages/http/src/messagereader.cpp
@@ -0,0 +1,80 @@
+#include "bilberry/http/messagereader.h"
+
+#include <boost/asio/error.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+namespace bilberry::http {
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+using boost::system::error_code;
+
+namespace {
+
+constexpr std::size_t readBufferBytes = 16U << 10U;
+
+template <bool isRequest>
+bool hasParsed(const beast::http::basic_parser<isRequest> &parser, MessagePart part)
+{
+    return part == MessagePart::Header ? parser.is_header_done() : parser.is_done();
+}
+
+/// Parses the received bytes as far as the part reaches.
+/// @return the error of a message that can't become valid
+template <bool isRequest>
+error_code parseReceived(beast::flat_buffer &buffer, beast::http::basic_parser<isRequest> &parser,
+                         MessagePart part, std::size_t maxUnparsed)
+{
+    error_code error;
+    try {
+        while (buffer.size() > 0 && !error && !hasParsed(parser, part))
+            buffer.consume(parser.put(buffer.data(), error));
+    } catch (const std::bad_alloc &) {
+        return asio::error::no_memory;
+    } catch (const std::exception &) {
+        return beast::http::error::bad_value;
+    }
+    if (error == beast::http::error::need_more)
+        error = {};
+    if (!error && buffer.size() > maxUnparsed && !hasParsed(parser, part))
+        return beast::http::error::buffer_overflow;
+    return error;
+}
+
+} // namespace
+
+template <bool isRequest>
+asio::awaitable<error_code> readMessage(beast::tcp_stream &stream, beast::flat_buffer &buffer,
+                                        beast::http::basic_parser<isRequest> &parser,
+                                        MessagePart part, std::size_t maxUnparsed)
+{
+    parser.eager(part == MessagePart::Whole);
+    error_code error = parseReceived(buffer, parser, part, maxUnparsed);
+    while (!error && !hasParsed(parser, part)) {
+        const std::size_t size = co_await stream.async_read_some(
+                buffer.prepare(readBufferBytes), asio::redirect_error(asio::use_awaitable, error));
+        if (error == asio::error::eof) {
+            error = beast::http::error::end_of_stream;
+            if (parser.got_some()) {
+                error = {};
+                parser.put_eof(error);
+            }
+            co_return error;
+        }
+        if (error)
+            co_return error;
+        buffer.commit(size);
+        error = parseReceived(buffer, parser, part, maxUnparsed);
+    }
+    co_return error;
+}
+
+template asio::awaitable<error_code> readMessage(beast::tcp_stream &, beast::flat_buffer &,
+                                                 beast::http::basic_parser<true> &, MessagePart,
+                                                 std::size_t);
+template asio::awaitable<error_code> readMessage(beast::tcp_stream &, beast::flat_buffer &,
+                                                 beast::http::basic_parser<false> &, MessagePart,
+                                                 std::size_t);
+
+} // namespace bilberry::http
--- a/packages/router/src/callerrequest.h
+++ b/packages/router/src/callerrequest.h
@@ -1,6 +1,7 @@
 #ifndef BILBERRY_ROUTER_CALLERREQUEST_H
 #define BILBERRY_ROUTER_CALLERREQUEST_H
 
+#include "bilberry/http/boundedparser.h"
 #include "bilberry/model/configuration.h"
 #include "bilberry/router/callerevents.h"
 
@@ -10,7 +11,7 @@
 
 namespace bilberry::router {
 
-using HttpRequest = boost::beast::http::request<boost::beast::http::string_body>;
+using HttpRequest = bilberry::http::GrowingRequest;
 
 /// @param request a request that the parser accepted
 /// @return false when other HTTP servers may interpret it differently, or when its idempotency key
--- a/packages/router/src/callerserver.cpp
+++ b/packages/router/src/callerserver.cpp
@@ -2,6 +2,8 @@
 
 #include "bilberry/base/digest.h"
 #include "bilberry/base/log.h"
+#include "bilberry/http/boundedparser.h"
+#include "bilberry/http/messagereader.h"
 #include "bilberry/router/problem.h"
 
 #include "callerrequest.h"
@@ -31,7 +33,7 @@
 
 namespace {
 
-using RequestParser = http::request_parser<http::string_body>;
+using RequestParser = bilberry::http::BoundedRequestParser;
 
 constexpr char outcomeHeader[] = "Bilberry-Outcome";
 /// Bytes written to the caller before they are reported as credit.
@@ -60,7 +62,7 @@
 
 RefusalKind refusalFor(const boost::system::error_code &error)
 {
-    if (error == http::error::header_limit)
+    if (error == http::error::header_limit || error == http::error::buffer_overflow)
         return RefusalKind::HeadTooLarge;
     if (error == http::error::body_limit)
         return RefusalKind::BodyTooLarge;
@@ -165,19 +167,20 @@
         RequestParser parser;
         parser.header_limit(static_cast<std::uint32_t>(limits.headBytes));
         parser.body_limit(limits.bodyBytes);
+        const std::size_t maxUnparsed = limits.headBytes + bilberry::http::maxUnparsedBytes;
         boost::system::error_code error;
         stream->expires_never();
         {
             const ReadTimeout timeout(stream, limits.headTimeout);
-            co_await http::async_read_header(*stream, *buffer, parser,
-                                             asio::redirect_error(asio::use_awaitable, error));
+            error = co_await bilberry::http::readMessage(
+                    *stream, *buffer, parser, bilberry::http::MessagePart::Header, maxUnparsed);
         }
         if (error == http::error::end_of_stream)
             co_return false;
         if (!error) {
             const ReadTimeout timeout(stream, limits.bodyTimeout);
-            co_await http::async_read(*stream, *buffer, parser,
-                                      asio::redirect_error(asio::use_awaitable, error));
+            error = co_await bilberry::http::readMessage(
+                    *stream, *buffer, parser, bilberry::http::MessagePart::Whole, maxUnparsed);
         }
         if (error) {
             const ReplyRefusal refusal{0, refusalFor(error), RequestOutcome::NotRun, 0, ""};
--- a/packages/router/tests/callerserver_test.cpp
+++ b/packages/router/tests/callerserver_test.cpp
@@ -1,5 +1,6 @@
 #include "bilberry/router/callerserver.h"
 
+#include "support/damagedmessages.h"
 #include "support/fleet.h"
 #include "support/rawcaller.h"
 
@@ -192,3 +193,26 @@
         }
     }
 }
+
+// A declared length or a long trailer field must not end the router.
+SCENARIO("a caller of the router sends a request that no receiver can hold")
+{
+    RunningServer running;
+    for (const tests::DamagedMessage &damaged : tests::damagedMessages()) {
+        GIVEN("a caller that sends " + damaged.name)
+        {
+            RawCaller caller(running.port());
+            caller.send(damaged.after("POST /nowhere HTTP/1.1\r\nHost: a\r\n"
+                                      "X-Api-Key: kitchen-key\r\nConnection: close\r\n"));
+            const int status = caller.readAnswer().status();
+            THEN("it is refused, and another caller gets its answer")
+            {
+                INFO(status);
+                CHECK((status == 400 || status == 404 || status == 413 || status == 431));
+                RawCaller other(running.port());
+                other.send(requestTo("/nowhere"));
+                CHECK(other.readAnswer().status() == 404);
+            }
+        }
+    }
+}
--- a/packages/store/src/httptransport.cpp
+++ b/packages/store/src/httptransport.cpp
@@ -1,5 +1,8 @@
 #include "bilberry/store/httptransport.h"
 
+#include "bilberry/http/boundedparser.h"
+#include "bilberry/http/messagereader.h"
+
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/use_awaitable.hpp>
@@ -104,10 +107,9 @@
         if (error)
             co_return result;
         beast::flat_buffer buffer;
-        http::response_parser<http::string_body> parser;
+        bilberry::http::BoundedResponseParser parser;
         parser.body_limit(maxResponseBytes);
-        co_await http::async_read(stream, buffer, parser,
-                                  asio::redirect_error(asio::use_awaitable, error));
+        error = co_await bilberry::http::readMessage(stream, buffer, parser);
         if (error)
             co_return result;
         auto message = parser.release();
--- a/packages/wire/src/gossipsocket.cpp
+++ b/packages/wire/src/gossipsocket.cpp
@@ -113,7 +113,13 @@
         return;
     }
     recordSender(message.value());
-    m_onReceive(std::move(message).value());
+    // An exception ends the handling of this datagram, not the event loop.
+    try {
+        m_onReceive(std::move(message).value());
+    } catch (const std::exception &exception) {
+        m_log.warning(std::string("Datagram dropped after an exception: ") + exception.what()
+                      + ".");
+    }
 }
 
 } // namespace bilberry::wire
