Cut values in log lines at 512 bytes

Cause: a request's id and its prompt parts stand in log lines as the caller sent them, up to the header's 60 KB, and 4,096 lines may wait for a slow reader: 250 MB, more than an entry VM has.

The test, added with the change: a line was as long as its value before.

--- a/packages/base/src/log.cpp
+++ b/packages/base/src/log.cpp
@@ -39,6 +39,8 @@
 constexpr std::uint32_t maxDecisionsPerSecond = 500;
 /// Lines queued for standard output.
 constexpr std::size_t maxQueuedLines = 4096;
+/// Limit of a field's value; callers and servers determine some of them, such as a request's id.
+constexpr std::size_t maxValueBytes = 512;
 /// Delay before a batch is written, so that not every line wakes the writer thread.
 constexpr auto batchDelay = std::chrono::milliseconds(100);
 /// The batch is dropped when standard output accepts nothing for this long.
@@ -47,6 +49,12 @@
 /// Separates a line's message from its fields, which are serialized JSON members.
 constexpr char fieldSeparator = '\x1f';
 
+/// @return the value, cut to the limit of its bytes
+std::string_view bounded(std::string_view value)
+{
+    return value.substr(0, maxValueBytes);
+}
+
 /// @return the fields as JSON members, each with a leading comma
 std::string toJsonMembers(const LogFields &fields)
 {
@@ -55,7 +63,7 @@
         members += ",\"";
         members += name;
         members += "\":";
-        members += boost::json::serialize(boost::json::string_view(value));
+        members += boost::json::serialize(boost::json::string_view(bounded(value)));
     }
     return members;
 }
--- a/packages/base/tests/base_test.cpp
+++ b/packages/base/tests/base_test.cpp
@@ -224,6 +224,20 @@
                 CHECK(decision.at("reason").as_string() == "overloaded");
             }
         }
+        // Lines wait in memory, and callers determine some values, such as a request's id.
+        WHEN("a value of 60,000 bytes is logged")
+        {
+            log.decision("Refused.", {{"request", std::string(60000, 'x')}, {"reason", "r"}});
+            const auto lines = output.lines();
+            THEN("only its beginning is")
+            {
+                REQUIRE(lines.size() == 1);
+                CHECK(lines[0].size() < 1000);
+                const auto line = boost::json::parse(lines[0]).as_object();
+                CHECK(line.at("request").as_string() == std::string(512, 'x'));
+                CHECK(line.at("reason").as_string() == "r");
+            }
+        }
         WHEN("20000 decisions are logged while standard output is not read")
         {
             constexpr int decisionCount = 20000;
