Notice watch calls and idle connections to the store that have gone silent

Cause: a watch call's silence was taken for "nothing has changed" for up to 15.9 s. Each question also took a silent idle connection and waited 0.9 s.

Ruled out: shorter watch calls alone. To notice within a second, each router would make four calls a second. TCP keep-alive: a proxy answers the probes.

Change: routers that ask the store for the others do so each 0.7 s instead of 1 s and tell newer revisions and plans to all at once (StoreNotice); a watcher that is behind asks 0.1 s later instead of 1.2 s, at most once a second, and replaces a watch call that missed a change; a read on an idle connection is repeated on a new one after 0.2 s, or more when the store is slow, and the connections that were idle are closed; only routers heard of in the last 2 s are relied on. A log line names each replaced watch call.

--- a/packages/decision/include/bilberry/decision/planproofs.h
+++ b/packages/decision/include/bilberry/decision/planproofs.h
@@ -16,6 +16,9 @@
     RouterId router; ///< this router
     /// Age of the newest proof from which on the router asks for another one.
     Duration refreshAge = std::chrono::milliseconds(1000);
+    /// The same for a router that asks the store for the others: what it learns shows them what
+    /// their own watch calls may have missed.
+    Duration watcherRefreshAge = std::chrono::milliseconds(700);
     /// Age from which on a router that relies on others asks the store itself.
     Duration fallbackAge = std::chrono::milliseconds(1800);
     /// Spread of that age over the routers, so that they don't ask the store all at once.
@@ -79,6 +82,10 @@
     /// @param others the other routers, in any order
     Step nextStep(const std::vector<RouterId> &others, BootTime now);
 
+    /// @param others the other routers, in any order
+    /// @return true when this router asks the store for the others
+    bool isWatcher(const std::vector<RouterId> &others) const;
+
     /// @param query number of another router's question
     /// @return the answer, absent when this router has no proof
     std::optional<PlanProofAnswer> answer(std::uint64_t query, BootTime now) const;
--- a/packages/decision/src/planproofs.cpp
+++ b/packages/decision/src/planproofs.cpp
@@ -20,6 +20,11 @@
     return std::chrono::duration_cast<Duration>(settings.fallbackSpread * (step / steps));
 }
 
+bool contains(const std::vector<RouterId> &routers, const RouterId &router)
+{
+    return std::find(routers.begin(), routers.end(), router) != routers.end();
+}
+
 } // namespace
 
 PlanProofs::PlanProofs(PlanProofSettings settings, std::uint64_t firstQuery)
@@ -45,11 +50,12 @@
 {
     Step step;
     const Duration proofAge = age(now);
-    if (proofAge < m_settings.refreshAge)
+    if (proofAge < std::min(m_settings.refreshAge, m_settings.watcherRefreshAge))
         return step;
     const std::vector<RouterId> watching = watchers(others);
-    const bool isWatcher
-            = std::find(watching.begin(), watching.end(), m_settings.router) != watching.end();
+    const bool isWatcher = contains(watching, m_settings.router);
+    if (!isWatcher && proofAge < m_settings.refreshAge)
+        return step;
     const bool isLate = proofAge >= m_fallbackAge;
     if ((isWatcher || isLate) && now - m_lastStoreCallAt >= m_settings.storeInterval) {
         step.askStore = true;
@@ -68,6 +74,11 @@
     return step;
 }
 
+bool PlanProofs::isWatcher(const std::vector<RouterId> &others) const
+{
+    return contains(watchers(others), m_settings.router);
+}
+
 std::optional<PlanProofAnswer> PlanProofs::answer(std::uint64_t query, BootTime now) const
 {
     if (!m_newest)
--- a/packages/direct/src/peerexchange.cpp
+++ b/packages/direct/src/peerexchange.cpp
@@ -35,6 +35,9 @@
 constexpr std::size_t maxReportedPlacements = 512;
 /// In a notice of a server's limit: the server names none.
 constexpr double noLimit = -1.0;
+/// Time without a message after which another router counts as gone, in which several complete
+/// reports come.
+constexpr Duration peerLifetime = std::chrono::seconds(2);
 constexpr Duration storeCallTimeout = std::chrono::seconds(1);
 /// Delay between two attempts to register this router.
 constexpr Duration registrationRetryDelay = std::chrono::milliseconds(700);
@@ -132,6 +135,7 @@
 void PeerExchange::removePeer(const std::string &router)
 {
     m_peers.erase(router);
+    m_heardAt.erase(RouterId(router));
     m_socket.removePeer(RouterId(router));
 }
 
@@ -265,6 +269,23 @@
     return routers;
 }
 
+std::vector<RouterId> PeerExchange::liveRouters() const
+{
+    const TimePoint now = Clock::now();
+    std::vector<RouterId> live;
+    for (const auto &[name, peer] : m_peers) {
+        const auto heard = m_heardAt.find(peer.router);
+        if (heard != m_heardAt.end() && now - heard->second < peerLifetime)
+            live.push_back(peer.router);
+    }
+    return live;
+}
+
+void PeerExchange::announceStore(std::uint64_t planVersion, std::uint64_t storeRevision)
+{
+    m_socket.sendToAll(wire::StoreNotice{m_sender, planVersion, storeRevision});
+}
+
 void PeerExchange::queryPlanProof(const RouterId &router, std::uint64_t query)
 {
     m_socket.send(router, wire::PlanProofQuery{m_sender, query});
@@ -272,12 +293,18 @@
 
 void PeerExchange::handleMessage(wire::GossipMessage &&message)
 {
+    const RouterId sender = std::visit(
+            [](const auto &alternative) { return alternative.sender.router; }, message);
+    if (m_peers.contains(sender.text()))
+        m_heardAt[sender] = Clock::now();
     if (const auto *report = std::get_if<wire::DirectRouterReport>(&message))
         handleReport(*report);
     else if (const auto *gossip = std::get_if<wire::CrashSuspectGossip>(&message))
         handleSuspects(*gossip);
     else if (const auto *gossip = std::get_if<wire::ServerNoticeGossip>(&message))
         handleServerNotices(*gossip);
+    else if (const auto *notice = std::get_if<wire::StoreNotice>(&message))
+        onStoreNotice(notice->planVersion, notice->storeRevision);
     else if (const auto *query = std::get_if<wire::PlanProofQuery>(&message))
         handleQuery(*query);
     else if (const auto *reply = std::get_if<wire::PlanProofReply>(&message))
--- a/packages/direct/src/peerexchange.h
+++ b/packages/direct/src/peerexchange.h
@@ -42,12 +42,19 @@
     /// @param query number of the question
     void queryPlanProof(const RouterId &router, std::uint64_t query);
 
+    /// @return the other registered routers that a message has come from lately
+    std::vector<RouterId> liveRouters() const;
+    /// Tells all other routers what this one has learned of the store.
+    void announceStore(std::uint64_t planVersion, std::uint64_t storeRevision);
+
     /// Sends the next report soon, after what this router suspects of crashes has changed.
     void handleSuspicionChange() { handleLoadChange(); }
 
     /// Answers another router's question; set by the owner.
     std::function<std::optional<decision::PlanProofAnswer>(std::uint64_t query)> onPlanProofQuery;
     std::function<void(const decision::PlanProofAnswer &)> onPlanProofAnswer;
+    /// Called with what another router has learned of the store; set by the owner.
+    std::function<void(std::uint64_t planVersion, std::uint64_t storeRevision)> onStoreNotice;
 
     /// Adds or updates another router.
     /// @param item name, and address and port as JSON; ignored when invalid or of this router
@@ -86,6 +93,7 @@
     boost::asio::steady_timer m_reportTimer;
     boost::asio::steady_timer m_registrationTimer;
     std::map<std::string, wire::GossipPeer> m_peers;
+    std::map<RouterId, TimePoint> m_heardAt; ///< when the last message of each router came
     std::map<RouterId, std::pair<Incarnation, std::uint64_t>>
             m_lastReports; ///< newest report of each router
     wire::GossipSender m_sender;
--- a/packages/direct/src/platformstate.cpp
+++ b/packages/direct/src/platformstate.cpp
@@ -14,9 +14,9 @@
 constexpr Duration serversWatchPause = std::chrono::milliseconds(1000);
 /// Pause of the watch after changed routers: each one that starts or stops tells all others.
 constexpr Duration routersWatchPause = std::chrono::seconds(3);
-/// Time after which the store is asked for servers when its revision has risen without a change
-/// from their watch.
-constexpr Duration serversBehindLimit = serversWatchPause + std::chrono::milliseconds(200);
+/// Time after which the store is asked for servers, or for a newer plan, when its revision has
+/// risen without a change from their watch: longer than an open watch takes to report one.
+constexpr Duration watchReportTime = std::chrono::milliseconds(100);
 /// The same for the zones that are out, which operators change rarely: half of the shortest time
 /// limit for taking a zone out.
 constexpr Duration zonesBehindLimit = std::chrono::milliseconds(2500);
@@ -53,6 +53,9 @@
             = [this](std::uint64_t query) { return m_planProofs.answer(query, BootClock::now()); };
     m_peers.onPlanProofAnswer
             = [this](const decision::PlanProofAnswer &answer) { handlePlanProof(answer); };
+    m_peers.onStoreNotice = [this](std::uint64_t planVersion, std::uint64_t revision) {
+        handleStoreNotice(planVersion, revision);
+    };
     watchPlans();
     watchServers();
     watchZones();
@@ -81,7 +84,7 @@
 {
     store::WatcherSettings settings = watcherSettings(m_adapter.collections.servers);
     settings.coalescingDelay = serversWatchPause;
-    settings.behindLimit = serversBehindLimit;
+    settings.behindLimit = watchReportTime;
     store::WatcherHooks hooks;
     hooks.onItemChanged = [this](const store::Item &item) { updateServer(item); };
     hooks.onItemRemoved = [this](const std::string &name) { removeServer(name); };
@@ -133,6 +136,9 @@
     hooks.onStoreRegained = [this, collection] {
         m_log.decision("Regained the store.", {{"collection", collection}});
     };
+    hooks.onWatchSilent = [this, collection] {
+        m_log.decision("A watch call missed changes; replaced it.", {{"collection", collection}});
+    };
     hooks.onStoreRevision = [this](store::StoreRevision revision, BootTime at) {
         recordStoreRevision(revision, at);
     };
@@ -147,11 +153,31 @@
 {
     for (const auto &watcher : m_watchers)
         watcher->recordStoreRevision(revision, at);
+    announceRevision(revision);
+}
+
+/// Tells the other routers of a newer revision of the store, when this one asks the store for them.
+void PlatformState::announceRevision(store::StoreRevision revision)
+{
+    if (revision <= m_newestRevision)
+        return;
+    m_newestRevision = revision;
+    if (m_planProofs.isWatcher(m_peers.liveRouters()))
+        m_peers.announceStore(m_plan ? m_plan->version() : 0, revision);
+}
+
+void PlatformState::handleStoreNotice(std::uint64_t planVersion, store::StoreRevision revision)
+{
+    m_newestRevision = std::max(m_newestRevision, revision);
+    if (m_plan && planVersion > m_plan->version())
+        m_planWatcher->expectRevision(revision, watchReportTime);
+    for (const auto &watcher : m_watchers)
+        watcher->recordReachedRevision(revision);
 }
 
 void PlatformState::refreshPlanProof()
 {
-    const auto step = m_planProofs.nextStep(m_peers.routers(), BootClock::now());
+    const auto step = m_planProofs.nextStep(m_peers.liveRouters(), BootClock::now());
     if (step.askStore)
         m_planWatcher->check();
     if (step.askRouter)
--- a/packages/direct/src/platformstate.h
+++ b/packages/direct/src/platformstate.h
@@ -49,6 +49,8 @@
     void watchRouters();
     store::CollectionWatcher *watch(store::WatcherSettings settings, store::WatcherHooks hooks);
     void recordStoreRevision(store::StoreRevision revision, BootTime at);
+    void announceRevision(store::StoreRevision revision);
+    void handleStoreNotice(std::uint64_t planVersion, store::StoreRevision revision);
     void handlePlanProof(const decision::PlanProofAnswer &answer);
     void updatePlan(const store::Item &item);
     void updateServer(const store::Item &item);
@@ -67,6 +69,7 @@
     decision::PlanProofs m_planProofs;
     std::map<std::string, DirectServer> m_servers;
     std::set<ZoneId> m_zonesOut;
+    store::StoreRevision m_newestRevision = 0; ///< that the store is known to have reached
     std::vector<std::unique_ptr<store::CollectionWatcher>> m_watchers;
     store::CollectionWatcher *m_planWatcher = nullptr; ///< one of the watchers
 };
--- a/packages/router/include/bilberry/router/coordinator.h
+++ b/packages/router/include/bilberry/router/coordinator.h
@@ -83,6 +83,7 @@
     void handle(const wire::PlanProofReply &, TimePoint) {}
     void handle(const wire::CrashSuspectGossip &, TimePoint) {}
     void handle(const wire::ServerNoticeGossip &, TimePoint) {}
+    void handle(const wire::StoreNotice &, TimePoint) {}
 
     wire::GossipSender localSender() const;
     bool isConfigurationFrozen(TimePoint now) const;
--- a/packages/store/include/bilberry/store/collectionwatcher.h
+++ b/packages/store/include/bilberry/store/collectionwatcher.h
@@ -14,17 +14,21 @@
 
 struct WatcherSettings
 {
-    std::string collection; ///< name of the watched collection
-    /// Maximum wait of one watch call; also the time after which a silent connection is noticed.
-    Duration maxWait = std::chrono::seconds(2);
+    std::string collection;                     ///< name of the watched collection
+    Duration maxWait = std::chrono::seconds(2); ///< of one watch call
     /// Maximum duration of a call in addition to its wait.
     Duration callLimit = std::chrono::milliseconds(900);
     /// Delay between changes and the next watch call, so that one answer carries several changes.
     Duration coalescingDelay = std::chrono::milliseconds(150);
-    /// Time after which the watcher asks the store, when recordStoreRevision() tells a revision
-    /// that its watch call has not reported: the change belongs to another collection, or the
-    /// connection is silent. Absent: never, the watch call's own limit is enough.
+    /// Time after which the watcher asks the store, when it learns of a revision that its watch
+    /// call has not reported: the change belongs to another collection, or the connection is
+    /// silent. Absent: never, the owner calls check().
     std::optional<Duration> behindLimit;
+    /// Minimum time between two such questions.
+    Duration checkInterval = std::chrono::seconds(1);
+    /// Time in which an open watch call must deliver changes that such a question has found;
+    /// afterwards its connection counts as silent, and another call takes its place.
+    Duration silenceLimit = std::chrono::milliseconds(250);
     Duration firstBackoff = std::chrono::milliseconds(150); ///< after the first failed call
     Duration maxBackoff = std::chrono::milliseconds(800);
     /// After an outage at least this long, items of live writers may have expired in the store.
@@ -49,11 +53,17 @@
     std::function<void()> onStoreRegained;            ///< the first successful call after a failure
     /// The whole store was at this revision at this time. May be unset.
     std::function<void(StoreRevision, BootTime at)> onStoreRevision;
+    /// A watch call missed changes and was replaced by another one. May be unset.
+    std::function<void()> onWatchSilent;
 };
 
 /// Keeps up with one collection: lists it, watches it, and lists it again when the history has
 /// expired or a call fails. Items that disappear during an outage or shortly after are reported as
 /// removed only when WatcherSettings::returnGracePeriod has passed.
+///
+/// A watch call that returns nothing proves nothing, as its connection may have gone silent. Only
+/// an answer of the store shows that the collection is current, so that its owner has to ask now
+/// and then: check(), or recordStoreRevision() with what others have learned.
 class CollectionWatcher
 {
 public:
@@ -73,6 +83,13 @@
     /// @param at when the store was at that revision
     void recordStoreRevision(StoreRevision revision, BootTime at);
 
+    /// Records that the store has reached a revision, at an unknown time.
+    void recordReachedRevision(StoreRevision revision);
+
+    /// Asks the store, unless the collection is known up to a revision by then.
+    /// @param delay in which an open watch call may report the change
+    void expectRevision(StoreRevision revision, Duration delay);
+
     /// Asks the store whether the collection is current, beside the watch call that waits for
     /// changes. Does nothing while such a question is open or the store is out of reach.
     void check();
--- a/packages/store/include/bilberry/store/httptransport.h
+++ b/packages/store/include/bilberry/store/httptransport.h
@@ -25,6 +25,7 @@
     std::map<std::string, std::string> headers;
     std::string body;
     CallEffect effect = CallEffect::Read;
+    Duration wait{}; ///< for which the server may hold the response back, as in a watch
     bool operator==(const HttpCall &) const = default;
 };
 
@@ -37,7 +38,9 @@
     bool operator==(const HttpResponse &) const = default;
 };
 
-/// Sends HTTP/1.1 requests to one address over persistent connections.
+/// Sends HTTP/1.1 requests to one address over persistent connections. An idle connection may have
+/// gone silent without a reset: when a Read on one takes much longer than usual, all connections
+/// that were idle are closed and the Read is repeated on a new one.
 class HttpTransport
 {
 public:
--- a/packages/store/src/collectionwatcher.cpp
+++ b/packages/store/src/collectionwatcher.cpp
@@ -19,6 +19,9 @@
 
 /// Wait of a watch call that only asks for past changes.
 constexpr Duration shortestWait = std::chrono::milliseconds(1);
+/// Target of a check that is needed whatever revision is known.
+constexpr StoreRevision anyRevision = std::numeric_limits<StoreRevision>::max();
+constexpr std::uint64_t noWatch = 0;
 
 } // namespace
 
@@ -27,25 +30,34 @@
     State(asio::io_context &context, CollectionStore &store, WatcherSettings settings,
           WatcherHooks hooks, std::function<double()> random)
         : store(store), settings(std::move(settings)), hooks(std::move(hooks)),
-          random(std::move(random)), pauseTimer(context), returnTimer(context), behindTimer(context)
+          random(std::move(random)), pauseTimer(context), returnTimer(context),
+          behindTimer(context), silenceTimer(context)
     {
     }
 
-    static asio::awaitable<void> run(std::shared_ptr<State> self)
+    /// Lists and watches until it is stopped or replaced.
+    /// @param generation number of this loop; a higher one replaces it
+    /// @param isListed true when the known items are those of the known revision
+    static asio::awaitable<void> run(std::shared_ptr<State> self, std::uint64_t generation,
+                                     bool isListed)
     {
-        while (!self->stopped) {
-            const bool listed = co_await self->listOnce();
-            if (listed)
-                co_await self->watchUntilLost();
+        while (self->isCurrent(generation)) {
+            if (!isListed)
+                isListed = co_await self->listOnce(generation);
+            if (isListed)
+                co_await self->watchUntilLost(generation);
+            isListed = false;
         }
     }
 
-    asio::awaitable<bool> listOnce()
+    bool isCurrent(std::uint64_t loop) const { return !stopped && loop == generation; }
+
+    asio::awaitable<bool> listOnce(std::uint64_t loop)
     {
         const BootTime requestedAt = BootClock::now();
         const Result<Snapshot> snapshot
                 = co_await store.list(settings.collection, settings.callLimit);
-        if (stopped)
+        if (!isCurrent(loop))
             co_return false;
         if (!snapshot) {
             co_await handleFailure(snapshot.error());
@@ -57,14 +69,16 @@
         co_return true;
     }
 
-    asio::awaitable<void> watchUntilLost()
+    asio::awaitable<void> watchUntilLost(std::uint64_t loop)
     {
-        while (!stopped) {
+        while (isCurrent(loop)) {
             const BootTime requestedAt = BootClock::now();
+            openWatch = ++lastWatch;
             const Result<Changes> changes = co_await store.watch(
                     settings.collection, revision, settings.maxWait, settings.callLimit);
-            if (stopped)
+            if (!isCurrent(loop))
                 co_return;
+            openWatch = noWatch;
             if (!changes) {
                 if (changes.error() != StoreErrc::HistoryExpired)
                     co_await handleFailure(changes.error());
@@ -75,8 +89,10 @@
             // Only the time of the request is certain: the response may have waited to be read.
             if (applyChanges(changes.value()))
                 confirm(requestedAt);
-            if (!unchanged)
+            if (!unchanged) {
+                pausedUntil = Clock::now() + settings.coalescingDelay;
                 co_await sleep(settings.coalescingDelay);
+            }
         }
     }
 
@@ -95,44 +111,98 @@
             hooks.onConfirmedCurrent(revision, at);
             return;
         }
-        if (storeRevision > revision && settings.behindLimit)
-            scheduleCheck(*settings.behindLimit, storeRevision);
+        recordReachedRevision(storeRevision);
+    }
+
+    void recordReachedRevision(StoreRevision storeRevision)
+    {
+        if (settings.behindLimit)
+            expectRevision(storeRevision, *settings.behindLimit);
+    }
+
+    void expectRevision(StoreRevision expected, Duration delay)
+    {
+        if (expected <= revision)
+            return;
+        // The watch call after a pause reports what changed in the meantime.
+        const TimePoint due = std::max(Clock::now(), pausedUntil) + delay;
+        scheduleCheck(std::max(due, lastCheckAt + settings.checkInterval), expected);
     }
 
     /// @param target revision from which on the check is needless
-    void scheduleCheck(Duration delay, StoreRevision target)
+    void scheduleCheck(TimePoint due, StoreRevision target)
     {
-        if (stopped || revision == 0 || failingSince || std::exchange(isCheckScheduled, true))
+        if (stopped || revision == 0 || failingSince)
             return;
-        behindTimer.expires_after(delay);
-        asio::co_spawn(behindTimer.get_executor(), check(shared_from_this(), target),
-                       asio::detached);
+        checkTarget = std::max(checkTarget, target);
+        if (isCheckScheduled) {
+            isCheckRepeated = isCheckRepeated || target == anyRevision;
+            // Ends the wait for a later time.
+            if (due < behindTimer.expiry())
+                behindTimer.expires_at(due);
+            return;
+        }
+        isCheckScheduled = true;
+        behindTimer.expires_at(due);
+        asio::co_spawn(behindTimer.get_executor(), check(shared_from_this()), asio::detached);
     }
 
     /// Asks the store for changes that the watch call has not reported. A failure is left to the
     /// watch call.
-    static asio::awaitable<void> check(std::shared_ptr<State> self, StoreRevision target)
+    static asio::awaitable<void> check(std::shared_ptr<State> self)
     {
         boost::system::error_code ignored;
         co_await self->behindTimer.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
+        self->isCheckRepeated = false;
+        const StoreRevision target = std::exchange(self->checkTarget, 0);
         const bool isNeeded = !self->stopped && self->revision < target && !self->failingSince;
         if (isNeeded) {
+            self->lastCheckAt = Clock::now();
+            const std::uint64_t watch = self->openWatch;
             const BootTime requestedAt = BootClock::now();
             const Result<Changes> changes
                     = co_await self->store.watch(self->settings.collection, self->revision,
                                                  shortestWait, self->settings.callLimit);
             // A watch call may wait on although the history that it needs is gone.
             if (!changes && changes.error() == StoreErrc::HistoryExpired)
-                co_await listBeside(self);
+                co_await listBeside(self, watch);
             const bool isUsable = changes && !self->stopped && !self->failingSince;
-            if (isUsable && self->applyChanges(changes.value()))
+            if (isUsable && self->applyChanges(changes.value())) {
                 self->confirm(requestedAt);
+                if (!changes.value().changes.empty())
+                    self->expectWatch(watch);
+            }
         }
         self->isCheckScheduled = false;
+        if (std::exchange(self->isCheckRepeated, false))
+            self->scheduleCheck(Clock::now(), anyRevision);
+    }
+
+    /// Replaces the watch call unless it returns soon, since there are changes that it has to
+    /// report.
+    void expectWatch(std::uint64_t watch)
+    {
+        if (watch == noWatch || openWatch != watch)
+            return;
+        silenceTimer.expires_after(settings.silenceLimit);
+        silenceTimer.async_wait(
+                [self = shared_from_this(), watch](boost::system::error_code error) {
+                    if (!error && !self->stopped && self->openWatch == watch)
+                        self->replaceWatch();
+                });
+    }
+
+    void replaceWatch()
+    {
+        if (hooks.onWatchSilent)
+            hooks.onWatchSilent();
+        openWatch = noWatch;
+        asio::co_spawn(silenceTimer.get_executor(), run(shared_from_this(), ++generation, true),
+                       asio::detached);
     }
 
     /// Lists the collection while the watch call waits on. A failure is left to the watch call.
-    static asio::awaitable<void> listBeside(std::shared_ptr<State> self)
+    static asio::awaitable<void> listBeside(std::shared_ptr<State> self, std::uint64_t watch)
     {
         const BootTime requestedAt = BootClock::now();
         const Result<Snapshot> snapshot
@@ -142,6 +212,7 @@
             co_return;
         self->applySnapshot(snapshot.value());
         self->confirm(requestedAt);
+        self->expectWatch(watch);
     }
 
     void applySnapshot(const Snapshot &snapshot)
@@ -253,8 +324,16 @@
     asio::steady_timer pauseTimer;
     asio::steady_timer returnTimer;
     asio::steady_timer behindTimer;
-    StoreRevision revision = 0; ///< up to which the items are known; 0 before the first list
+    asio::steady_timer silenceTimer;
+    StoreRevision revision = 0;   ///< up to which the items are known; 0 before the first list
+    std::uint64_t generation = 0; ///< of the loop that lists and watches
+    std::uint64_t lastWatch = noWatch;
+    std::uint64_t openWatch = noWatch; ///< number of the watch call that waits
+    TimePoint pausedUntil{};           ///< the next watch call starts then
+    TimePoint lastCheckAt{};
+    StoreRevision checkTarget = 0; ///< from which on the scheduled check is needless
     bool isCheckScheduled = false;
+    bool isCheckRepeated = false;                    ///< another one was asked for in the meantime
     std::map<std::string, std::string> valuesByName; ///< of the known items
     std::set<std::string> missingNames; ///< disappeared, may return until returnDeadline
     std::uint32_t consecutiveFailures = 0;
@@ -277,6 +356,7 @@
     m_state->pauseTimer.cancel();
     m_state->returnTimer.cancel();
     m_state->behindTimer.cancel();
+    m_state->silenceTimer.cancel();
 }
 
 void CollectionWatcher::recordStoreRevision(StoreRevision revision, BootTime at)
@@ -284,14 +364,25 @@
     m_state->recordStoreRevision(revision, at);
 }
 
+void CollectionWatcher::recordReachedRevision(StoreRevision revision)
+{
+    m_state->recordReachedRevision(revision);
+}
+
+void CollectionWatcher::expectRevision(StoreRevision revision, Duration delay)
+{
+    m_state->expectRevision(revision, delay);
+}
+
 void CollectionWatcher::check()
 {
-    m_state->scheduleCheck(Duration::zero(), std::numeric_limits<StoreRevision>::max());
+    m_state->scheduleCheck(Clock::now(), anyRevision);
 }
 
 void CollectionWatcher::start()
 {
-    asio::co_spawn(m_state->pauseTimer.get_executor(), State::run(m_state), asio::detached);
+    asio::co_spawn(m_state->pauseTimer.get_executor(), State::run(m_state, 0, false),
+                   asio::detached);
 }
 
 } // namespace bilberry::store
--- a/packages/store/src/httpobjectstore.cpp
+++ b/packages/store/src/httpobjectstore.cpp
@@ -185,6 +185,7 @@
         HttpCall request = makeObjectCall("GET", name);
         request.target += "?watch=" + std::to_string(known)
                           + "&wait=" + std::to_string(static_cast<long>(toMilliseconds(limit)));
+        request.wait = limit;
         const auto result
                 = co_await call("watch", std::move(request), limit + m_settings.callLimit);
         co_return toObject(name, result);
--- a/packages/store/src/httptransport.cpp
+++ b/packages/store/src/httptransport.cpp
@@ -10,6 +10,7 @@
 #include <boost/beast/core/tcp_stream.hpp>
 #include <boost/beast/http.hpp>
 
+#include <algorithm>
 #include <cctype>
 #include <vector>
 
@@ -26,6 +27,8 @@
 
 constexpr std::size_t maxIdleConnections = 8;
 constexpr std::size_t maxResponseBytes = 64U << 20U;
+/// Calls that the server may hold back for longer tell nothing of its usual response time.
+constexpr Duration maxMeasuredWait = std::chrono::milliseconds(10);
 
 /// @return true if the idle connection can be reused: it has no unread data and is not closed
 bool isOpen(Stream &stream)
@@ -37,6 +40,34 @@
     return error == asio::error::would_block;
 }
 
+/// Estimates after which time without a response a connection counts as silent, as TCP estimates
+/// its retransmission timeout.
+class ResponseTimeEstimate
+{
+public:
+    void record(Duration duration)
+    {
+        const Duration error = duration - m_mean;
+        m_mean += error / meanDivisor;
+        m_deviation += (std::chrono::abs(error) - m_deviation) / deviationDivisor;
+    }
+
+    Duration silenceLimit() const
+    {
+        return std::max<Duration>(minSilenceLimit, m_mean + deviationFactor * m_deviation);
+    }
+
+private:
+    static constexpr int meanDivisor = 8;
+    static constexpr int deviationDivisor = 4;
+    static constexpr int deviationFactor = 4;
+    /// Above the pauses of a process that has a fraction of a core.
+    static constexpr Duration minSilenceLimit = std::chrono::milliseconds(200);
+
+    Duration m_mean{};
+    Duration m_deviation{};
+};
+
 HttpRequest toRequest(const HttpCall &call, const std::string &host)
 {
     HttpRequest request(http::string_to_verb(call.method), call.target, 11);
@@ -58,29 +89,64 @@
         bool keepAlive = false;
     };
 
-    asio::awaitable<Result<HttpResponse>> send(const HttpRequest &request, TimePoint deadline,
-                                               CallEffect effect)
+    struct IdleConnection
     {
-        auto stream = co_await acquireConnection(deadline);
-        if (!stream)
-            co_return StoreErrc::Unavailable;
-        stream->expires_at(deadline);
-        ExchangeResult result = co_await exchange(*stream, request, effect);
-        if (result.keepAlive && idleConnections.size() < maxIdleConnections)
-            idleConnections.push_back(std::move(stream));
-        co_return std::move(result.response);
+        std::unique_ptr<Stream> stream;
+        TimePoint since{};
+    };
+
+    asio::awaitable<Result<HttpResponse>> call(HttpCall call, Duration limit)
+    {
+        const HttpRequest request = toRequest(call, address);
+        const TimePoint deadline = Clock::now() + limit;
+        for (;;) {
+            const TimePoint startedAt = Clock::now();
+            std::unique_ptr<Stream> stream = takeIdleConnection();
+            // An idle connection may be closed at the moment at which it is reused, or be silent.
+            const bool mayRepeat = stream && call.effect == CallEffect::Read;
+            if (!stream)
+                stream = co_await connect(deadline);
+            if (!stream)
+                co_return StoreErrc::Unavailable;
+            const TimePoint silentAt
+                    = mayRepeat ? startedAt + call.wait + responseTime.silenceLimit() : deadline;
+            stream->expires_at(std::min(silentAt, deadline));
+            ExchangeResult result = co_await exchange(*stream, request, call.effect);
+            const TimePoint endedAt = Clock::now();
+            if (result.response && call.wait <= maxMeasuredWait)
+                responseTime.record(endedAt - startedAt);
+            if (result.keepAlive && idleConnections.size() < maxIdleConnections)
+                idleConnections.push_back({std::move(stream), endedAt});
+            if (!result.response && endedAt >= silentAt)
+                closeIdleSince(startedAt);
+            const bool isTimeLeft = endedAt + call.wait < deadline;
+            if (result.response || !mayRepeat || !isTimeLeft)
+                co_return std::move(result.response);
+        }
     }
 
-    /// Takes an idle connection that the platform has not closed, or opens a new one.
-    /// @return the connection, or null if it can't be opened
-    asio::awaitable<std::unique_ptr<Stream>> acquireConnection(TimePoint deadline)
+    /// @return a connection that the server has not closed, or null
+    std::unique_ptr<Stream> takeIdleConnection()
     {
         while (!idleConnections.empty()) {
-            std::unique_ptr<Stream> stream = std::move(idleConnections.back());
+            std::unique_ptr<Stream> stream = std::move(idleConnections.back().stream);
             idleConnections.pop_back();
             if (isOpen(*stream))
-                co_return stream;
+                return stream;
         }
+        return nullptr;
+    }
+
+    /// Closes the connections that have been idle since before a point in time.
+    void closeIdleSince(TimePoint time)
+    {
+        std::erase_if(idleConnections,
+                      [&](const IdleConnection &idle) { return idle.since < time; });
+    }
+
+    /// @return a new connection, or null if it can't be opened
+    asio::awaitable<std::unique_ptr<Stream>> connect(TimePoint deadline)
+    {
         auto stream = std::make_unique<Stream>(context);
         stream->expires_at(deadline);
         boost::system::error_code error;
@@ -125,11 +191,12 @@
     asio::io_context &context;
     std::string address;
     std::uint16_t port;
-    std::vector<std::unique_ptr<Stream>> idleConnections;
+    std::vector<IdleConnection> idleConnections; ///< the last used ones at the end
+    ResponseTimeEstimate responseTime;
 };
 
 HttpTransport::HttpTransport(asio::io_context &context, std::string address, std::uint16_t port)
-    : m_state(new State{context, std::move(address), port, {}})
+    : m_state(new State{context, std::move(address), port, {}, {}})
 {
 }
 
@@ -138,16 +205,7 @@
 asio::awaitable<Result<HttpResponse>> HttpTransport::call(HttpCall call, Duration limit)
 {
     const std::shared_ptr<State> state = m_state;
-    const HttpRequest request = toRequest(call, state->address);
-    const TimePoint deadline = Clock::now() + limit;
-    bool reused = !state->idleConnections.empty();
-    Result<HttpResponse> response = co_await state->send(request, deadline, call.effect);
-    // The platform may close an idle connection at the moment at which it is reused.
-    while (!response && reused && call.effect == CallEffect::Read && Clock::now() < deadline) {
-        reused = !state->idleConnections.empty();
-        response = co_await state->send(request, deadline, call.effect);
-    }
-    co_return response;
+    co_return co_await state->call(std::move(call), limit);
 }
 
 std::string encodePath(const std::string &name)
--- a/packages/store/tests/collectionwatcher_test.cpp
+++ b/packages/store/tests/collectionwatcher_test.cpp
@@ -331,3 +331,90 @@
         }
     }
 }
+
+// A watch call whose connection has gone silent must not hide changes until its own time limit.
+SCENARIO("a watch call goes silent")
+{
+    GIVEN("a watcher whose watch call would wait for 10 s")
+    {
+        WatcherFixture fixture;
+        int silentCount = 0;
+        fixture.hooks.onWatchSilent = [&] { ++silentCount; };
+        fixture.settings.maxWait = 10s;
+        fixture.settings.behindLimit = 10ms;
+        fixture.settings.checkInterval = 60ms;
+        fixture.settings.silenceLimit = 20ms;
+        fixture.store.snapshot = {{{"a", "1"}}, 10};
+        fixture.run(5ms);
+        REQUIRE(fixture.store.watchedFrom.size() == 1);
+
+        WHEN("others learn of a revision with a change that it has not reported")
+        {
+            fixture.store.watchResults.push_back(Changes{{{{"a", "2"}, false}}, 12});
+            fixture.watcher->recordReachedRevision(12);
+            fixture.run(50ms);
+            THEN("the change is applied, and another watch call takes its place")
+            {
+                CHECK(fixture.values["a"] == "2");
+                CHECK(fixture.store.watchedFrom == std::vector<StoreRevision>{10, 10, 12});
+                CHECK(silentCount == 1);
+            }
+            THEN("the new call reports further changes")
+            {
+                fixture.store.watchResults.push_back(Changes{{{{"a", "3"}, false}}, 13});
+                fixture.watcher->check();
+                fixture.run(10ms);
+                CHECK(fixture.values["a"] == "3");
+            }
+        }
+        WHEN("the change belongs to another collection")
+        {
+            fixture.store.watchResults.push_back(Changes{{}, 12});
+            fixture.watcher->recordReachedRevision(12);
+            fixture.run(50ms);
+            THEN("the watch call stays")
+            {
+                CHECK(fixture.store.watchedFrom == std::vector<StoreRevision>{10, 10});
+                CHECK(silentCount == 0);
+            }
+        }
+        WHEN("the store reaches many revisions within the interval of checks")
+        {
+            fixture.store.watchResults.push_back(Changes{{}, 12});
+            fixture.watcher->recordReachedRevision(12);
+            fixture.run(20ms);
+            fixture.store.watchResults.push_back(Changes{{{{"a", "2"}, false}}, 20});
+            for (StoreRevision reached = 13; reached <= 20; ++reached)
+                fixture.watcher->recordReachedRevision(reached);
+            fixture.run(30ms);
+            CHECK(fixture.store.watchedFrom.size() == 2);
+            fixture.run(40ms);
+            THEN("the store is asked once more, at the end of the interval")
+            {
+                CHECK(fixture.values["a"] == "2");
+                CHECK(fixture.store.watchedFrom[2] == 12);
+            }
+        }
+    }
+    GIVEN("a watcher that pauses after a change")
+    {
+        WatcherFixture fixture;
+        fixture.settings.maxWait = 10s;
+        fixture.settings.behindLimit = 10ms;
+        fixture.settings.coalescingDelay = 50ms;
+        fixture.store.snapshot = {{{"a", "1"}}, 10};
+        fixture.store.watchResults.push_back(Changes{{{{"a", "2"}, false}}, 11});
+        fixture.run(5ms);
+        fixture.store.watchResults.push_back(Changes{{{{"a", "3"}, false}}, 12});
+        WHEN("the store reaches a higher revision in the pause")
+        {
+            fixture.watcher->recordReachedRevision(12);
+            fixture.run(75ms);
+            THEN("the watch call after the pause reports it, and no other call is made")
+            {
+                CHECK(fixture.values["a"] == "3");
+                CHECK(fixture.store.watchedFrom == std::vector<StoreRevision>{10, 11});
+            }
+        }
+    }
+}
--- a/packages/store/tests/httptransport_test.cpp
+++ b/packages/store/tests/httptransport_test.cpp
@@ -1,6 +1,7 @@
 #include "bilberry/store/httptransport.h"
 
 #include "support/damagedmessages.h"
+#include "support/faultproxy.h"
 #include "support/scriptedserver.h"
 
 #include <boost/asio/co_spawn.hpp>
@@ -8,6 +9,7 @@
 #include <catch2/catch.hpp>
 
 #include <optional>
+#include <thread>
 
 using namespace bilberry;
 using namespace bilberry::store;
@@ -72,3 +74,69 @@
         }
     }
 }
+
+// Each call on a connection that had gone silent waited for its whole limit, and there were
+// several.
+SCENARIO("idle connections to the store go silent while new ones work")
+{
+    GIVEN("a transport with three idle connections")
+    {
+        std::atomic<int> received = 0;
+        ScriptedServer store([&](const ScriptedRequest &) {
+            ++received;
+            std::this_thread::sleep_for(30ms);
+            return ScriptedAnswer{soundResponse};
+        });
+        TcpProxy proxy(store.port());
+        asio::io_context context;
+        HttpTransport transport(context, "127.0.0.1", proxy.port());
+        std::optional<Result<HttpResponse>> results[3];
+        for (auto &result : results)
+            asio::co_spawn(context, storeResult(transport, read("/a"), 2s, result), asio::detached);
+        context.run();
+        REQUIRE(received == 3);
+
+        WHEN("they go silent")
+        {
+            proxy.silenceOpen();
+            const TimePoint start = Clock::now();
+            const auto first = callBlocking(context, transport, read("/b"), 900ms);
+            const Duration firstTook = Clock::now() - start;
+            const auto second = callBlocking(context, transport, read("/c"), 900ms);
+            THEN("the next call is answered on a new one, and the others are not tried")
+            {
+                CHECK(first);
+                CHECK(firstTook < 600ms);
+                CHECK(second);
+                CHECK(Clock::now() - start < firstTook + 200ms);
+                CHECK(received == 5);
+            }
+        }
+    }
+    GIVEN("a store that becomes slow")
+    {
+        std::atomic<std::chrono::milliseconds> delay = 0ms;
+        std::atomic<int> received = 0;
+        ScriptedServer store([&](const ScriptedRequest &) {
+            ++received;
+            std::this_thread::sleep_for(delay.load());
+            return ScriptedAnswer{soundResponse};
+        });
+        asio::io_context context;
+        HttpTransport transport(context, "127.0.0.1", store.port());
+        REQUIRE(callBlocking(context, transport, read("/a"), 900ms));
+        delay = 350ms;
+        WHEN("calls are made one after the other")
+        {
+            constexpr int calls = 10;
+            int answered = 0;
+            for (int i = 0; i < calls; ++i)
+                answered += callBlocking(context, transport, read("/b"), 900ms) ? 1 : 0;
+            THEN("all are answered, and only the first ones are repeated")
+            {
+                CHECK(answered == calls);
+                CHECK(received <= calls + 4);
+            }
+        }
+    }
+}
--- a/packages/wire/include/bilberry/wire/gossipmessages.h
+++ b/packages/wire/include/bilberry/wire/gossipmessages.h
@@ -207,9 +207,19 @@
     bool operator==(const ServerNoticeGossip &) const = default;
 };
 
+/// What a direct router that asks the store for the others has learned: their own watch calls may
+/// have gone silent.
+struct StoreNotice
+{
+    GossipSender sender;
+    std::uint64_t planVersion = 0;
+    std::uint64_t storeRevision = 0; ///< of the whole store
+    bool operator==(const StoreNotice &) const = default;
+};
+
 using GossipMessage = std::variant<Probe, ProbeAck, ServiceReport, ServiceTotals, QuarantineGossip,
                                    DirectRouterReport, PlanProofQuery, PlanProofReply,
-                                   CrashSuspectGossip, ServerNoticeGossip>;
+                                   CrashSuspectGossip, ServerNoticeGossip, StoreNotice>;
 
 } // namespace bilberry::wire
 
--- a/tests/soak/soak.cpp
+++ b/tests/soak/soak.cpp
@@ -268,14 +268,14 @@
             m_fleet.store().forgetHistory();
             return;
         }
-        constexpr StoreStandIn::Mode modes[]
-                = {StoreStandIn::Mode::Unavailable, StoreStandIn::Mode::Silent,
-                   StoreStandIn::Mode::Slow};
+        constexpr tests::StoreStandIn::Mode modes[]
+                = {tests::StoreStandIn::Mode::Unavailable, tests::StoreStandIn::Mode::Silent,
+                   tests::StoreStandIn::Mode::Slow};
         m_storeDisturbed = true;
         setAllDisturbed(true);
         m_fleet.store().setMode(modes[kind]);
         schedule(length, [this] {
-            m_fleet.store().setMode(StoreStandIn::Mode::Healthy);
+            m_fleet.store().setMode(tests::StoreStandIn::Mode::Healthy);
             m_storeDisturbed = false;
             setAllDisturbed(false);
         });
--- a/tests/soak/soakfleet.h
+++ b/tests/soak/soakfleet.h
@@ -2,11 +2,11 @@
 #define BILBERRY_SOAK_SOAKFLEET_H
 
 #include "invariantchecker.h"
-#include "storestandin.h"
 
 #include "support/faultproxy.h"
 #include "support/process.h"
 #include "support/scriptedserver.h"
+#include "support/storestandin.h"
 
 #include <atomic>
 #include <filesystem>
@@ -77,7 +77,7 @@
     /// @throws std::runtime_error when a router is not ready after 15 s
     SoakFleet(std::uint64_t seed, InvariantChecker &checker, const std::filesystem::path &folder);
 
-    StoreStandIn &store() { return m_store; }
+    tests::StoreStandIn &store() { return m_store; }
     std::vector<std::unique_ptr<SoakServer>> &servers() { return m_servers; }
     std::vector<std::unique_ptr<SoakRouter>> &routers() { return m_routers; }
     std::set<std::size_t> serversOf(const std::string &zone) const;
@@ -89,7 +89,7 @@
     bool allReady() const;
 
 private:
-    StoreStandIn m_store;
+    tests::StoreStandIn m_store;
     std::vector<std::unique_ptr<SoakServer>> m_servers;
     std::vector<std::unique_ptr<SoakRouter>> m_routers;
     int m_version = 0;
--- a/tests/support/faultproxy.cpp
+++ b/tests/support/faultproxy.cpp
@@ -38,6 +38,7 @@
     {
         Socket client;
         Socket server;
+        int generation = 0;
 
         void close()
         {
@@ -66,7 +67,7 @@
             if (self->faults.cut)
                 continue;
             auto connection = std::make_shared<Connection>(
-                    Connection{std::move(client), Socket(self->context)});
+                    Connection{std::move(client), Socket(self->context), self->generation});
             co_await connection->server.async_connect(
                     self->target, asio::redirect_error(asio::use_awaitable, error));
             if (error)
@@ -79,9 +80,10 @@
         }
     }
 
-    bool muted(bool toServer) const
+    bool muted(const Connection &connection, bool toServer) const
     {
-        return faults.mute || (toServer ? faults.muteToServer : faults.muteToClient);
+        return connection.generation < generation || faults.mute
+               || (toServer ? faults.muteToServer : faults.muteToClient);
     }
 
     static asio::awaitable<void> forward(std::shared_ptr<State> self,
@@ -98,13 +100,13 @@
                 break;
             if (self->faults.delayMs > 0)
                 co_await pause(self->context, std::chrono::milliseconds(self->faults.delayMs));
-            while (self->muted(toServer) && from.is_open())
+            while (self->muted(*connection, toServer) && from.is_open())
                 co_await pause(self->context, pollPeriod);
             co_await asio::async_write(to, asio::buffer(buffer.data(), size),
                                        asio::redirect_error(asio::use_awaitable, error));
         }
         // While the direction is muted the connection stays open, as if half-open.
-        while (self->muted(toServer) && !self->faults.cut)
+        while (self->muted(*connection, toServer) && !self->faults.cut)
             co_await pause(self->context, pollPeriod);
         connection->close();
     }
@@ -121,6 +123,7 @@
     asio::ip::tcp::acceptor acceptor;
     asio::ip::tcp::endpoint target;
     ProxyFaults faults;
+    std::atomic<int> generation = 0; ///< connections of earlier ones are silent
 };
 
 TcpProxy::TcpProxy(std::uint16_t target)
@@ -135,6 +138,11 @@
     m_eventLoop.stop();
 }
 
+void TcpProxy::silenceOpen()
+{
+    ++m_state->generation;
+}
+
 std::uint16_t TcpProxy::port() const
 {
     return m_state->acceptor.local_endpoint().port();
--- a/tests/support/faultproxy.h
+++ b/tests/support/faultproxy.h
@@ -30,6 +30,8 @@
 
     std::uint16_t port() const;
     ProxyFaults &faults();
+    /// From now on the open connections carry nothing, without a reset; new ones work.
+    void silenceOpen();
 
 private:
     struct State;
--- a/tests/soak/storestandin.cpp
+++ b/tests/support/storestandin.cpp
@@ -1,14 +1,12 @@
-#include "storestandin.h"
+#include "support/storestandin.h"
 
 #include <boost/json.hpp>
 
 #include <thread>
 
-namespace bilberry::soak {
+namespace bilberry::tests {
 
 namespace json = boost::json;
-using tests::ScriptedAnswer;
-using tests::ScriptedRequest;
 
 namespace {
 
@@ -38,7 +36,7 @@
 } // namespace
 
 StoreStandIn::StoreStandIn()
-    : m_server(std::make_unique<tests::ScriptedServer>(
+    : m_server(std::make_unique<ScriptedServer>(
             [this](const ScriptedRequest &request) { return answer(request); }))
 {
 }
@@ -172,4 +170,4 @@
     return R"({"events":[)" + events + R"(],"current_rev":)" + std::to_string(m_revision) + "}";
 }
 
-} // namespace bilberry::soak
+} // namespace bilberry::tests
--- a/tests/soak/storestandin.h
+++ b/tests/support/storestandin.h
@@ -1,5 +1,5 @@
-#ifndef BILBERRY_SOAK_STORESTANDIN_H
-#define BILBERRY_SOAK_STORESTANDIN_H
+#ifndef BILBERRY_TESTS_STORESTANDIN_H
+#define BILBERRY_TESTS_STORESTANDIN_H
 
 #include "support/scriptedserver.h"
 
@@ -12,7 +12,7 @@
 #include <mutex>
 #include <string>
 
-namespace bilberry::soak {
+namespace bilberry::tests {
 
 /// Stand-in for the store of the users' platform on loopback: lists, watches and writes objects,
 /// with faults by its mode.
@@ -43,7 +43,7 @@
         bool removed = false;
     };
 
-    tests::ScriptedAnswer answer(const tests::ScriptedRequest &request);
+    ScriptedAnswer answer(const ScriptedRequest &request);
     std::string list(const std::string &kind);
     std::string watch(const std::string &kind, std::uint64_t since, Duration wait);
     void change(const std::string &kind, const std::string &name, const std::string &spec,
@@ -57,9 +57,9 @@
     std::uint64_t m_forgotten = 0; ///< newest revision that is no longer in the history
     Mode m_mode = Mode::Healthy;
     bool m_stopping = false;
-    std::unique_ptr<tests::ScriptedServer> m_server;
+    std::unique_ptr<ScriptedServer> m_server;
 };
 
-} // namespace bilberry::soak
+} // namespace bilberry::tests
 
 #endif
