Close kept connections that may have gone silent with one that did

Cause: only the connection of the request that failed was closed.

Change: a request on a kept connection without an answer for three latency objectives, or until its deadline, closes those that were idle when it was sent; connections to servers have keep-alive probes.

--- a/packages/direct/src/requesthandler.cpp
+++ b/packages/direct/src/requesthandler.cpp
@@ -33,8 +33,8 @@
 /// A request with less than this fraction of its route's time limit remaining counts as a repeat of
 /// a refused one.
 constexpr double returningTimeFraction = 0.93;
-/// Time without a response after which an idempotent request is sent to another server, in
-/// latency objectives.
+/// Time without a response, in latency objectives, after which kept connections to the server count
+/// as silent, and an idempotent request is sent to another server.
 constexpr double silenceTimeoutObjectives = 3.0;
 /// Cost of an output token in prompt tokens, the unit in which the fleet's capacity is given.
 constexpr double outputTokenCost = 2.0;
@@ -189,6 +189,7 @@
     const DirectServer *server = m_context.serverSelector.server(choice.server);
     m_choice = choice;
     ++m_attemptCount;
+    m_sentAt = Clock::now();
     m_attemptNumber = m_context.serverSelector.startAttempt(choice, m_traits, Clock::now());
     m_responseHeader.reset();
     m_bufferedBody.clear();
@@ -484,25 +485,40 @@
     return m_context.retryBudgets.at(m_traits.pool).tryAcquire(Clock::now());
 }
 
-/// Sends an idempotent request to another server when its server does not respond in time.
 void RequestHandler::startSilenceTimer()
 {
-    const bool mayTryOtherServer = m_route->kind == RequestKind::Idempotent
-                                   && m_possibleRunCount + 1 < m_route->maxAttempts;
-    if (!mayTryOtherServer || m_finished || !m_attempt)
+    if (m_finished || !m_attempt)
         return;
     const Duration limit = fromMilliseconds(silenceTimeoutObjectives
                                             * toMilliseconds(m_route->latencyObjective));
     m_silenceTimer.expires_after(std::min(limit, remainingTime() / 2));
     m_silenceTimer.async_wait([self = shared_from_this()](boost::system::error_code error) {
-        if (error || self->m_finished || !self->m_attempt || self->m_responseHeader)
-            return;
-        const bool mayHaveRun = self->m_attempt->mayHaveSent();
-        self->abandonAttempt(mayHaveRun ? AttemptOutcome::TimedOut : AttemptOutcome::ConnectFailed,
-                             mayHaveRun);
+        if (!error && !self->m_finished && self->m_attempt && !self->m_responseHeader)
+            self->handleSilence();
     });
 }
 
+/// Sends an idempotent request to another server when its server does not respond in time.
+void RequestHandler::handleSilence()
+{
+    dropSilentConnections();
+    const bool mayTryOtherServer = m_route->kind == RequestKind::Idempotent
+                                   && m_possibleRunCount + 1 < m_route->maxAttempts;
+    if (!mayTryOtherServer)
+        return;
+    const bool mayHaveRun = m_attempt->mayHaveSent();
+    abandonAttempt(mayHaveRun ? AttemptOutcome::TimedOut : AttemptOutcome::ConnectFailed,
+                   mayHaveRun);
+}
+
+/// The connections that were idle when the request was sent may be as silent as its own, so that
+/// no other request is lost on them.
+void RequestHandler::dropSilentConnections()
+{
+    if (m_attempt->isOnKeptConnection())
+        m_context.connections.dropIdleSince(m_choice.server, m_sentAt);
+}
+
 /// Ends the request after its last attempt: cuts off a started response, otherwise forwards the
 /// last 5xx response of a server, or refuses the request.
 void RequestHandler::failRequest()
@@ -594,6 +610,8 @@
         return;
     if (m_attempt) {
         const bool mayHaveRun = m_attempt->mayHaveSent();
+        if (!m_responseHeader)
+            dropSilentConnections();
         m_attempt->cancel();
         m_attempt.reset();
         const AttemptOutcome silent
--- a/packages/direct/src/requesthandler.h
+++ b/packages/direct/src/requesthandler.h
@@ -85,6 +85,8 @@
     void startResponse();
     void forwardBody(std::string &&data);
     void startSilenceTimer();
+    void handleSilence();
+    void dropSilentConnections();
     /// @return true when the event stream being received ends inside an event so far
     bool isInsideEvent() const { return m_eventBoundary && !m_eventBoundary->isAtEventEnd(); }
 
@@ -103,6 +105,7 @@
     std::string m_requestId;
     TimePoint m_receivedAt;
     TimePoint m_deadline{};
+    TimePoint m_sentAt{};      ///< of the current attempt
     TimePoint m_firstByteAt{}; ///< of a streamed response
     TrafficPlanPtr m_plan;
     const DirectRoute *m_route = nullptr;
--- a/packages/direct/src/serverattempt.h
+++ b/packages/direct/src/serverattempt.h
@@ -57,6 +57,9 @@
     /// @return false as long as nothing can have reached the server
     bool mayHaveSent() const { return m_isSending; }
 
+    /// @return true when the request was sent on a connection that an earlier one had used
+    bool isOnKeptConnection() const { return m_connection && m_connection->hasCarriedRequest; }
+
     /// Pauses or resumes reading, which bounds the memory used for a slow caller.
     void setPaused(bool paused);
 
--- a/packages/direct/src/serverconnections.cpp
+++ b/packages/direct/src/serverconnections.cpp
@@ -15,13 +15,24 @@
 constexpr Duration keepAliveMargin = std::chrono::milliseconds(800);
 /// Time with unacknowledged bytes after which the path to the server counts as broken.
 constexpr int tcpUserTimeoutMs = 3000;
+/// Keep-alive probes show within some seconds that the path of an idle connection is broken.
+constexpr int keepAliveIdleS = 2;
+constexpr int keepAliveIntervalS = 1;
+constexpr int keepAliveProbes = 2;
 
 void setOptions(tcp::socket &socket)
 {
     boost::system::error_code ignored;
     socket.set_option(tcp::no_delay(true), ignored);
     using UserTimeout = asio::detail::socket_option::integer<IPPROTO_TCP, TCP_USER_TIMEOUT>;
+    using KeepAliveIdle = asio::detail::socket_option::integer<IPPROTO_TCP, TCP_KEEPIDLE>;
+    using KeepAliveInterval = asio::detail::socket_option::integer<IPPROTO_TCP, TCP_KEEPINTVL>;
+    using KeepAliveCount = asio::detail::socket_option::integer<IPPROTO_TCP, TCP_KEEPCNT>;
     socket.set_option(UserTimeout(tcpUserTimeoutMs), ignored);
+    socket.set_option(asio::socket_base::keep_alive(true), ignored);
+    socket.set_option(KeepAliveIdle(keepAliveIdleS), ignored);
+    socket.set_option(KeepAliveInterval(keepAliveIntervalS), ignored);
+    socket.set_option(KeepAliveCount(keepAliveProbes), ignored);
 }
 
 /// @return false when there is a byte or the end of the stream to read, which makes an idle
@@ -82,10 +93,21 @@
 {
     if (connection->keepAliveTimeout <= keepAliveMargin)
         return;
-    connection->expiresAt = Clock::now() + connection->keepAliveTimeout - keepAliveMargin;
+    connection->releasedAt = Clock::now();
+    connection->expiresAt = connection->releasedAt + connection->keepAliveTimeout - keepAliveMargin;
     m_idle[server].push_back(std::move(connection));
 }
 
+void ServerConnections::dropIdleSince(const ServerId &server, TimePoint time)
+{
+    const auto found = m_idle.find(server);
+    if (found == m_idle.end())
+        return;
+    std::erase_if(found->second, [&](const ServerConnectionPtr &connection) {
+        return connection->releasedAt < time;
+    });
+}
+
 void ServerConnections::dropExpired(TimePoint now)
 {
     for (auto servers = m_idle.begin(); servers != m_idle.end();) {
--- a/packages/direct/src/serverconnections.h
+++ b/packages/direct/src/serverconnections.h
@@ -23,6 +23,7 @@
     boost::asio::ip::tcp::socket socket;
     boost::beast::flat_buffer buffer;
     std::uint64_t startedAtMs = 0; ///< start time of the server process, which identifies the run
+    TimePoint releasedAt{};        ///< when its last response was complete
     TimePoint expiresAt{};
     Duration keepAliveTimeout = std::chrono::seconds(3);
     bool hasCarriedRequest = false; ///< an earlier one, whose answer may be repeated
@@ -53,6 +54,10 @@
     /// Closes the idle connections to a server.
     void dropIdle(const ServerId &server) { m_idle.erase(server); }
 
+    /// Closes the connections to a server that have been idle since before a point in time: they
+    /// may have gone silent together with one that was used since.
+    void dropIdleSince(const ServerId &server, TimePoint time);
+
     /// Closes idle connections that their server is about to close.
     void dropExpired(TimePoint now);
 
