Tell an empty list from a missing one, first that of customers

Cause: an empty list of customers and a configuration without the list were the same value, and it meant that requests need no key.

Ruled out: a plan that isn't applied in time. "Applied a new plan." came within its bound, with "customers":"0".

Change: the list is optional.

--- a/benchmark/directbench.cpp
+++ b/benchmark/directbench.cpp
@@ -188,7 +188,7 @@
     pool.id = PoolId("pool");
     pool.maxConnections = 4000;
     pool.engine = EngineTraits{64, 493000};
-    parts.customers = {{CustomerId("kitchen"), {sha256Hex("key")}}};
+    parts.customers = {CustomerKeys{CustomerId("kitchen"), {sha256Hex("key")}}};
     return TrafficPlan::create(1, parts).value();
 }
 
--- a/packages/direct/src/peerexchange.cpp
+++ b/packages/direct/src/peerexchange.cpp
@@ -9,6 +9,7 @@
 #include <boost/json.hpp>
 
 #include <cmath>
+#include <limits>
 
 namespace bilberry::direct {
 
@@ -119,7 +120,9 @@
     const json::object *entry = error ? nullptr : value.if_object();
     const json::value *address = entry ? entry->if_contains("address") : nullptr;
     const json::value *port = entry ? entry->if_contains("port") : nullptr;
-    if (!address || !address->is_string() || !port || !port->is_int64()) {
+    const bool hasPort = port && port->is_int64() && port->get_int64() > 0
+                         && port->get_int64() <= std::numeric_limits<std::uint16_t>::max();
+    if (!address || !address->is_string() || !hasPort) {
         m_log.decision("Ignored an invalid router entry.", {{"router", item.name}});
         return;
     }
@@ -184,6 +187,7 @@
     // Demands that are due wait for a report that is sent anyway.
     if (hasChanges && now - m_lastDemandReportAt >= decision::usageReportInterval(m_peers.size())) {
         m_lastDemandReportAt = now;
+        report.hasDemands = true;
         for (const auto &[customer, demand] : m_usageMeter.ownUsage(now))
             report.demands.push_back({customer, static_cast<std::uint64_t>(demand.requested),
                                       static_cast<std::uint64_t>(demand.dispatched)});
@@ -376,7 +380,7 @@
         m_serverSelector.recordPeerPlacement({placement.server,
                                               {placement.prefix, placement.sharedTokens},
                                               placement.ownTokens});
-    if (report.demands.empty())
+    if (!report.hasDemands)
         return;
     std::map<CustomerId, decision::CustomerUsageMeter::Usage> demands;
     for (const wire::CustomerDemand &demand : report.demands)
--- a/packages/direct/src/platformstate.cpp
+++ b/packages/direct/src/platformstate.cpp
@@ -214,10 +214,11 @@
     // Servers that arrived before the plan are updated again, now that their pools are known.
     for (const auto &[id, server] : m_servers)
         m_serverSelector.update(server, Clock::now());
+    const auto &customers = m_plan->parts().customers;
     m_log.decision("Applied a new plan.",
                    {{"plan", std::to_string(m_plan->version())},
                     {"routes", std::to_string(m_plan->parts().routes.size())},
-                    {"customers", std::to_string(m_plan->parts().customers.size())}});
+                    {"customers", customers ? std::to_string(customers->size()) : "none listed"}});
 }
 
 void PlatformState::updateServer(const store::Item &item)
--- a/packages/direct/src/requesthandler.cpp
+++ b/packages/direct/src/requesthandler.cpp
@@ -110,7 +110,7 @@
                                bilberry::http::pathOf(m_request.target()));
     if (!m_route)
         return RefusalReason::UnknownRoute;
-    if (!m_route->isPublic && !m_plan->parts().customers.empty()) {
+    if (!m_route->isPublic && m_plan->requiresKeys()) {
         const std::string key = bearerToken(m_request);
         if (key.empty())
             return RefusalReason::MissingKey;
--- a/packages/direct/tests/directrouter_test.cpp
+++ b/packages/direct/tests/directrouter_test.cpp
@@ -504,3 +504,35 @@
         }
     }
 }
+
+// An empty list of customers once opened all routes to everybody.
+SCENARIO("a plan lists no customer, or has no list of customers")
+{
+    ScriptedServer server(always(answer("200 OK", "whole")));
+    TrafficPlanParts parts = testPlan().parts();
+    const auto routerWith = [&](const std::optional<std::vector<CustomerKeys>> &customers) {
+        parts.customers = customers;
+        return std::make_unique<InProcessRouter>(TrafficPlan::create(1, parts).value(),
+                                                 std::vector{loopbackServer("s0", server.port())},
+                                                 acceptOldPlans);
+    };
+    GIVEN("a plan with an empty list")
+    {
+        const auto router = routerWith(std::vector<CustomerKeys>());
+        THEN("requests with any key or none are refused, but for those on public routes")
+        {
+            CHECK(router->call("/book/x").status() == 401);
+            CHECK(router->call("/book/x", "", "", "").status() == 401);
+            CHECK(server.requests().empty());
+            CHECK(router->call("/open/x", "", "", "").status() == 200);
+        }
+    }
+    GIVEN("a plan without a list")
+    {
+        const auto router = routerWith(std::nullopt);
+        THEN("requests need no key")
+        {
+            CHECK(router->call("/book/x", "", "", "").status() == 200);
+        }
+    }
+}
--- a/packages/direct/tests/requestlimit_test.cpp
+++ b/packages/direct/tests/requestlimit_test.cpp
@@ -104,3 +104,49 @@
         }
     }
 }
+
+// A router without requests must not count as one whose report is missing: its part of the limit
+// would stay unused.
+SCENARIO("a router shares a limit with one that gets no requests")
+{
+    constexpr auto playTime = 6s;
+    constexpr double perSecond = 5.0;
+    /// Of the limit, the part of a router that gets all requests of two: half of the three tenths
+    /// that are shared evenly, and the other seven.
+    constexpr double share = 0.85;
+    constexpr double tolerance = 0.1;
+    GIVEN("two routers that know each other, and a server with a limit")
+    {
+        ScriptedServer limited(answering("Bilberry-Request-Limit: 5.0\r\n"));
+        const std::uint16_t ports[] = {freePort(), freePort()};
+        const auto entry = [&](int router) {
+            return store::Item{"r" + std::to_string(router), R"({"address":"127.0.0.1","port":)"
+                                                                     + std::to_string(ports[router])
+                                                                     + "}"};
+        };
+        const auto settings = [&](int router) {
+            return [&, router](direct::DirectSettings &settings) {
+                settings.router = RouterId("r" + std::to_string(router));
+                settings.peerEndpoint.port = ports[router];
+                acceptOldPlans(settings);
+            };
+        };
+        const RouterFixture busy({&limited}, settings(0), {{"routers", {entry(1)}}});
+        const RouterFixture idle({&limited}, settings(1), {{"routers", {entry(0)}}});
+        WHEN("all requests come to one of them")
+        {
+            const TimePoint end = Clock::now() + playTime;
+            while (Clock::now() < end) {
+                busy.call("/read/x", "Bilberry-Prompt-Parts: a1:800,b2:100\r\n");
+                std::this_thread::sleep_for(callPause);
+            }
+            THEN("it uses most of the limit")
+            {
+                const double allowed = perSecond * std::chrono::duration<double>(playTime).count();
+                const auto sent = static_cast<double>(limited.requests().size());
+                CHECK(sent >= (share - tolerance) * allowed);
+                CHECK(sent <= 1.5 * allowed + 5.0);
+            }
+        }
+    }
+}
--- a/packages/model/include/bilberry/model/trafficplan.h
+++ b/packages/model/include/bilberry/model/trafficplan.h
@@ -93,7 +93,8 @@
 {
     std::vector<DirectRoute> routes;
     std::map<PoolId, DirectPool> pools;
-    std::vector<CustomerKeys> customers; ///< empty when requests carry no keys
+    /// Absent when requests carry no keys. An empty list refuses every key.
+    std::optional<std::vector<CustomerKeys>> customers;
     CallerBounds callers;
     bool operator==(const TrafficPlanParts &) const = default;
 };
@@ -118,6 +119,9 @@
     /// @return the host's route with the longest matching prefix, or nullptr
     const DirectRoute *routeFor(std::string_view host, std::string_view path) const;
 
+    /// @return true when a request needs the key of a customer, unless its route is public
+    bool requiresKeys() const { return m_parts.customers.has_value(); }
+
     /// @param keyDigest SHA-256 of the API key, hexadecimal
     /// @return the customer with this key, or nullptr
     const CustomerId *customerByKeyDigest(std::string_view keyDigest) const;
--- a/packages/router/src/coordinator.cpp
+++ b/packages/router/src/coordinator.cpp
@@ -59,8 +59,7 @@
 
 void Coordinator::handle(const wire::Probe &probe, TimePoint now)
 {
-    const bool withLists = !probe.reachablePeers.empty() || !probe.reachableServers.empty();
-    if (withLists || probe.leaving)
+    if (probe.hasLists || probe.leaving)
         m_membership.recordContact({probe.sender.router, probe.sender.incarnation,
                                     probe.platformReachable, probe.leaving, probe.reachablePeers,
                                     probe.reachableServers},
@@ -274,9 +273,14 @@
 void Coordinator::sendProbes(TimePoint now)
 {
     m_probesSentAt = now;
-    wire::Probe probe{
-            localSender(), m_probeAges.recordSent(now), stamp(now), platformReachable(now), {}, {},
-            m_leaving};
+    wire::Probe probe{localSender(),
+                      m_probeAges.recordSent(now),
+                      stamp(now),
+                      platformReachable(now),
+                      {},
+                      {},
+                      m_leaving,
+                      false};
     // The lists are used to detect a frozen configuration only, which requires an aged proof.
     const auto age = m_freshness.proofAge(now);
     const bool needsLists = !age || *age > m_settings.freshness.maxProofAge / 2;
@@ -284,6 +288,7 @@
         m_listsSentAt = now;
         probe.reachablePeers = m_membership.reachableRouters(now);
         probe.reachableServers = m_linkedServers;
+        probe.hasLists = true;
     }
     const std::vector<RouterId> peers = m_membership.knownPeers();
     const std::size_t count = std::min(maxProbesPerPeriod, peers.size());
--- a/packages/router/src/router.cpp
+++ b/packages/router/src/router.cpp
@@ -1,5 +1,7 @@
 #include "bilberry/router/router.h"
 
+#include <algorithm>
+
 #include "bilberry/admin/adminserver.h"
 #include "bilberry/base/digest.h"
 #include "bilberry/base/eventloopthread.h"
@@ -40,6 +42,14 @@
 }
 
 /// @return the routers of the list with their UDP ports
+/// @return false for a list that is older than this router, or damaged
+bool isListed(const RouterId &router, const std::vector<store::Vm> &vms)
+{
+    return std::any_of(vms.begin(), vms.end(), [&](const store::Vm &vm) {
+        return vm.role == store::VmRole::Router && vm.name == router.text();
+    });
+}
+
 std::vector<wire::GossipPeer> gossipPeers(const std::vector<store::Vm> &vms)
 {
     std::vector<wire::GossipPeer> peers;
@@ -322,7 +332,8 @@
     void setVms(const std::vector<store::Vm> &vms)
     {
         coordinator.setKnownVms(vms);
-        gossip.setPeers(gossipPeers(vms));
+        if (isListed(settings.router, vms))
+            gossip.setPeers(gossipPeers(vms));
     }
 
     void onPlatformEvent(PlatformEvent &event)
--- a/packages/router/tests/coordinator_test.cpp
+++ b/packages/router/tests/coordinator_test.cpp
@@ -318,3 +318,53 @@
         RC_ASSERT(cluster.converged());
     }));
 }
+
+// A router that reaches nobody any more must not count as one that has nothing to report.
+SCENARIO("a router reports that it reaches no other process")
+{
+    GIVEN("a router cut off from the platform, and a peer that has reported a majority of servers")
+    {
+        RouterSettings settings;
+        settings.router = RouterId("self");
+        CoordinatorHooks hooks;
+        hooks.send = [](const RouterId &, const wire::GossipMessage &) {};
+        hooks.publishStamp = [](const wire::ConfigurationStamp &, TimePoint) {};
+        hooks.fetchConfiguration = [](const RouterId &, bool) {};
+        hooks.setWatchEnabled = [](bool) {};
+        Coordinator coordinator(settings, 1, hooks);
+        std::vector<store::Vm> vms;
+        for (const char *name : {"self", "peer"})
+            vms.push_back({name, store::VmRole::Router, ZoneId("a"), "127.0.0.1", 1, 2, false});
+        for (const char *name : {"s1", "s2", "s3"})
+            vms.push_back({name, store::VmRole::Agent, ZoneId("a"), "127.0.0.1", 1, 2, false});
+        coordinator.setKnownVms(vms);
+        coordinator.recordPlatformFailure();
+        TimePoint now = Clock::now();
+        wire::Probe probe;
+        probe.sender = {RouterId("peer"), 7, ZoneId("a")};
+        probe.stamp.proofAgeMs = noProof;
+        probe.hasLists = true;
+        probe.reachableServers = {ServerId("s1"), ServerId("s2"), ServerId("s3")};
+        coordinator.receive(probe, now);
+        REQUIRE(coordinator.stamp(now).frozen);
+        WHEN("the peer reports empty lists")
+        {
+            probe.reachableServers.clear();
+            coordinator.receive(probe, now);
+            THEN("the configuration no longer counts as frozen by a majority")
+            {
+                CHECK_FALSE(coordinator.stamp(now).frozen);
+            }
+        }
+        WHEN("the peer sends a probe without lists")
+        {
+            probe.reachableServers.clear();
+            probe.hasLists = false;
+            coordinator.receive(probe, now);
+            THEN("its report still holds")
+            {
+                CHECK(coordinator.stamp(now).frozen);
+            }
+        }
+    }
+}
--- a/packages/wire/include/bilberry/wire/gossipmessages.h
+++ b/packages/wire/include/bilberry/wire/gossipmessages.h
@@ -23,12 +23,12 @@
     std::uint64_t sequence = 0;
     ConfigurationStamp stamp;
     bool platformReachable = false;
-    /// Routers that the sender heard from recently; empty while the sender has a fresh proof that
-    /// its configuration is the newest.
-    std::vector<RouterId> reachablePeers;
-    /// Servers whose agents have a link to the sender; empty in the same case.
-    std::vector<ServerId> reachableServers;
-    bool leaving = false; ///< the router is shutting down
+    std::vector<RouterId> reachablePeers;   ///< routers that the sender heard from recently
+    std::vector<ServerId> reachableServers; ///< whose agents have a link to the sender
+    bool leaving = false;                   ///< the router is shutting down
+    /// False: the two lists say nothing, as the sender has a fresh proof that its configuration is
+    /// the newest, or sent them lately.
+    bool hasLists = false;
     bool operator==(const Probe &) const = default;
 };
 
@@ -135,7 +135,8 @@
     std::uint64_t sequence = 0; ///< within an incarnation, the report with the largest applies
     bool complete = true;
     std::vector<DirectServerLoad> loads;
-    std::vector<CustomerDemand> demands;     ///< empty in a report of loads only
+    bool hasDemands = false;                 ///< false: `demands` says nothing
+    std::vector<CustomerDemand> demands;     ///< of all customers with requests
     std::vector<DirectPlacement> placements; ///< since the previous report, oldest first
     bool operator==(const DirectRouterReport &) const = default;
 };
--- a/packages/wire/include/bilberry/wire/gossipsocket.h
+++ b/packages/wire/include/bilberry/wire/gossipsocket.h
@@ -34,7 +34,7 @@
 
     /// Starts receiving.
     void start();
-    /// Replaces the list of peers. A list without a usable address is ignored.
+    /// Replaces the list of peers. Peers without a usable address are left out.
     void setPeers(const std::vector<GossipPeer> &listed);
 
     /// Removes a router from the list of peers.
--- a/packages/wire/src/gossipsocket.cpp
+++ b/packages/wire/src/gossipsocket.cpp
@@ -36,8 +36,6 @@
         if (!error)
             peers[peer.router] = {address, peer.port};
     }
-    if (peers.empty())
-        return;
     m_peers = std::move(peers);
     // Live unlisted routers are recorded again within a probe's period; stopped ones must not
     // accumulate.
--- a/packages/wire/src/serialization.h
+++ b/packages/wire/src/serialization.h
@@ -50,7 +50,7 @@
 
 BILBERRY_FIELDS(GossipSender, m.router, m.incarnation, m.zone)
 BILBERRY_FIELDS(Probe, m.sender, m.sequence, m.stamp, m.platformReachable, m.reachablePeers,
-                m.reachableServers, m.leaving)
+                m.reachableServers, m.leaving, m.hasLists)
 BILBERRY_FIELDS(ProbeAck, m.sender, m.sequence, m.stamp, m.platformReachable)
 BILBERRY_FIELDS(ServiceCounter, m.customer, m.pool, m.service, m.offset, m.backlogged)
 BILBERRY_FIELDS(ServiceReport, m.sender, m.sequence, m.counters)
@@ -62,7 +62,7 @@
 BILBERRY_FIELDS(CustomerDemand, m.customer, m.requestedTokens, m.dispatchedTokens)
 BILBERRY_FIELDS(DirectPlacement, m.server, m.prefix, m.sharedTokens, m.ownTokens)
 BILBERRY_FIELDS(DirectRouterReport, m.sender, m.sequence, m.complete, m.loads, m.demands,
-                m.placements)
+                m.placements, m.hasDemands)
 BILBERRY_FIELDS(PlanProofQuery, m.sender, m.query)
 BILBERRY_FIELDS(CrashNotice, m.serverRun, m.ageMs, m.resent)
 BILBERRY_FIELDS(CrashSuspectNotice, m.feature, m.crashes, m.cleared, m.probes)
