Show that an answer cut off anywhere never looks whole

Known limit, not of a head: a body without a length or chunks ends with its connection, wherever that comes; for event streams it must be between events.

--- a/packages/agent/tests/backendclient_test.cpp
+++ b/packages/agent/tests/backendclient_test.cpp
@@ -63,6 +63,28 @@
     }
 }
 
+// Reported by other operators: a server stopped in the middle of its answer's head and closed, and
+// callers got a 200 with an empty or short body that looked whole.
+SCENARIO("an agent's server closes its connection anywhere in its answer")
+{
+    for (const std::string &bytes :
+         {std::string("HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nwhole"),
+          std::string("HTTP/1.1 200 OK\r\nTransfer-Encoding: "
+                      "chunked\r\n\r\n5\r\nwhole\r\n0\r\n\r\n")}) {
+        GIVEN("a server that answers: " + bytes)
+        {
+            THEN("the attempt is complete with the last byte, and not before")
+            {
+                for (std::size_t size = 0; size < bytes.size(); ++size) {
+                    INFO(size << " bytes");
+                    CHECK(outcomeOf(bytes.substr(0, size)) == BackendOutcome::Broken);
+                }
+                CHECK(outcomeOf(bytes) == BackendOutcome::Complete);
+            }
+        }
+    }
+}
+
 // A declared length or a long trailer field must not end the agent.
 SCENARIO("an agent's server sends a response that no receiver can hold")
 {
