Give requests that are late in a planned stop an answer

It can happen here: a request that a slow caller completed late was passed on whatever time was left, and the process ended with all requests in progress. Shown by the test on: a booking complete 0.7 s before the end reached its server and got no answer, and neither did one in progress.

Change: once the load balancer knows, a request that usually takes longer than the time left (five latency objectives) is refused as not run, with Retry-After; 0.4 s before the end, each request in progress gets its final answer (504, a 503 if it reached no server, a reset for a stream that has begun), and one that is still being read a 503.

Ruled out: refusing all requests whose deadline lies beyond the end. It refused requests with ten times the time that they take left; a test of requests that have just arrived showed that.

--- a/packages/direct/src/callerconnection.cpp
+++ b/packages/direct/src/callerconnection.cpp
@@ -162,15 +162,12 @@
 
 void CallerConnection::reportParseError(boost::system::error_code error)
 {
-    m_isResponding = true;
-    m_isReadingRequest = false;
-    m_keepAlive = false;
     RequestError requestError = RequestError::Malformed;
     if (error == http::error::header_limit)
         requestError = RequestError::HeadTooLarge;
     else if (error == http::error::body_limit)
         requestError = RequestError::BodyTooLarge;
-    m_hooks.onRequestError(shared_from_this(), requestError);
+    refuseUnread(requestError);
 }
 
 void CallerConnection::setConnectionHeaders(CallerResponseHeader &header)
@@ -239,6 +236,7 @@
 {
     onDisconnected = nullptr;
     onWritten = nullptr;
+    onShutdown = nullptr;
     m_isChunked = false;
     if (!m_keepAlive || m_closeAfterResponse) {
         m_isResponding = false;
@@ -249,6 +247,16 @@
     awaitRequest();
 }
 
+void CallerConnection::endRequest()
+{
+    if (m_isClosed)
+        return;
+    if (const auto hook = std::exchange(onShutdown, nullptr))
+        hook();
+    else if (m_isReadingRequest)
+        refuseUnread(RequestError::Shutdown);
+}
+
 void CallerConnection::abort()
 {
     if (m_isClosed)
@@ -349,10 +357,16 @@
         close();
         return;
     }
+    refuseUnread(RequestError::SlowSender);
+}
+
+/// Refuses a request of which not all bytes have been read.
+void CallerConnection::refuseUnread(RequestError error)
+{
     m_isResponding = true;
     m_isReadingRequest = false;
     m_keepAlive = false;
-    m_hooks.onRequestError(shared_from_this(), RequestError::SlowSender);
+    m_hooks.onRequestError(shared_from_this(), error);
 }
 
 /// Resets the connection when the handler throws.
@@ -380,6 +394,7 @@
     if (std::exchange(m_isClosed, true))
         return;
     onWritten = nullptr;
+    onShutdown = nullptr;
     boost::system::error_code ignored;
     m_timer.cancel();
     m_socket.close(ignored);
--- a/packages/direct/src/callerconnection.h
+++ b/packages/direct/src/callerconnection.h
@@ -21,7 +21,7 @@
 using CallerResponseHeader = boost::beast::http::response_header<>;
 
 /// Why the bytes of a caller can't be handled as a request.
-enum class RequestError { Malformed, HeadTooLarge, BodyTooLarge, SlowSender };
+enum class RequestError { Malformed, HeadTooLarge, BodyTooLarge, SlowSender, Shutdown };
 
 class CallerConnection;
 using CallerConnectionPtr = std::shared_ptr<CallerConnection>;
@@ -49,6 +49,10 @@
     /// Hooks of the current request; cleared when its response ends.
     std::function<void()> onDisconnected; ///< the caller disconnected
     std::function<void()> onWritten;      ///< a write to the socket completed
+    std::function<void()> onShutdown;     ///< the request must end now
+
+    /// Ends the current request with a final response, also one that is still being read.
+    void endRequest();
 
     /// Sends a complete response.
     void sendResponse(CallerResponseHeader header, std::string_view body);
@@ -93,6 +97,7 @@
     void dispatchRequest();
     void handleResponseEnd();
     void reportParseError(boost::system::error_code error);
+    void refuseUnread(RequestError error);
     void queueWrite(std::string_view bytes);
     void startWrite();
     void handleWrite(boost::system::error_code error);
--- a/packages/direct/src/callerlistener.cpp
+++ b/packages/direct/src/callerlistener.cpp
@@ -61,6 +61,13 @@
     m_acceptor.close(ignored);
 }
 
+void CallerListener::endRequests()
+{
+    const auto callers = m_callers;
+    for (const CallerConnectionPtr &caller : callers)
+        caller->endRequest();
+}
+
 void CallerListener::closeIdle()
 {
     const auto callers = m_callers;
--- a/packages/direct/src/callerlistener.h
+++ b/packages/direct/src/callerlistener.h
@@ -30,6 +30,8 @@
     void startDraining();
     /// Accepts the connections that wait in the queue, and no others.
     void stopAccepting();
+    /// Ends all requests with a final response.
+    void endRequests();
     /// Closes connections that have been idle for a while.
     void closeIdle();
 
--- a/packages/direct/src/directrouter.cpp
+++ b/packages/direct/src/directrouter.cpp
@@ -31,6 +31,8 @@
 constexpr Duration lagMeasurementPeriod = std::chrono::milliseconds(100);
 /// Period in which a stopping router checks whether it is idle.
 constexpr Duration stopCheckPeriod = std::chrono::milliseconds(50);
+/// Part of the limit of a shutdown that is left for the final responses to requests in progress.
+constexpr Duration finalResponseTime = std::chrono::milliseconds(400);
 /// Limit of the bodies of requests for readiness and metrics, which need none.
 constexpr std::size_t maxAdminBodyBytes = 1024;
 tcp::endpoint toEndpoint(const Endpoint &endpoint)
@@ -47,6 +49,8 @@
         return RefusalReason::HeadTooLarge;
     case RequestError::BodyTooLarge:
         return RefusalReason::BodyTooLarge;
+    case RequestError::Shutdown:
+        return RefusalReason::Stopping;
     case RequestError::SlowSender:
         break;
     }
@@ -76,6 +80,7 @@
                                         .random = random,
                                         .currentPlan = [this] { return state->plan(); },
                                         .planIsFresh = [this] { return planIsFresh(); },
+                                        .stopsAt = [this] { return requestsEndAt(); },
                                         .recordFirstByteLatency =
                                                 [this](const PoolId &pool, Duration duration) {
                                                     metrics.recordFirstByteLatency(pool, duration);
@@ -185,6 +190,10 @@
         CallerResponseHeader header;
         header.result(httpStatus(reason));
         header.set(boost::beast::http::field::content_type, "application/problem+json");
+        constexpr unsigned unavailable = 503;
+        if (httpStatus(reason) == unavailable)
+            header.set(boost::beast::http::field::retry_after,
+                       retryAfterText(defaultRetryAfter(Duration::max(), random)));
         const CallerBounds bounds = callerBounds();
         log.decision("Refused.", {{"request", ""},
                                   {"reason", toText(reason)},
@@ -262,6 +271,15 @@
         continueStop();
     }
 
+    /// @return when the requests in progress get their final response; absent until the load
+    ///         balancer has noticed the shutdown
+    std::optional<TimePoint> requestsEndAt() const
+    {
+        if (!stopping || Clock::now() - stopRequestedAt < settings.balancerLag)
+            return std::nullopt;
+        return stopRequestedAt + settings.shutdownTimeout - finalResponseTime;
+    }
+
     void continueStop()
     {
         const Duration elapsed = Clock::now() - stopRequestedAt;
@@ -270,6 +288,9 @@
             callers->stopAccepting();
             callers->closeIdle();
         }
+        // A request that is cut off with the process gets no answer at all.
+        if (requestsEndAt() && Clock::now() >= *requestsEndAt())
+            callers->endRequests();
         const bool isIdle = callers->size() == 0 && peerExchange->isUnregistered();
         if (elapsed >= settings.shutdownTimeout || (balancerKnows && isIdle)) {
             log.decision("Stopped.", {{"callers", std::to_string(callers->size())}});
--- a/packages/direct/src/refusal.cpp
+++ b/packages/direct/src/refusal.cpp
@@ -1,6 +1,7 @@
 #include "refusal.h"
 
 #include <algorithm>
+#include <sstream>
 
 namespace bilberry::direct {
 
@@ -49,6 +50,8 @@
         return {413, "body-too-large", "The request body is too large."};
     case RefusalReason::SlowSender:
         return {408, "slow-sender", "The request arrived too slowly."};
+    case RefusalReason::Stopping:
+        return {503, "stopping", "The router is shutting down; it did not run the request."};
     case RefusalReason::NoPlan:
         return {503, "no-plan", "The router has no plan of routes yet."};
     case RefusalReason::StalePlan:
@@ -102,4 +105,12 @@
                             maxRetryAfterObjectives * objectiveMs, remaining, random);
 }
 
+std::string retryAfterText(Duration delay)
+{
+    std::ostringstream seconds;
+    seconds.precision(3);
+    seconds << toMilliseconds(delay) / 1000.0;
+    return seconds.str();
+}
+
 } // namespace bilberry::direct
--- a/packages/direct/src/refusal.h
+++ b/packages/direct/src/refusal.h
@@ -17,6 +17,7 @@
     HeadTooLarge,
     BodyTooLarge,
     SlowSender,
+    Stopping,       ///< the router stops before the request's deadline
     NoPlan,         ///< the router has not received a plan yet
     StalePlan,      ///< the plan may be outdated, and the key withdrawn
     Overloaded,     ///< each server would respond too late
@@ -46,6 +47,9 @@
 /// @param objective time within which the route's callers expect the first byte
 Duration overloadRetryAfter(Duration objective, Duration remaining, std::mt19937_64 &random);
 
+/// @return value of Retry-After, in seconds with a fraction
+std::string retryAfterText(Duration delay);
+
 } // namespace bilberry::direct
 
 #endif
--- a/packages/direct/src/requesthandler.cpp
+++ b/packages/direct/src/requesthandler.cpp
@@ -8,7 +8,6 @@
 #include "bilberry/http/requestrules.h"
 
 #include <algorithm>
-#include <sstream>
 
 namespace bilberry::direct {
 
@@ -36,6 +35,8 @@
 /// Time without a response, in latency objectives, after which kept connections to the server count
 /// as silent, and an idempotent request is sent to another server.
 constexpr double silenceTimeoutObjectives = 3.0;
+/// Time, in latency objectives, in which nearly all requests end, streams included.
+constexpr double usualTimeObjectives = 5.0;
 /// Cost of an output token in prompt tokens, the unit in which the fleet's capacity is given.
 constexpr double outputTokenCost = 2.0;
 /// @return one of the route's pools, chosen at random by weight
@@ -83,6 +84,7 @@
         return;
     }
     m_caller->onDisconnected = [self = shared_from_this()] { self->handleCallerDisconnect(); };
+    m_caller->onShutdown = [self = shared_from_this()] { self->handleDeadline(); };
     if (const auto reason = validateRequest()) {
         refuse(*reason);
         return;
@@ -128,9 +130,20 @@
     m_traits.previouslyRefused = static_cast<double>(remainingMs)
                                  < returningTimeFraction * static_cast<double>(limitMs);
     m_deadline = m_receivedAt + std::chrono::milliseconds(std::min(remainingMs, limitMs));
+    if (mayOutlastRouter())
+        return RefusalReason::Stopping;
     return std::nullopt;
 }
 
+/// @return true when the router stops before the request usually ends
+bool RequestHandler::mayOutlastRouter() const
+{
+    const auto stopsAt = m_context.stopsAt();
+    const Duration usualTime
+            = fromMilliseconds(usualTimeObjectives * toMilliseconds(m_route->latencyObjective));
+    return stopsAt && std::min(m_receivedAt + usualTime, m_deadline) > *stopsAt;
+}
+
 void RequestHandler::collectTraits()
 {
     m_traits.latencyObjective = m_route->latencyObjective;
@@ -551,12 +564,8 @@
     if (!m_requestId.empty())
         header.set(m_context.headerNames.requestId, m_requestId);
     const auto retryAfter = retryAfterDelay(reason);
-    if (retryAfter) {
-        std::ostringstream seconds;
-        seconds.precision(3);
-        seconds << toMilliseconds(*retryAfter) / 1000.0;
-        header.set(http::field::retry_after, seconds.str());
-    }
+    if (retryAfter)
+        header.set(http::field::retry_after, retryAfterText(*retryAfter));
     m_context.log.decision("Refused.",
                            {{"request", m_requestId},
                             {"reason", toText(reason)},
@@ -639,6 +648,7 @@
     m_deadlineTimer.cancel();
     m_silenceTimer.cancel();
     m_caller->onDisconnected = nullptr;
+    m_caller->onShutdown = nullptr;
     m_caller->onWritten = nullptr;
 }
 
--- a/packages/direct/src/requesthandler.h
+++ b/packages/direct/src/requesthandler.h
@@ -53,6 +53,9 @@
     std::mt19937_64 &random;
     std::function<TrafficPlanPtr()> currentPlan;
     std::function<bool()> planIsFresh; ///< false: the plan may still contain withdrawn keys
+    /// @return when all requests must have ended, once a shutdown has come so far that a request
+    ///         received now may not end in time by itself
+    std::function<std::optional<TimePoint>()> stopsAt;
     std::function<void(const PoolId &, Duration)> recordFirstByteLatency;
     /// @return true while a refused caller should return on another connection
     std::function<bool()> shouldCloseAfterRefusal;
@@ -69,6 +72,7 @@
 
 private:
     std::optional<RefusalReason> validateRequest();
+    bool mayOutlastRouter() const;
     void collectTraits();
     void selectServer();
     void sendToServer(const decision::ServerChoice &choice);
--- a/packages/direct/tests/directrouter_test.cpp
+++ b/packages/direct/tests/directrouter_test.cpp
@@ -436,6 +436,67 @@
     }
 }
 
+// Reported by other operators: requests that came late in the grace period of a planned stop were
+// passed on, and cut off at its end without an answer.
+SCENARIO("requests come or go on late in a graceful shutdown")
+{
+    GIVEN("a router, a server that takes longer than the rest of the shutdown, and a slow caller")
+    {
+        ScriptedServer server([](const ScriptedRequest &) {
+            return ScriptedAnswer{"", ScriptedAnswer::Then::StaySilent};
+        });
+        RouterFixture fixture({&server}, acceptOldPlans);
+        const std::string request
+                = InProcessRouter::request("/book/x", "", std::string(1000, 'b'), "key", true);
+        RawCaller slow(fixture.port());
+        slow.send(request.substr(0, request.size() - 1));
+        REQUIRE(eventually([&] { return fixture.ready(); }));
+
+        WHEN("the caller's request is complete shortly before the end")
+        {
+            fixture.stop();
+            std::this_thread::sleep_for(1300ms);
+            slow.send("b");
+            const RawAnswer refused = slow.readAll();
+            THEN("it is refused as not run, and reaches no server")
+            {
+                CHECK(refused.status() == 503);
+                CHECK(refused.contains("urn:bilberrystile:problem:stopping"));
+                CHECK(refused.contains("Retry-After: "));
+                CHECK(refused.contains("Connection: close"));
+                CHECK(server.requests().empty());
+            }
+        }
+        WHEN("its request is still incomplete at the end")
+        {
+            fixture.stop();
+            const RawAnswer refused = slow.readAll();
+            THEN("it is refused as not run")
+            {
+                CHECK(refused.status() == 503);
+                CHECK(refused.closed);
+            }
+        }
+        WHEN("a request whose deadline lies beyond the end is in progress")
+        {
+            slow.close();
+            RawCaller caller(fixture.port());
+            std::string longRequest = request;
+            const std::string deadline = "Remaining-Ms: 1500";
+            longRequest.replace(longRequest.find(deadline), deadline.size(), "Remaining-Ms: 9000");
+            caller.send(longRequest);
+            REQUIRE(eventually([&] { return server.requests().size() == 1; }));
+            fixture.stop();
+            const RawAnswer ended = caller.readAll();
+            THEN("its caller hears that it may have run")
+            {
+                CHECK(ended.status() == 504);
+                CHECK(ended.closed);
+            }
+        }
+    }
+}
+
 SCENARIO("pattern: refused callers leave idle connections behind")
 {
     GIVEN("a router that holds at most 20 connections of callers, and a server that refuses")
