Read a caller's bytes into memory of their own

Cause: a read into the flat_buffer was in progress while the next request was parsed from it; consume() of the last byte moves the buffer's beginning, and the read's commit() then presented old bytes.

Ruled out: to read only while nothing is parsed. Then a caller that leaves while it waits is noticed only when its answer is written.

Change: reads fill an array of the connection, and arrived bytes are copied.

--- a/packages/direct/src/callerconnection.cpp
+++ b/packages/direct/src/callerconnection.cpp
@@ -17,7 +17,6 @@
 
 namespace {
 
-constexpr std::size_t readBufferBytes = 16U << 10U;
 /// Upper bound of the limit that the plan sets.
 constexpr std::size_t maxHeaderBytes = 64U << 10U;
 /// Pipelined bytes from which on reading from the caller stops until the current response ends.
@@ -77,7 +76,7 @@
 {
     m_isReading = true;
     m_socket.async_read_some(
-            m_buffer.prepare(readBufferBytes),
+            asio::buffer(m_readArea),
             [self = shared_from_this()](boost::system::error_code error, std::size_t size) {
                 self->m_isReading = false;
                 self->guard([&] { self->handleRead(error, size); });
@@ -88,16 +87,15 @@
 {
     if (m_isClosed)
         return;
-    m_buffer.commit(size);
     if (error) {
         handleDisconnect();
         return;
     }
     if (m_isLingering) {
-        m_buffer.clear();
         startRead();
         return;
     }
+    m_buffer.commit(asio::buffer_copy(m_buffer.prepare(size), asio::buffer(m_readArea, size)));
     if (m_isResponding) {
         // Pipelined requests stay in the buffer; reading detects when the caller disconnects.
         if (m_buffer.size() < maxPipelinedBytes)
--- a/packages/direct/src/callerconnection.h
+++ b/packages/direct/src/callerconnection.h
@@ -10,6 +10,7 @@
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http.hpp>
 
+#include <array>
 #include <functional>
 #include <memory>
 #include <optional>
@@ -90,6 +91,8 @@
 private:
     using Parser = bilberry::http::BoundedRequestParser;
 
+    static constexpr std::size_t readAreaBytes = 16U << 10U;
+
     void awaitRequest();
     void startRead();
     void handleRead(boost::system::error_code error, std::size_t size);
@@ -113,7 +116,10 @@
     boost::asio::ip::tcp::socket m_socket;
     boost::asio::steady_timer m_timer;
     const CallerHooks &m_hooks;
-    boost::beast::flat_buffer m_buffer;
+    /// Belongs to the read that is in progress. Bytes go to m_buffer when they have arrived, so
+    /// that parsing and reading never share memory.
+    std::array<char, readAreaBytes> m_readArea;
+    boost::beast::flat_buffer m_buffer; ///< received and not parsed yet
     std::optional<Parser> m_parser;
     CallerBounds m_bounds;
     Duration m_idleTimeout{};
