Apply the limits in force when a caller's request begins

Cause: the parser was set up when the connection became idle. Change: it is set up with the first byte of the request. The idle time stays the longest one that the caller has heard of.

--- a/packages/direct/src/callerconnection.cpp
+++ b/packages/direct/src/callerconnection.cpp
@@ -54,14 +54,8 @@
 
 void CallerConnection::awaitRequest()
 {
-    m_bounds = m_hooks.currentBounds();
-    m_idleTimeout = std::max(m_idleTimeout, m_bounds.idleLimit);
+    m_idleTimeout = std::max(m_idleTimeout, m_hooks.currentBounds().idleLimit);
     m_idleSince = Clock::now();
-    m_parser.emplace();
-    m_parser->eager(true);
-    m_parser->header_limit(
-            static_cast<std::uint32_t>(std::min(m_bounds.headBytes, maxHeaderBytes)));
-    m_parser->body_limit(m_bounds.bodyBytes);
     m_isResponding = false;
     m_isReadingRequest = false;
     m_continueSent = false;
@@ -105,12 +99,24 @@
     parseBuffer();
 }
 
+/// Applies the limits that are in force when the first byte of a request arrives: the connection
+/// may have been idle for long.
+void CallerConnection::startRequest()
+{
+    m_bounds = m_hooks.currentBounds();
+    m_parser.emplace();
+    m_parser->eager(true);
+    m_parser->header_limit(
+            static_cast<std::uint32_t>(std::min(m_bounds.headBytes, maxHeaderBytes)));
+    m_parser->body_limit(m_bounds.bodyBytes);
+    m_isReadingRequest = true;
+    startTimer(m_bounds.headLimit + bodyTimeout);
+}
+
 void CallerConnection::parseBuffer()
 {
-    if (!m_isReadingRequest) {
-        m_isReadingRequest = true;
-        startTimer(m_bounds.headLimit + bodyTimeout);
-    }
+    if (!m_isReadingRequest)
+        startRequest();
     while (m_buffer.size() > 0 && !m_parser->is_done()) {
         boost::system::error_code error;
         m_buffer.consume(m_parser->put(m_buffer.data(), error));
--- a/packages/direct/src/callerconnection.h
+++ b/packages/direct/src/callerconnection.h
@@ -95,6 +95,7 @@
 
     void awaitRequest();
     void startRead();
+    void startRequest();
     void handleRead(boost::system::error_code error, std::size_t size);
     void parseBuffer();
     void dispatchRequest();
--- a/packages/direct/tests/damagedmessage_test.cpp
+++ b/packages/direct/tests/damagedmessage_test.cpp
@@ -137,6 +137,57 @@
     }
 }
 
+// An idle connection kept the limits that were in force when its last response ended.
+SCENARIO("the limits on callers' requests change while a connection is idle")
+{
+    GIVEN("a caller on a kept connection, and a limit of 10 bytes for bodies")
+    {
+        asio::io_context context;
+        tcp::acceptor acceptor(context, tcp::endpoint(asio::ip::address_v4::loopback(), 0));
+        CallerBounds bounds;
+        bounds.bodyBytes = 10;
+        direct::CallerHooks hooks;
+        hooks.currentBounds = [&] { return bounds; };
+        hooks.onClosed = [](const direct::CallerConnectionPtr &) {};
+        const auto respond = [](const direct::CallerConnectionPtr &caller, unsigned status) {
+            direct::CallerResponseHeader header;
+            header.result(status);
+            caller->sendResponse(header, "");
+        };
+        hooks.onRequest = [&](const direct::CallerConnectionPtr &caller, direct::CallerRequest &&) {
+            respond(caller, 200);
+        };
+        hooks.onRequestError = [&](const direct::CallerConnectionPtr &caller,
+                                   direct::RequestError) { respond(caller, 413); };
+        RawCaller caller(acceptor.local_endpoint().port());
+        std::make_shared<direct::CallerConnection>(acceptor.accept(), hooks)->start();
+        const auto statusOf = [&](std::size_t bodyBytes) {
+            caller.send("POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: "
+                        + std::to_string(bodyBytes) + "\r\n\r\n" + std::string(bodyBytes, 'b'));
+            context.run_for(30ms);
+            return caller.readAnswer().status();
+        };
+        REQUIRE(statusOf(5) == 200);
+        WHEN("the limit is raised")
+        {
+            bounds.bodyBytes = 100;
+            THEN("the next request may use it")
+            {
+                CHECK(statusOf(50) == 200);
+            }
+        }
+        WHEN("the limit is lowered")
+        {
+            bounds.bodyBytes = 3;
+            THEN("the next request must keep to it")
+            {
+                CHECK(statusOf(5) == 413);
+            }
+        }
+        context.stop();
+    }
+}
+
 // An exception in the handling of one connection must end that connection alone.
 SCENARIO("the handler of a caller's request throws")
 {
