Split ServerSelector and RequestHandler by job

No change of behaviour intended.

Noticed on the way and kept: a limit is judged by the server's process, as leaving was; a restart under the same start time but another address forgets the limit and the wait, not that it is leaving.

--- a/packages/decision/src/serverselector.cpp
+++ b/packages/decision/src/serverselector.cpp
@@ -1,10 +1,8 @@
 #include "bilberry/decision/serverselector.h"
 
-#include "bilberry/base/errorcategory.h"
 #include "bilberry/decision/rendezvous.h"
 
 #include <algorithm>
-#include <limits>
 
 namespace bilberry::decision {
 
@@ -12,26 +10,8 @@
 
 /// Fraction of an engine's memory that prompts can occupy; generated tokens occupy the rest.
 constexpr double prefixCacheFraction = 0.9;
-/// Probability that the rendezvous owner of a shared prefix has it cached, when no router's request
-/// is known to have put it into any cache.
-constexpr double ownerCacheProbability = 0.8;
-/// Delay that each running request adds to an engine's answers, in milliseconds.
-constexpr double runningRequestCostMs = 0.3;
-/// Expected duration of a request to a service without an engine, in milliseconds.
-constexpr double plainRequestMs = 30.0;
-/// Latency objective for which the backlog limits are given, in milliseconds.
-constexpr double referenceObjectiveMs = 600.0;
-/// Mean backlog of a pool's servers, relative to the limit, below which the pool has capacity to
-/// spare.
-constexpr double spareCapacityBacklog = 0.4;
-/// Weight of recomputed prefill work against the backlog limit while the pool has capacity to
-/// spare.
-constexpr double spareCapacityRecomputeWeight = 2.0;
 /// Connections to a server that each router may use, however small its share of them is.
 constexpr double minConnections = 4.0;
-/// Cost of a server in a cold start: it is chosen only when no other server may receive the
-/// request.
-constexpr double coldCostMs = 1000.0;
 /// Smallest change of queued prefill work that calls the load-changed hook, in milliseconds.
 constexpr double minReportedChangeMs = 1.0;
 /// Minimum time between two scans for expired reports and routers.
@@ -39,44 +19,19 @@
 /// Time for which a server isn't chosen after another server answered at its address, so that the
 /// platform's list can catch up.
 constexpr Duration wrongServerCooldown = std::chrono::seconds(5);
-/// Upper bound of the age of a statement in reports, far beyond the life of any of them.
-constexpr Duration maxStatementAge = std::chrono::hours(24);
-/// Time for which a process that is leaving is remembered.
-constexpr Duration leavingLifetime = std::chrono::minutes(10);
 /// Part of a turn's validity for which small requests leave it to others.
 constexpr double smallRequestLeftFor = 0.5;
 /// Part of its fair share below which a customer's small requests needn't do so.
 constexpr double underservedUsageRatio = 0.5;
 /// Weight of a request in the mean prompt size of its pool.
 constexpr double meanTokensWeight = 0.02;
-/// Time for which the end of a server's limit is repeated to the other routers.
-constexpr Duration endedLimitRepeatTime = std::chrono::seconds(2);
-
-const char *describe(int code)
-{
-    switch (static_cast<ServerChoiceErrc>(code)) {
-    case ServerChoiceErrc::NoServer:
-        return "no server in the pool may receive requests";
-    case ServerChoiceErrc::Overloaded:
-        return "the servers of the pool are at their backlog or connection limit";
-    case ServerChoiceErrc::OnlyColdServers:
-        return "the remaining servers are in a cold start and at their request rate limit";
-    }
-    return "unknown server choice error";
-}
-
-const ErrorCategory category("choice", describe);
 
 } // namespace
 
-std::error_code make_error_code(ServerChoiceErrc error)
-{
-    return {static_cast<int>(error), category};
-}
-
 ServerSelector::ServerSelector(ServerSelectorSettings settings)
-    : m_settings(std::move(settings)), m_peerLoads(m_settings.reportLifetime),
-      m_routerShareHook([this](TimePoint) { return 1.0 / static_cast<double>(routerCount()); })
+    : m_settings(std::move(settings)), m_cost(m_settings), m_peerLoads(m_settings.reportLifetime),
+      m_routerShareHook([this](TimePoint) { return 1.0 / static_cast<double>(routerCount()); }),
+      m_routers(m_settings.router, m_settings.routerLifetime)
 {
 }
 
@@ -95,9 +50,8 @@
     if (restarted) {
         server.cache.clear();
         server.health = ServerHealth(m_settings.health);
-        server.limit = {};
-        server.waitUntil = {};
         server.wrongServerAt = {};
+        m_statements.reset({server.key, descriptor.startedAtMs});
     }
     server.cache.setCapacity(cacheTokens);
     server.descriptor = descriptor;
@@ -139,7 +93,7 @@
 
 void ServerSelector::recordRouter(const RouterId &router, TimePoint now)
 {
-    m_routersSeenAt[router] = now;
+    m_routers.record(router, now);
 }
 
 void ServerSelector::recordPeerPlacement(const PlacedPrefix &placed)
@@ -160,9 +114,8 @@
     if (now - m_expiryCheckedAt < expiryCheckPeriod)
         return;
     m_expiryCheckedAt = now;
-    std::erase_if(m_routersSeenAt,
-                  [&](const auto &seen) { return now - seen.second > m_settings.routerLifetime; });
-    std::erase_if(m_leaving, [&](const auto &left) { return now - left.second > leavingLifetime; });
+    m_routers.expire(now);
+    m_statements.expire(now);
     m_peerLoads.expire(now);
 }
 
@@ -178,78 +131,63 @@
 
 bool ServerSelector::recordLimit(const ServerId &id, std::optional<double> perSecond, TimePoint now)
 {
-    Server *server = find(id);
-    if (!server || !applyLimit(*server, perSecond, now, now))
-        return false;
-    if (m_loadChangedHook)
+    const Server *server = find(id);
+    const bool changed = server && applyLimit(server->process(), perSecond, now, now);
+    if (changed && m_loadChangedHook)
         m_loadChangedHook();
-    return true;
+    return changed;
 }
 
 bool ServerSelector::recordLeaving(const ServerId &id, TimePoint now)
 {
     const Server *server = find(id);
-    if (!server || isLeaving(*server))
-        return false;
-    m_leaving[{server->key, server->descriptor.startedAtMs}] = now;
-    if (m_loadChangedHook)
+    const bool changed = server && m_statements.recordLeaving(server->process(), now);
+    if (changed && m_loadChangedHook)
         m_loadChangedHook();
-    return true;
-}
-
-void ServerSelector::recordWait(const ServerId &id, TimePoint until)
-{
-    if (Server *server = find(id))
-        server->waitUntil = std::max(server->waitUntil, until);
+    return changed;
 }
 
-bool ServerSelector::isLeaving(const Server &server) const
+void ServerSelector::recordWait(const ServerId &id, TimePoint until, TimePoint now)
 {
-    return !m_leaving.empty() && m_leaving.contains({server.key, server.descriptor.startedAtMs});
+    if (const Server *server = find(id))
+        m_statements.recordWait(server->process(), until, now);
 }
 
 bool ServerSelector::mergeStatement(const ReportedStatement &statement, TimePoint now)
 {
-    const bool newlyLeaving
-            = statement.leaving
-              && m_leaving.try_emplace({statement.server, statement.startedAtMs}, now).second;
+    const ServerProcess process{statement.server, statement.startedAtMs};
+    const bool newlyLeaving = statement.leaving && m_statements.recordLeaving(process, now);
     const auto found = m_serversByKey.find(statement.server);
-    if (found == m_serversByKey.end()
-        || found->second->descriptor.startedAtMs != statement.startedAtMs)
+    if (found == m_serversByKey.end() || found->second->process() != process)
         return newlyLeaving;
-    return applyLimit(*found->second, statement.perSecond, now - statement.age, now)
-           || newlyLeaving;
+    return applyLimit(process, statement.perSecond, now - statement.age, now) || newlyLeaving;
+}
+
+/// @return true when the limit has changed
+bool ServerSelector::applyLimit(const ServerProcess &process, std::optional<double> perSecond,
+                                TimePoint saidAt, TimePoint now)
+{
+    const auto change = m_statements.recordLimit(process, perSecond, saidAt, now);
+    if (change == RequestLimit::Change::Began)
+        m_statements.startTurns(process, m_routers.countBefore(process.server), now);
+    return change != RequestLimit::Change::None;
 }
 
 std::vector<ReportedStatement> ServerSelector::statements(TimePoint now) const
 {
     std::vector<ReportedStatement> statements;
     for (const auto &[id, server] : m_servers) {
-        const Duration age = now - server.limit.saidAt();
-        const bool leaving = isLeaving(server);
-        if (server.limit.perSecond() || age < endedLimitRepeatTime || leaving)
-            statements.push_back({server.key, server.descriptor.startedAtMs,
-                                  server.limit.perSecond(), std::min(age, maxStatementAge),
-                                  leaving});
+        if (const auto statement = m_statements.report(server.process(), now))
+            statements.push_back(*statement);
     }
     return statements;
 }
 
-/// @return true when the limit has changed
-bool ServerSelector::applyLimit(Server &server, std::optional<double> perSecond, TimePoint saidAt,
-                                TimePoint now)
-{
-    const auto change = server.limit.record(perSecond, saidAt);
-    if (change == RequestLimit::Change::Began)
-        server.limit.startTurns(routersBefore(server), now);
-    return change != RequestLimit::Change::None;
-}
-
 std::size_t ServerSelector::limitedCount() const
 {
     return static_cast<std::size_t>(
-            std::count_if(m_servers.begin(), m_servers.end(), [](const auto &item) {
-                return item.second.limit.perSecond().has_value();
+            std::count_if(m_servers.begin(), m_servers.end(), [this](const auto &item) {
+                return m_statements.limit(item.second.process()).has_value();
             }));
 }
 
@@ -262,21 +200,22 @@
 {
     expirePeers(now);
     const DirectPool *pool = m_plan ? m_plan->pool(traits.pool) : nullptr;
-    std::vector<Candidate> candidates;
+    std::vector<PlacementCandidate> candidates;
     bool overloaded = false;
     bool coldLimited = false;
     const double leftFor = turnLeftFor(traits);
-    for (Server *server : bestTierServers(traits, now)) {
-        if (isAtConnectionLimit(*server, pool) || now < server->waitUntil
+    for (const Server *server : bestTierServers(traits, now)) {
+        if (isAtConnectionLimit(*server, pool) || m_statements.asksToWait(server->process(), now)
             || !mayTakeTurn(*server, leftFor, now))
             overloaded = true;
-        else if (now < server->coldUntil && now < server->nextColdRequestAt)
+        else if (server->coldStart.holdsBack(now))
             coldLimited = true;
         else
-            candidates.push_back({server, {}, {}});
+            candidates.push_back(candidateFor(*server, traits, now));
     }
-    estimate(candidates, traits);
-    const Candidate *best = bestCandidate(candidates, traits, pool, now);
+    m_cost.estimate(candidates, traits.prompt);
+    const PlacementCandidate *best
+            = m_cost.cheapest(candidates, traits, pool, m_peerLoads.isEmpty());
     if (best)
         return best->choice;
     if (overloaded || !candidates.empty())
@@ -322,77 +261,18 @@
                       minConnections, m_settings.maxConnectionShare * pool->maxConnections);
 }
 
-/// Sets the loads of the candidates and the estimates of their work.
-void ServerSelector::estimate(std::vector<Candidate> &candidates, const RequestTraits &traits) const
-{
-    std::uint32_t mostCachedTokens = 0;
-    for (Candidate &candidate : candidates) {
-        const Server &server = *candidate.server;
-        const RouterLoad peerLoad = m_peerLoads.load(server.key);
-        candidate.load = {server.ownLoad.backlogMs + peerLoad.backlogMs,
-                          server.ownLoad.inFlight + peerLoad.inFlight};
-        candidate.choice.cachedTokens = server.cache.cachedTokens(traits.prompt);
-        mostCachedTokens = std::max(mostCachedTokens, candidate.choice.cachedTokens);
-    }
-    if (mostCachedTokens < traits.prompt.sharedPrefixTokens())
-        assumeOwnerCache(candidates, traits.prompt);
-    for (Candidate &candidate : candidates) {
-        candidate.choice.server = candidate.server->descriptor.id;
-        candidate.choice.backlogMs = candidate.load.backlogMs;
-        candidate.choice.prefillMs = prefillMs(traits.prompt, candidate.choice.cachedTokens);
-        candidate.choice.mostCachedTokens = mostCachedTokens;
-    }
-}
-
-/// Assumes that the rendezvous owner has the shared prefix cached, so that routers that know
-/// nothing of the prefix choose the same server.
-void ServerSelector::assumeOwnerCache(std::vector<Candidate> &candidates, const Prompt &prompt)
+PlacementCandidate ServerSelector::candidateFor(const Server &server, const RequestTraits &traits,
+                                                TimePoint now) const
 {
-    const std::uint64_t key = prompt.sharedPrefixKey();
-    const auto owner = std::max_element(candidates.begin(), candidates.end(),
-                                        [key](const Candidate &left, const Candidate &right) {
-                                            return rendezvousWeight(key, left.server->key)
-                                                   < rendezvousWeight(key, right.server->key);
-                                        });
-    if (key == 0 || owner == candidates.end())
-        return;
-    const auto expectedTokens = static_cast<std::uint32_t>(
-            ownerCacheProbability * static_cast<double>(prompt.sharedPrefixTokens()));
-    owner->choice.cachedTokens = std::max(owner->choice.cachedTokens, expectedTokens);
-}
-
-/// @return the candidate with the lowest cost whose backlog is within the limit, or nullptr
-const ServerSelector::Candidate *
-ServerSelector::bestCandidate(const std::vector<Candidate> &candidates, const RequestTraits &traits,
-                              const DirectPool *pool, TimePoint now) const
-{
-    const double limitMs = backlogLimitMs(traits, m_peerLoads.isEmpty());
-    double minPrefillMs = std::numeric_limits<double>::max();
-    double loadSum = 0.0;
-    for (const Candidate &candidate : candidates) {
-        minPrefillMs = std::min(minPrefillMs, candidate.choice.prefillMs);
-        loadSum += std::min(1.0, candidate.choice.backlogMs / limitMs);
-    }
-    // Under overload, moving a prompt away from the server that has it cached would only add load.
-    const bool hasSpareCapacity
-            = loadSum < spareCapacityBacklog * static_cast<double>(candidates.size());
-    const double recomputeWeight
-            = hasSpareCapacity ? std::min(spareCapacityRecomputeWeight, m_settings.recomputeWeight)
-                               : m_settings.recomputeWeight;
-    const Candidate *best = nullptr;
-    double bestScore = 0.0;
-    for (const Candidate &candidate : candidates) {
-        const double recomputeMs = recomputeWeight * (candidate.choice.prefillMs - minPrefillMs);
-        if (pool && pool->engine && candidate.choice.backlogMs + recomputeMs > limitMs)
-            continue;
-        const bool cold = now < candidate.server->coldUntil;
-        const double score = this->score(candidate, minPrefillMs, pool) + (cold ? coldCostMs : 0.0);
-        if (!best || score < bestScore) {
-            best = &candidate;
-            bestScore = score;
-        }
-    }
-    return best;
+    const RouterLoad peerLoad = m_peerLoads.load(server.key);
+    PlacementCandidate candidate;
+    candidate.server = &server.descriptor;
+    candidate.key = server.key;
+    candidate.load = {server.ownLoad.backlogMs + peerLoad.backlogMs,
+                      server.ownLoad.inFlight + peerLoad.inFlight};
+    candidate.isCold = server.coldStart.isCold(now);
+    candidate.choice.cachedTokens = server.cache.cachedTokens(traits.prompt);
+    return candidate;
 }
 
 AttemptNumber ServerSelector::startAttempt(const ServerChoice &choice, const RequestTraits &traits,
@@ -412,10 +292,9 @@
                                 {prefixKey, sharedTokens},
                                 traits.prompt.tokens() - sharedTokens});
         }
-        if (now < server->coldUntil)
-            server->nextColdRequestAt = now + coldRequestInterval(*server);
-        if (server->limit.perSecond())
-            server->limit.recordSent(m_routerShareHook(now));
+        server->coldStart.recordSent(coldRequestInterval(*server), now);
+        if (m_statements.limit(server->process()))
+            m_statements.recordSent(server->process(), m_routerShareHook(now));
         notifyLoadChanged(choice.prefillMs);
     }
     return number;
@@ -495,8 +374,9 @@
 ServerSelector::tier(const Server &server, const RequestTraits &traits, TimePoint now) const
 {
     const DirectServer &descriptor = server.descriptor;
-    if (descriptor.pool != traits.pool || descriptor.draining || isLeaving(server)
-        || m_zonesOut.contains(descriptor.zone) || traits.excluded.contains(descriptor.id))
+    if (descriptor.pool != traits.pool || descriptor.draining
+        || m_statements.isLeaving(server.process()) || m_zonesOut.contains(descriptor.zone)
+        || traits.excluded.contains(descriptor.id))
         return std::nullopt;
     const bool inWrongServerCooldown = server.wrongServerAt != TimePoint()
                                        && now - server.wrongServerAt < wrongServerCooldown;
@@ -519,50 +399,6 @@
     return now - std::max(oldest, server.lastFirstByteAt) > allowed;
 }
 
-/// @return expected time to prefill the prompt, in milliseconds
-double ServerSelector::prefillMs(const Prompt &prompt, std::uint32_t cachedTokens) const
-{
-    const double uncachedTokens = static_cast<double>(prompt.tokens() - cachedTokens);
-    const double meanContext = static_cast<double>(cachedTokens) + uncachedTokens / 2.0;
-    return uncachedTokens / m_settings.prefillTokensPerMs
-           + m_settings.attentionMsPerMillionPairs * uncachedTokens * meanContext / 1e6;
-}
-
-/// @return cost of choosing the server, in milliseconds: queueing time, weighted recomputed prefill
-/// work and penalties; lower is better
-double ServerSelector::score(const Candidate &candidate, double minPrefillMs,
-                             const DirectPool *pool) const
-{
-    const DirectServer &server = candidate.server->descriptor;
-    const auto inFlight = static_cast<double>(candidate.load.inFlight);
-    const double zoneMs
-            = server.zone == m_settings.zone ? 0.0 : toMilliseconds(m_settings.zonePenalty);
-    if (!pool || !pool->engine)
-        return zoneMs + plainRequestMs * inFlight / std::max(1U, server.slots);
-    const ServerChoice &choice = candidate.choice;
-    return zoneMs + choice.backlogMs
-           + m_settings.recomputeWeight * (choice.prefillMs - minPrefillMs)
-           + runningRequestCostMs * inFlight;
-}
-
-double ServerSelector::backlogLimitMs(const RequestTraits &traits, bool standalone) const
-{
-    double limit = toMilliseconds(standalone ? m_settings.standaloneBacklogLimit
-                                             : m_settings.backlogLimit);
-    limit *= toMilliseconds(traits.latencyObjective) / referenceObjectiveMs;
-    if (traits.previouslyRefused)
-        limit *= m_settings.previouslyRefusedFactor;
-    return limit * overuseFactor(traits);
-}
-
-/// @return 1 up to the customer's fair level; above it decreases steeply. The level itself rises
-/// while all other customers get what they request, so that no capacity stays idle.
-double ServerSelector::overuseFactor(const RequestTraits &traits) const
-{
-    const double overuse = std::max(0.0, traits.customerUsageRatio - 1.0);
-    return std::max(m_settings.minOveruseFactor, 1.0 - m_settings.overuseSlope * overuse);
-}
-
 void ServerSelector::markCold(Server &server, TimePoint now)
 {
     const DirectPool *pool = m_plan ? m_plan->pool(server.descriptor.pool) : nullptr;
@@ -575,14 +411,14 @@
 /// server are spread evenly over the request interval, in the order of their rendezvous weights.
 void ServerSelector::extendColdStart(Server &server, TimePoint until, TimePoint now)
 {
-    const bool wasCold = now < server.coldUntil;
-    server.coldUntil = std::max(server.coldUntil, until);
-    if (wasCold)
+    if (server.coldStart.isCold(now)) {
+        server.coldStart.extend(until, Duration::zero(), now);
         return;
-    const double phase = static_cast<double>(routersBefore(server))
-                         / static_cast<double>(m_routersSeenAt.size() + 1);
-    server.nextColdRequestAt
-            = now + fromMilliseconds(phase * toMilliseconds(coldRequestInterval(server)));
+    }
+    const double phase = static_cast<double>(m_routers.countBefore(server.key))
+                         / static_cast<double>(m_routers.count());
+    server.coldStart.extend(
+            until, fromMilliseconds(phase * toMilliseconds(coldRequestInterval(server))), now);
 }
 
 /// @return true for a prompt below the mean of the pool's recent requests
@@ -594,9 +430,11 @@
     return tokens < mean;
 }
 
-bool ServerSelector::mayTakeTurn(Server &server, double leftFor, TimePoint now) const
+bool ServerSelector::mayTakeTurn(const Server &server, double leftFor, TimePoint now)
 {
-    return !server.limit.perSecond() || server.limit.allows(m_routerShareHook(now), leftFor, now);
+    const ServerProcess process = server.process();
+    return !m_statements.limit(process)
+           || m_statements.mayTakeTurn(process, m_routerShareHook(now), leftFor, now);
 }
 
 /// @return part of the validity for which other requests must have left a turn at a limited server
@@ -605,19 +443,7 @@
 double ServerSelector::turnLeftFor(const RequestTraits &traits)
 {
     const bool small = isSmall(traits) && traits.customerUsageRatio >= underservedUsageRatio;
-    return std::max(small ? smallRequestLeftFor : 0.0, 1.0 - overuseFactor(traits));
-}
-
-/// @return number of routers that come before this one in the rendezvous order of the server
-std::size_t ServerSelector::routersBefore(const Server &server) const
-{
-    const auto weight = [&](const RouterId &router) {
-        return rendezvousWeight(server.key, stableHash(router.text()));
-    };
-    const std::uint64_t own = weight(m_settings.router);
-    return static_cast<std::size_t>(
-            std::count_if(m_routersSeenAt.begin(), m_routersSeenAt.end(),
-                          [&](const auto &seen) { return weight(seen.first) > own; }));
+    return std::max(small ? smallRequestLeftFor : 0.0, 1.0 - m_cost.overuseFactor(traits));
 }
 
 /// @return time between two requests of this router to a server in a cold start, chosen so that all
@@ -628,7 +454,7 @@
     const double own = 1000.0 / m_settings.coldRequestsPerS;
     if (!pool || pool->warmupRate <= 0.0)
         return fromMilliseconds(own);
-    const double routers = static_cast<double>(m_routersSeenAt.size()) + 1.0;
+    const auto routers = static_cast<double>(m_routers.count());
     return fromMilliseconds(std::max(own, 1000.0 * routers / pool->warmupRate));
 }
 
--- a/packages/direct/src/requesthandler.cpp
+++ b/packages/direct/src/requesthandler.cpp
@@ -4,9 +4,6 @@
 #include "serverrequest.h"
 #include "serverstatement.h"
 
-#include "bilberry/base/digest.h"
-#include "bilberry/http/requestrules.h"
-
 #include <algorithm>
 
 namespace bilberry::direct {
@@ -22,46 +19,14 @@
 constexpr std::uint32_t maxAttemptsPerRequest = 4;
 /// Remaining time of a request below which it is not retried.
 constexpr Duration minTimeForRetry = std::chrono::milliseconds(40);
-/// Bytes of a response body that are buffered until the response is complete, so that a failed
-/// attempt can be replaced.
-constexpr std::size_t maxBufferedBodyBytes = 256U << 10U;
-/// Size of an incomplete event from which on its stream counts as broken.
-constexpr std::size_t maxEventBytes = 256U << 10U;
-/// Unsent bytes of a caller at which reading from its server is paused.
-constexpr std::size_t maxUnsentBytes = 256U << 10U;
-/// A request with less than this fraction of its route's time limit remaining counts as a repeat of
-/// a refused one.
-constexpr double returningTimeFraction = 0.93;
 /// Time without a response, in latency objectives, after which kept connections to the server count
 /// as silent, and an idempotent request is sent to another server.
 constexpr double silenceTimeoutObjectives = 3.0;
-/// Time, in latency objectives, in which nearly all requests end, streams included.
-constexpr double usualTimeObjectives = 5.0;
-/// Cost of an output token in prompt tokens, the unit in which the fleet's capacity is given.
-constexpr double outputTokenCost = 2.0;
-/// @return one of the route's pools, chosen at random by weight
-const PoolId &selectPool(const DirectRoute &route, std::mt19937_64 &random)
-{
-    double total = 0.0;
-    for (const PoolWeight &poolWeight : route.pools)
-        total += poolWeight.weight;
-    double threshold = std::uniform_real_distribution<double>(0.0, std::max(total, 1e-9))(random);
-    for (const PoolWeight &poolWeight : route.pools) {
-        threshold -= poolWeight.weight;
-        if (threshold < 0.0 && poolWeight.weight > 0.0)
-            return poolWeight.pool;
-    }
-    return route.pools.front().pool;
-}
+constexpr unsigned misdirected = 421;
 
-/// @return false for a successful response without a signature or with an encoded body, which did
-/// not come unchanged from the server
-bool isAuthentic(const ResponseHeader &header, const HeaderNames &names)
+bool isServerError(unsigned status)
 {
-    const bool success = header.result_int() / 100 == 2;
-    return !success
-           || (header.count(names.signature) > 0
-               && header.count(http::field::content_encoding) == 0);
+    return status >= 500;
 }
 
 } // namespace
@@ -71,7 +36,7 @@
     : m_context(context), m_caller(std::move(caller)), m_request(std::move(request)),
       m_requestId(m_request[context.headerNames.requestId]), m_receivedAt(Clock::now()),
       m_deadlineTimer(context.io), m_silenceTimer(context.io),
-      m_crashGuard(context.crashSuspicion, context.crashDetector, m_customer, m_request,
+      m_crashGuard(context.crashSuspicion, context.crashDetector, m_admitted.customer, m_request,
                    context.headerNames)
 {
 }
@@ -85,12 +50,24 @@
     }
     m_caller->onDisconnected = [self = shared_from_this()] { self->handleCallerDisconnect(); };
     m_caller->onShutdown = [self = shared_from_this()] { self->handleDeadline(); };
-    if (const auto reason = validateRequest()) {
+    auto admission = admitRequest(m_context, m_request, m_receivedAt);
+    if (const auto *reason = std::get_if<RefusalReason>(&admission))
         refuse(*reason);
-        return;
-    }
-    collectTraits();
-    m_deadlineTimer.expires_at(m_deadline);
+    else
+        admit(std::get<AdmittedRequest>(std::move(admission)));
+}
+
+void RequestHandler::admit(AdmittedRequest &&admitted)
+{
+    m_admitted = std::move(admitted);
+    m_traits = takeTraits(m_context, m_request, m_admitted, m_receivedAt);
+    m_relay.emplace(m_caller, m_context.headerNames, route().kind == RequestKind::Stream,
+                    route().resumable);
+    m_relay->onCallerReady = [this] {
+        if (m_attempt)
+            m_attempt->setPaused(false);
+    };
+    m_deadlineTimer.expires_at(m_admitted.deadline);
     m_deadlineTimer.async_wait([self = shared_from_this()](boost::system::error_code error) {
         if (!error)
             self->handleDeadline();
@@ -98,74 +75,6 @@
     selectServer();
 }
 
-/// Validates the request, finds its route and customer, and sets the deadline.
-/// @return why the request is refused, absent when it is accepted
-std::optional<RefusalReason> RequestHandler::validateRequest()
-{
-    if (!bilberry::http::hasValidHostCount(m_request)
-        || bilberry::http::hasAmbiguousFraming(m_request))
-        return RefusalReason::Malformed;
-    m_plan = m_context.currentPlan();
-    if (!m_plan)
-        return RefusalReason::NoPlan;
-    m_route = m_plan->routeFor(std::string_view(m_request[http::field::host]),
-                               bilberry::http::pathOf(m_request.target()));
-    if (!m_route)
-        return RefusalReason::UnknownRoute;
-    if (!m_route->isPublic && m_plan->requiresKeys()) {
-        const std::string key = bearerToken(m_request);
-        if (key.empty())
-            return RefusalReason::MissingKey;
-        const CustomerId *customer = m_plan->customerByKeyDigest(sha256Hex(key));
-        // An outdated plan may lack a new key.
-        if (!customer)
-            return m_context.planIsFresh() ? RefusalReason::UnknownKey : RefusalReason::StalePlan;
-        if (!m_context.planIsFresh())
-            return RefusalReason::StalePlan;
-        m_customer = *customer;
-    }
-    const auto limitMs = static_cast<std::uint64_t>(toMilliseconds(m_route->timeLimit));
-    const std::uint64_t remainingMs
-            = parseNumber(m_request[m_context.headerNames.remainingMs], limitMs);
-    m_traits.previouslyRefused = static_cast<double>(remainingMs)
-                                 < returningTimeFraction * static_cast<double>(limitMs);
-    m_deadline = m_receivedAt + std::chrono::milliseconds(std::min(remainingMs, limitMs));
-    if (mayOutlastRouter())
-        return RefusalReason::Stopping;
-    return std::nullopt;
-}
-
-/// @return true when the router stops before the request usually ends
-bool RequestHandler::mayOutlastRouter() const
-{
-    const auto stopsAt = m_context.stopsAt();
-    const Duration usualTime
-            = fromMilliseconds(usualTimeObjectives * toMilliseconds(m_route->latencyObjective));
-    return stopsAt && std::min(m_receivedAt + usualTime, m_deadline) > *stopsAt;
-}
-
-void RequestHandler::collectTraits()
-{
-    m_traits.latencyObjective = m_route->latencyObjective;
-    m_traits.pool = selectPool(*m_route, m_context.random);
-    const std::string_view parts = m_request[m_context.headerNames.promptParts];
-    if (!parts.empty())
-        m_traits.prompt = decision::Prompt(std::string(m_request[m_context.headerNames.model]),
-                                           promptParts(parts));
-    const auto tokenCounts = split(m_request[m_context.headerNames.tokenCounts], ',');
-    if (tokenCounts.size() == 2)
-        m_traits.outputTokens = static_cast<std::uint32_t>(parseNumber(tokenCounts[1], 0));
-    m_context.retryBudgets.try_emplace(m_traits.pool, m_context.settings.retryBudget)
-            .first->second.recordRequest(m_receivedAt);
-    if (m_route->kind == RequestKind::Stream && m_route->resumable)
-        m_eventSplitter.emplace();
-    if (m_customer.empty())
-        return;
-    const double cost = m_traits.prompt.tokens() + outputTokenCost * m_traits.outputTokens;
-    m_traits.customerUsageRatio = m_context.usageMeter.usageRatio(m_customer, m_receivedAt);
-    m_context.usageMeter.recordRequested(m_customer, cost, m_receivedAt);
-}
-
 void RequestHandler::selectServer()
 {
     if (m_finished)
@@ -189,10 +98,8 @@
                            : RefusalReason::NoServer);
         return;
     }
-    if (m_attemptCount == 0 && !m_customer.empty()) {
-        const double cost = m_traits.prompt.tokens() + outputTokenCost * m_traits.outputTokens;
-        m_context.usageMeter.recordDispatched(m_customer, cost, now);
-    }
+    if (m_attemptCount == 0 && !m_admitted.customer.empty())
+        m_context.usageMeter.recordDispatched(m_admitted.customer, requestCost(m_traits), now);
     m_crashGuard.startAttempt(*m_context.serverSelector.server(choice.value().server), admission);
     sendToServer(choice.value());
 }
@@ -204,10 +111,7 @@
     ++m_attemptCount;
     m_sentAt = Clock::now();
     m_attemptNumber = m_context.serverSelector.startAttempt(choice, m_traits, Clock::now());
-    m_responseHeader.reset();
-    m_bufferedBody.clear();
-    m_eventBoundary.reset();
-    m_notRun = false;
+    m_relay->beginAttempt();
     m_context.log.decision("Sent to a server.",
                            {{"request", m_requestId},
                             {"server", choice.server.text()},
@@ -216,12 +120,12 @@
                             {"readMs", std::to_string(static_cast<int>(choice.prefillMs))},
                             {"cachedTokens", std::to_string(choice.cachedTokens)},
                             {"mostCachedTokens", std::to_string(choice.mostCachedTokens)},
-                            {"plan", std::to_string(m_plan->version())},
+                            {"plan", std::to_string(m_admitted.plan->version())},
                             {"suspectCrashes", std::to_string(m_crashGuard.knownCrashes().crashes)},
                             {"remainingMs", toMillisecondsText(remainingTime())}});
     m_attempt = std::make_shared<ServerAttempt>(m_context.connections, choice.server,
                                                 m_context.headerNames.requestId, m_requestId,
-                                                m_request.method() != http::verb::head);
+                                                expectsBody());
     const auto self = shared_from_this();
     AttemptHooks hooks;
     hooks.onConnected
@@ -238,40 +142,28 @@
     hooks.onEnd = [self](AttemptResult result) { self->handleAttemptEnd(result); };
     ServerRequestFields fields;
     fields.server = server->id;
-    fields.customer = m_customer;
+    fields.customer = m_admitted.customer;
     fields.remainingTime = remainingTime();
-    if (m_eventSplitter)
-        fields.lastEventId = m_eventSplitter->lastId();
+    fields.lastEventId = m_relay->lastEventId();
     m_attempt->start(serializeServerRequest(m_request, fields, m_context.headerNames),
                      std::move(hooks));
     startSilenceTimer();
 }
 
+bool RequestHandler::expectsBody() const
+{
+    return m_request.method() != http::verb::head;
+}
+
 void RequestHandler::handleResponseHeader(const ResponseHeader &header)
 {
-    const TimePoint now = Clock::now();
     m_silenceTimer.cancel();
-    const unsigned status = header.result_int();
-    m_notRun = status == 421 || header.count(m_context.headerNames.notRun) > 0;
-    m_responseHeader = header;
-    // An unsigned response is buffered, and handled as a failed attempt when it ends.
-    m_isStreaming = m_route->kind == RequestKind::Stream && status / 100 == 2
-                    && isAuthentic(header, m_context.headerNames);
-    const bool hasEvents = m_isStreaming && m_request.method() != http::verb::head
-                           && header.result() != http::status::no_content
-                           && bilberry::http::isEventStream(header[http::field::content_type]);
-    // Only events may follow the ones that were already forwarded.
-    if (m_responseStarted && !hasEvents) {
-        const auto refused = status == 421 ? AttemptOutcome::WrongServer : AttemptOutcome::Shed;
-        abandonAttempt(m_notRun ? refused : AttemptOutcome::BrokenAnswer, !m_notRun);
-        return;
+    const auto progress = m_relay->addHeader(header, expectsBody());
+    if (progress == ResponseRelay::Progress::Continue && !m_relay->isStreaming()) {
+        m_firstByteAt = Clock::now();
+        m_context.serverSelector.recordFirstByte(m_attemptNumber, m_firstByteAt);
     }
-    if (hasEvents)
-        m_eventBoundary.emplace();
-    if (m_isStreaming)
-        return;
-    m_firstByteAt = now;
-    m_context.serverSelector.recordFirstByte(m_attemptNumber, now);
+    handleProgress(progress);
 }
 
 /// Tells the server selector what the server says of itself.
@@ -290,7 +182,7 @@
         m_context.log.decision("A server says that it is leaving.", {{"server", server.text()}});
     }
     if (statement.wait) {
-        m_context.serverSelector.recordWait(server, now + *statement.wait);
+        m_context.serverSelector.recordWait(server, now + *statement.wait, now);
         m_context.log.decision(
                 "A server asks this router to wait.",
                 {{"server", server.text()}, {"waitMs", toMillisecondsText(*statement.wait)}});
@@ -307,29 +199,30 @@
 void RequestHandler::handleResponseBody(std::string &&data)
 {
     m_crashGuard.recordBody();
-    if (m_isStreaming && !m_notRun) {
+    if (m_relay->isStreaming()) {
         const TimePoint now = Clock::now();
-        if (!m_responseStarted)
+        if (!m_relay->hasStarted())
             m_context.recordFirstByteLatency(m_traits.pool, now - m_receivedAt);
         if (m_firstByteAt == TimePoint())
             m_firstByteAt = now;
         m_context.serverSelector.recordFirstByte(m_attemptNumber, now);
-        if (m_eventBoundary)
-            m_eventBoundary->append(data);
-        forwardBody(m_eventSplitter ? m_eventSplitter->append(data) : std::move(data));
-        if (m_attempt && m_eventSplitter && m_eventSplitter->incompleteBytes() > maxEventBytes)
-            abandonAttempt(AttemptOutcome::BrokenAnswer, true);
-        return;
     }
-    m_bufferedBody += data;
-    if (m_bufferedBody.size() <= maxBufferedBodyBytes)
+    const auto progress = m_relay->addBody(std::move(data));
+    if (m_attempt && m_relay->isCallerBehind())
+        m_attempt->setPaused(true);
+    handleProgress(progress);
+}
+
+void RequestHandler::handleProgress(ResponseRelay::Progress progress)
+{
+    if (!m_attempt || progress == ResponseRelay::Progress::Continue)
         return;
-    if (m_notRun)
-        abandonAttempt(AttemptOutcome::Shed, false);
-    else if (!isAuthentic(*m_responseHeader, m_context.headerNames))
+    if (progress == ResponseRelay::Progress::Invalid)
         abandonAttempt(AttemptOutcome::BrokenAnswer, true);
     else
-        forwardBody(std::exchange(m_bufferedBody, {}));
+        abandonAttempt(m_relay->status() == misdirected ? AttemptOutcome::WrongServer
+                                                        : AttemptOutcome::Shed,
+                       false);
 }
 
 /// Gives up an attempt whose response can't become valid any more.
@@ -341,31 +234,6 @@
     handleAttemptFailure(outcome, mayHaveRun);
 }
 
-void RequestHandler::startResponse()
-{
-    if (m_responseStarted)
-        return;
-    m_responseStarted = true;
-    CallerResponseHeader header = *m_responseHeader;
-    header.erase(http::field::content_length);
-    header.erase(http::field::transfer_encoding);
-    m_caller->beginResponse(header);
-    m_caller->onWritten = [self = shared_from_this()] {
-        if (self->m_attempt && self->m_caller->unsentBytes() < maxUnsentBytes)
-            self->m_attempt->setPaused(false);
-    };
-}
-
-void RequestHandler::forwardBody(std::string &&data)
-{
-    if (data.empty())
-        return;
-    startResponse();
-    m_caller->sendBody(data);
-    if (m_attempt && m_caller->unsentBytes() >= maxUnsentBytes)
-        m_attempt->setPaused(true);
-}
-
 void RequestHandler::handleAttemptEnd(AttemptResult result)
 {
     m_attempt.reset();
@@ -382,9 +250,9 @@
         return;
     case AttemptResult::Broken:
         ++m_sentCount;
-        if (!m_notRun)
+        if (!m_relay->isRefusal())
             m_crashGuard.recordBroken();
-        handleAttemptFailure(AttemptOutcome::BrokenAnswer, !m_notRun);
+        handleAttemptFailure(AttemptOutcome::BrokenAnswer, !m_relay->isRefusal());
         return;
     }
 }
@@ -392,66 +260,49 @@
 void RequestHandler::handleCompleteResponse()
 {
     ++m_sentCount;
-    const unsigned status = m_responseHeader->result_int();
-    if (m_notRun) {
-        handleAttemptFailure(status == 421 ? AttemptOutcome::WrongServer : AttemptOutcome::Shed,
-                             false);
+    const unsigned status = m_relay->status();
+    if (m_relay->isRefusal()) {
+        handleAttemptFailure(
+                status == misdirected ? AttemptOutcome::WrongServer : AttemptOutcome::Shed, false);
         return;
     }
-    const bool brokenOff = isBrokenOff();
+    const bool brokenOff = m_relay->isBrokenOff();
     if (brokenOff)
         m_crashGuard.recordBroken();
-    if (!isAuthentic(*m_responseHeader, m_context.headerNames) || brokenOff) {
+    if (brokenOff || !m_relay->isAuthentic()) {
         handleAttemptFailure(AttemptOutcome::BrokenAnswer, true);
         return;
     }
     // A faulty server may answer 5xx before it has begun to run the request.
-    if (status < 500)
+    if (!isServerError(status))
         m_crashGuard.recordAnswer();
-    // A 5xx response is forwarded only if no other attempt is allowed or succeeds.
-    const bool retryable = status >= 500 && m_route->mayRepeat() && !m_responseStarted
-                           && m_possibleRunCount + 1 < m_route->maxAttempts;
-    if (retryable && remainingTime() > minTimeForRetry) {
-        m_serverErrorHeader = m_responseHeader;
-        m_serverErrorBody = m_bufferedBody;
+    else if (mayRetryServerError()) {
+        m_relay->keepAsServerError();
         handleAttemptFailure(AttemptOutcome::ServerError, true);
         return;
     }
-    recordAttemptOutcome(status >= 500 ? AttemptOutcome::ServerError : AttemptOutcome::Answered);
+    recordAttemptOutcome(isServerError(status) ? AttemptOutcome::ServerError
+                                               : AttemptOutcome::Answered);
     ++m_context.counters.answered;
     m_context.log.decision("Answered.",
                            {{"request", m_requestId},
                             {"server", m_choice.server.text()},
                             {"status", std::to_string(status)},
-                            {"framing", toText(bodyFraming(*m_responseHeader))},
-                            {"insideEvent", isInsideEvent() ? "true" : "false"},
+                            {"framing", m_relay->framing()},
+                            {"insideEvent", m_relay->isInsideEvent() ? "true" : "false"},
                             {"firstByteMs", toMillisecondsText(m_firstByteAt - m_receivedAt)},
                             {"tookMs", toMillisecondsText(Clock::now() - m_receivedAt)}});
-    if (m_responseStarted) {
-        if (!m_bufferedBody.empty())
-            forwardBody(std::move(m_bufferedBody));
-        finish();
-        m_caller->finishResponse();
-    } else if (m_isStreaming) {
-        startResponse();
-        finish();
-        m_caller->finishResponse();
-    } else {
+    if (!m_relay->hasStarted() && !m_relay->isStreaming())
         m_context.recordFirstByteLatency(m_traits.pool, Clock::now() - m_receivedAt);
-        CallerResponseHeader header = *m_responseHeader;
-        header.erase(http::field::transfer_encoding);
-        finish();
-        m_caller->sendResponse(header, m_bufferedBody);
-    }
+    finish();
+    m_relay->finish();
 }
 
-/// @return true when the stream received is incomplete, whatever its framing says
-bool RequestHandler::isBrokenOff() const
+/// @return true when a 5xx response is kept for the case that no other attempt succeeds
+bool RequestHandler::mayRetryServerError() const
 {
-    if (m_eventSplitter && !m_eventSplitter->isAtEventEnd())
-        return true;
-    const bool endsWithConnection = bodyFraming(*m_responseHeader) == BodyFraming::Close;
-    return m_eventBoundary && m_eventBoundary->isBrokenOff(endsWithConnection);
+    return route().mayRepeat() && !m_relay->hasStarted()
+           && m_possibleRunCount + 1 < route().maxAttempts && remainingTime() > minTimeForRetry;
 }
 
 void RequestHandler::handleAttemptFailure(AttemptOutcome outcome, bool mayHaveRun)
@@ -460,35 +311,33 @@
     recordAttemptOutcome(outcome);
     m_possibleRunCount += mayHaveRun ? 1 : 0;
     m_traits.excluded.insert(m_choice.server);
-    m_context.log.decision(
-            "An attempt failed.",
-            {{"request", m_requestId},
-             {"server", m_choice.server.text()},
-             {"outcome", std::to_string(static_cast<int>(outcome))},
-             {"mayHaveRun", mayHaveRun ? "true" : "false"},
-             {"framing", m_responseHeader ? toText(bodyFraming(*m_responseHeader)) : ""},
-             {"insideEvent", isInsideEvent() ? "true" : "false"},
-             {"parts", std::string(m_request[m_context.headerNames.promptParts])},
-             {"remainingMs", toMillisecondsText(remainingTime())}});
-    if (m_responseStarted && !(m_eventSplitter && m_eventSplitter->lastId())) {
+    m_context.log.decision("An attempt failed.",
+                           {{"request", m_requestId},
+                            {"server", m_choice.server.text()},
+                            {"outcome", std::to_string(static_cast<int>(outcome))},
+                            {"mayHaveRun", mayHaveRun ? "true" : "false"},
+                            {"framing", m_relay->framing()},
+                            {"insideEvent", m_relay->isInsideEvent() ? "true" : "false"},
+                            {"parts", std::string(m_request[m_context.headerNames.promptParts])},
+                            {"remainingMs", toMillisecondsText(remainingTime())}});
+    if (!m_relay->canBeReplaced()) {
         failRequest();
         return;
     }
-    if (m_eventSplitter)
-        m_eventSplitter->discardPartial();
+    m_relay->discardPartialEvent();
     if (!mayRetry(outcome != AttemptOutcome::ConnectFailed)) {
         failRequest();
         return;
     }
     m_context.counters.retries += 1;
-    m_context.counters.resumed += m_responseStarted ? 1 : 0;
+    m_context.counters.resumed += m_relay->hasStarted() ? 1 : 0;
     selectServer();
 }
 
 bool RequestHandler::mayRetry(bool needsBudget)
 {
     if (m_possibleRunCount > 0
-        && (!m_route->mayRepeat() || m_possibleRunCount >= m_route->maxAttempts))
+        && (!route().mayRepeat() || m_possibleRunCount >= route().maxAttempts))
         return false;
     if (m_attemptCount >= maxAttemptsPerRequest || remainingTime() < minTimeForRetry)
         return false;
@@ -502,11 +351,11 @@
 {
     if (m_finished || !m_attempt)
         return;
-    const Duration limit = fromMilliseconds(silenceTimeoutObjectives
-                                            * toMilliseconds(m_route->latencyObjective));
+    const Duration limit
+            = fromMilliseconds(silenceTimeoutObjectives * toMilliseconds(route().latencyObjective));
     m_silenceTimer.expires_after(std::min(limit, remainingTime() / 2));
     m_silenceTimer.async_wait([self = shared_from_this()](boost::system::error_code error) {
-        if (!error && !self->m_finished && self->m_attempt && !self->m_responseHeader)
+        if (!error && !self->m_finished && self->m_attempt && !self->m_relay->hasHeader())
             self->handleSilence();
     });
 }
@@ -515,8 +364,8 @@
 void RequestHandler::handleSilence()
 {
     dropSilentConnections();
-    const bool mayTryOtherServer = m_route->kind == RequestKind::Idempotent
-                                   && m_possibleRunCount + 1 < m_route->maxAttempts;
+    const bool mayTryOtherServer = route().kind == RequestKind::Idempotent
+                                   && m_possibleRunCount + 1 < route().maxAttempts;
     if (!mayTryOtherServer)
         return;
     const bool mayHaveRun = m_attempt->mayHaveSent();
@@ -536,19 +385,17 @@
 /// last 5xx response of a server, or refuses the request.
 void RequestHandler::failRequest()
 {
-    if (m_responseStarted) {
+    if (m_relay->hasStarted()) {
         ++m_context.counters.truncated;
         m_context.log.decision("Cut an answer that is not whole.", {{"request", m_requestId}});
         finish();
-        m_caller->abort();
+        m_relay->abort();
         return;
     }
-    if (m_serverErrorHeader) {
+    if (m_relay->hasServerError()) {
         ++m_context.counters.answered;
-        CallerResponseHeader header = *m_serverErrorHeader;
-        header.erase(http::field::transfer_encoding);
         finish();
-        m_caller->sendResponse(header, m_serverErrorBody);
+        m_relay->sendServerError();
         return;
     }
     refuse(m_possibleRunCount > 0 ? RefusalReason::ServerFailed : RefusalReason::NotAccepted);
@@ -572,7 +419,7 @@
                             {"parts", reason == RefusalReason::CrashesServers ? std::string(
                                               m_request[m_context.headerNames.promptParts])
                                                                               : ""},
-                            {"customer", m_customer.text()},
+                            {"customer", m_admitted.customer.text()},
                             {"customerUse", std::to_string(m_traits.customerUsageRatio)},
                             {"tries", std::to_string(m_attemptCount)},
                             {"retryAfterMs", retryAfter ? toMillisecondsText(*retryAfter) : ""},
@@ -590,9 +437,9 @@
         return std::nullopt;
     if (reason == RefusalReason::CrashesServers)
         return m_crashGuard.retryDelay();
-    const Duration remaining = m_deadline == TimePoint() ? Duration::max() : remainingTime();
+    const Duration remaining = m_admitted.route ? remainingTime() : Duration::max();
     return reason == RefusalReason::Overloaded
-                   ? overloadRetryAfter(m_route->latencyObjective, remaining, m_context.random)
+                   ? overloadRetryAfter(route().latencyObjective, remaining, m_context.random)
                    : defaultRetryAfter(remaining, m_context.random);
 }
 
@@ -619,16 +466,16 @@
         return;
     if (m_attempt) {
         const bool mayHaveRun = m_attempt->mayHaveSent();
-        if (!m_responseHeader)
+        if (!m_relay->hasHeader())
             dropSilentConnections();
         m_attempt->cancel();
         m_attempt.reset();
         const AttemptOutcome silent
                 = mayHaveRun ? AttemptOutcome::TimedOut : AttemptOutcome::ConnectFailed;
-        recordAttemptOutcome(m_responseStarted ? AttemptOutcome::Cancelled : silent);
+        recordAttemptOutcome(m_relay->hasStarted() ? AttemptOutcome::Cancelled : silent);
         m_possibleRunCount += mayHaveRun ? 1 : 0;
     }
-    if (m_responseStarted || m_serverErrorHeader)
+    if (m_relay->hasStarted() || m_relay->hasServerError())
         failRequest();
     else
         refuse(m_possibleRunCount > 0 ? RefusalReason::TimedOut : RefusalReason::NotAccepted);
