One ctest entry for each test file

The tests of the package direct take 132 s beside two others; under load or a sanitizer all of them together would reach the limit of 300 s. Each file has that limit for itself now. The same tests run.

--- a/cmake/packages.cmake
+++ b/cmake/packages.cmake
@@ -19,7 +19,8 @@
   bilberry_tests(${NAME} ${DIR})
 endfunction()
 
-# Adds the test program of a package if the package has tests.
+# Adds the test program of a package if the package has tests, with one ctest entry for each file, so
+# that the time limit holds for a file and not for all of them.
 function(bilberry_tests NAME DIR)
   file(GLOB TESTS CONFIGURE_DEPENDS ${DIR}/tests/*.cpp)
   if(TESTS AND BILBERRY_TESTS)
@@ -28,8 +29,13 @@
     target_link_libraries(${NAME}_tests PRIVATE bilberry_${NAME} bilberry_testsupport
                                                 bilberry_test_main rapidcheck)
     target_compile_definitions(${NAME}_tests PRIVATE BILBERRY_DOCS="${CMAKE_SOURCE_DIR}/docs")
-    add_test(NAME ${NAME} COMMAND ${NAME}_tests)
-    set_tests_properties(${NAME} PROPERTIES TIMEOUT 300)
+    file(GLOB TEST_FILES CONFIGURE_DEPENDS ${DIR}/tests/*_test.cpp)
+    foreach(TEST_FILE ${TEST_FILES})
+      get_filename_component(TEST_NAME ${TEST_FILE} NAME_WE)
+      add_test(NAME ${NAME}.${TEST_NAME}
+               COMMAND ${NAME}_tests --filenames-as-tags --warn NoTests "[#${TEST_NAME}]")
+      set_tests_properties(${NAME}.${TEST_NAME} PROPERTIES TIMEOUT 300)
+    endforeach()
   endif()
 endfunction()
 
