End a direct router's store thread with the router

Found by the address sanitizer, in the tests of the package direct: handlers that wait own the router's state, which owns their event loop, so that it was never destroyed; the thread of the store's calls ran on after the router and used what was gone (stack-use-after-return in InProcessRouter).

Change: the destructor ends that thread and releases the waiting handlers.

--- a/packages/direct/src/directrouter.cpp
+++ b/packages/direct/src/directrouter.cpp
@@ -40,6 +40,15 @@
     return {asio::ip::make_address(endpoint.address), endpoint.port};
 }
 
+/// Event loop whose waiting handlers can be destroyed before the objects that belong to it.
+class EventLoop : public asio::io_context
+{
+public:
+    using asio::io_context::io_context;
+
+    void releaseHandlers() { shutdown(); }
+};
+
 RefusalReason refusalReason(RequestError error)
 {
     switch (error) {
@@ -304,7 +313,15 @@
         });
     }
 
-    asio::io_context io{1};
+    /// Ends the store's thread, and releases the handlers that wait: they own this object, and
+    /// would keep it, and the thread, beyond the router's life.
+    void close()
+    {
+        collectionStore->stop();
+        io.releaseHandlers();
+    }
+
+    EventLoop io{1};
     DirectSettings settings;
     PlatformAdapter adapter;
     std::mt19937_64 random;
@@ -322,7 +339,7 @@
     asio::steady_timer stopTimer;
     decision::OverloadDetector overloadDetector{{}};
     RequestContext requestContext;
-    std::unique_ptr<store::CollectionStore> collectionStore;
+    std::unique_ptr<store::ThreadedCollectionStore> collectionStore;
     std::shared_ptr<PeerExchange> peerExchange;
     std::shared_ptr<CrashRecords> crashRecords;
     std::unique_ptr<PlatformState> state;
@@ -338,7 +355,10 @@
 {
 }
 
-DirectRouter::~DirectRouter() = default;
+DirectRouter::~DirectRouter()
+{
+    m_impl->close();
+}
 
 void DirectRouter::run()
 {
--- a/packages/store/include/bilberry/store/threadedcollectionstore.h
+++ b/packages/store/include/bilberry/store/threadedcollectionstore.h
@@ -18,8 +18,9 @@
     /// @param open creates the store on the thread's event loop
     explicit ThreadedCollectionStore(
             const std::function<std::unique_ptr<CollectionStore>(boost::asio::io_context &)> &open);
-    /// Ends the thread. Calls in progress don't return.
     ~ThreadedCollectionStore() override;
+    /// Ends the thread. Calls in progress don't return.
+    void stop() { m_thread.stop(); }
 
     boost::asio::awaitable<Result<Snapshot>> list(std::string collection, Duration limit) override;
     boost::asio::awaitable<Result<Changes>> watch(std::string collection, StoreRevision since,
