Let two routers watch the store and relay its changes to the others

Change: the two routers that prove the plan relay changes of servers, zones and routers, with revisions, and repeat them for 3 s; the others apply them, ask the store about a gap, and watch it themselves without a fresh word for 1.5 s. Plans, which hold keys, are not relayed, only their versions. A router that the store turns away goes on by what is relayed. A watcher applies only the newest change of an item: an answer may list older ones than are known.

Ruled out: relaying by a router as soon as it has started. It hears of no other then, so that at a fleet's start all led, with short pauses.

--- a/packages/direct/src/peerexchange.cpp
+++ b/packages/direct/src/peerexchange.cpp
@@ -319,9 +319,11 @@
     return live;
 }
 
-void PeerExchange::announceStore(std::uint64_t planVersion, std::uint64_t storeRevision)
+void PeerExchange::announceStore(std::uint64_t planVersion, std::uint64_t storeRevision,
+                                 std::vector<wire::CollectionNotice> collections)
 {
-    m_socket.sendToAll(wire::StoreNotice{m_sender, planVersion, storeRevision});
+    m_socket.sendToAll(
+            wire::StoreNotice{m_sender, planVersion, storeRevision, std::move(collections)});
 }
 
 void PeerExchange::queryPlanProof(const RouterId &router, std::uint64_t query)
@@ -342,7 +344,7 @@
     else if (const auto *gossip = std::get_if<wire::ServerNoticeGossip>(&message))
         handleServerNotices(*gossip);
     else if (const auto *notice = std::get_if<wire::StoreNotice>(&message))
-        onStoreNotice(notice->planVersion, notice->storeRevision);
+        onStoreNotice(*notice);
     else if (const auto *query = std::get_if<wire::PlanProofQuery>(&message))
         handleQuery(*query);
     else if (const auto *reply = std::get_if<wire::PlanProofReply>(&message))
--- a/packages/direct/src/peerexchange.h
+++ b/packages/direct/src/peerexchange.h
@@ -46,7 +46,8 @@
     /// @return the other registered routers that a message has come from lately
     std::vector<RouterId> liveRouters() const;
     /// Tells all other routers what this one has learned of the store.
-    void announceStore(std::uint64_t planVersion, std::uint64_t storeRevision);
+    void announceStore(std::uint64_t planVersion, std::uint64_t storeRevision,
+                       std::vector<wire::CollectionNotice> collections);
 
     /// Sends the next report soon, after what this router suspects of crashes has changed.
     void handleSuspicionChange() { handleLoadChange(); }
@@ -55,7 +56,7 @@
     std::function<std::optional<decision::PlanProofAnswer>(std::uint64_t query)> onPlanProofQuery;
     std::function<void(const decision::PlanProofAnswer &)> onPlanProofAnswer;
     /// Called with what another router has learned of the store; set by the owner.
-    std::function<void(std::uint64_t planVersion, std::uint64_t storeRevision)> onStoreNotice;
+    std::function<void(const wire::StoreNotice &)> onStoreNotice;
 
     /// Adds or updates another router.
     /// @param item name, and address and port as JSON; ignored when invalid or of this router
--- a/packages/direct/src/platformstate.cpp
+++ b/packages/direct/src/platformstate.cpp
@@ -2,6 +2,8 @@
 
 #include "bilberry/base/digest.h"
 
+#include <boost/asio/post.hpp>
+
 namespace bilberry::direct {
 
 namespace {
@@ -12,6 +14,11 @@
 /// Pause of the watch after changed servers, so that one response has several changes: half of the
 /// shortest time limit for drained servers.
 constexpr Duration serversWatchPause = std::chrono::milliseconds(1000);
+/// Time after its start in which a router has heard of all others, so that it knows whether it is
+/// to relay changes to them.
+constexpr Duration leadershipDelay = std::chrono::seconds(3);
+/// Pause of the watches of a router that relays changes to the others.
+constexpr Duration leaderWatchPause = std::chrono::milliseconds(100);
 /// Pause of the watch after changed routers: each one that starts or stops tells all others.
 constexpr Duration routersWatchPause = std::chrono::seconds(3);
 /// Time after which the store is asked for servers, or for a newer plan, when its revision has
@@ -47,15 +54,18 @@
                              std::mt19937_64 &random)
     : m_io(io), m_adapter(adapter), m_store(store), m_serverSelector(serverSelector),
       m_connections(connections), m_peers(peers), m_log(log), m_random(random),
-      m_planProofs(proofSettings(settings), randomId())
+      m_planProofs(proofSettings(settings), randomId()),
+      m_relay(
+              [this](std::vector<wire::CollectionNotice> collections) {
+                  sendNotice(std::move(collections));
+              },
+              log)
 {
     m_peers.onPlanProofQuery
             = [this](std::uint64_t query) { return m_planProofs.answer(query, BootClock::now()); };
     m_peers.onPlanProofAnswer
             = [this](const decision::PlanProofAnswer &answer) { handlePlanProof(answer); };
-    m_peers.onStoreNotice = [this](std::uint64_t planVersion, std::uint64_t revision) {
-        handleStoreNotice(planVersion, revision);
-    };
+    m_peers.onStoreNotice = [this](const wire::StoreNotice &notice) { handleStoreNotice(notice); };
     watchPlans();
     watchServers();
     watchZones();
@@ -64,6 +74,7 @@
 
 void PlatformState::start()
 {
+    m_startedAt = Clock::now();
     for (const auto &watcher : m_watchers)
         watcher->start();
 }
@@ -77,7 +88,8 @@
         if (m_plan)
             m_planProofs.record({m_plan->version(), revision, at});
     };
-    m_planWatcher = watch(watcherSettings(m_adapter.collections.plans), std::move(hooks));
+    m_planWatcher = watch(watcherSettings(m_adapter.collections.plans), std::move(hooks),
+                          Relaying::NoticeOnly);
 }
 
 void PlatformState::watchServers()
@@ -96,7 +108,7 @@
     hooks.onItemReturned = [this](const std::string &name) {
         m_serverSelector.setMissing(ServerId(name), false);
     };
-    watch(std::move(settings), std::move(hooks));
+    watch(settings, std::move(hooks), Relaying::Changes);
 }
 
 void PlatformState::watchZones()
@@ -106,7 +118,7 @@
     store::WatcherHooks hooks;
     hooks.onItemChanged = [this](const store::Item &item) { setZoneOut(item.name, true); };
     hooks.onItemRemoved = [this](const std::string &name) { setZoneOut(name, false); };
-    watch(std::move(settings), std::move(hooks));
+    watch(settings, std::move(hooks), Relaying::Changes);
 }
 
 void PlatformState::watchRouters()
@@ -116,11 +128,11 @@
     store::WatcherHooks hooks;
     hooks.onItemChanged = [this](const store::Item &item) { m_peers.updatePeer(item); };
     hooks.onItemRemoved = [this](const std::string &name) { m_peers.removePeer(name); };
-    watch(std::move(settings), std::move(hooks));
+    watch(settings, std::move(hooks), Relaying::Changes);
 }
 
-store::CollectionWatcher *PlatformState::watch(store::WatcherSettings settings,
-                                               store::WatcherHooks hooks)
+store::CollectionWatcher *PlatformState::watch(const store::WatcherSettings &settings,
+                                               store::WatcherHooks hooks, Relaying relaying)
 {
     const std::string collection = settings.collection;
     // Only the plan's age matters; items of the other collections are used whatever their age.
@@ -139,45 +151,86 @@
     hooks.onWatchSilent = [this, collection] {
         m_log.decision("A watch call missed changes; replaced it.", {{"collection", collection}});
     };
+    hooks.onRelayEnded = [this, collection] {
+        m_log.decision("Nobody relays the store's changes; watches the store.",
+                       {{"collection", collection}});
+    };
     hooks.onStoreRevision = [this](store::StoreRevision revision, BootTime at) {
         recordStoreRevision(revision, at);
     };
+    relayChanges(collection, hooks);
     m_watchers.push_back(std::make_unique<store::CollectionWatcher>(
-            m_io, m_store, std::move(settings), std::move(hooks),
+            m_io, m_store, settings, std::move(hooks),
             [this] { return std::uniform_real_distribution<double>(0.0, 1.0)(m_random); }));
+    m_relay.add(collection, *m_watchers.back(), relaying == Relaying::Changes, leaderWatchPause,
+                settings.coalescingDelay);
     return m_watchers.back().get();
 }
 
+/// Extends the hooks so that the relay learns what the watcher has learned.
+void PlatformState::relayChanges(const std::string &collection, store::WatcherHooks &hooks)
+{
+    hooks.onItemChanged
+            = [this, collection, next = std::move(hooks.onItemChanged)](const store::Item &item) {
+                  m_relay.recordChange(collection, {item, false});
+                  scheduleNotice();
+                  next(item);
+              };
+    hooks.onItemRemoved
+            = [this, collection, next = std::move(hooks.onItemRemoved)](const std::string &name) {
+                  m_relay.recordChange(collection, {{name, ""}, true});
+                  scheduleNotice();
+                  next(name);
+              };
+    hooks.onConfirmedCurrent = [this, collection, next = std::move(hooks.onConfirmedCurrent)](
+                                       store::StoreRevision revision, BootTime at) {
+        m_relay.recordCurrent(collection, at);
+        next(revision, at);
+    };
+}
+
 /// Tells all watchers; the one that has learned of the revision already knows it.
 void PlatformState::recordStoreRevision(store::StoreRevision revision, BootTime at)
 {
+    m_newestRevision = std::max(m_newestRevision, revision);
     for (const auto &watcher : m_watchers)
         watcher->recordStoreRevision(revision, at);
-    announceRevision(revision);
+    scheduleNotice();
 }
 
-/// Tells the other routers of a newer revision of the store, when this one asks the store for them.
-void PlatformState::announceRevision(store::StoreRevision revision)
+/// Sends one notice for all that is learned in this round of the event loop.
+void PlatformState::scheduleNotice()
 {
-    if (revision <= m_newestRevision)
+    if (!m_relay.isLeader() || std::exchange(m_isNoticeScheduled, true))
         return;
-    m_newestRevision = revision;
-    if (m_planProofs.isWatcher(m_peers.liveRouters()))
-        m_peers.announceStore(m_plan ? m_plan->version() : 0, revision);
+    boost::asio::post(m_io, [this] {
+        m_isNoticeScheduled = false;
+        m_relay.send();
+    });
 }
 
-void PlatformState::handleStoreNotice(std::uint64_t planVersion, store::StoreRevision revision)
+void PlatformState::sendNotice(std::vector<wire::CollectionNotice> collections)
 {
-    m_newestRevision = std::max(m_newestRevision, revision);
-    if (m_plan && planVersion > m_plan->version())
-        m_planWatcher->expectRevision(revision, watchReportTime);
+    m_peers.announceStore(m_plan ? m_plan->version() : 0, m_newestRevision, std::move(collections));
+}
+
+void PlatformState::handleStoreNotice(const wire::StoreNotice &notice)
+{
+    m_newestRevision = std::max(m_newestRevision, notice.storeRevision);
+    for (const wire::CollectionNotice &collection : notice.collections)
+        m_relay.receive(collection);
+    if (m_plan && notice.planVersion > m_plan->version())
+        m_planWatcher->expectRevision(notice.storeRevision, watchReportTime);
     for (const auto &watcher : m_watchers)
-        watcher->recordReachedRevision(revision);
+        watcher->recordReachedRevision(notice.storeRevision);
 }
 
 void PlatformState::refreshPlanProof()
 {
-    const auto step = m_planProofs.nextStep(m_peers.liveRouters(), BootClock::now());
+    const std::vector<RouterId> others = m_peers.liveRouters();
+    const bool hasHeardOthers = Clock::now() - m_startedAt > leadershipDelay;
+    m_relay.setLeader(hasHeardOthers && m_planProofs.isWatcher(others));
+    const auto step = m_planProofs.nextStep(others, BootClock::now());
     if (step.askStore)
         m_planWatcher->check();
     if (step.askRouter)
--- a/packages/direct/src/platformstate.h
+++ b/packages/direct/src/platformstate.h
@@ -3,6 +3,7 @@
 
 #include "peerexchange.h"
 #include "serverconnections.h"
+#include "storerelay.h"
 
 #include "bilberry/base/log.h"
 #include "bilberry/decision/planproofs.h"
@@ -47,10 +48,15 @@
     void watchServers();
     void watchZones();
     void watchRouters();
-    store::CollectionWatcher *watch(store::WatcherSettings settings, store::WatcherHooks hooks);
+    /// How the changes of a collection reach the routers that don't watch it themselves.
+    enum class Relaying { Changes, NoticeOnly };
+    store::CollectionWatcher *watch(const store::WatcherSettings &settings,
+                                    store::WatcherHooks hooks, Relaying relaying);
+    void relayChanges(const std::string &collection, store::WatcherHooks &hooks);
     void recordStoreRevision(store::StoreRevision revision, BootTime at);
-    void announceRevision(store::StoreRevision revision);
-    void handleStoreNotice(std::uint64_t planVersion, store::StoreRevision revision);
+    void scheduleNotice();
+    void sendNotice(std::vector<wire::CollectionNotice> collections);
+    void handleStoreNotice(const wire::StoreNotice &notice);
     void handlePlanProof(const decision::PlanProofAnswer &answer);
     void updatePlan(const store::Item &item);
     void updateServer(const store::Item &item);
@@ -70,6 +76,9 @@
     std::map<std::string, DirectServer> m_servers;
     std::set<ZoneId> m_zonesOut;
     store::StoreRevision m_newestRevision = 0; ///< that the store is known to have reached
+    StoreRelay m_relay;
+    bool m_isNoticeScheduled = false;
+    TimePoint m_startedAt{};
     std::vector<std::unique_ptr<store::CollectionWatcher>> m_watchers;
     store::CollectionWatcher *m_planWatcher = nullptr; ///< one of the watchers
 };
--- a/packages/direct/tests/fuzz_test.cpp
+++ b/packages/direct/tests/fuzz_test.cpp
@@ -68,7 +68,8 @@
                                                           {{1, 2, 300, 40}}}),
             wire::encodeDatagram(wire::PlanProofQuery{sender, 3}),
             wire::encodeDatagram(wire::PlanProofReply{sender, 3, 1, 1, ~0ULL}),
-            wire::encodeDatagram(wire::StoreNotice{sender, 1, 1}),
+            wire::encodeDatagram(wire::StoreNotice{
+                    sender, 1, 1, {{"servers", 0, 5, 10, {{5, "s9", "s9", false}}}}}),
             wire::encodeDatagram(wire::ServerNoticeGossip{sender, {{1, 2, 5.0, 10, false}}}),
             wire::encodeDatagram(wire::CrashSuspectGossip{sender, {{1, {{2, 3, true}}, {4}, 1}}})};
 }
--- a/packages/store/include/bilberry/store/collectionstore.h
+++ b/packages/store/include/bilberry/store/collectionstore.h
@@ -47,6 +47,23 @@
     bool operator==(const Changes &) const = default;
 };
 
+/// What a watcher of the same collection elsewhere knows.
+struct RelayedChanges
+{
+    /// A change, and the revision up to which its watcher knew the collection with it.
+    struct Change
+    {
+        StoreRevision revision = 0;
+        ItemChange change;
+        bool operator==(const Change &) const = default;
+    };
+
+    StoreRevision base = 0;      ///< all changes after it are listed, up to `revision`
+    StoreRevision revision = 0;  ///< up to which the other watcher knows the collection
+    std::vector<Change> changes; ///< oldest first; also some up to `base`
+    bool operator==(const RelayedChanges &) const = default;
+};
+
 /// Named collections in a platform's store. Each implementation translates the protocol of one
 /// platform.
 class CollectionStore
--- a/packages/store/include/bilberry/store/collectionwatcher.h
+++ b/packages/store/include/bilberry/store/collectionwatcher.h
@@ -55,6 +55,8 @@
     std::function<void(StoreRevision, BootTime at)> onStoreRevision;
     /// A watch call missed changes and was replaced by another one. May be unset.
     std::function<void()> onWatchSilent;
+    /// The relay that the watcher relied on has ended; it watches by itself. May be unset.
+    std::function<void()> onRelayEnded;
 };
 
 /// Keeps up with one collection: lists it, watches it, and lists it again when the history has
@@ -90,6 +92,25 @@
     /// @param delay in which an open watch call may report the change
     void expectRevision(StoreRevision revision, Duration delay);
 
+    /// @return revision up to which the items are known; 0 before the first list
+    StoreRevision revision() const;
+
+    /// @return false while the store is out of reach, or items that have disappeared may return
+    bool isSettled() const;
+
+    /// Applies what another watcher of the same collection knows.
+    /// @return false when changes between the known revision and the relayed ones are missing
+    bool applyRelayed(const RelayedChanges &relayed);
+
+    /// Starts no watch call before a point in time, and asks for no revision that others have
+    /// learned of: another watcher relays all changes until then.
+    void relyOnRelay(TimePoint until);
+    /// Starts the next watch call at once.
+    void stopRelying();
+
+    /// @param delay replaces WatcherSettings::coalescingDelay
+    void setCoalescingDelay(Duration delay);
+
     /// Asks the store whether the collection is current, beside the watch call that waits for
     /// changes. Does nothing while such a question is open or the store is out of reach.
     void check();
--- a/packages/store/src/collectionwatcher.cpp
+++ b/packages/store/src/collectionwatcher.cpp
@@ -42,6 +42,11 @@
                                      bool isListed)
     {
         while (self->isCurrent(generation)) {
+            // Without a first list, there is nothing that relayed changes could be applied to.
+            if (self->revision != 0)
+                co_await self->waitWhileRelying(generation);
+            if (!self->isCurrent(generation))
+                co_return;
             if (!isListed)
                 isListed = co_await self->listOnce(generation);
             if (isListed)
@@ -52,9 +57,22 @@
 
     bool isCurrent(std::uint64_t loop) const { return !stopped && loop == generation; }
 
+    bool isRelying() const { return Clock::now() < relayedUntil; }
+
+    asio::awaitable<void> waitWhileRelying(std::uint64_t loop)
+    {
+        if (!isCurrent(loop) || !isRelying())
+            co_return;
+        while (isCurrent(loop) && isRelying())
+            co_await sleep(relayedUntil - Clock::now());
+        if (isCurrent(loop) && hooks.onRelayEnded)
+            hooks.onRelayEnded();
+    }
+
     asio::awaitable<bool> listOnce(std::uint64_t loop)
     {
         const BootTime requestedAt = BootClock::now();
+        const StoreRevision knownBefore = revision;
         const Result<Snapshot> snapshot
                 = co_await store.list(settings.collection, settings.callLimit);
         if (!isCurrent(loop))
@@ -64,14 +82,22 @@
             co_return false;
         }
         handleSuccess();
-        applySnapshot(snapshot.value());
-        confirm(requestedAt);
+        // Newer changes may have been relayed meanwhile.
+        const bool isOutdated
+                = snapshot.value().revision < revision && snapshot.value().revision >= knownBefore;
+        if (!isOutdated) {
+            applySnapshot(snapshot.value());
+            confirm(requestedAt);
+        }
         co_return true;
     }
 
     asio::awaitable<void> watchUntilLost(std::uint64_t loop)
     {
-        while (isCurrent(loop)) {
+        for (;;) {
+            co_await waitWhileRelying(loop);
+            if (!isCurrent(loop))
+                co_return;
             const BootTime requestedAt = BootClock::now();
             openWatch = ++lastWatch;
             const Result<Changes> changes = co_await store.watch(
@@ -116,10 +142,26 @@
 
     void recordReachedRevision(StoreRevision storeRevision)
     {
-        if (settings.behindLimit)
+        if (settings.behindLimit && !isRelying())
             expectRevision(storeRevision, *settings.behindLimit);
     }
 
+    bool applyRelayed(const RelayedChanges &relayed)
+    {
+        if (stopped || revision == 0 || revision < relayed.base)
+            return false;
+        if (relayed.revision <= revision)
+            return true;
+        const StoreRevision known = std::exchange(revision, relayed.revision);
+        std::map<std::string, const ItemChange *> newest;
+        for (const RelayedChanges::Change &item : relayed.changes) {
+            if (item.revision > known)
+                newest[item.change.item.name] = &item.change;
+        }
+        applyNewest(newest);
+        return true;
+    }
+
     void expectRevision(StoreRevision expected, Duration delay)
     {
         if (expected <= revision)
@@ -239,13 +281,23 @@
         if (changes.revision < revision)
             return false;
         revision = changes.revision;
-        for (const ItemChange &change : changes.changes) {
-            if (change.removed)
-                handleDisappearance(change.item.name);
+        std::map<std::string, const ItemChange *> newest;
+        for (const ItemChange &change : changes.changes)
+            newest[change.item.name] = &change;
+        applyNewest(newest);
+        return true;
+    }
+
+    /// Applies the newest change of each item only: an earlier one may be older than what is known
+    /// by another way.
+    void applyNewest(const std::map<std::string, const ItemChange *> &newest)
+    {
+        for (const auto &[name, change] : newest) {
+            if (change->removed)
+                handleDisappearance(name);
             else
-                applyItem(change.item);
+                applyItem(change->item);
         }
-        return true;
     }
 
     void applyItem(const Item &item)
@@ -330,6 +382,7 @@
     std::uint64_t lastWatch = noWatch;
     std::uint64_t openWatch = noWatch; ///< number of the watch call that waits
     TimePoint pausedUntil{};           ///< the next watch call starts then
+    TimePoint relayedUntil{};          ///< another watcher relays all changes until then
     TimePoint lastCheckAt{};
     StoreRevision checkTarget = 0; ///< from which on the scheduled check is needless
     bool isCheckScheduled = false;
@@ -374,6 +427,37 @@
     m_state->expectRevision(revision, delay);
 }
 
+StoreRevision CollectionWatcher::revision() const
+{
+    return m_state->revision;
+}
+
+bool CollectionWatcher::isSettled() const
+{
+    return m_state->revision != 0 && !m_state->failingSince && m_state->missingNames.empty();
+}
+
+bool CollectionWatcher::applyRelayed(const RelayedChanges &relayed)
+{
+    return m_state->applyRelayed(relayed);
+}
+
+void CollectionWatcher::relyOnRelay(TimePoint until)
+{
+    m_state->relayedUntil = std::max(m_state->relayedUntil, until);
+}
+
+void CollectionWatcher::stopRelying()
+{
+    if (std::exchange(m_state->relayedUntil, TimePoint()) > Clock::now())
+        m_state->pauseTimer.cancel();
+}
+
+void CollectionWatcher::setCoalescingDelay(Duration delay)
+{
+    m_state->settings.coalescingDelay = delay;
+}
+
 void CollectionWatcher::check()
 {
     m_state->scheduleCheck(Clock::now(), anyRevision);
--- a/packages/store/tests/collectionwatcher_test.cpp
+++ b/packages/store/tests/collectionwatcher_test.cpp
@@ -418,3 +418,87 @@
         }
     }
 }
+
+// Calls to the store must not grow with the routers: most of them rely on what others relay.
+SCENARIO("a watcher relies on changes that another one relays")
+{
+    GIVEN("a watcher that has listed its collection and relies on a relay")
+    {
+        WatcherFixture fixture;
+        fixture.settings.maxWait = 20ms;
+        fixture.settings.behindLimit = 1ms;
+        fixture.settings.checkInterval = 1ms;
+        fixture.store.snapshot = {{{"a", "1"}, {"b", "2"}}, 10};
+        fixture.run(5ms);
+        fixture.watcher->relyOnRelay(Clock::now() + 150ms);
+        fixture.run(30ms);
+        const std::size_t watchCalls = fixture.store.watchedFrom.size();
+        const auto change
+                = [](StoreRevision revision, const std::string &name, const std::string &value) {
+                      return RelayedChanges::Change{revision, {{name, value}, value.empty()}};
+                  };
+
+        WHEN("changes are relayed that follow on what it knows")
+        {
+            CHECK(fixture.watcher->applyRelayed(
+                    {9, 14, {change(12, "a", "3"), change(13, "b", "")}}));
+            fixture.run(30ms);
+            THEN("they are applied without a call")
+            {
+                CHECK(fixture.values == std::map<std::string, std::string>{{"a", "3"}});
+                CHECK(fixture.watcher->revision() == 14);
+                CHECK(fixture.store.watchedFrom.size() == watchCalls);
+            }
+            THEN("changes that it knows are not applied again")
+            {
+                CHECK(fixture.watcher->applyRelayed(
+                        {9, 15, {change(12, "a", "old"), change(15, "c", "4")}}));
+                CHECK(fixture.values == std::map<std::string, std::string>{{"a", "3"}, {"c", "4"}});
+            }
+            THEN("an older relay changes nothing")
+            {
+                CHECK(fixture.watcher->applyRelayed({9, 13, {change(12, "a", "older")}}));
+                CHECK(fixture.watcher->revision() == 14);
+                CHECK(fixture.values["a"] == "3");
+            }
+        }
+        WHEN("changes are relayed after a gap")
+        {
+            CHECK_FALSE(fixture.watcher->applyRelayed({12, 14, {change(14, "a", "9")}}));
+            THEN("they are not applied, and the store is asked when that is told")
+            {
+                CHECK(fixture.values["a"] == "1");
+                fixture.store.watchResults.push_back(Changes{{{{"a", "5"}, false}}, 14});
+                fixture.watcher->expectRevision(14, 1ms);
+                fixture.run(20ms);
+                CHECK(fixture.values["a"] == "5");
+            }
+        }
+        WHEN("others learn of a higher revision")
+        {
+            fixture.watcher->recordReachedRevision(30);
+            fixture.run(30ms);
+            THEN("the relay is relied on, without a call")
+            {
+                CHECK(fixture.store.watchedFrom.size() == watchCalls);
+            }
+        }
+        WHEN("the relay falls silent")
+        {
+            fixture.run(200ms);
+            THEN("the watcher watches by itself again")
+            {
+                CHECK(fixture.store.watchedFrom.size() > watchCalls);
+            }
+        }
+        WHEN("it is to relay by itself")
+        {
+            fixture.watcher->stopRelying();
+            fixture.run(20ms);
+            THEN("it watches at once")
+            {
+                CHECK(fixture.store.watchedFrom.size() > watchCalls);
+            }
+        }
+    }
+}
--- a/packages/wire/include/bilberry/wire/gossipmessages.h
+++ b/packages/wire/include/bilberry/wire/gossipmessages.h
@@ -208,13 +208,34 @@
     bool operator==(const ServerNoticeGossip &) const = default;
 };
 
-/// What a direct router that asks the store for the others has learned: their own watch calls may
-/// have gone silent.
+/// A change of an item in the store.
+struct StoreChange
+{
+    std::uint64_t revision = 0; ///< up to which the sender knew the collection with this change
+    std::string name;
+    std::string value;
+    bool removed = false;
+    bool operator==(const StoreChange &) const = default;
+};
+
+/// What a direct router knows of one collection of the store.
+struct CollectionNotice
+{
+    std::string collection;
+    std::uint64_t base = 0;           ///< all changes after it are listed
+    std::uint64_t revision = 0;       ///< up to which the sender knows the collection
+    std::uint32_t ageMs = 0;          ///< since this was shown to be the newest
+    std::vector<StoreChange> changes; ///< oldest first
+    bool operator==(const CollectionNotice &) const = default;
+};
+
+/// What a direct router that watches the store for the others has learned.
 struct StoreNotice
 {
     GossipSender sender;
     std::uint64_t planVersion = 0;
     std::uint64_t storeRevision = 0; ///< of the whole store
+    std::vector<CollectionNotice> collections;
     bool operator==(const StoreNotice &) const = default;
 };
 
--- a/packages/wire/src/serialization.h
+++ b/packages/wire/src/serialization.h
@@ -69,7 +69,9 @@
 BILBERRY_FIELDS(CrashSuspectGossip, m.sender, m.suspects)
 BILBERRY_FIELDS(ServerNotice, m.server, m.startedAtMs, m.perSecond, m.ageMs, m.leaving)
 BILBERRY_FIELDS(ServerNoticeGossip, m.sender, m.notices)
-BILBERRY_FIELDS(StoreNotice, m.sender, m.planVersion, m.storeRevision)
+BILBERRY_FIELDS(StoreChange, m.revision, m.name, m.value, m.removed)
+BILBERRY_FIELDS(CollectionNotice, m.collection, m.base, m.revision, m.ageMs, m.changes)
+BILBERRY_FIELDS(StoreNotice, m.sender, m.planVersion, m.storeRevision, m.collections)
 BILBERRY_FIELDS(PlanProofReply, m.sender, m.query, m.planVersion, m.storeRevision, m.ageUs)
 
 #undef BILBERRY_FIELDS
