--- a/packages/decision/include/bilberry/decision/placementcost.h
+++ b/packages/decision/include/bilberry/decision/placementcost.h
@@ -36,7 +36,7 @@
                                        bool standalone) const;
 
     /// @return factor of the backlog limit, 1 up to the customer's fair level; above it decreases
-    ///         steeply, and slowly once it is below the settings' least one. The level itself rises while all other customers get what they request, so
+    ///         steeply. The level itself rises while all other customers get what they request, so
     ///         that no capacity stays idle.
     double overuseFactor(const RequestTraits &traits) const;
 
--- a/packages/decision/include/bilberry/decision/serverchoice.h
+++ b/packages/decision/include/bilberry/decision/serverchoice.h
@@ -37,7 +37,7 @@
     /// Decrease of the backlog limit, as a fraction of it, for each fair share that a customer uses
     /// beyond its own.
     double overuseSlope = 3.0;
-    /// Factor below which it decreases slowly.
+    /// Lower bound of the factor that results from overuseSlope.
     double minOveruseFactor = 0.1;
     /// Added to the score of servers in other zones.
     Duration zonePenalty = std::chrono::milliseconds(2);
--- a/packages/decision/src/placementcost.cpp
+++ b/packages/decision/src/placementcost.cpp
@@ -3,7 +3,6 @@
 #include "bilberry/decision/rendezvous.h"
 
 #include <algorithm>
-#include <cmath>
 #include <limits>
 
 namespace bilberry::decision {
@@ -28,8 +27,6 @@
 /// Cost of a server in a cold start: it is chosen only when no other server may receive the
 /// request.
 constexpr double coldCostMs = 1000.0;
-/// Exponent of the decrease of the backlog limit for customers far above the fair level.
-constexpr double farOveruseExponent = 3.0;
 
 } // namespace
 
@@ -139,14 +136,7 @@
 double PlacementCost::overuseFactor(const RequestTraits &traits) const
 {
     const double overuse = std::max(0.0, traits.customerUsageRatio - 1.0);
-    const double factor = 1.0 - m_settings.overuseSlope * overuse;
-    if (factor >= m_settings.minOveruseFactor || m_settings.overuseSlope <= 0.0)
-        return factor;
-    // Of two customers far above the fair level, the one that uses more must yield.
-    const double steepUntil
-            = 1.0 + (1.0 - m_settings.minOveruseFactor) / m_settings.overuseSlope;
-    return m_settings.minOveruseFactor
-           * std::pow(steepUntil / traits.customerUsageRatio, farOveruseExponent);
+    return std::max(m_settings.minOveruseFactor, 1.0 - m_settings.overuseSlope * overuse);
 }
 
 } // namespace bilberry::decision
