--- a/packages/http/include/bilberry/http/boundedparser.h
+++ b/packages/http/include/bilberry/http/boundedparser.h
@@ -19,43 +19,46 @@
 /// its message is given up. A parser's header limit must be lower.
 inline constexpr std::size_t maxUnparsedBytes = 96U << 10U;
 
-/// A message body in a string that grows as its bytes arrive. Beast's string_body reserves the
-/// declared length first.
-struct GrowingBody
+/// Appends the bytes of a body to a string as they arrive.
+class GrowingBodyReader
 {
-    using value_type = std::string;
-    using writer = boost::beast::http::string_body::writer;
+public:
+    template <bool isRequest, typename Fields>
+    GrowingBodyReader(boost::beast::http::header<isRequest, Fields> &, std::string &body)
+        : m_body(body)
+    {
+    }
 
-    static std::uint64_t size(const value_type &body) { return body.size(); }
+    void init(const boost::optional<std::uint64_t> &, boost::system::error_code &error)
+    {
+        error = {};
+    }
 
-    class reader
+    template <typename ConstBufferSequence>
+    std::size_t put(const ConstBufferSequence &buffers, boost::system::error_code &error)
     {
-    public:
-        template <bool isRequest, typename Fields>
-        reader(boost::beast::http::header<isRequest, Fields> &, value_type &body) : m_body(body)
-        {
-        }
+        error = {};
+        const std::size_t before = m_body.size();
+        for (const auto buffer : boost::beast::buffers_range_ref(buffers))
+            m_body.append(static_cast<const char *>(buffer.data()), buffer.size());
+        return m_body.size() - before;
+    }
 
-        void init(const boost::optional<std::uint64_t> &, boost::system::error_code &error)
-        {
-            error = {};
-        }
+    void finish(boost::system::error_code &error) { error = {}; }
 
-        template <typename ConstBufferSequence>
-        std::size_t put(const ConstBufferSequence &buffers, boost::system::error_code &error)
-        {
-            error = {};
-            const std::size_t before = m_body.size();
-            for (const auto buffer : boost::beast::buffers_range_ref(buffers))
-                m_body.append(static_cast<const char *>(buffer.data()), buffer.size());
-            return m_body.size() - before;
-        }
+private:
+    std::string &m_body;
+};
 
-        void finish(boost::system::error_code &error) { error = {}; }
+/// A message body in a string that grows as its bytes arrive. Beast's string_body reserves the
+/// declared length first.
+struct GrowingBody
+{
+    using value_type = std::string;
+    using reader = GrowingBodyReader;
+    using writer = boost::beast::http::string_body::writer;
 
-    private:
-        value_type &m_body;
-    };
+    static std::uint64_t size(const value_type &body) { return body.size(); }
 };
 
 /// Parser for messages of untrusted senders. Fields beyond the limits above are an error
