Move the direct router's sources into rooms; split the collection watcher

Cause: 26 files stood on one floor in packages/direct/src, and collectionwatcher.cpp had grown to 606 lines, which held both the loop that asks the store and the items it knows.

Change: pure moves into caller, request, server, store, peers and crashes; the known items of a collection are a class of their own (KnownItems). The package's sources are found in subfolders, too. No behaviour changes.

After: build, format, and the 27 test programs of store, direct and platform passed.

--- a/packages/direct/src/callerconnection.cpp
+++ b/packages/direct/src/caller/callerconnection.cpp
@@ -1,4 +1,4 @@
-#include "callerconnection.h"
+#include "caller/callerconnection.h"
 
 #include "guarded.h"
 
--- a/packages/direct/src/callerlistener.cpp
+++ b/packages/direct/src/caller/callerlistener.cpp
@@ -1,4 +1,4 @@
-#include "callerlistener.h"
+#include "caller/callerlistener.h"
 
 #include <algorithm>
 #include <cmath>
--- a/packages/direct/src/callerlistener.h
+++ b/packages/direct/src/caller/callerlistener.h
@@ -1,7 +1,7 @@
 #ifndef BILBERRY_DIRECT_CALLERLISTENER_H
 #define BILBERRY_DIRECT_CALLERLISTENER_H
 
-#include "callerconnection.h"
+#include "caller/callerconnection.h"
 
 #include "bilberry/base/log.h"
 
--- a/packages/direct/src/crashdetector.cpp
+++ b/packages/direct/src/crashes/crashdetector.cpp
@@ -1,4 +1,4 @@
-#include "crashdetector.h"
+#include "crashes/crashdetector.h"
 
 #include "hexnumber.h"
 
--- a/packages/direct/src/crashdetector.h
+++ b/packages/direct/src/crashes/crashdetector.h
@@ -1,7 +1,7 @@
 #ifndef BILBERRY_DIRECT_CRASHDETECTOR_H
 #define BILBERRY_DIRECT_CRASHDETECTOR_H
 
-#include "serverconnections.h"
+#include "server/serverconnections.h"
 
 #include "bilberry/base/log.h"
 #include "bilberry/decision/crashsuspicion.h"
--- a/packages/direct/src/crashguard.cpp
+++ b/packages/direct/src/crashes/crashguard.cpp
@@ -1,7 +1,7 @@
-#include "crashguard.h"
+#include "crashes/crashguard.h"
 
-#include "requestadmission.h"
-#include "requestfeatures.h"
+#include "crashes/requestfeatures.h"
+#include "request/requestadmission.h"
 
 namespace bilberry::direct {
 
--- a/packages/direct/src/crashguard.h
+++ b/packages/direct/src/crashes/crashguard.h
@@ -1,8 +1,8 @@
 #ifndef BILBERRY_DIRECT_CRASHGUARD_H
 #define BILBERRY_DIRECT_CRASHGUARD_H
 
-#include "callerconnection.h"
-#include "crashdetector.h"
+#include "caller/callerconnection.h"
+#include "crashes/crashdetector.h"
 
 #include "bilberry/decision/crashsuspicion.h"
 #include "bilberry/decision/serverselector.h"
--- a/packages/direct/src/requestfeatures.cpp
+++ b/packages/direct/src/crashes/requestfeatures.cpp
@@ -1,4 +1,4 @@
-#include "requestfeatures.h"
+#include "crashes/requestfeatures.h"
 
 #include "headerfields.h"
 
--- a/packages/direct/src/requestfeatures.h
+++ b/packages/direct/src/crashes/requestfeatures.h
@@ -1,7 +1,7 @@
 #ifndef BILBERRY_DIRECT_REQUESTFEATURES_H
 #define BILBERRY_DIRECT_REQUESTFEATURES_H
 
-#include "callerconnection.h"
+#include "caller/callerconnection.h"
 
 #include "bilberry/decision/crashsuspicion.h"
 #include "bilberry/direct/headernames.h"
--- a/packages/direct/src/directmetrics.h
+++ b/packages/direct/src/directmetrics.h
@@ -1,7 +1,7 @@
 #ifndef BILBERRY_DIRECT_DIRECTMETRICS_H
 #define BILBERRY_DIRECT_DIRECTMETRICS_H
 
-#include "requesthandler.h"
+#include "request/requesthandler.h"
 
 #include <prometheus/counter.h>
 #include <prometheus/gauge.h>
--- a/packages/direct/src/directrouter.cpp
+++ b/packages/direct/src/directrouter.cpp
@@ -5,13 +5,13 @@
 #include "bilberry/decision/rendezvous.h"
 #include "bilberry/store/threadedcollectionstore.h"
 
-#include "callerlistener.h"
-#include "crashdetector.h"
-#include "crashrecords.h"
+#include "caller/callerlistener.h"
+#include "crashes/crashdetector.h"
+#include "crashes/crashrecords.h"
 #include "directmetrics.h"
-#include "peerexchange.h"
-#include "platformstate.h"
-#include "requesthandler.h"
+#include "peers/peerexchange.h"
+#include "request/requesthandler.h"
+#include "store/platformstate.h"
 
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/steady_timer.hpp>
--- a/packages/direct/src/headerfields.h
+++ b/packages/direct/src/headerfields.h
@@ -1,8 +1,8 @@
 #ifndef BILBERRY_DIRECT_HEADERFIELDS_H
 #define BILBERRY_DIRECT_HEADERFIELDS_H
 
-#include "callerconnection.h"
-#include "serverattempt.h"
+#include "caller/callerconnection.h"
+#include "server/serverattempt.h"
 
 #include "bilberry/base/time.h"
 #include "bilberry/decision/promptcache.h"
--- a/packages/direct/src/peerexchange.cpp
+++ b/packages/direct/src/peers/peerexchange.cpp
@@ -1,4 +1,4 @@
-#include "peerexchange.h"
+#include "peers/peerexchange.h"
 
 #include "bilberry/base/digest.h"
 
--- a/packages/direct/src/refusal.cpp
+++ b/packages/direct/src/request/refusal.cpp
@@ -1,4 +1,4 @@
-#include "refusal.h"
+#include "request/refusal.h"
 
 #include <algorithm>
 #include <sstream>
--- a/packages/direct/src/requestadmission.cpp
+++ b/packages/direct/src/request/requestadmission.cpp
@@ -1,4 +1,4 @@
-#include "requestadmission.h"
+#include "request/requestadmission.h"
 
 #include "headerfields.h"
 
--- a/packages/direct/src/requestadmission.h
+++ b/packages/direct/src/request/requestadmission.h
@@ -1,8 +1,8 @@
 #ifndef BILBERRY_DIRECT_REQUESTADMISSION_H
 #define BILBERRY_DIRECT_REQUESTADMISSION_H
 
-#include "callerconnection.h"
-#include "requestcontext.h"
+#include "caller/callerconnection.h"
+#include "request/requestcontext.h"
 
 #include <variant>
 
--- a/packages/direct/src/requestcontext.h
+++ b/packages/direct/src/request/requestcontext.h
@@ -1,9 +1,9 @@
 #ifndef BILBERRY_DIRECT_REQUESTCONTEXT_H
 #define BILBERRY_DIRECT_REQUESTCONTEXT_H
 
-#include "crashguard.h"
-#include "refusal.h"
-#include "serverconnections.h"
+#include "crashes/crashguard.h"
+#include "request/refusal.h"
+#include "server/serverconnections.h"
 
 #include "bilberry/base/log.h"
 #include "bilberry/decision/customerusagemeter.h"
--- a/packages/direct/src/requesthandler.cpp
+++ b/packages/direct/src/request/requesthandler.cpp
@@ -1,8 +1,8 @@
-#include "requesthandler.h"
+#include "request/requesthandler.h"
 
 #include "headerfields.h"
-#include "serverrequest.h"
-#include "serverstatement.h"
+#include "server/serverrequest.h"
+#include "server/serverstatement.h"
 
 #include <algorithm>
 
--- a/packages/direct/src/requesthandler.h
+++ b/packages/direct/src/request/requesthandler.h
@@ -1,12 +1,12 @@
 #ifndef BILBERRY_DIRECT_REQUESTHANDLER_H
 #define BILBERRY_DIRECT_REQUESTHANDLER_H
 
-#include "callerconnection.h"
-#include "crashguard.h"
-#include "requestadmission.h"
-#include "requestcontext.h"
-#include "responserelay.h"
-#include "serverattempt.h"
+#include "caller/callerconnection.h"
+#include "crashes/crashguard.h"
+#include "request/requestadmission.h"
+#include "request/requestcontext.h"
+#include "request/responserelay.h"
+#include "server/serverattempt.h"
 
 #include <boost/asio/steady_timer.hpp>
 
--- a/packages/direct/src/responserelay.cpp
+++ b/packages/direct/src/request/responserelay.cpp
@@ -1,4 +1,4 @@
-#include "responserelay.h"
+#include "request/responserelay.h"
 
 namespace bilberry::direct {
 
--- a/packages/direct/src/responserelay.h
+++ b/packages/direct/src/request/responserelay.h
@@ -1,7 +1,7 @@
 #ifndef BILBERRY_DIRECT_RESPONSERELAY_H
 #define BILBERRY_DIRECT_RESPONSERELAY_H
 
-#include "callerconnection.h"
+#include "caller/callerconnection.h"
 #include "headerfields.h"
 
 #include "bilberry/direct/eventsplitter.h"
--- a/packages/direct/src/serverattempt.cpp
+++ b/packages/direct/src/server/serverattempt.cpp
@@ -1,4 +1,4 @@
-#include "serverattempt.h"
+#include "server/serverattempt.h"
 
 #include "guarded.h"
 
--- a/packages/direct/src/serverattempt.h
+++ b/packages/direct/src/server/serverattempt.h
@@ -1,7 +1,7 @@
 #ifndef BILBERRY_DIRECT_SERVERATTEMPT_H
 #define BILBERRY_DIRECT_SERVERATTEMPT_H
 
-#include "serverconnections.h"
+#include "server/serverconnections.h"
 
 #include "bilberry/http/boundedparser.h"
 
--- a/packages/direct/src/serverconnections.cpp
+++ b/packages/direct/src/server/serverconnections.cpp
@@ -1,4 +1,4 @@
-#include "serverconnections.h"
+#include "server/serverconnections.h"
 
 #include <boost/asio/steady_timer.hpp>
 
--- a/packages/direct/src/serverrequest.cpp
+++ b/packages/direct/src/server/serverrequest.cpp
@@ -1,4 +1,4 @@
-#include "serverrequest.h"
+#include "server/serverrequest.h"
 
 #include "headerfields.h"
 
--- a/packages/direct/src/serverrequest.h
+++ b/packages/direct/src/server/serverrequest.h
@@ -1,7 +1,7 @@
 #ifndef BILBERRY_DIRECT_SERVERREQUEST_H
 #define BILBERRY_DIRECT_SERVERREQUEST_H
 
-#include "callerconnection.h"
+#include "caller/callerconnection.h"
 
 #include "bilberry/base/time.h"
 #include "bilberry/direct/headernames.h"
--- a/packages/direct/src/serverstatement.cpp
+++ b/packages/direct/src/server/serverstatement.cpp
@@ -1,4 +1,4 @@
-#include "serverstatement.h"
+#include "server/serverstatement.h"
 
 #include "headerfields.h"
 
--- a/packages/direct/src/serverstatement.h
+++ b/packages/direct/src/server/serverstatement.h
@@ -1,7 +1,7 @@
 #ifndef BILBERRY_DIRECT_SERVERSTATEMENT_H
 #define BILBERRY_DIRECT_SERVERSTATEMENT_H
 
-#include "serverattempt.h"
+#include "server/serverattempt.h"
 
 #include "bilberry/base/time.h"
 #include "bilberry/direct/headernames.h"
--- a/packages/direct/src/platformstate.cpp
+++ b/packages/direct/src/store/platformstate.cpp
@@ -1,4 +1,4 @@
-#include "platformstate.h"
+#include "store/platformstate.h"
 
 #include "bilberry/base/digest.h"
 
--- a/packages/direct/src/platformstate.h
+++ b/packages/direct/src/store/platformstate.h
@@ -1,9 +1,9 @@
 #ifndef BILBERRY_DIRECT_PLATFORMSTATE_H
 #define BILBERRY_DIRECT_PLATFORMSTATE_H
 
-#include "peerexchange.h"
-#include "serverconnections.h"
-#include "storerelay.h"
+#include "peers/peerexchange.h"
+#include "server/serverconnections.h"
+#include "store/storerelay.h"
 
 #include "bilberry/base/log.h"
 #include "bilberry/decision/planproofs.h"
--- a/packages/direct/src/storerelay.cpp
+++ b/packages/direct/src/store/storerelay.cpp
@@ -1,4 +1,4 @@
-#include "storerelay.h"
+#include "store/storerelay.h"
 
 #include <algorithm>
 
--- a/packages/direct/tests/crashingpart_test.cpp
+++ b/packages/direct/tests/crashingpart_test.cpp
@@ -1,4 +1,4 @@
-#include "crashrecords.h"
+#include "crashes/crashrecords.h"
 #include "routerfixture.h"
 
 #include "support/fleet.h"
--- a/packages/direct/tests/damagedmessage_test.cpp
+++ b/packages/direct/tests/damagedmessage_test.cpp
@@ -1,6 +1,6 @@
 #include "routerfixture.h"
 
-#include "callerconnection.h"
+#include "caller/callerconnection.h"
 
 #include "support/damagedmessages.h"
 #include "support/fleet.h"
--- a/packages/direct/tests/fuzz_test.cpp
+++ b/packages/direct/tests/fuzz_test.cpp
@@ -1,6 +1,6 @@
 #include "routerfixture.h"
 
-#include "crashrecords.h"
+#include "crashes/crashrecords.h"
 
 #include "bilberry/wire/codec.h"
 
--- a/packages/direct/tests/serverstatement_test.cpp
+++ b/packages/direct/tests/serverstatement_test.cpp
@@ -1,5 +1,5 @@
 #include "routerfixture.h"
-#include "serverstatement.h"
+#include "server/serverstatement.h"
 
 #include "support/fleet.h"
 
--- a/packages/store/src/collectionwatcher.cpp
+++ b/packages/store/src/collectionwatcher.cpp
@@ -1,6 +1,6 @@
 #include "bilberry/store/collectionwatcher.h"
 
-#include "bilberry/store/heldstates.h"
+#include "knownitems.h"
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
@@ -26,8 +26,6 @@
                                     std::numeric_limits<std::uint64_t>::max()};
 /// Minimum time between two questions whether the store was restored, as others say.
 constexpr Duration eraCheckInterval = std::chrono::milliseconds(200);
-/// Removed items that are kept to recognise them in a restored store.
-constexpr std::size_t maxRemovedItems = 1024;
 constexpr std::uint64_t noWatch = 0;
 
 } // namespace
@@ -37,8 +35,9 @@
     State(asio::io_context &context, CollectionStore &store, WatcherSettings settings,
           WatcherHooks hooks, std::function<double()> random)
         : store(store), settings(std::move(settings)), hooks(std::move(hooks)),
-          random(std::move(random)), pauseTimer(context), returnTimer(context),
-          behindTimer(context), silenceTimer(context), heldTimer(context)
+          random(std::move(random)), pauseTimer(context), behindTimer(context),
+          silenceTimer(context),
+          items(std::make_shared<KnownItems>(context, this->settings, this->hooks))
     {
     }
 
@@ -196,7 +195,7 @@
             if (item.revision > known)
                 newest[item.change.item.name] = &item.change;
         }
-        applyNewest(newest);
+        items->applyNewest(newest);
         return RelayResult::Applied;
     }
 
@@ -302,78 +301,13 @@
         const bool isRestored = revision != 0 && isOfLaterEra(snapshot.revision);
         revision = snapshot.revision;
         if (isRestored)
-            holdNewerStates(snapshot);
-        std::set<std::string> listedNames;
-        for (const Item &item : snapshot.items) {
-            listedNames.insert(item.name);
-            if (!held.isCopy(item.name, item.value))
-                applyWritten(item);
-        }
-        held.releaseUnlisted(listedNames);
-        std::vector<std::string> unlistedNames;
-        for (const auto &[name, value] : valuesByName) {
-            if (!listedNames.contains(name) && !held.isCopy(name, std::nullopt))
-                unlistedNames.push_back(name);
-        }
-        for (const std::string &name : unlistedNames)
-            applyRemoval(name);
+            items->applyRestored(snapshot.items);
+        else
+            items->applySnapshot(snapshot.items);
         if (isRestored && hooks.onRestored)
             hooks.onRestored(revision);
     }
 
-    /// Keeps what is known where the copy that the store was restored from is older.
-    void holdNewerStates(const Snapshot &snapshot)
-    {
-        held.clear();
-        const TimePoint now = Clock::now();
-        std::set<std::string> listedNames;
-        for (const Item &item : snapshot.items) {
-            listedNames.insert(item.name);
-            if (const auto known = valuesByName.find(item.name); known != valuesByName.end()) {
-                if (known->second != item.value && isOlder({item.name, known->second}, item))
-                    held.hold(item.name, item.value, std::nullopt);
-            } else if (const auto removed = removedValues.find(item.name);
-                       removed != removedValues.end()) {
-                if (removed->second == item.value || isOlder({item.name, removed->second}, item))
-                    held.hold(item.name, item.value, now + settings.removedHold);
-            }
-        }
-        for (const auto &[name, value] : valuesByName) {
-            if (listedNames.contains(name))
-                continue;
-            std::optional<TimePoint> until;
-            if (settings.unlistedHold)
-                until = now + *settings.unlistedHold;
-            held.hold(name, std::nullopt, until);
-        }
-        scheduleHeldEnd();
-    }
-
-    bool isOlder(const Item &known, const Item &restored) const
-    {
-        return hooks.isOutdated && hooks.isOutdated(known, restored);
-    }
-
-    /// Follows the restored store where nobody has written an item again in time.
-    void scheduleHeldEnd()
-    {
-        const std::optional<TimePoint> end = held.nextEnd();
-        if (!end)
-            return;
-        heldTimer.expires_at(*end);
-        heldTimer.async_wait([self = shared_from_this()](boost::system::error_code error) {
-            if (error || self->stopped)
-                return;
-            for (const auto &[name, copy] : self->held.takeEnded(Clock::now())) {
-                if (copy)
-                    self->applyItem({name, *copy});
-                else
-                    self->removeItem(name);
-            }
-            self->scheduleHeldEnd();
-        });
-    }
-
     /// @return false when the changes are outdated, because the response of a later call was
     ///         received before
     bool applyChanges(const Changes &changes)
@@ -384,98 +318,17 @@
         std::map<std::string, const ItemChange *> newest;
         for (const ItemChange &change : changes.changes)
             newest[change.item.name] = &change;
-        applyNewest(newest);
+        items->applyNewest(newest);
         return true;
     }
 
-    /// Applies the newest change of each item only: an earlier one may be older than what is known
-    /// by another way.
-    void applyNewest(const std::map<std::string, const ItemChange *> &newest)
-    {
-        for (const auto &[name, change] : newest) {
-            if (change->removed)
-                applyRemoval(name);
-            else
-                applyWritten(change->item);
-        }
-    }
-
-    /// Applies an item that was written after what is known. One that was held is reported even if
-    /// it is the same: others that don't hold it may know the copy only.
-    void applyWritten(const Item &item)
-    {
-        const bool wasHeld = held.release(item.name);
-        const auto known = valuesByName.find(item.name);
-        const bool isSame = known != valuesByName.end() && known->second == item.value;
-        applyItem(item);
-        if (wasHeld && isSame)
-            hooks.onItemChanged(item);
-    }
-
-    /// Applies a removal; the same of one that was held.
-    void applyRemoval(const std::string &name)
-    {
-        const bool wasHeld = held.release(name);
-        const bool isKnown = valuesByName.contains(name);
-        handleDisappearance(name);
-        if (wasHeld && !isKnown)
-            hooks.onItemRemoved(name);
-    }
-
-    void applyItem(const Item &item)
-    {
-        if (missingNames.erase(item.name) > 0)
-            hooks.onItemReturned(item.name);
-        removedValues.erase(item.name);
-        const auto [found, added] = valuesByName.try_emplace(item.name, item.value);
-        if (!added && found->second == item.value)
-            return;
-        found->second = item.value;
-        hooks.onItemChanged(item);
-    }
-
-    void handleDisappearance(const std::string &name)
-    {
-        if (!valuesByName.contains(name))
-            return;
-        const bool mayReturn = returnDeadline && Clock::now() < *returnDeadline;
-        if (!mayReturn) {
-            removeItem(name);
-            return;
-        }
-        missingNames.insert(name);
-        hooks.onItemMissing(name);
-        returnTimer.expires_at(*returnDeadline);
-        returnTimer.async_wait([self = shared_from_this()](boost::system::error_code error) {
-            if (error || self->stopped)
-                return;
-            for (const std::string &missingName : std::exchange(self->missingNames, {}))
-                self->removeItem(missingName);
-        });
-    }
-
-    void removeItem(const std::string &name)
-    {
-        missingNames.erase(name);
-        const auto known = valuesByName.find(name);
-        if (known == valuesByName.end())
-            return;
-        if (settings.removedHold > Duration::zero()) {
-            if (removedValues.size() >= maxRemovedItems)
-                removedValues.erase(removedValues.begin());
-            removedValues[name] = known->second;
-        }
-        valuesByName.erase(known);
-        hooks.onItemRemoved(name);
-    }
-
     void handleSuccess()
     {
         consecutiveFailures = 0;
         if (failingSince) {
             const TimePoint now = Clock::now();
             if (now - *failingSince >= settings.outageThreshold)
-                returnDeadline = now + settings.returnGracePeriod;
+                items->allowReturns(now + settings.returnGracePeriod);
             failingSince.reset();
             hooks.onStoreRegained();
         }
@@ -505,10 +358,9 @@
     WatcherHooks hooks;
     std::function<double()> random;
     asio::steady_timer pauseTimer;
-    asio::steady_timer returnTimer;
     asio::steady_timer behindTimer;
     asio::steady_timer silenceTimer;
-    asio::steady_timer heldTimer;
+    std::shared_ptr<KnownItems> items;
     StoreRevision revision;       ///< up to which the items are known; 0 before the first list
     std::uint64_t generation = 0; ///< of the loop that lists and watches
     std::uint64_t lastWatch = noWatch;
@@ -518,14 +370,9 @@
     TimePoint lastCheckAt{};
     StoreRevision checkTarget; ///< from which on the scheduled check is needless
     bool isCheckScheduled = false;
-    bool isCheckRepeated = false;                    ///< another one was asked for in the meantime
-    std::map<std::string, std::string> valuesByName; ///< of the known items
-    std::set<std::string> missingNames; ///< disappeared, may return until returnDeadline
-    std::map<std::string, std::string> removedValues; ///< last values of removed items
-    HeldStates held;
+    bool isCheckRepeated = false; ///< another one was asked for in the meantime
     std::uint32_t consecutiveFailures = 0;
     std::optional<TimePoint> failingSince;
-    std::optional<TimePoint> returnDeadline;
     bool stopped = false;
 };
 
@@ -541,10 +388,9 @@
 {
     m_state->stopped = true;
     m_state->pauseTimer.cancel();
-    m_state->returnTimer.cancel();
     m_state->behindTimer.cancel();
     m_state->silenceTimer.cancel();
-    m_state->heldTimer.cancel();
+    m_state->items->stop();
 }
 
 void CollectionWatcher::recordStoreRevision(StoreRevision revision, BootTime at)
@@ -569,7 +415,7 @@
 
 bool CollectionWatcher::isSettled() const
 {
-    return m_state->revision != 0 && !m_state->failingSince && m_state->missingNames.empty();
+    return m_state->revision != 0 && !m_state->failingSince && !m_state->items->hasMissing();
 }
 
 RelayResult CollectionWatcher::applyRelayed(const RelayedChanges &relayed)
