--- a/packages/model/include/bilberry/model/trafficplan.h
+++ b/packages/model/include/bilberry/model/trafficplan.h
@@ -55,6 +55,8 @@
 {
     std::uint32_t slots = 64;       ///< concurrent requests in one batch
     std::uint64_t memoryTokens = 0; ///< tokens that fit into its memory
+    std::uint32_t tokenBytes = 0;   ///< memory of one prompt token; 0: not declared
+    double transferMbps = 0.0; ///< rate at which engines copy prompts to each other; 0: they can't
     bool operator==(const EngineTraits &) const = default;
 };
 
@@ -96,6 +98,9 @@
     /// Absent when requests carry no keys. An empty list refuses every key.
     std::optional<std::vector<CustomerKeys>> customers;
     CallerBounds callers;
+    /// Tokens a second that all servers together produce, each prompt token counted once and each
+    /// output token twice; 0: not declared.
+    double capacityTokensPerS = 0.0;
     bool operator==(const TrafficPlanParts &) const = default;
 };
 
@@ -153,6 +158,7 @@
     std::uint32_t slots = 1;
     Duration warmupLeft{};         ///< remaining cold start when the entry was written
     std::uint64_t startedAtMs = 0; ///< Unix time of the server's start; detects a restart
+    std::string version;           ///< of the software that it runs; empty when unknown
     bool operator==(const DirectServer &) const = default;
 };
 
