Leave agents out of the burn report; benchmarks reject unknown options

Four benchmark programs let the exception of an unknown option end them by abort, and experiment went on after a fleet that did not start.

Change: a 404 to the report's path is not counted as a missing answer; one function parses the options of the benchmarks and exits with 2; experiment exits with 1.

Measured: operator_test names an agent beside a router (the report listed it as unanswered before, by reading); the four programs exit with 2 on an unknown option.

--- a/benchmark/capacitybench.cpp
+++ b/benchmark/capacitybench.cpp
@@ -1,6 +1,7 @@
 // Measures the slopes that docs/CAPACITY.md uses: memory, processor time and control bytes of a
 // router by customers, links and routers, and the platform calls of a configuration change.
 
+#include "benchmarkoptions.h"
 #include "processstats.h"
 
 #include "support/fleet.h"
@@ -10,8 +11,6 @@
 #include "bilberry/model/configurationcodec.h"
 #include "bilberry/wire/framelink.h"
 
-#include <cxxopts.hpp>
-
 #include <cstdio>
 #include <sstream>
 #include <thread>
@@ -279,7 +278,7 @@
             cxxopts::value<int>()->default_value("5"))(
             "only", "customers, links, routers, agents or changes",
             cxxopts::value<std::string>()->default_value("all"));
-    const auto arguments = options.parse(argc, argv);
+    const auto arguments = parseOptions(options, argc, argv);
     const std::string binaries = arguments["binaries"].as<std::string>();
     const Duration length = std::chrono::seconds(arguments["seconds"].as<int>());
     raiseOpenFileLimit();
--- a/benchmark/directbench.cpp
+++ b/benchmark/directbench.cpp
@@ -1,6 +1,8 @@
 // Measures the processor time of a direct router's event loop per streamed event, per request, per
 // refusal on a new connection, and for the reports of other routers.
 
+#include "benchmarkoptions.h"
+
 #include "support/fleet.h"
 #include "support/inprocessrouter.h"
 
@@ -16,8 +18,6 @@
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/asio/write.hpp>
-#include <cxxopts.hpp>
-
 #include <cstdio>
 #include <thread>
 
@@ -227,7 +227,7 @@
                           cxxopts::value<int>()->default_value("4"));
     options.add_options()("only", "streams, refusals or reports",
                           cxxopts::value<std::string>()->default_value(""));
-    const auto arguments = options.parse(argc, argv);
+    const auto arguments = benchmark::parseOptions(options, argc, argv);
     const Duration length = std::chrono::seconds(arguments["seconds"].as<int>());
     const auto only = arguments["only"].as<std::string>();
     const auto isSelected = [&](const char *name) { return only.empty() || only == name; };
--- a/benchmark/experiment/experiment.cpp
+++ b/benchmark/experiment/experiment.cpp
@@ -1,13 +1,13 @@
 // Runs one load against a fleet of real processes, once for each fairness mode, and prints the
 // measures side by side.
 
+#include "benchmarkoptions.h"
 #include "measures.h"
 
 #include <boost/json.hpp>
-#include <cxxopts.hpp>
-
 #include <cstdio>
 #include <iostream>
+#include <optional>
 #include <sstream>
 #include <thread>
 
@@ -129,7 +129,8 @@
     std::vector<std::string> routerSettings; ///< "section.key=value"
 };
 
-ModeResult runMode(const RunSettings &settings, const std::string &mode)
+/// @return the measures; absent when the fleet does not start
+std::optional<ModeResult> runMode(const RunSettings &settings, const std::string &mode)
 {
     ModeResult result;
     result.mode = mode;
@@ -142,7 +143,7 @@
     tests::Fleet fleet(deployment.plan);
     if (!fleet.start()) {
         std::fputs("Cannot start the fleet of the deployment.\n", stderr);
-        return result;
+        return std::nullopt;
     }
     std::vector<std::uint16_t> ports;
     for (std::size_t i = 0; i < fleet.routerCount(); ++i)
@@ -246,7 +247,7 @@
             "set", "router setting, section.key=value; may be repeated",
             cxxopts::value<std::vector<std::string>>()->default_value(""))("json", "print JSON")(
             "help", "print this help");
-    const auto parsed = options.parse(argc, argv);
+    const auto parsed = parseOptions(options, argc, argv);
     if (parsed.count("help") > 0) {
         std::cout << options.help();
         return 0;
@@ -258,8 +259,12 @@
     if (parsed.count("set") > 0)
         settings.routerSettings = parsed["set"].as<std::vector<std::string>>();
     std::vector<ModeResult> results;
-    for (const std::string &mode : parsed["modes"].as<std::vector<std::string>>())
-        results.push_back(runMode(settings, mode));
+    for (const std::string &mode : parsed["modes"].as<std::vector<std::string>>()) {
+        const std::optional<ModeResult> result = runMode(settings, mode);
+        if (!result)
+            return 1;
+        results.push_back(*result);
+    }
     if (parsed.count("json") == 0) {
         printTable(makeDeployment(settings.deployment, "fleet"), results);
         return 0;
--- a/benchmark/pathbench.cpp
+++ b/benchmark/pathbench.cpp
@@ -1,12 +1,14 @@
 // Measures the overhead of router and agent: latency, request rate, streamed parts per second, each
 // compared with direct connections to the backend stand-in, and the memory of idle connections.
 
+#include "benchmarkoptions.h"
 #include "processstats.h"
 
 #include "support/fleet.h"
 
 #include "bilberry/base/digest.h"
 
+#include <algorithm>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/ip/tcp.hpp>
@@ -16,9 +18,6 @@
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/core/tcp_stream.hpp>
 #include <boost/beast/http.hpp>
-#include <cxxopts.hpp>
-
-#include <algorithm>
 #include <cstdio>
 #include <thread>
 
@@ -231,7 +230,7 @@
     options.add_options()("binaries", "directory of bilberryd",
                           cxxopts::value<std::string>()->default_value("build/bin"))(
             "seconds", "length of each load in seconds", cxxopts::value<int>()->default_value("3"));
-    const auto arguments = options.parse(argc, argv);
+    const auto arguments = parseOptions(options, argc, argv);
     raiseOpenFileLimit();
     Fleet fleet(makePlan(arguments["binaries"].as<std::string>()));
     if (!fleet.start()) {
--- a/packages/ctl/src/report.cpp
+++ b/packages/ctl/src/report.cpp
@@ -55,6 +55,9 @@
     return table;
 }
 
+/// Status of a daemon that has no such report: an agent, which an operator may name by its address.
+constexpr unsigned statusWithoutReport = 404;
+
 std::vector<store::Vm> routersOf(const std::vector<store::Vm> &vms)
 {
     std::vector<store::Vm> routers;
@@ -84,7 +87,9 @@
     std::vector<std::string> unanswered;
     for (const DaemonAnswer &answer :
          client.callAll(routersOf(vms.value()), "/v1/burn", {"GET", ""}, callTimeout)) {
-        if (!answer.response || !report.add(answer.response.value().body))
+        const bool isRouter
+                = !answer.response || answer.response.value().status != statusWithoutReport;
+        if (isRouter && (!answer.response || !report.add(answer.response.value().body)))
             unanswered.push_back(answer.vm.name);
     }
     const auto rows = report.rows(current.value()->parts());
--- a/tests/integration/operator_test.cpp
+++ b/tests/integration/operator_test.cpp
@@ -155,6 +155,16 @@
                 CHECK(finished.exitCode == 0);
             }
         }
+        // The agent was once reported as a router that doesn't answer.
+        THEN("the burn report leaves out an agent that is named with the routers")
+        {
+            const std::string router = std::to_string(fleet.routerAdminPort(0));
+            const std::string agent = std::to_string(fleet.agentAdminPort("model-a"));
+            const Finished report = fleet.ctl({"report", "burn", "--json", "--daemons",
+                                               "127.0.0.1:" + router + ",127.0.0.1:" + agent});
+            CHECK(report.exitCode == 0);
+            CHECK(parseJson(report).at("noAnswer").as_array().empty());
+        }
     }
     WHEN("the shown configuration is applied again")
     {
