Send nothing for a caller that left while its request's connection was opened

Callers saw: nothing.

Cause: on an overloaded router the end of a connect and the caller's close become readable in one round of the event loop; the connect comes first, and its handler sends the request. Ruled out: kept connections, where the request's handler runs after a read of the caller's socket.

Change: when a connection has been opened, the caller's socket is asked whether the caller has left, before anything is sent. One system call for each new connection to a server.

--- a/packages/direct/src/caller/callerconnection.cpp
+++ b/packages/direct/src/caller/callerconnection.cpp
@@ -285,6 +285,17 @@
         close();
 }
 
+bool CallerConnection::hasDisconnected()
+{
+    if (m_isClosed)
+        return true;
+    boost::system::error_code error;
+    char byte = 0;
+    m_socket.non_blocking(true, error);
+    m_socket.receive(asio::buffer(&byte, 1), asio::ip::tcp::socket::message_peek, error);
+    return error && error != asio::error::would_block;
+}
+
 bool CallerConnection::hasUnreadBytes()
 {
     boost::system::error_code ignored;
--- a/packages/direct/src/caller/callerconnection.h
+++ b/packages/direct/src/caller/callerconnection.h
@@ -80,6 +80,11 @@
     /// @return true when either side has closed the connection
     bool isClosed() const { return m_isClosed; }
 
+    /// Asks the socket whether the caller has disconnected, which a busy event loop may not have
+    /// read yet.
+    /// @return true also for a closed connection
+    bool hasDisconnected();
+
     /// Closes the connection after the next response.
     void closeAfterResponse() { m_closeAfterResponse = true; }
     /// Closes the connection if it has been idle for at least a time, and no byte has arrived that
--- a/packages/direct/src/request/requesthandler.cpp
+++ b/packages/direct/src/request/requesthandler.cpp
@@ -128,8 +128,7 @@
                                                 expectsBody());
     const auto self = shared_from_this();
     AttemptHooks hooks;
-    hooks.onConnected
-            = [self] { self->m_context.serverSelector.recordConnection(self->m_attemptNumber); };
+    hooks.onConnected = [self] { self->handleConnected(); };
     hooks.onStatement = [self](const ResponseHeader &header) { self->recordStatement(header); };
     hooks.onHeader = [self](const ResponseHeader &header) { self->handleResponseHeader(header); };
     hooks.onBody = [self](std::string &&data) { self->handleResponseBody(std::move(data)); };
@@ -150,6 +149,14 @@
     startSilenceTimer();
 }
 
+/// The connect may have taken long enough for the caller to leave.
+void RequestHandler::handleConnected()
+{
+    m_context.serverSelector.recordConnection(m_attemptNumber);
+    if (m_caller->hasDisconnected())
+        handleCallerDisconnect();
+}
+
 bool RequestHandler::expectsBody() const
 {
     return m_request.method() != http::verb::head;
--- a/packages/direct/src/request/requesthandler.h
+++ b/packages/direct/src/request/requesthandler.h
@@ -29,6 +29,7 @@
     void selectServer();
     void sendToServer(const decision::ServerChoice &choice);
 
+    void handleConnected();
     void handleResponseHeader(const ResponseHeader &header);
     void recordStatement(const ResponseHeader &header);
     void handleResponseBody(std::string &&data);
--- a/packages/direct/src/server/serverattempt.cpp
+++ b/packages/direct/src/server/serverattempt.cpp
@@ -69,7 +69,8 @@
                 }
                 self->m_connection = std::move(connection);
                 self->m_hooks.onConnected();
-                self->sendRequest();
+                if (!self->m_finished)
+                    self->sendRequest();
             });
     if (m_connection)
         sendRequest();
--- a/packages/direct/src/server/serverattempt.h
+++ b/packages/direct/src/server/serverattempt.h
@@ -27,7 +27,7 @@
 /// Callbacks of an attempt to its request.
 struct AttemptHooks
 {
-    std::function<void()> onConnected;
+    std::function<void()> onConnected; ///< may cancel the attempt before anything is sent
     /// Called with the header of each answer, also of interim ones.
     std::function<void(const ResponseHeader &)> onStatement;
     std::function<void(const ResponseHeader &)> onHeader;
--- a/packages/direct/tests/starvedrouter_test.cpp
+++ b/packages/direct/tests/starvedrouter_test.cpp
@@ -3,6 +3,9 @@
 #include "support/rawcaller.h"
 #include "support/scriptedserver.h"
 
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/read.hpp>
 #include <catch2/catch.hpp>
 
 #include <thread>
@@ -13,6 +16,9 @@
 
 namespace {
 
+namespace asio = boost::asio;
+using asio::ip::tcp;
+
 TrafficPlan publicPlan()
 {
     DirectRoute route;
@@ -28,8 +34,67 @@
     return TrafficPlan::create(1, parts).value();
 }
 
+/// A backend server that can't take a connection at first: its accept queue is full.
+class CongestedServer
+{
+public:
+    CongestedServer() : m_acceptor(m_context)
+    {
+        m_acceptor.open(tcp::v4());
+        m_acceptor.bind({asio::ip::address_v4::loopback(), 0});
+        m_acceptor.listen(0);
+        m_filler.connect(m_acceptor.local_endpoint());
+    }
+
+    std::uint16_t port() const { return m_acceptor.local_endpoint().port(); }
+    /// Makes room in the accept queue. The next try of a connect, after a second, succeeds.
+    void takeWaiting() { m_acceptor.accept(); }
+    /// @return all bytes that arrive on the next connection until it ends
+    std::string receive()
+    {
+        tcp::socket connection = m_acceptor.accept();
+        std::string bytes;
+        boost::system::error_code ended;
+        asio::read(connection, asio::dynamic_buffer(bytes), ended);
+        return bytes;
+    }
+
+private:
+    asio::io_context m_context;
+    tcp::acceptor m_acceptor;
+    tcp::socket m_filler{m_context};
+};
+
 } // namespace
 
+// An overloaded router learned of both at once, and sent the request after its caller had left.
+SCENARIO("a caller disconnects while its router is blocked and a connect to a server is under way")
+{
+    GIVEN("a router that waits for a connection to a congested server")
+    {
+        CongestedServer server;
+        InProcessRouter setting(publicPlan(), {loopbackServer("s0", server.port())},
+                                [](direct::DirectSettings &settings) {
+                                    settings.connectTimeout = 10s;
+                                    settings.shutdownTimeout = 100ms;
+                                });
+        RawCaller caller(setting.port());
+        caller.send(InProcessRouter::request("/open/left", "", "", ""));
+        std::this_thread::sleep_for(200ms);
+        setting.occupy(2500ms);
+        server.takeWaiting();
+        WHEN("the connection is established, and then the caller disconnects")
+        {
+            std::this_thread::sleep_for(2000ms);
+            caller.close();
+            THEN("the server receives nothing")
+            {
+                CHECK(server.receive().empty());
+            }
+        }
+    }
+}
+
 SCENARIO("a router that was blocked drops the requests of callers that have disconnected")
 {
     GIVEN("a router whose event loop is blocked for 300 ms")
