Drop a request whose caller left between its read and its handler

On an overloaded router a round of the event loop takes hundreds of milliseconds; the caller's socket was asked right after the read of a request, before the other callers' reads of the round, and the request was handled after all of them.

Change: a request's handler that starts more than 20 ms after the read asks the socket again. In calm, where handlers follow at once, it costs two readings of the clock.

Measured: callerconnection_test failed before (one of two requests handled), passes.

--- a/packages/direct/src/caller/callerconnection.cpp
+++ b/packages/direct/src/caller/callerconnection.cpp
@@ -23,6 +23,9 @@
 constexpr std::size_t maxPipelinedBytes = 64U << 10U;
 /// Time for the rest of a request after the time limit of its header.
 constexpr Duration bodyTimeout = std::chrono::seconds(10);
+/// Delay between the read of a request and its handler from which on the caller may have left in
+/// the meantime.
+constexpr Duration maxDispatchDelay = std::chrono::milliseconds(20);
 /// Time for which bytes that arrive after the last response are discarded before the close.
 constexpr Duration lingerTimeout = std::chrono::seconds(1);
 
@@ -158,10 +161,12 @@
         startRead();
     // The read above detects a connection that is already closed, and its handler runs first: the
     // request of a caller that has disconnected is not forwarded.
-    asio::post(m_socket.get_executor(),
-               [self = shared_from_this(), request = std::move(request)]() mutable {
-                   self->guard([&] { self->m_hooks.onRequest(self, std::move(request)); });
-               });
+    asio::post(m_socket.get_executor(), [self = shared_from_this(), request = std::move(request),
+                                         readAt = Clock::now()]() mutable {
+        if (Clock::now() - readAt > maxDispatchDelay && self->hasDisconnected())
+            self->handleDisconnect();
+        self->guard([&] { self->m_hooks.onRequest(self, std::move(request)); });
+    });
 }
 
 void CallerConnection::reportParseError(boost::system::error_code error)
--- /dev/null
+++ b/packages/direct/tests/callerconnection_test.cpp
@@ -0,0 +1,77 @@
+#include "caller/callerconnection.h"
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/write.hpp>
+#include <catch2/catch.hpp>
+
+#include <thread>
+
+using namespace bilberry;
+using namespace std::chrono_literals;
+
+namespace {
+
+namespace asio = boost::asio;
+using asio::ip::tcp;
+
+/// A caller's socket and the router's side of its connection.
+struct ConnectedCaller
+{
+    ConnectedCaller(asio::io_context &context, const direct::CallerHooks &hooks) : client(context)
+    {
+        tcp::acceptor acceptor(context, {asio::ip::address_v4::loopback(), 0});
+        client.connect(acceptor.local_endpoint());
+        connection = std::make_shared<direct::CallerConnection>(acceptor.accept(), hooks);
+    }
+
+    void send(const std::string &bytes) { asio::write(client, asio::buffer(bytes)); }
+
+    tcp::socket client;
+    direct::CallerConnectionPtr connection;
+};
+
+} // namespace
+
+// On an overloaded router hundreds of milliseconds lie between the read of a request and its
+// handler, in which other callers' requests are read.
+SCENARIO("a caller disconnects between the read of its request and the request's handler")
+{
+    GIVEN("two callers whose requests arrive together")
+    {
+        asio::io_context context;
+        std::size_t requests = 0;
+        std::vector<ConnectedCaller> callers;
+        std::size_t begun = 0;
+        direct::CallerHooks hooks;
+        hooks.onRequest = [&](const direct::CallerConnectionPtr &caller, direct::CallerRequest &&) {
+            requests += caller->isClosed() ? 0 : 1;
+        };
+        hooks.onRequestError = [](const direct::CallerConnectionPtr &, direct::RequestError) {};
+        hooks.onClosed = [](const direct::CallerConnectionPtr &) {};
+        bool isReading = false;
+        hooks.currentBounds = [&] {
+            // The read of the second request takes long, and the callers leave meanwhile.
+            if (isReading && ++begun == callers.size()) {
+                for (ConnectedCaller &caller : callers)
+                    caller.client.close();
+                std::this_thread::sleep_for(100ms);
+            }
+            return CallerBounds();
+        };
+        callers.emplace_back(context, hooks);
+        callers.emplace_back(context, hooks);
+        for (ConnectedCaller &caller : callers)
+            caller.connection->start();
+        isReading = true;
+        for (ConnectedCaller &caller : callers)
+            caller.send("GET /x HTTP/1.1\r\nHost: h\r\n\r\n");
+        WHEN("both disconnect while the second request is read")
+        {
+            context.run_for(300ms);
+            THEN("neither request is handled")
+            {
+                CHECK(requests == 0);
+            }
+        }
+    }
+}
