--- a/packages/ctl/src/commands.h
+++ b/packages/ctl/src/commands.h
@@ -14,6 +14,7 @@
 {
     store::PlatformSettings platform;
     std::vector<store::Vm> daemons; ///< used instead of the platform's list when not empty
+    std::vector<std::string> logs;  ///< files with log lines; standard input when empty
     bool json = false;
     Duration timeout = std::chrono::seconds(5); ///< limit for a change to be in force everywhere
 };
@@ -46,6 +47,12 @@
 /// Prints the error budget's burn rate per customer and pool, summed over all routers.
 ExitCode reportBurn(const CommandOptions &options);
 
+/// Prints what log lines tell of one request, in order of time.
+/// @param requestId as the caller sent it
+/// @return ExitOk, ExitFailure when no line is about the request, or ExitUsage when a file can't be
+///         read
+ExitCode explain(const CommandOptions &options, const std::string &requestId);
+
 /// Reads an API key from standard input and prints its digest.
 ExitCode keyDigest(const CommandOptions &options);
 
--- a/packages/ctl/src/ctl.cpp
+++ b/packages/ctl/src/ctl.cpp
@@ -82,6 +82,10 @@
              {{},
               "print the error budget burn rate per customer and pool",
               [](auto &options, auto &) { return reportBurn(options); }}},
+            {"explain",
+             {{"ID"},
+              "print what the log lines of any number of processes tell of a request",
+              [](auto &options, auto &arguments) { return explain(options, arguments[0]); }}},
             {"key digest",
              {{},
               "read an API key from standard input and print its digest",
@@ -105,8 +109,9 @@
             "json", "print JSON")("timeout", "seconds to wait for a change to be in force",
                                   cxxopts::value<double>()->default_value("5"))(
             "daemons", "ADDRESS:ADMINPORT,... of daemons to call when the platform is unavailable",
-            cxxopts::value<Arguments>())("h,help", "print this help")("words", "",
-                                                                      cxxopts::value<Arguments>());
+            cxxopts::value<Arguments>())("logs", "FILE,... with log lines; default: standard input",
+                                         cxxopts::value<Arguments>())("h,help", "print this help")(
+            "words", "", cxxopts::value<Arguments>());
     options.parse_positional({"words"});
     return options;
 }
@@ -227,6 +232,8 @@
             return usageError("--daemons must be a list of ADDRESS:ADMINPORT with IP addresses");
         options.daemons = *daemons;
     }
+    if (arguments.count("logs") > 0)
+        options.logs = arguments["logs"].as<Arguments>();
     if (arguments.count("words") == 0)
         return usageError("a command is required");
     return runCommand(options, arguments["words"].as<Arguments>());
