Review case 9: what crashes servers isn't written down when its two writers were lost

Cause: the writers of a record are chosen among all entries of the collection of routers, not among the live ones; the entry of a machine that is lost without SIGTERM stays for good.

Change: a script and its stand-ins, which now end their routers when the script is ended. Nothing is fixed.

--- a/review/support-2/standins.h
+++ b/review/support-2/standins.h
@@ -16,6 +16,7 @@
 #include <unistd.h>
 
 #include <algorithm>
+#include <array>
 #include <atomic>
 #include <chrono>
 #include <condition_variable>
@@ -589,6 +590,36 @@
     return answer;
 }
 
+/// Processes that run, so that a script that is ended ends them too.
+inline std::array<std::atomic<pid_t>, 64> childProcesses{};
+
+inline void addChild(pid_t pid)
+{
+    for (auto &child : childProcesses) {
+        pid_t none = 0;
+        if (child.compare_exchange_strong(none, pid))
+            return;
+    }
+}
+
+inline void removeChild(pid_t pid)
+{
+    for (auto &child : childProcesses) {
+        pid_t expected = pid;
+        if (child.compare_exchange_strong(expected, 0))
+            return;
+    }
+}
+
+inline void endChildren(int)
+{
+    for (auto &child : childProcesses) {
+        if (child > 0)
+            ::kill(child, SIGKILL);
+    }
+    ::_exit(2);
+}
+
 /// A router on an entry VM: started with the command of deploy/system.toml, its template filled in
 /// as the platform does.
 class Router
@@ -623,10 +654,12 @@
             ::dup2(null, 0);
             ::dup2(file, 1);
             ::dup2(file, 2);
+            ::signal(SIGPIPE, SIG_DFL);
             ::execl("target/bin/bilberryd", "target/bin/bilberryd", "--settings", settings.c_str(),
                     nullptr);
             ::_exit(127);
         }
+        addChild(m_pid);
     }
 
     /// @return true as soon as the router says that it is ready, as the platform's balancer asks
@@ -653,6 +686,7 @@
             return;
         ::kill(m_pid, SIGKILL);
         ::waitpid(m_pid, nullptr, 0);
+        removeChild(m_pid);
         m_pid = 0;
     }
 
@@ -665,6 +699,7 @@
         const TimePoint until = Clock::now() + Ms(graceMs);
         while (Clock::now() < until) {
             if (::waitpid(m_pid, nullptr, WNOHANG) == m_pid) {
+                removeChild(m_pid);
                 m_pid = 0;
                 return;
             }
@@ -805,6 +840,8 @@
 inline int runCase(const std::function<bool()> &isBroken)
 {
     ::signal(SIGPIPE, SIG_IGN);
+    ::signal(SIGTERM, endChildren);
+    ::signal(SIGINT, endChildren);
     try {
         const bool broken = isBroken();
         std::printf("%s\n", broken ? "the rule was broken" : "the rule held");
