--- a/review/support-2/withdrawnkey.cpp
+++ b/review/support-2/withdrawnkey.cpp
@@ -106,10 +106,10 @@
         record.line("store    is back from a copy of 4.7 s ago, in the next era");
         store.put("servers", "i-stock", serverEntry);
     }
-    // The platform starts a process that was killed again after a short delay.
     sleepUntil(4500);
     restarted.kill();
     record.line("SIGKILL  " + restarted.name());
+    // The platform starts a process that was killed again after a short delay.
     sleepUntil(revokeMs + 100);
     restarted.start();
     record.line("start    " + restarted.name());
@@ -120,11 +120,11 @@
     int ran = 0;
     int sound = 0;
     bool writtenAgain = false;
-    while (Clock::now() < withdrawnAt + Ms(11000)) {
-        if (!writtenAgain && Clock::now() >= withdrawnAt + Ms(7200)) {
+    while (Clock::now() < withdrawnAt + Ms(9000)) {
+        if (!writtenAgain && Clock::now() >= withdrawnAt + Ms(6200)) {
             writtenAgain = true;
             store.put("config", "main", configuration(7, false));
-            record.line("operator writes configuration 7 again, 3.0 s after the store is back");
+            record.line("operator writes configuration 7 again, 2.0 s after the store is back");
         }
         if (!balancer.isInRotation()) {
             sleepFor(10);
