Count a request as sent from the start of its write on

Callers saw: a booking with a body of 1 MB ran at two servers when the first one closed its side of the connection, without an answer, while the body was still being written.

Cause: ServerAttempt noted that bytes had left in the handler of the composed write, which is called once the whole request is written. An end of the connection before that was taken for "nothing sent".

Ruled out: the deadline's and the silence timer's path, which use mayHaveSent() and were right; the buffers of loopback hide the fault, as 3 MB are taken at once.

Change: the write counts as sent from its start, unless it fails without a byte taken. An attempt that is given up closes its connection, which the unfinished write had kept open, so that the server stops its work; a reset is sent if bytes are unacknowledged, since an ordinary end waits behind them. A server that has answered early has 2 s to read the rest: less than the 3 s after which the kernel gives up a closed window.

The servers' stand-in of the tests can answer before it has read a body, with the buffers of a link between machines.

--- a/packages/direct/src/server/serverattempt.cpp
+++ b/packages/direct/src/server/serverattempt.cpp
@@ -4,6 +4,9 @@
 
 #include <boost/asio/write.hpp>
 
+#include <linux/sockios.h>
+#include <sys/ioctl.h>
+
 #include <charconv>
 
 namespace bilberry::direct {
@@ -18,6 +21,8 @@
 constexpr std::uint32_t maxHeaderBytes = 64U << 10U;
 /// Bytes of late responses to earlier requests that are skipped before the attempt fails.
 constexpr std::size_t maxDiscardedBytes = 1U << 20U;
+/// Time in which a server must read the rest of a request that it has answered.
+constexpr Duration uploadRestLimit = std::chrono::seconds(2);
 
 /// @return N of "timeout=N" in the Keep-Alive header, in seconds; absent when there is none
 std::optional<Duration> keepAliveTimeout(const ResponseHeader &header)
@@ -34,6 +39,18 @@
     return std::chrono::seconds(seconds);
 }
 
+/// Closes a connection so that the server notices it at once: an ordinary end would wait behind the
+/// bytes that the server has not received yet.
+void closePromptly(asio::ip::tcp::socket &socket)
+{
+    boost::system::error_code ignored;
+    int unacknowledgedBytes = 0;
+    if (::ioctl(socket.native_handle(), SIOCOUTQ, &unacknowledgedBytes) == 0
+        && unacknowledgedBytes > 0)
+        socket.set_option(asio::socket_base::linger(true, 0), ignored);
+    socket.close(ignored);
+}
+
 bool isInformational(const ResponseHeader &header)
 {
     return header.result_int() / 100 == 1;
@@ -80,10 +97,15 @@
 {
     m_finished = true;
     m_hooks = {};
+    closeConnection();
+}
+
+/// Closes the connection also when an unfinished write holds it.
+void ServerAttempt::closeConnection()
+{
     if (!m_connection)
         return;
-    boost::system::error_code ignored;
-    m_connection->socket.close(ignored);
+    closePromptly(m_connection->socket);
     m_connection.reset();
 }
 
@@ -96,24 +118,38 @@
 
 void ServerAttempt::sendRequest()
 {
-    m_isSending = true;
+    m_upload = Upload::Unfinished;
     resetParser();
     // The handler keeps the connection alive: a cancelled attempt releases it.
     asio::async_write(m_connection->socket, asio::buffer(m_requestBytes),
                       [self = shared_from_this(), connection = m_connection](
                               boost::system::error_code error, std::size_t sent) {
-                          self->m_anyByteSent = self->m_anyByteSent || sent > 0;
-                          if (self->m_finished)
-                              return;
-                          self->m_requestWritten = !error;
-                          // An early response may arrive although the server did not read the whole
-                          // request.
-                          if (error && sent == 0)
-                              self->finish(AttemptResult::NothingSent);
+                          self->handleWritten(error, sent);
                       });
     startRead();
 }
 
+void ServerAttempt::handleWritten(boost::system::error_code error, std::size_t sent)
+{
+    m_upload = error ? Upload::Failed : Upload::Written;
+    if (m_uploadTimer)
+        m_uploadTimer->cancel();
+    // An early response may arrive although the server did not read the whole request.
+    if (!m_finished && error && sent == 0)
+        finish(AttemptResult::NothingSent);
+}
+
+/// Closes the connection unless the server soon reads the rest of the request.
+void ServerAttempt::limitUpload()
+{
+    m_uploadTimer.emplace(m_connections.context(), uploadRestLimit);
+    m_uploadTimer->async_wait([self = shared_from_this(),
+                               connection = m_connection](boost::system::error_code error) {
+        if (!error)
+            closePromptly(connection->socket);
+    });
+}
+
 void ServerAttempt::startRead()
 {
     m_isReading = true;
@@ -261,16 +297,17 @@
         return;
     m_finished = true;
     if (m_connection) {
-        // Bytes after the response belong to no request.
-        const bool isReusable = result == AttemptResult::Complete && m_requestWritten
-                                && m_parser->keep_alive() && m_connection->buffer.size() == 0;
+        const bool isUsable = result == AttemptResult::Complete && m_parser->keep_alive();
         m_connection->hasCarriedRequest = true;
-        if (isReusable)
+        // Bytes after the response belong to no request.
+        if (isUsable && m_upload == Upload::Written && m_connection->buffer.size() == 0)
             m_connections.release(m_server, m_connection);
+        else if (result == AttemptResult::Complete && m_upload == Upload::Unfinished)
+            limitUpload();
+        else
+            closeConnection();
         m_connection.reset();
     }
-    if (result == AttemptResult::Broken && !m_anyByteSent && !m_headerHandled)
-        result = AttemptResult::NothingSent;
     const AttemptHooks hooks = std::exchange(m_hooks, {});
     hooks.onEnd(result);
 }
--- a/packages/direct/src/server/serverattempt.h
+++ b/packages/direct/src/server/serverattempt.h
@@ -5,6 +5,7 @@
 
 #include "bilberry/http/boundedparser.h"
 
+#include <boost/asio/steady_timer.hpp>
 #include <boost/beast/http.hpp>
 
 #include <functional>
@@ -20,7 +21,7 @@
 enum class AttemptResult {
     Complete,      ///< the whole response was received
     ConnectFailed, ///< no connection; nothing was sent
-    NothingSent,   ///< the connection failed before the first byte was sent
+    NothingSent,   ///< the connection failed before it took the first byte of the request
     Broken,        ///< the connection ended early or the response was invalid
 };
 
@@ -55,7 +56,7 @@
     void cancel();
 
     /// @return false as long as nothing can have reached the server
-    bool mayHaveSent() const { return m_isSending; }
+    bool mayHaveSent() const { return m_upload != Upload::NotStarted; }
 
     /// @return true when the request was sent on a connection that an earlier one had used
     bool isOnKeptConnection() const { return m_connection && m_connection->hasCarriedRequest; }
@@ -66,7 +67,19 @@
 private:
     using Parser = bilberry::http::BoundedResponseParser;
 
+    /// How far the request has been written. A part of it may have reached the server as soon as
+    /// the write has started: its handler is called at its end only.
+    enum class Upload {
+        NotStarted,
+        Unfinished,
+        Written,
+        Failed,
+    };
+
     void sendRequest();
+    void handleWritten(boost::system::error_code error, std::size_t sent);
+    void closeConnection();
+    void limitUpload();
     void startRead();
     void handleRead(boost::system::error_code error);
     void parseBuffer();
@@ -92,9 +105,9 @@
     std::size_t m_discardedBytes = 0; ///< of responses to other requests and interim ones
     bool m_headerHandled = false;
     bool m_idMismatch = false; ///< the message being read has the id of another request
-    bool m_isSending = false;  ///< a connection was taken or opened
-    bool m_requestWritten = false;
-    bool m_anyByteSent = false;
+    Upload m_upload = Upload::NotStarted;
+    /// Runs while the server reads the rest of a request that it has answered.
+    std::optional<boost::asio::steady_timer> m_uploadTimer;
     bool m_finished = false;
     bool m_isPaused = false;
     bool m_isReading = false;
--- a/tests/support/scriptedserver.cpp
+++ b/tests/support/scriptedserver.cpp
@@ -4,11 +4,27 @@
 #include <boost/asio/read_until.hpp>
 #include <boost/asio/write.hpp>
 
+#include <netinet/tcp.h>
+#include <poll.h>
+
+#include <algorithm>
+#include <array>
+
 namespace bilberry::tests {
 
 namespace asio = boost::asio;
 using asio::ip::tcp;
 
+namespace {
+
+using SegmentSize = asio::detail::socket_option::integer<IPPROTO_TCP, TCP_MAXSEG>;
+
+/// Of a link between machines.
+constexpr int linkSegmentBytes = 1460;
+constexpr int linkWindowBytes = 64 << 10;
+
+} // namespace
+
 std::string ScriptedRequest::field(const std::string &name) const
 {
     const std::string start = "\r\n" + name + ": ";
@@ -19,11 +35,17 @@
     return head.substr(begin, head.find("\r\n", begin) - begin);
 }
 
-ScriptedServer::ScriptedServer(Script script)
-    : m_script(std::move(script)),
+ScriptedServer::ScriptedServer(Script script, ScriptedReading reading)
+    : m_script(std::move(script)), m_reading(reading),
       m_acceptor(m_context, tcp::endpoint(asio::ip::address_v4::loopback(), 0)),
-      m_port(m_acceptor.local_endpoint().port()), m_acceptThread([this] { accept(); })
+      m_port(m_acceptor.local_endpoint().port())
 {
+    // Accepted connections inherit both.
+    if (reading.smallBuffers) {
+        m_acceptor.set_option(asio::socket_base::receive_buffer_size(linkWindowBytes));
+        m_acceptor.set_option(SegmentSize(linkSegmentBytes));
+    }
+    m_acceptThread = std::thread([this] { accept(); });
 }
 
 ScriptedServer::~ScriptedServer()
@@ -75,13 +97,15 @@
         buffer.erase(0, headSize);
         const std::string length = request.field("Content-Length");
         const std::size_t size = length.empty() ? 0 : std::stoul(length);
-        if (buffer.size() < size)
-            asio::read(socket, asio::dynamic_buffer(buffer),
-                       asio::transfer_at_least(size - buffer.size()), error);
+        const auto readBody = [&](std::size_t bytes) {
+            if (buffer.size() < bytes)
+                asio::read(socket, asio::dynamic_buffer(buffer),
+                           asio::transfer_at_least(bytes - buffer.size()), error);
+        };
+        readBody(std::min(size, m_reading.bodyBytes));
         if (error)
             return;
-        request.body = buffer.substr(0, size);
-        buffer.erase(0, size);
+        request.body = buffer.substr(0, std::min(size, m_reading.bodyBytes));
         {
             const std::lock_guard lock(m_mutex);
             m_requests.push_back(request);
@@ -89,8 +113,13 @@
         const ScriptedAnswer answer = m_script(request);
         asio::write(socket, asio::buffer(answer.bytes), error);
         char byte = 0;
+        std::array<char, 4096> discarded{};
         switch (answer.then) {
         case ScriptedAnswer::Then::KeepOpen:
+            readBody(size);
+            if (error)
+                return;
+            buffer.erase(0, size);
             continue;
         case ScriptedAnswer::Then::Close:
             socket.shutdown(tcp::socket::shutdown_both, error);
@@ -100,6 +129,14 @@
             socket.set_option(asio::socket_base::linger(true, 0), error);
             socket.close(error);
             return;
+        case ScriptedAnswer::Then::HalfClose:
+            socket.shutdown(tcp::socket::shutdown_send, error);
+            while (!error)
+                socket.read_some(asio::buffer(discarded), error);
+            return;
+        case ScriptedAnswer::Then::AwaitEnd:
+            awaitEnd(socket);
+            return;
         case ScriptedAnswer::Then::StaySilent:
             asio::read(socket, asio::buffer(&byte, 1), error);
             m_abandoned += m_stopping ? 0 : 1;
@@ -118,6 +155,19 @@
     }
 }
 
+/// Unlike a read, this notices the end of a connection with unread data.
+void ScriptedServer::awaitEnd(tcp::socket &socket)
+{
+    constexpr int periodMs = 50;
+    pollfd waiting{socket.native_handle(), POLLRDHUP, 0};
+    while (!m_stopping) {
+        if (::poll(&waiting, 1, periodMs) > 0) {
+            ++m_abandoned;
+            return;
+        }
+    }
+}
+
 void ScriptedServer::crash()
 {
     m_crashed = true;
--- a/tests/support/scriptedserver.h
+++ b/tests/support/scriptedserver.h
@@ -7,6 +7,7 @@
 #include <chrono>
 #include <cstdint>
 #include <functional>
+#include <limits>
 #include <list>
 #include <mutex>
 #include <string>
@@ -26,12 +27,13 @@
 };
 
 /// How a scripted server answers a request: the bytes to send, and whether it then reads the next
-/// request, closes or resets the connection, stays silent, sends further bytes again and again
-/// until the connection ends, or ends all its connections and accepts no more, as a process that
-/// crashes.
+/// request, closes or resets the connection, closes its own side and discards what else it
+/// receives, stays silent, sends further bytes again and again until the connection ends, reads
+/// nothing until the connection ends, or ends all its connections and accepts no more, as a process
+/// that crashes.
 struct ScriptedAnswer
 {
-    enum class Then { KeepOpen, Close, Reset, StaySilent, Repeat, Crash };
+    enum class Then { KeepOpen, Close, Reset, HalfClose, StaySilent, Repeat, AwaitEnd, Crash };
 
     std::string bytes;
     Then then = Then::KeepOpen;
@@ -39,28 +41,39 @@
     std::chrono::milliseconds repeatPause{}; ///< before each repetition
 };
 
+/// How much of a request a scripted server reads before it answers.
+struct ScriptedReading
+{
+    std::size_t bodyBytes = std::numeric_limits<std::size_t>::max(); ///< at most
+    /// Lets the connections have the small buffers of a link between machines; on loopback, a
+    /// connection holds megabytes.
+    bool smallBuffers = false;
+};
+
 /// A server on loopback that answers with the exact bytes that a test's script returns.
 class ScriptedServer
 {
 public:
     using Script = std::function<ScriptedAnswer(const ScriptedRequest &)>;
 
-    explicit ScriptedServer(Script script);
+    explicit ScriptedServer(Script script, ScriptedReading reading = {});
     ~ScriptedServer();
 
     std::uint16_t port() const { return m_port; }
     std::vector<ScriptedRequest> requests() const;
     /// @return number of connections that ended or received data while the server stayed silent, or
-    ///         ended while it repeated bytes
+    ///         ended while it repeated bytes or awaited their end
     int abandoned() const { return m_abandoned; }
     bool crashed() const { return m_crashed; }
 
 private:
     void accept();
     void serve(boost::asio::ip::tcp::socket &socket);
+    void awaitEnd(boost::asio::ip::tcp::socket &socket);
     void crash();
 
     Script m_script;
+    ScriptedReading m_reading;
     boost::asio::io_context m_context;
     boost::asio::ip::tcp::acceptor m_acceptor;
     std::uint16_t m_port;
