Repeat cleared crashes to a router that starts

Callers saw (by the test): sound requests are refused for up to ten minutes at a router that read, at its start, a record of crashes that the others had cleared since; a store that was restored from a copy has such records again.

Cause: the summaries that repeat everything to a new router left out suspects without crashes after two seconds, and with them what was cleared.

Evidence: crashsuspicion_test, "a router that starts reads crashes that were cleared since", fails without the change (refused) and passes with it.

Change: suspects without crashes are repeated as well.

--- a/packages/decision/src/crashsuspicion.cpp
+++ b/packages/decision/src/crashsuspicion.cpp
@@ -200,7 +200,8 @@
 {
     std::vector<CrashSuspect> suspects = m_routes.summary(now);
     for (const auto &[feature, suspect] : m_suspects) {
-        const bool isRepeated = now < m_repeatAllUntil && !suspect.crashes.empty();
+        // A router that has started may have read crashes that were cleared since.
+        const bool isRepeated = now < m_repeatAllUntil;
         if (isRepeated || isQuarantined(suspect) || now - suspect.changedAt < repeatTime)
             suspects.push_back(describe(feature, suspect, now));
     }
--- a/packages/decision/tests/crashsuspicion_test.cpp
+++ b/packages/decision/tests/crashsuspicion_test.cpp
@@ -470,6 +470,33 @@
     }
 }
 
+// A router that read a record which was cleared since refused sound requests for minutes.
+SCENARIO("a router that starts reads crashes that were cleared since")
+{
+    CrashSuspicion running({});
+    TimePoint now = TimePoint() + 1h;
+    for (ServerRun run = 0; run < 5; ++run) {
+        running.recordCrash(run, {document}, now - crashDelay, now);
+        now += 2s;
+    }
+    CrashSuspicion starting({});
+    for (const CrashSuspect &read : running.summary(now))
+        starting.merge(read, now);
+    running.recordAnswer({document}, now);
+    now += 10s;
+    REQUIRE(starting.check({document}, now) == Admission::Refuse);
+    GIVEN("a running router that repeats all it knows")
+    {
+        running.repeatAll(now);
+        for (const CrashSuspect &told : running.summary(now))
+            starting.merge(told, now);
+        THEN("requests with the feature are admitted")
+        {
+            CHECK(starting.check({document}, now) == Admission::Admit);
+        }
+    }
+}
+
 SCENARIO("what is refused is told to a store that serves routers which start later")
 {
     CrashSuspicion suspicion({});
