Ask other routers before a restored store is believed

Operators saw (by the test): it also sent requests to an evacuated zone and to a server that had left.

Cause: a router took the first plan that the store confirmed for the newest one, and the confirmation for its proof, though the store's era told that the copy may lack a newer one. Routers that ran through the restore hold what the copy lacks; one that started had no way to ask for it.

Ruled out: limits and leaving servers by their own answers, which are in no store; other routers' entries, which are written again.

Change: above era 1 a router that starts, and each router when the era rises, asks up to eight others each 200 ms for the version of their plan and for the items that they hold in place of the copy's (zones, servers). It believes the store when all have answered, 300 ms after the first answer of a router that ran before, or after 1.5 s. Until then a starting router refuses as not run, and no router renews its proof of the plan. The limit is a choice between a fleet whose routers all start at once, where nobody knows more, and answers that get lost.

--- /dev/null
+++ b/packages/decision/include/bilberry/decision/restoreinquiry.h
@@ -0,0 +1,79 @@
+#ifndef BILBERRY_DECISION_RESTOREINQUIRY_H
+#define BILBERRY_DECISION_RESTOREINQUIRY_H
+
+#include "bilberry/base/time.h"
+#include "bilberry/model/ids.h"
+
+#include <cstddef>
+#include <cstdint>
+#include <set>
+#include <vector>
+
+namespace bilberry::decision {
+
+struct RestoreInquirySettings
+{
+    Duration roundInterval = std::chrono::milliseconds(200); ///< between two rounds of questions
+    /// Time after the first answer of a router that ran before the restore, in which others may
+    /// know more.
+    Duration furtherAnswersTime = std::chrono::milliseconds(300);
+    /// Time after which the router goes on with what it knows. Where all routers have started
+    /// again, waiting helps only until the operators have written again.
+    Duration limit = std::chrono::milliseconds(1500);
+    std::size_t routersPerRound = 8;
+    bool operator==(const RestoreInquirySettings &) const = default;
+};
+
+/// Decides whom a router asks for what the store lacks since it was restored from a copy, and how
+/// long it waits for their answers before it believes the store.
+class RestoreInquiry
+{
+public:
+    /// The routers to be asked now.
+    struct Round
+    {
+        std::uint64_t query = 0;
+        std::vector<RouterId> routers;
+        bool operator==(const Round &) const = default;
+    };
+
+    /// @param firstQuery number of the first question; random, so that answers to an earlier
+    ///        incarnation of this router match none
+    RestoreInquiry(RestoreInquirySettings settings, std::uint64_t firstQuery)
+        : m_settings(settings), m_nextQuery(firstQuery)
+    {
+    }
+
+    /// Starts an inquiry; one that is open begins anew.
+    void start(TimePoint now);
+
+    /// @param others the other routers, which may be dead
+    /// @return nobody unless a round is due
+    Round nextRound(const std::vector<RouterId> &others, TimePoint now);
+
+    /// Records an answer.
+    /// @param isStarting true when the other router has started since the restore, too
+    /// @return false when it answers no question of this inquiry
+    bool recordAnswer(const RouterId &router, std::uint64_t query, bool isStarting, TimePoint now);
+
+    /// Ends the inquiry when there is nothing more to wait for.
+    /// @return true when it has ended now
+    bool endIfComplete(const std::vector<RouterId> &others, TimePoint now);
+
+    bool isOpen() const { return m_isOpen; }
+    std::size_t answerCount() const { return m_answered.size(); }
+
+private:
+    RestoreInquirySettings m_settings;
+    std::uint64_t m_nextQuery;
+    std::uint64_t m_firstOpenQuery = 0;
+    bool m_isOpen = false;
+    TimePoint m_startedAt{};
+    TimePoint m_nextRoundAt{};
+    TimePoint m_knownAt = TimePoint::max(); ///< first answer of a router that is not starting
+    std::set<RouterId> m_answered;
+};
+
+} // namespace bilberry::decision
+
+#endif
--- a/packages/direct/src/directrouter.cpp
+++ b/packages/direct/src/directrouter.cpp
@@ -75,28 +75,27 @@
           serverSelector(settings.serverSelector), usageMeter(settings.fairnessWindow),
           crashSuspicion(settings.crashSuspicion), connections(io, settings.connectTimeout),
           crashDetector(io, connections, crashSuspicion, log), housekeepingTimer(io), lagTimer(io),
-          stopTimer(io),
-          requestContext{
-                  .io = io,
-                  .settings = this->settings,
-                  .headerNames = this->adapter.headers,
-                  .connections = connections,
-                  .serverSelector = serverSelector,
-                  .usageMeter = usageMeter,
-                  .crashSuspicion = crashSuspicion,
-                  .crashDetector = crashDetector,
-                  .retryBudgets = retryBudgets,
-                  .counters = counters,
-                  .log = log,
-                  .random = random,
-                  .currentPlan
-                  = [this] { return state->isPlanOutdated() ? nullptr : state->plan(); },
-                  .planIsFresh = [this] { return planIsFresh(); },
-                  .stopsAt = [this] { return requestsEndAt(); },
-                  .recordFirstByteLatency
-                  = [this](const PoolId &pool,
-                           Duration duration) { metrics.recordFirstByteLatency(pool, duration); },
-                  .shouldCloseAfterRefusal = [this] { return callers->shouldCloseAfterRefusal(); }}
+          stopTimer(io), requestContext{.io = io,
+                                        .settings = this->settings,
+                                        .headerNames = this->adapter.headers,
+                                        .connections = connections,
+                                        .serverSelector = serverSelector,
+                                        .usageMeter = usageMeter,
+                                        .crashSuspicion = crashSuspicion,
+                                        .crashDetector = crashDetector,
+                                        .retryBudgets = retryBudgets,
+                                        .counters = counters,
+                                        .log = log,
+                                        .random = random,
+                                        .currentPlan = [this] { return state->planInForce(); },
+                                        .planIsFresh = [this] { return planIsFresh(); },
+                                        .stopsAt = [this] { return requestsEndAt(); },
+                                        .recordFirstByteLatency =
+                                                [this](const PoolId &pool, Duration duration) {
+                                                    metrics.recordFirstByteLatency(pool, duration);
+                                                },
+                                        .shouldCloseAfterRefusal
+                                        = [this] { return callers->shouldCloseAfterRefusal(); }}
     {
         serverSelector.setRouterShareHook([this](TimePoint now) {
             return usageMeter.routerShare(serverSelector.routerCount(), now);
@@ -226,8 +225,8 @@
 
     bool isReady() const
     {
-        return state->plan() && !state->isPlanOutdated() && state->hasServers() && !stopping
-               && planIsFresh() && !overloadDetector.isOverloaded();
+        return state->planInForce() && state->hasServers() && !stopping && planIsFresh()
+               && !overloadDetector.isOverloaded();
     }
 
     /// An overloaded router leaves the rotation, so that new connections reach other routers. Open
--- a/packages/direct/src/peers/peerexchange.cpp
+++ b/packages/direct/src/peers/peerexchange.cpp
@@ -273,6 +273,13 @@
 {
     if (suspects.empty() || m_peers.empty())
         return;
+    m_socket.sendToAll(suspectGossip(suspects));
+    m_lastReportAt = Clock::now();
+}
+
+wire::CrashSuspectGossip
+PeerExchange::suspectGossip(const std::vector<decision::CrashSuspect> &suspects) const
+{
     wire::CrashSuspectGossip gossip{m_sender, {}};
     for (const decision::CrashSuspect &suspect : suspects) {
         wire::CrashSuspectNotice notice{suspect.feature, {}, suspect.cleared, suspect.probes};
@@ -282,8 +289,7 @@
                                       crash.resent});
         gossip.suspects.push_back(std::move(notice));
     }
-    m_socket.sendToAll(gossip);
-    m_lastReportAt = Clock::now();
+    return gossip;
 }
 
 /// @param complete true for all work of this router
@@ -344,6 +350,18 @@
     m_socket.send(router, wire::PlanProofQuery{m_sender, query});
 }
 
+void PeerExchange::queryRestoredState(const RouterId &router, std::uint64_t query,
+                                      StoreRevision revision)
+{
+    m_socket.send(router, wire::RestoredStateQuery{m_sender, query, revision});
+}
+
+void PeerExchange::sendRestoredState(const RouterId &router, wire::RestoredStateReply reply)
+{
+    reply.sender = m_sender;
+    m_socket.send(router, reply);
+}
+
 void PeerExchange::handleMessage(wire::GossipMessage &&message)
 {
     const RouterId sender = std::visit(
@@ -360,11 +378,26 @@
         onStoreNotice(*notice);
     else if (const auto *query = std::get_if<wire::PlanProofQuery>(&message))
         handleQuery(*query);
+    else if (const auto *query = std::get_if<wire::RestoredStateQuery>(&message))
+        handleRestoredStateQuery(*query);
+    else if (const auto *reply = std::get_if<wire::RestoredStateReply>(&message))
+        onRestoredStateReply(*reply);
     else if (const auto *reply = std::get_if<wire::PlanProofReply>(&message))
         onPlanProofAnswer({reply->query, reply->planVersion, reply->storeRevision,
                            std::chrono::microseconds(std::min(reply->ageUs, maxProofAgeUs))});
 }
 
+/// A router that asks may have read records of crashes that the copy lacks, or has again.
+void PeerExchange::handleRestoredStateQuery(const wire::RestoredStateQuery &query)
+{
+    const TimePoint now = Clock::now();
+    m_crashSuspicion.repeatAll(now);
+    const wire::CrashSuspectGossip gossip = suspectGossip(m_crashSuspicion.summary(now));
+    if (!gossip.suspects.empty())
+        m_socket.send(query.sender.router, gossip);
+    onRestoredStateQuery(query);
+}
+
 void PeerExchange::handleServerNotices(const wire::ServerNoticeGossip &gossip)
 {
     const TimePoint now = Clock::now();
--- a/packages/direct/src/peers/peerexchange.h
+++ b/packages/direct/src/peers/peerexchange.h
@@ -34,9 +34,9 @@
     /// Registers this router and starts to send reports.
     void start();
 
-    /// Starts to remove this router's item from the store.
     /// Writes this router's entry again, which a restored store may lack.
     void registerAgain();
+    /// Starts to remove this router's item from the store.
     void unregister();
 
     /// @return the other routers that are registered
@@ -51,6 +51,13 @@
     void announceStore(std::uint64_t planVersion, StoreRevision storeRevision,
                        std::vector<wire::CollectionNotice> collections);
 
+    /// Asks another router what the store lacks since it was restored from a copy.
+    /// @param query number of the question
+    /// @param revision that this router knows of the restored store
+    void queryRestoredState(const RouterId &router, std::uint64_t query, StoreRevision revision);
+    /// Sends a part of the answer to such a question; adds the sender.
+    void sendRestoredState(const RouterId &router, wire::RestoredStateReply reply);
+
     /// Sends the next report soon, after what this router suspects of crashes has changed.
     void handleSuspicionChange() { handleLoadChange(); }
 
@@ -60,6 +67,11 @@
     /// Called with what another router has learned of the store; set by the owner.
     std::function<void(const wire::StoreNotice &)> onStoreNotice;
 
+    /// Called with another router's question what the restored store lacks, and with an answer to
+    /// one of this router; set by the owner.
+    std::function<void(const wire::RestoredStateQuery &)> onRestoredStateQuery;
+    std::function<void(const wire::RestoredStateReply &)> onRestoredStateReply;
+
     /// Adds or updates another router.
     /// @param item name, and address and port as JSON; ignored when invalid or of this router
     void updatePeer(const store::Item &item);
@@ -79,6 +91,8 @@
     void sendReport();
     void sendServerNotices();
     void sendSuspects(const std::vector<decision::CrashSuspect> &suspects);
+    wire::CrashSuspectGossip
+    suspectGossip(const std::vector<decision::CrashSuspect> &suspects) const;
     std::vector<wire::DirectServerLoad> changedLoads(bool complete);
     Duration reportInterval() const;
     void handleMessage(wire::GossipMessage &&message);
@@ -86,6 +100,7 @@
     void handleServerNotices(const wire::ServerNoticeGossip &gossip);
     void handleSuspects(const wire::CrashSuspectGossip &gossip);
     void handleQuery(const wire::PlanProofQuery &query);
+    void handleRestoredStateQuery(const wire::RestoredStateQuery &query);
 
     const DirectSettings &m_settings;
     store::CollectionStore &m_store;
--- a/packages/direct/src/store/platformstate.cpp
+++ b/packages/direct/src/store/platformstate.cpp
@@ -67,8 +67,15 @@
               [this](std::vector<wire::CollectionNotice> collections) {
                   sendNotice(std::move(collections));
               },
-              log)
+              log),
+      m_catchUp(
+              peers, [this] { return m_plan ? m_plan->version() : 0; }, log)
 {
+    m_catchUp.onPlanElsewhere = [this](std::uint64_t version, StoreRevision revision) {
+        recordPlanElsewhere(version, revision);
+        m_planWatcher->expectRevision(revision, Duration::zero());
+    };
+    m_catchUp.onEnd = [this] { m_planWatcher->check(); };
     m_peers.onPlanProofQuery
             = [this](std::uint64_t query) { return m_planProofs.answer(query, BootClock::now()); };
     m_peers.onPlanProofAnswer
@@ -93,11 +100,13 @@
     hooks.onItemChanged = [this](const store::Item &item) { updatePlan(item); };
     hooks.onItemRemoved = [](const std::string &) {};
     hooks.onConfirmedCurrent = [this](StoreRevision revision, BootTime at) {
-        if (m_plan && !isPlanOutdated())
+        // The plan of a restored store proves nothing before the other routers have been asked.
+        if (m_plan && !m_catchUp.isOpen() && !isPlanOutdated())
             m_planProofs.record({m_plan->version(), revision, at});
     };
     m_planWatcher = watch(watcherSettings(m_adapter.collections.plans), std::move(hooks),
                           Relaying::NoticeOnly);
+    m_catchUp.add(m_adapter.collections.plans, *m_planWatcher);
 }
 
 void PlatformState::watchServers()
@@ -120,7 +129,7 @@
     hooks.onItemReturned = [this](const std::string &name) {
         m_serverSelector.setMissing(ServerId(name), false);
     };
-    watch(settings, std::move(hooks), Relaying::Changes);
+    m_catchUp.add(settings.collection, *watch(settings, std::move(hooks), Relaying::Changes));
 }
 
 void PlatformState::watchZones()
@@ -132,7 +141,7 @@
     store::WatcherHooks hooks;
     hooks.onItemChanged = [this](const store::Item &item) { setZoneOut(item.name, true); };
     hooks.onItemRemoved = [this](const std::string &name) { setZoneOut(name, false); };
-    watch(settings, std::move(hooks), Relaying::Changes);
+    m_catchUp.add(settings.collection, *watch(settings, std::move(hooks), Relaying::Changes));
 }
 
 void PlatformState::watchRouters()
@@ -202,6 +211,7 @@
                                        StoreRevision revision, BootTime at) {
         m_relay.recordCurrent(collection, at);
         next(revision, at);
+        m_catchUp.update();
     };
 }
 
@@ -224,6 +234,7 @@
     if (revision.era <= m_restoredEra)
         return;
     m_restoredEra = revision.era;
+    m_catchUp.begin();
     if (onStoreRestored)
         onStoreRestored();
 }
@@ -270,6 +281,7 @@
 
 void PlatformState::refreshPlanProof()
 {
+    m_catchUp.update();
     const std::vector<RouterId> others = m_peers.liveRouters();
     const bool hasHeardOthers = Clock::now() - m_startedAt > leadershipDelay;
     m_relay.setLeader(hasHeardOthers && m_planProofs.isWatcher(others));
@@ -307,6 +319,11 @@
     m_newestPlanHeardAt = now;
 }
 
+TrafficPlanPtr PlatformState::planInForce() const
+{
+    return m_catchUp.isStarting() || isPlanOutdated() ? nullptr : m_plan;
+}
+
 bool PlatformState::isPlanOutdated() const
 {
     return m_plan && m_plan->version() < m_newestPlanElsewhere && m_newestPlanSeenAt.era != 0
--- a/packages/direct/src/store/platformstate.h
+++ b/packages/direct/src/store/platformstate.h
@@ -3,6 +3,7 @@
 
 #include "peers/peerexchange.h"
 #include "server/serverconnections.h"
+#include "store/restorecatchup.h"
 #include "store/storerelay.h"
 
 #include "bilberry/base/log.h"
@@ -37,12 +38,12 @@
     /// Asks the store or another router for a younger proof of the plan when it is time to.
     void refreshPlanProof();
 
-    /// @return the plan in force, nullptr when there is none yet
+    /// @return the newest plan known, nullptr when there is none yet
     const TrafficPlanPtr &plan() const { return m_plan; }
-    /// @return true when other routers know a newer plan, which the store lacks since it was
-    /// restored
-    ///         from a copy: the operators will write it again
-    bool isPlanOutdated() const;
+    /// @return the plan by which requests are handled; nullptr when there is none, or other routers
+    ///         know a newer one, or may do so, which the store lacks since it was restored from a
+    ///         copy: the operators will write it again
+    TrafficPlanPtr planInForce() const;
     /// @return time since the plan was last proved to be the newest one
     Duration planAge() const { return m_planProofs.age(BootClock::now()); }
     bool hasServers() const { return !m_servers.empty(); }
@@ -67,6 +68,7 @@
     void handleStoreNotice(const wire::StoreNotice &notice);
     void handlePlanProof(const decision::PlanProofAnswer &answer);
     void recordPlanElsewhere(std::uint64_t version, StoreRevision revision);
+    bool isPlanOutdated() const;
     bool isOutdatedServer(const store::Item &known, const store::Item &restored) const;
     void updatePlan(const store::Item &item);
     void updateServer(const store::Item &item);
@@ -90,6 +92,7 @@
     std::set<ZoneId> m_zonesOut;
     StoreRevision m_newestRevision; ///< that the store is known to have reached
     StoreRelay m_relay;
+    RestoreCatchUp m_catchUp;
     std::uint64_t m_restoredEra = 0; ///< the newest one of which onStoreRestored was told
     bool m_isNoticeScheduled = false;
     TimePoint m_startedAt{};
--- /dev/null
+++ b/packages/direct/src/store/restorecatchup.cpp
@@ -0,0 +1,188 @@
+#include "store/restorecatchup.h"
+
+#include "bilberry/base/digest.h"
+
+#include <algorithm>
+
+namespace bilberry::direct {
+
+namespace {
+
+/// Era of a store that was never restored.
+constexpr std::uint64_t firstEra = 1;
+/// Limit of the items in one part of an answer, which must fit into a datagram.
+constexpr std::size_t maxPartBytes = 16U << 10U;
+
+wire::HeldItemNotice toNotice(const std::string &collection, const store::HeldItem &item)
+{
+    wire::HeldItemNotice notice;
+    notice.collection = collection;
+    notice.name = item.name;
+    notice.exists = item.known.has_value();
+    notice.value = item.known.value_or("");
+    notice.isInCopy = item.copy.has_value();
+    notice.copiedValue = item.copy.value_or("");
+    notice.ends = item.remaining.has_value();
+    if (item.remaining)
+        notice.remainingMs = static_cast<std::uint32_t>(toMilliseconds(*item.remaining));
+    return notice;
+}
+
+store::HeldItem toHeldItem(const wire::HeldItemNotice &notice)
+{
+    store::HeldItem item;
+    item.name = notice.name;
+    if (notice.exists)
+        item.known = notice.value;
+    if (notice.isInCopy)
+        item.copy = notice.copiedValue;
+    if (notice.ends)
+        item.remaining = std::chrono::milliseconds(notice.remainingMs);
+    return item;
+}
+
+std::size_t sizeOf(const wire::HeldItemNotice &notice)
+{
+    return sizeof notice + notice.collection.size() + notice.name.size() + notice.value.size()
+           + notice.copiedValue.size();
+}
+
+} // namespace
+
+RestoreCatchUp::RestoreCatchUp(PeerExchange &peers, std::function<std::uint64_t()> planVersion,
+                               Log &log)
+    : m_peers(peers), m_planVersion(std::move(planVersion)), m_log(log), m_inquiry({}, randomId())
+{
+    m_peers.onRestoredStateQuery = [this](const wire::RestoredStateQuery &query) { answer(query); };
+    m_peers.onRestoredStateReply
+            = [this](const wire::RestoredStateReply &reply) { handleReply(reply); };
+}
+
+void RestoreCatchUp::add(const std::string &collection, store::CollectionWatcher &watcher)
+{
+    m_collections.push_back({collection, &watcher});
+}
+
+/// @return the lowest revision up to which a collection is known; 0 before all of them are listed
+StoreRevision RestoreCatchUp::knownRevision() const
+{
+    StoreRevision lowest = m_collections.front().watcher->revision();
+    for (const Collection &collection : m_collections)
+        lowest = std::min(lowest, collection.watcher->revision());
+    return lowest;
+}
+
+/// @return true when no collection is still to be listed again after a restore
+bool RestoreCatchUp::isOfOneEra() const
+{
+    const StoreRevision lowest = knownRevision();
+    return lowest != 0
+           && std::all_of(m_collections.begin(), m_collections.end(), [&](const Collection &other) {
+                  return other.watcher->revision().era == lowest.era;
+              });
+}
+
+bool RestoreCatchUp::isStarting() const
+{
+    if (m_hasStarted)
+        return m_inquiry.isOpen() && m_isStartInquiry;
+    return std::any_of(m_collections.begin(), m_collections.end(), [](const Collection &other) {
+        return other.watcher->revision().era > firstEra;
+    });
+}
+
+void RestoreCatchUp::begin()
+{
+    m_isStartInquiry = isStarting();
+    m_answeredRevision = {};
+    m_heldCount = 0;
+    m_inquiry.start(Clock::now());
+}
+
+void RestoreCatchUp::update()
+{
+    const bool isListed = isOfOneEra();
+    if (!m_hasStarted && isListed) {
+        if (isStarting())
+            begin();
+        m_hasStarted = true;
+    }
+    if (!m_inquiry.isOpen())
+        return;
+    const TimePoint now = Clock::now();
+    // What others hold can be compared with the restored items only.
+    const std::vector<RouterId> others = isListed ? m_peers.routers() : std::vector<RouterId>();
+    const bool isBehind = m_collections.front().watcher->revision() < m_answeredRevision;
+    if (!isBehind && m_inquiry.endIfComplete(others, now)) {
+        m_log.decision("Asked the other routers what the restored store lacks.",
+                       {{"routers", std::to_string(others.size())},
+                        {"answers", std::to_string(m_inquiry.answerCount())},
+                        {"heldItems", std::to_string(m_heldCount)},
+                        {"starting", m_isStartInquiry ? "true" : "false"}});
+        onEnd();
+        return;
+    }
+    const auto round = m_inquiry.nextRound(others, now);
+    for (const RouterId &router : round.routers)
+        m_peers.queryRestoredState(router, round.query, knownRevision());
+}
+
+/// Answers when all collections of the restored store are known here, so that what it lacks is.
+void RestoreCatchUp::answer(const wire::RestoredStateQuery &query)
+{
+    for (const Collection &collection : m_collections)
+        collection.watcher->recordReachedRevision(query.storeRevision);
+    if (!isOfOneEra() || knownRevision().era < query.storeRevision.era)
+        return;
+    wire::RestoredStateReply reply;
+    reply.query = query.query;
+    reply.isStarting = isStarting();
+    reply.planVersion = m_planVersion();
+    reply.storeRevision = m_collections.front().watcher->revision();
+    reply.isLast = false;
+    std::size_t bytes = 0;
+    for (const Collection &collection : m_collections) {
+        for (const store::HeldItem &item : collection.watcher->heldItems()) {
+            reply.items.push_back(toNotice(collection.name, item));
+            bytes += sizeOf(reply.items.back());
+            if (bytes < maxPartBytes)
+                continue;
+            m_peers.sendRestoredState(query.sender.router, reply);
+            reply.items.clear();
+            bytes = 0;
+        }
+    }
+    reply.isLast = true;
+    m_peers.sendRestoredState(query.sender.router, reply);
+}
+
+void RestoreCatchUp::handleReply(const wire::RestoredStateReply &reply)
+{
+    // What the other router holds is of no use for another era's copy.
+    if (!m_inquiry.isOpen() || !isOfOneEra() || knownRevision().era != reply.storeRevision.era)
+        return;
+    applyHeld(reply);
+    if (!reply.isLast
+        || !m_inquiry.recordAnswer(reply.sender.router, reply.query, reply.isStarting,
+                                   Clock::now()))
+        return;
+    m_answeredRevision = std::max(m_answeredRevision, reply.storeRevision);
+    if (reply.planVersion > m_planVersion())
+        onPlanElsewhere(reply.planVersion, reply.storeRevision);
+    update();
+}
+
+void RestoreCatchUp::applyHeld(const wire::RestoredStateReply &reply)
+{
+    for (const Collection &collection : m_collections) {
+        std::vector<store::HeldItem> items;
+        for (const wire::HeldItemNotice &notice : reply.items) {
+            if (notice.collection == collection.name)
+                items.push_back(toHeldItem(notice));
+        }
+        m_heldCount += items.size();
+        collection.watcher->hold(items);
+    }
+}
+
+} // namespace bilberry::direct
--- a/packages/direct/tests/routerfixture.h
+++ b/packages/direct/tests/routerfixture.h
@@ -49,8 +49,9 @@
 {
 public:
     explicit RouterFixture(const std::vector<ScriptedServer *> &servers,
-                           const ChangeSettings &change = {}, const Collections &stored = {})
-        : InProcessRouter(testPlan(), entriesOf(servers), change, stored)
+                           const ChangeSettings &change = {}, const Collections &stored = {},
+                           const StartOptions &options = {})
+        : InProcessRouter(testPlan(), entriesOf(servers), change, stored, options)
     {
     }
 
--- a/packages/router/include/bilberry/router/coordinator.h
+++ b/packages/router/include/bilberry/router/coordinator.h
@@ -84,6 +84,8 @@
     void handle(const wire::CrashSuspectGossip &, TimePoint) {}
     void handle(const wire::ServerNoticeGossip &, TimePoint) {}
     void handle(const wire::StoreNotice &, TimePoint) {}
+    void handle(const wire::RestoredStateQuery &, TimePoint) {}
+    void handle(const wire::RestoredStateReply &, TimePoint) {}
 
     wire::GossipSender localSender() const;
     bool isConfigurationFrozen(TimePoint now) const;
--- a/packages/store/include/bilberry/store/collectionwatcher.h
+++ b/packages/store/include/bilberry/store/collectionwatcher.h
@@ -9,6 +9,8 @@
 #include <memory>
 #include <optional>
 #include <set>
+#include <string>
+#include <vector>
 
 namespace bilberry::store {
 
@@ -78,6 +80,17 @@
     Outdated, ///< the other one doesn't know yet that the store was restored
 };
 
+/// An item whose known state is newer than the one in a store that was restored from a copy.
+struct HeldItem
+{
+    std::string name;
+    std::optional<std::string> known; ///< absent: the item was removed
+    std::optional<std::string> copy;  ///< absent: the copy lacks the item
+    /// Time until the copy's state is used. Absent: until the item is written again.
+    std::optional<Duration> remaining;
+    bool operator==(const HeldItem &) const = default;
+};
+
 /// Keeps up with one collection: lists it, watches it, and lists it again when the history has
 /// expired or a call fails. Items that disappear during an outage or shortly after are reported as
 /// removed only when WatcherSettings::returnGracePeriod has passed.
@@ -123,6 +136,12 @@
     /// Applies what another watcher of the same collection knows.
     RelayResult applyRelayed(const RelayedChanges &relayed);
 
+    /// @return what holds in place of what the restored store lists
+    std::vector<HeldItem> heldItems() const;
+    /// Lets what another watcher holds be in force here, for a watcher that has started since the
+    /// restore, or missed what was written before. Items that were written again stay as they are.
+    void hold(const std::vector<HeldItem> &items);
+
     /// Starts no watch call before a point in time, and asks for no revision that others have
     /// learned of: another watcher relays all changes until then.
     void relyOnRelay(TimePoint until);
--- a/packages/store/include/bilberry/store/heldstates.h
+++ b/packages/store/include/bilberry/store/heldstates.h
@@ -18,6 +18,13 @@
     /// Value of an item; absent when there is none.
     using ItemState = std::optional<std::string>;
 
+    struct Held
+    {
+        ItemState copy;
+        std::optional<TimePoint> until; ///< absent: until the item is written again
+        bool operator==(const Held &) const = default;
+    };
+
     /// Holds an item.
     /// @param copy state in the restored store
     /// @param until absent: until the item is written again
@@ -36,13 +43,9 @@
     /// @return the items whose holds have ended, with their states in the restored store
     std::map<std::string, ItemState> takeEnded(TimePoint now);
 
-private:
-    struct Held
-    {
-        ItemState copy;
-        std::optional<TimePoint> until;
-    };
+    const std::map<std::string, Held> &items() const { return m_items; }
 
+private:
     std::map<std::string, Held> m_items;
 };
 
--- a/packages/store/src/collectionwatcher.cpp
+++ b/packages/store/src/collectionwatcher.cpp
@@ -423,6 +423,16 @@
     return m_state->applyRelayed(relayed);
 }
 
+std::vector<HeldItem> CollectionWatcher::heldItems() const
+{
+    return m_state->items->heldItems();
+}
+
+void CollectionWatcher::hold(const std::vector<HeldItem> &items)
+{
+    m_state->items->hold(items);
+}
+
 void CollectionWatcher::relyOnRelay(TimePoint until)
 {
     m_state->relayedUntil = std::max(m_state->relayedUntil, until);
--- a/packages/store/src/knownitems.cpp
+++ b/packages/store/src/knownitems.cpp
@@ -1,5 +1,7 @@
 #include "knownitems.h"
 
+#include <algorithm>
+
 namespace bilberry::store {
 
 namespace {
@@ -74,6 +76,43 @@
     scheduleHeldEnd();
 }
 
+std::vector<HeldItem> KnownItems::heldItems() const
+{
+    const TimePoint now = Clock::now();
+    std::vector<HeldItem> items;
+    for (const auto &[name, held] : m_held.items()) {
+        HeldItem item{name, std::nullopt, held.copy, std::nullopt};
+        if (const auto known = m_valuesByName.find(name); known != m_valuesByName.end())
+            item.known = known->second;
+        if (held.until)
+            item.remaining = std::max(*held.until - now, Duration::zero());
+        items.push_back(std::move(item));
+    }
+    return items;
+}
+
+void KnownItems::hold(const std::vector<HeldItem> &items)
+{
+    for (const HeldItem &item : items) {
+        const auto known = m_valuesByName.find(item.name);
+        const HeldStates::ItemState state = known == m_valuesByName.end()
+                                                    ? HeldStates::ItemState()
+                                                    : HeldStates::ItemState(known->second);
+        // Any other state than the copy's was written after the restore, or is held already.
+        if (state != item.copy || state == item.known)
+            continue;
+        std::optional<TimePoint> until;
+        if (item.remaining)
+            until = Clock::now() + *item.remaining;
+        m_held.hold(item.name, item.copy, until);
+        if (item.known)
+            applyItem({item.name, *item.known});
+        else
+            removeItem(item.name);
+    }
+    scheduleHeldEnd();
+}
+
 bool KnownItems::isOlder(const Item &known, const Item &restored) const
 {
     return m_hooks.isOutdated && m_hooks.isOutdated(known, restored);
--- a/packages/store/src/knownitems.h
+++ b/packages/store/src/knownitems.h
@@ -38,6 +38,11 @@
     /// by another way.
     void applyNewest(const std::map<std::string, const ItemChange *> &newest);
 
+    /// @return the items whose state in the restored store is older than the known one
+    std::vector<HeldItem> heldItems() const;
+    /// Takes over what another watcher holds, where this one knows the copy only.
+    void hold(const std::vector<HeldItem> &items);
+
     /// Lets items that disappear until a point in time return before they count as removed.
     void allowReturns(TimePoint until) { m_returnDeadline = until; }
     /// @return true while items have disappeared that may return
--- a/packages/store/tests/restoredstore_test.cpp
+++ b/packages/store/tests/restoredstore_test.cpp
@@ -320,3 +320,56 @@
         }
     }
 }
+
+// A router that started after a restore took the copy for the newest state (CONFIG, EVAC, DRAIN).
+SCENARIO("a watcher starts after the store was restored")
+{
+    Fixture running;
+    running.settings.unlistedHold = 400ms;
+    running.settings.removedHold = 400ms;
+    running.store.change("removed", "1");
+    running.start();
+    running.store.change("removed", "");
+    running.run(30ms);
+    const Values copy{{"a", "1"}, {"removed", "1"}};
+    running.store.restore(copy, 50);
+    running.run(40ms);
+    REQUIRE(running.values == Values{{"a", "2"}, {"b", "2"}});
+    Fixture starting;
+    starting.store.restore(copy, 50);
+    GIVEN("one that is told by a running watcher what holds in place of the copy")
+    {
+        starting.start();
+        REQUIRE(starting.values == copy);
+        starting.watcher->hold(running.watcher->heldItems());
+        THEN("it knows the same, and holds the same for others")
+        {
+            CHECK(starting.values == running.values);
+            CHECK(starting.watcher->heldItems().size() == 3);
+            starting.run(30ms);
+            CHECK(starting.values == running.values);
+        }
+        THEN("an item that is written again is followed")
+        {
+            starting.store.change("a", "3");
+            starting.run(40ms);
+            CHECK(starting.values["a"] == "3");
+            CHECK(starting.watcher->heldItems().size() == 2);
+        }
+        THEN("holds that have an end have the same end")
+        {
+            starting.run(500ms);
+            CHECK(starting.values == Values{{"a", "2"}, {"removed", "1"}});
+        }
+    }
+    GIVEN("one that has read an item that was written again")
+    {
+        starting.store.change("a", "3");
+        starting.start();
+        starting.watcher->hold(running.watcher->heldItems());
+        THEN("that one stays as it is")
+        {
+            CHECK(starting.values == Values{{"a", "3"}, {"b", "2"}});
+        }
+    }
+}
--- a/packages/wire/include/bilberry/wire/gossipmessages.h
+++ b/packages/wire/include/bilberry/wire/gossipmessages.h
@@ -240,9 +240,46 @@
     bool operator==(const StoreNotice &) const = default;
 };
 
-using GossipMessage = std::variant<Probe, ProbeAck, ServiceReport, ServiceTotals, QuarantineGossip,
-                                   DirectRouterReport, PlanProofQuery, PlanProofReply,
-                                   CrashSuspectGossip, ServerNoticeGossip, StoreNotice>;
+/// Asks another direct router what the store lacks since it was restored from a copy.
+struct RestoredStateQuery
+{
+    GossipSender sender;
+    std::uint64_t query = 0;     ///< number that the answer repeats
+    StoreRevision storeRevision; ///< that the sender knows of the restored store
+    bool operator==(const RestoredStateQuery &) const = default;
+};
+
+/// An item whose state in the restored store is older than the one that holds.
+struct HeldItemNotice
+{
+    std::string collection;
+    std::string name;
+    bool exists = false; ///< in the state that holds
+    std::string value;
+    bool isInCopy = false;
+    std::string copiedValue;
+    bool ends = false; ///< false: it holds until the item is written again
+    std::uint32_t remainingMs = 0;
+    bool operator==(const HeldItemNotice &) const = default;
+};
+
+/// Answer to a RestoredStateQuery.
+struct RestoredStateReply
+{
+    GossipSender sender;
+    std::uint64_t query = 0;
+    bool isStarting = false; ///< the sender has started since the restore and knows nothing more
+    std::uint64_t planVersion = 0;
+    StoreRevision storeRevision; ///< up to which the sender knows the plans
+    bool isLast = true;          ///< no further part of the answer follows
+    std::vector<HeldItemNotice> items;
+    bool operator==(const RestoredStateReply &) const = default;
+};
+
+using GossipMessage
+        = std::variant<Probe, ProbeAck, ServiceReport, ServiceTotals, QuarantineGossip,
+                       DirectRouterReport, PlanProofQuery, PlanProofReply, CrashSuspectGossip,
+                       ServerNoticeGossip, StoreNotice, RestoredStateQuery, RestoredStateReply>;
 
 } // namespace bilberry::wire
 
--- a/packages/wire/src/serialization.h
+++ b/packages/wire/src/serialization.h
@@ -83,6 +83,11 @@
 BILBERRY_FIELDS(CollectionNotice, m.collection, m.base, m.revision, m.ageMs, m.changes)
 BILBERRY_FIELDS(StoreNotice, m.sender, m.planVersion, m.storeRevision, m.collections)
 BILBERRY_FIELDS(PlanProofReply, m.sender, m.query, m.planVersion, m.storeRevision, m.ageUs)
+BILBERRY_FIELDS(RestoredStateQuery, m.sender, m.query, m.storeRevision)
+BILBERRY_FIELDS(HeldItemNotice, m.collection, m.name, m.exists, m.value, m.isInCopy, m.copiedValue,
+                m.ends, m.remainingMs)
+BILBERRY_FIELDS(RestoredStateReply, m.sender, m.query, m.isStarting, m.planVersion, m.storeRevision,
+                m.isLast, m.items)
 
 #undef BILBERRY_FIELDS
 
--- a/tests/support/inprocessrouter.cpp
+++ b/tests/support/inprocessrouter.cpp
@@ -21,8 +21,6 @@
 /// Duration of a removal.
 constexpr Duration removalTime = 400ms;
 
-constexpr StoreRevision firstRevision{1, 1};
-
 /// In-memory store with constant collections, which records what is written; list() and watch()
 /// fail while `down` is set.
 class MemoryStore : public store::CollectionStore
@@ -30,9 +28,10 @@
 public:
     MemoryStore(asio::io_context &context, InProcessRouter::Collections &collections,
                 std::function<void(const std::string &, const store::Item &)> onPut,
-                std::atomic<bool> &down, std::atomic<int> &removedItems)
+                std::atomic<bool> &down, std::atomic<std::uint64_t> &era,
+                std::atomic<int> &removedItems)
         : m_context(context), m_collections(collections), m_onPut(std::move(onPut)), m_down(down),
-          m_removedItems(removedItems)
+          m_era(era), m_removedItems(removedItems)
     {
     }
 
@@ -40,17 +39,17 @@
     {
         if (m_down)
             co_return store::StoreErrc::Unavailable;
-        co_return store::Snapshot{m_collections[collection], firstRevision};
+        co_return store::Snapshot{m_collections[collection], {m_era, 1}};
     }
 
-    asio::awaitable<Result<store::Changes>> watch(std::string, StoreRevision since, Duration wait,
+    asio::awaitable<Result<store::Changes>> watch(std::string, StoreRevision, Duration wait,
                                                   Duration) override
     {
         asio::steady_timer timer(m_context, wait);
         co_await timer.async_wait(asio::use_awaitable);
         if (m_down)
             co_return store::StoreErrc::Unavailable;
-        co_return store::Changes{{}, since};
+        co_return store::Changes{{}, {m_era, 1}};
     }
 
     asio::awaitable<Status> put(std::string collection, store::Item item, Duration) override
@@ -71,6 +70,7 @@
     InProcessRouter::Collections &m_collections;
     std::function<void(const std::string &, const store::Item &)> m_onPut;
     std::atomic<bool> &m_down;
+    std::atomic<std::uint64_t> &m_era;
     std::atomic<int> &m_removedItems;
 };
 
@@ -80,8 +80,9 @@
 } // namespace
 
 InProcessRouter::InProcessRouter(TrafficPlan plan, const std::vector<DirectServer> &servers,
-                                 const ChangeSettings &change, const Collections &stored)
-    : m_collections(stored)
+                                 const ChangeSettings &change, const Collections &stored,
+                                 const StartOptions &options)
+    : m_collections(stored), m_storeEra(options.storeEra)
 {
     for (const DirectServer &server : servers) {
         m_servers[server.id.text()] = server;
@@ -102,7 +103,7 @@
                               const std::lock_guard lock(m_writtenMutex);
                               m_written[collection].push_back(item);
                           },
-                          m_storeDown, m_removedItems);
+                          m_storeDown, m_storeEra, m_removedItems);
               };
     adapter.headers.reserved = {"Bilberry-Secret"};
     m_settings.router = RouterId("router");
@@ -121,7 +122,7 @@
         change(m_settings);
     m_router = std::make_unique<direct::DirectRouter>(m_settings, adapter);
     m_thread = std::thread([this] { m_router->run(); });
-    if (!eventually([this] { return ready(); })) {
+    if (options.waitUntilReady && !eventually([this] { return ready(); })) {
         stop();
         m_thread.join();
         throw std::runtime_error("the direct router did not become ready");
--- a/tests/support/inprocessrouter.h
+++ b/tests/support/inprocessrouter.h
@@ -15,6 +15,13 @@
 
 namespace bilberry::tests {
 
+/// How a router starts.
+struct StartOptions
+{
+    std::uint64_t storeEra = 1; ///< above 1: its store was restored from a copy
+    bool waitUntilReady = true;
+};
+
 /// Runs a direct router in the test process, with the plan and the servers that a test gives it.
 class InProcessRouter
 {
@@ -29,7 +36,8 @@
     /// @param stored what else the store holds, such as other routers
     /// @throws std::runtime_error when the router is not ready after 10 seconds
     InProcessRouter(TrafficPlan plan, const std::vector<DirectServer> &servers,
-                    const ChangeSettings &change = {}, const Collections &stored = {});
+                    const ChangeSettings &change = {}, const Collections &stored = {},
+                    const StartOptions &options = {});
     ~InProcessRouter();
 
     InProcessRouter(const InProcessRouter &) = delete;
@@ -40,6 +48,8 @@
     /// Waits until the router has stopped.
     void waitForStop() { m_thread.join(); }
     void setStoreDown(bool down) { m_storeDown = down; }
+    /// Restores the store from a copy that has all its items.
+    void restoreStore() { ++m_storeEra; }
     /// @return number of items that the router has removed from the store; each call takes 400 ms
     int removedItems() const { return m_removedItems; }
     /// @return what the router has written to a collection of the store, oldest first
@@ -72,6 +82,7 @@
     mutable std::mutex m_writtenMutex;
     Collections m_written;
     std::atomic<bool> m_storeDown = false;
+    std::atomic<std::uint64_t> m_storeEra;
     std::atomic<int> m_removedItems = 0;
     direct::DirectSettings m_settings;
     std::unique_ptr<direct::DirectRouter> m_router;
