Let live routers write what crashes servers, whoever is lost

Cause: the two writers of a record were chosen among all entries of the collection of routers, also those of machines lost without SIGTERM, which stay. Where both writers were such entries, nobody wrote; the other routers dropped the change when it had been offered once.

Change: writers are chosen among the routers heard of in the last 2 s. A router that isn't a writer keeps its changes while their crashes count, and writes them when it becomes one. One write of a record is under way at a time and goes on until the store has the newest state; before, an older state that was tried again could overwrite a newer one, and a removal was tried once. Nothing is written before the records were read at the start, which could replace five crashes by two, and what others have told until then is no longer dropped as read.

Ruled out: watchers of the store, proofs, cold servers' turns, parts of limits and the own deployment's aggregators, which go by routers heard of lately.

--- a/packages/decision/include/bilberry/decision/crashsuspicion.h
+++ b/packages/decision/include/bilberry/decision/crashsuspicion.h
@@ -144,6 +144,9 @@
     /// @return true when none of the crashes counts any more
     bool isExpired(const CrashSuspect &suspect) const;
 
+    /// @return time for which a crash counts
+    Duration lifetime() const { return m_settings.lifetime; }
+
     /// Forgets crashes that are older than the lifetime.
     void expire(TimePoint now);
 
--- a/packages/direct/src/crashes/crashrecords.cpp
+++ b/packages/direct/src/crashes/crashrecords.cpp
@@ -113,28 +113,54 @@
     asio::co_spawn(m_io, loadRecords(shared_from_this()), asio::detached);
 }
 
-void CrashRecords::saveChanges(const RouterId &router, const std::vector<RouterId> &others)
+void CrashRecords::saveChanges(const RouterId &router, const std::vector<RouterId> &liveOthers)
 {
-    const auto changes = m_suspicion.takeStoreChanges(Clock::now());
-    if (changes.suspected.empty() && changes.cleared.empty())
+    if (!m_isLoaded)
         return;
+    takeChanges();
+    // Crashes that are older don't count any more, nor does what they were cleared by.
+    const TimePoint now = Clock::now();
+    std::erase_if(m_pending, [&](const auto &item) {
+        return !item.second.isBeingWritten && now - item.second.changedAt > m_suspicion.lifetime();
+    });
     std::vector<std::string> routers{router.text()};
-    for (const RouterId &other : others)
+    for (const RouterId &other : liveOthers)
         routers.push_back(other.text());
-    const auto isWriter = [&](const std::string &name) {
+    if (m_checked == std::pair(routers, m_lastChange))
+        return;
+    m_checked = {routers, m_lastChange};
+    for (const auto &[name, pending] : m_pending) {
         const auto writers = decision::rendezvousSubset(name, routers, writersPerRecord);
         // The first router is this one.
-        return std::find(writers.begin(), writers.end(), 0U) != writers.end();
-    };
+        if (std::find(writers.begin(), writers.end(), 0U) != writers.end())
+            startWrite(name);
+    }
+}
+
+void CrashRecords::takeChanges()
+{
+    const auto changes = m_suspicion.takeStoreChanges(Clock::now());
     for (const decision::CrashSuspect &suspect : changes.suspected) {
         const store::Item item = encodeCrashRecord(suspect, system_clock::now());
-        if (isWriter(item.name))
-            asio::co_spawn(m_io, saveRecord(shared_from_this(), item), asio::detached);
-    }
-    for (const decision::RequestFeature feature : changes.cleared) {
-        if (isWriter(toHex(feature)))
-            asio::co_spawn(m_io, removeRecord(shared_from_this(), toHex(feature)), asio::detached);
+        addPending(item.name, item);
     }
+    for (const decision::RequestFeature feature : changes.cleared)
+        addPending(toHex(feature), std::nullopt);
+}
+
+void CrashRecords::addPending(const std::string &name, std::optional<store::Item> item)
+{
+    PendingRecord &pending = m_pending[name];
+    pending.item = std::move(item);
+    pending.change = ++m_lastChange;
+    pending.changedAt = Clock::now();
+}
+
+void CrashRecords::startWrite(const std::string &name)
+{
+    if (std::exchange(m_pending.at(name).isBeingWritten, true))
+        return;
+    asio::co_spawn(m_io, writeRecord(shared_from_this(), name), asio::detached);
 }
 
 asio::awaitable<void> CrashRecords::loadRecords(std::shared_ptr<CrashRecords> self)
@@ -155,42 +181,57 @@
 void CrashRecords::merge(const std::vector<store::Item> &items)
 {
     const TimePoint now = Clock::now();
+    std::map<std::string, decision::CrashSuspect> read;
     for (const store::Item &item : items) {
         const auto suspect = decodeCrashRecord(item, system_clock::now());
-        if (!suspect)
+        if (!suspect) {
             m_log.decision("Ignored an invalid record of what crashes servers.",
                            {{"feature", item.name}});
-        else if (m_suspicion.isExpired(*suspect))
-            asio::co_spawn(m_io, removeRecord(shared_from_this(), item.name), asio::detached);
-        else
+        } else if (m_suspicion.isExpired(*suspect)) {
+            addPending(item.name, std::nullopt);
+            startWrite(item.name);
+        } else {
             m_suspicion.merge(*suspect, now);
+            read.emplace(item.name, *suspect);
+        }
+    }
+    m_isLoaded = true;
+    takeChanges();
+    // What was read needs not be written again, unless other routers have told more.
+    for (const auto &[name, suspect] : read) {
+        const auto pending = m_pending.find(name);
+        const auto known = pending != m_pending.end() && pending->second.item
+                                   ? decodeCrashRecord(*pending->second.item, system_clock::now())
+                                   : std::nullopt;
+        if (known && known->crashes.size() <= suspect.crashes.size()
+            && known->probes <= suspect.probes)
+            m_pending.erase(pending);
     }
-    // What was read needs not be written again.
-    m_suspicion.takeStoreChanges(now);
 }
 
-asio::awaitable<void> CrashRecords::saveRecord(std::shared_ptr<CrashRecords> self, store::Item item)
+/// Writes or removes a record until the store has its newest state.
+asio::awaitable<void> CrashRecords::writeRecord(std::shared_ptr<CrashRecords> self,
+                                                std::string name)
 {
     for (;;) {
-        const Status saved = co_await self->m_store.put(self->m_collection, item, storeCallTimeout);
-        if (saved)
+        const PendingRecord pending = self->m_pending.at(name);
+        Status written = success();
+        if (pending.item)
+            written = co_await self->m_store.put(self->m_collection, *pending.item,
+                                                 storeCallTimeout);
+        else
+            written = co_await self->m_store.remove(self->m_collection, name, storeCallTimeout);
+        if (!written) {
+            self->m_log.decision("Could not write what crashes servers.",
+                                 {{"feature", name}, {"error", written.error().message()}});
+            co_await pause();
+        } else if (self->m_pending.at(name).change == pending.change) {
+            self->m_pending.erase(name);
             co_return;
-        self->m_log.decision("Could not write what crashes servers.",
-                             {{"feature", item.name}, {"error", saved.error().message()}});
-        co_await pause();
+        }
     }
 }
 
-asio::awaitable<void> CrashRecords::removeRecord(std::shared_ptr<CrashRecords> self,
-                                                 std::string name)
-{
-    const Status removed
-            = co_await self->m_store.remove(self->m_collection, name, storeCallTimeout);
-    if (!removed)
-        self->m_log.decision("Could not remove a record of what crashes servers.",
-                             {{"feature", name}, {"error", removed.error().message()}});
-}
-
 asio::awaitable<void> CrashRecords::pause()
 {
     asio::steady_timer timer(co_await asio::this_coro::executor, retryDelay);
--- a/packages/direct/src/directrouter.cpp
+++ b/packages/direct/src/directrouter.cpp
@@ -171,14 +171,15 @@
         };
     }
 
-    /// @return number of routers that come before this one in the rendezvous order of the feature
+    /// @return number of live routers that come before this one in the rendezvous order of the
+    ///         feature
     std::size_t probeOrder(decision::RequestFeature feature) const
     {
         const auto weight = [feature](const RouterId &router) {
             return decision::rendezvousWeight(feature, decision::stableHash(router.text()));
         };
         const std::uint64_t own = weight(settings.router);
-        const std::vector<RouterId> others = peerExchange->routers();
+        const std::vector<RouterId> others = peerExchange->liveRouters();
         return static_cast<std::size_t>(
                 std::count_if(others.begin(), others.end(),
                               [&](const RouterId &other) { return weight(other) > own; }));
@@ -256,7 +257,7 @@
     {
         connections.dropExpired(Clock::now());
         crashSuspicion.expire(Clock::now());
-        crashRecords->saveChanges(settings.router, peerExchange->routers());
+        crashRecords->saveChanges(settings.router, peerExchange->liveRouters());
         housekeepingTimer.expires_after(housekeepingPeriod);
         housekeepingTimer.async_wait([self = shared_from_this()](boost::system::error_code error) {
             if (!error)
--- a/packages/direct/src/peers/peerexchange.cpp
+++ b/packages/direct/src/peers/peerexchange.cpp
@@ -367,7 +367,7 @@
     const RouterId sender = std::visit(
             [](const auto &alternative) { return alternative.sender.router; }, message);
     if (m_peers.contains(sender.text()))
-        m_heardAt[sender] = Clock::now();
+        recordHeard(sender);
     if (const auto *report = std::get_if<wire::DirectRouterReport>(&message))
         handleReport(*report);
     else if (const auto *gossip = std::get_if<wire::CrashSuspectGossip>(&message))
@@ -387,6 +387,15 @@
                            std::chrono::microseconds(std::min(reply->ageUs, maxProofAgeUs))});
 }
 
+/// A router that was cut off has missed what was told meanwhile.
+void PeerExchange::recordHeard(const RouterId &router)
+{
+    const TimePoint now = Clock::now();
+    const TimePoint before = std::exchange(m_heardAt[router], now);
+    if (now - before >= peerLifetime)
+        m_crashSuspicion.repeatAll(now);
+}
+
 /// A router that asks may have read records of crashes that the copy lacks, or has again.
 void PeerExchange::handleRestoredStateQuery(const wire::RestoredStateQuery &query)
 {
--- a/packages/direct/src/peers/peerexchange.h
+++ b/packages/direct/src/peers/peerexchange.h
@@ -96,6 +96,7 @@
     std::vector<wire::DirectServerLoad> changedLoads(bool complete);
     Duration reportInterval() const;
     void handleMessage(wire::GossipMessage &&message);
+    void recordHeard(const RouterId &router);
     void handleReport(const wire::DirectRouterReport &report);
     void handleServerNotices(const wire::ServerNoticeGossip &gossip);
     void handleSuspects(const wire::CrashSuspectGossip &gossip);
--- a/packages/direct/tests/crashingpart_test.cpp
+++ b/packages/direct/tests/crashingpart_test.cpp
@@ -3,6 +3,9 @@
 
 #include "support/fleet.h"
 
+#include "bilberry/wire/codec.h"
+
+#include <boost/asio/ip/udp.hpp>
 #include <catch2/catch.hpp>
 
 #include <list>
@@ -359,6 +362,86 @@
     }
 }
 
+// What was told while a router was cut off was never told to it (BUDGET).
+SCENARIO("a router that was cut off learns what crashes servers")
+{
+    CrashingServers servers(12);
+    boost::asio::io_context io;
+    boost::asio::ip::udp::socket other(io, {boost::asio::ip::address_v4::loopback(), 0});
+    other.non_blocking(true);
+    const store::Item entry{"other", R"({"address":"127.0.0.1","port":)"
+                                             + std::to_string(other.local_endpoint().port()) + "}"};
+    const RouterFixture router(servers.all(), acceptOldPlans, {{"routers", {entry}}});
+    const auto speak = [&] {
+        const wire::GossipSender sender{RouterId("other"), 7, ZoneId("a")};
+        other.send_to(
+                boost::asio::buffer(wire::encodeDatagram(wire::StoreNotice{sender, 0, {}, {}})),
+                {boost::asio::ip::address_v4::loopback(), router.settings().peerEndpoint.port});
+    };
+    /// @return true when a datagram received in a while tells of a part that crashed two servers
+    const auto hearsOfPart = [&] {
+        std::this_thread::sleep_for(600ms);
+        std::array<char, 65536> bytes{};
+        boost::system::error_code error;
+        bool hears = false;
+        for (;;) {
+            const std::size_t size = other.receive(boost::asio::buffer(bytes), 0, error);
+            if (error)
+                return hears;
+            const auto message = wire::decodeDatagram({bytes.data(), size});
+            const auto *gossip
+                    = message ? std::get_if<wire::CrashSuspectGossip>(&message.value()) : nullptr;
+            for (const auto &suspect : gossip ? gossip->suspects : decltype(gossip->suspects)())
+                hears = hears
+                        || (decision::featureKind(suspect.feature)
+                                    == decision::FeatureKind::PromptPart
+                            && suspect.crashes.size() == 2);
+        }
+    };
+    GIVEN("a router that is silent while two servers crash, and for some time more")
+    {
+        speak();
+        for (int i = 0; i < 2; ++i) {
+            call(router, crashingPart + ",", i);
+            std::this_thread::sleep_for(pauseBetweenRequests);
+            call(router, "", firstSoundNumber + i);
+        }
+        REQUIRE(servers.crashed() == 2);
+        std::this_thread::sleep_for(suspectRepeatTime);
+        hearsOfPart();
+        REQUIRE_FALSE(hearsOfPart());
+        THEN("it is told of them when it is heard again")
+        {
+            speak();
+            CHECK(hearsOfPart());
+        }
+    }
+}
+
+// The routers that should write the record were lost, and their entries stayed (BUDGET).
+SCENARIO("what crashes servers is written though most routers in the list are dead")
+{
+    CrashingServers servers(12);
+    RouterFixture::Collections stored;
+    for (int i = 0; i < 40; ++i)
+        stored["routers"].push_back(
+                {"dead" + std::to_string(i), R"({"address":"127.0.0.1","port":9})"});
+    GIVEN("a part that has crashed two servers")
+    {
+        const RouterFixture router(servers.all(), acceptOldPlans, stored);
+        for (int i = 0; i < 2; ++i) {
+            call(router, crashingPart + ",", i);
+            std::this_thread::sleep_for(2 * pauseBetweenRequests);
+            call(router, "", firstSoundNumber + i);
+        }
+        THEN("the live router writes it")
+        {
+            CHECK(eventually([&] { return !router.written("crash-suspects").empty(); },
+                             recordPeriod));
+        }
+    }
+}
+
 // What crashes servers must not be forgotten when all routers restart at the same time.
 SCENARIO("a router that starts after all others have ended refuses what crashed servers before")
 {
