Treat an answer with an undefined status as broken

Cause: Beast's parser takes any three digits.

Change: the bounded parser, which all readers of answers use, accepts 100 to 599. What else comes is broken: a request that may be repeated is, another one is answered 502, since it may have run.

The tests of the agent's client can look at what is passed on.

--- a/packages/agent/tests/backendclient_test.cpp
+++ b/packages/agent/tests/backendclient_test.cpp
@@ -14,24 +14,42 @@
 
 namespace {
 
-/// @return how an attempt ends whose server sends these bytes and closes the connection
-std::optional<BackendOutcome> outcomeOf(const std::string &bytes)
+/// What an agent passes on of one answer.
+struct Passed
+{
+    std::vector<unsigned> statuses; ///< of the heads
+    std::string body;
+    std::optional<BackendOutcome> outcome;
+};
+
+/// @return what becomes of a request to a server
+Passed passedOn(const ScriptedServer &server, const std::string &body = "body")
 {
-    ScriptedServer server([&](const ScriptedRequest &) {
-        return ScriptedAnswer{bytes, ScriptedAnswer::Then::Close};
-    });
     AgentSettings settings;
     settings.backendAddress = "127.0.0.1";
     settings.backendPort = server.port();
     boost::asio::io_context context;
-    std::optional<BackendOutcome> outcome;
+    Passed passed;
     BackendClient client(context, settings, [&](BackendEvent &&event) {
-        if (const auto *end = std::get_if<BackendAnswerEnd>(&event))
-            outcome = end->outcome;
+        if (const auto *head = std::get_if<BackendAnswerHead>(&event))
+            passed.statuses.push_back(head->status);
+        else if (const auto *chunk = std::get_if<BackendAnswerChunk>(&event))
+            passed.body += chunk->data;
+        else if (const auto *end = std::get_if<BackendAnswerEnd>(&event))
+            passed.outcome = end->outcome;
     });
-    client.execute(RunCommand{1, "POST", "/x", {}, "body"});
+    client.execute(RunCommand{1, "POST", "/x", {}, body});
     context.run_for(2s);
-    return outcome;
+    return passed;
+}
+
+/// @return how an attempt ends whose server sends these bytes and closes the connection
+std::optional<BackendOutcome> outcomeOf(const std::string &bytes)
+{
+    const ScriptedServer server([&](const ScriptedRequest &) {
+        return ScriptedAnswer{bytes, ScriptedAnswer::Then::Close};
+    });
+    return passedOn(server).outcome;
 }
 
 } // namespace
@@ -99,3 +117,18 @@
         }
     }
 }
+
+// Reported by other operators: the client got an answer whose status was 000.
+SCENARIO("an agent's server answers with a status that HTTP doesn't define")
+{
+    for (const std::string status : {"000", "099", "600", "999"}) {
+        GIVEN("the status " + status)
+        {
+            THEN("the answer is broken")
+            {
+                CHECK(outcomeOf("HTTP/1.1 " + status + " Odd\r\nContent-Length: 0\r\n\r\n")
+                      == BackendOutcome::Broken);
+            }
+        }
+    }
+}
--- a/packages/http/include/bilberry/http/boundedparser.h
+++ b/packages/http/include/bilberry/http/boundedparser.h
@@ -61,9 +61,18 @@
     static std::uint64_t size(const value_type &body) { return body.size(); }
 };
 
+/// @return false for a status outside the classes that HTTP defines; such an answer means nothing
+inline bool isValidStatus(int status)
+{
+    constexpr int lowest = 100;
+    constexpr int highest = 599;
+    return status >= lowest && status <= highest;
+}
+
 /// Parser for messages of untrusted senders. Fields beyond the limits above are an error
-/// (http::error::header_limit) instead of an exception. Trailer fields are checked and discarded:
-/// merged into the header, they could change what was decided by it.
+/// (http::error::header_limit) instead of an exception, and so is a status that isn't valid
+/// (http::error::bad_status). Trailer fields are checked and discarded: merged into the header,
+/// they could change what was decided by it.
 template <bool isRequest, typename Body = GrowingBody>
 class BoundedParser : public boost::beast::http::parser<isRequest, Body>
 {
@@ -71,6 +80,20 @@
     BoundedParser() = default;
 
 private:
+    void on_response_impl(int code, boost::beast::string_view reason, int version,
+                          boost::system::error_code &error) override
+    {
+        if constexpr (!isRequest) {
+            if (!isValidStatus(code)) {
+                error = boost::beast::http::error::bad_status;
+                return;
+            }
+            this->get().base().result(static_cast<unsigned>(code));
+            this->get().base().version(static_cast<unsigned>(version));
+            this->get().base().reason(reason);
+        }
+    }
+
     void on_field_impl(boost::beast::http::field name, boost::beast::string_view nameText,
                        boost::beast::string_view value, boost::system::error_code &error) override
     {
