Skip interim answers at an agent

Callers saw (by the test): an interim answer (103) of a server behind an agent is passed on as the answer. The actual one is left on the connection; if it arrives after the connection was taken for reusable, it answers the next request.

Cause: the agent's client read one head and took it for the actual one. Direct routers skip interim answers.

Evidence: backendclient_test on: 4 checks failed; the interim status was passed on, and interim answers without end counted as complete.

Change: up to 32 interim answers are skipped, more fail the attempt. A connection with bytes behind its answer isn't kept.

After: backendclient_test passes.

--- a/packages/agent/src/backendclient.cpp
+++ b/packages/agent/src/backendclient.cpp
@@ -35,6 +35,8 @@
 constexpr auto connectTimeout = std::chrono::seconds(1);
 constexpr auto healthCheckTimeout = std::chrono::milliseconds(500);
 constexpr std::size_t maxHealthBytes = 64U << 10U;
+/// Interim answers that are skipped before the attempt fails.
+constexpr int maxInterimAnswers = 32;
 /// Consecutive failed health checks after which the server counts as unreachable.
 constexpr int failuresToUnreachable = 2;
 
@@ -58,6 +60,11 @@
 using Stream = beast::tcp_stream;
 using AnswerParser = bilberry::http::BoundedParser<false, http::buffer_body>;
 
+bool isInterim(const AnswerParser &parser)
+{
+    return parser.get().result_int() / 100 == 1;
+}
+
 /// State of one request on the server.
 struct RunningRequest
 {
@@ -217,15 +224,22 @@
     {
         Stream &stream = *running.stream;
         beast::flat_buffer buffer(bilberry::http::maxUnparsedBytes);
-        AnswerParser parser;
-        parser.body_limit(boost::none);
-        // The answer to HEAD has the length of a body but no body.
-        parser.skip(method == http::verb::head);
+        std::optional<AnswerParser> currentParser;
         boost::system::error_code error;
-        co_await http::async_read_header(stream, buffer, parser,
-                                         asio::redirect_error(asio::use_awaitable, error));
-        if (error)
-            co_return BackendOutcome::Broken;
+        // Interim answers precede the actual one.
+        for (int heads = 0; !currentParser || isInterim(*currentParser); ++heads) {
+            if (heads > maxInterimAnswers)
+                co_return BackendOutcome::Broken;
+            currentParser.emplace();
+            currentParser->body_limit(boost::none);
+            // The answer to HEAD has the length of a body but no body.
+            currentParser->skip(method == http::verb::head);
+            co_await http::async_read_header(stream, buffer, *currentParser,
+                                             asio::redirect_error(asio::use_awaitable, error));
+            if (error)
+                co_return BackendOutcome::Broken;
+        }
+        AnswerParser &parser = *currentParser;
         sendHead(attempt, parser);
         std::optional<bilberry::http::EventBoundary> eventBoundary;
         const bool hasBody
@@ -255,7 +269,8 @@
         const bool endsWithConnection = !parser.chunked() && !parser.content_length();
         if (eventBoundary && eventBoundary->isBrokenOff(endsWithConnection))
             co_return BackendOutcome::Broken;
-        if (!parser.get().keep_alive())
+        // Bytes after the answer belong to no request.
+        if (!parser.get().keep_alive() || buffer.size() > 0)
             running.stream.reset();
         co_return BackendOutcome::Complete;
     }
--- a/packages/agent/tests/backendclient_test.cpp
+++ b/packages/agent/tests/backendclient_test.cpp
@@ -118,6 +118,38 @@
     }
 }
 
+// The agent took an interim answer for the actual one, which then answered the next request.
+SCENARIO("an agent's server sends interim answers")
+{
+    const std::string interim = "HTTP/1.1 103 Early Hints\r\nLink: </a>\r\n\r\n";
+    const std::string actual = "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nwhole";
+    GIVEN("two of them before the actual answer")
+    {
+        const ScriptedServer server([&](const ScriptedRequest &) {
+            return ScriptedAnswer{interim + interim + actual};
+        });
+        const Passed passed = passedOn(server);
+        THEN("only the actual one is passed on")
+        {
+            CHECK(passed.statuses == std::vector<unsigned>{200});
+            CHECK(passed.body == "whole");
+            CHECK(passed.outcome == BackendOutcome::Complete);
+        }
+    }
+    GIVEN("interim answers without end")
+    {
+        const ScriptedServer server([&](const ScriptedRequest &) {
+            return ScriptedAnswer{interim, ScriptedAnswer::Then::Repeat, interim};
+        });
+        const Passed passed = passedOn(server);
+        THEN("the attempt fails")
+        {
+            CHECK(passed.statuses.empty());
+            CHECK(passed.outcome == BackendOutcome::Broken);
+        }
+    }
+}
+
 // Reported by other operators: the client got an answer whose status was 000.
 SCENARIO("an agent's server answers with a status that HTTP doesn't define")
 {
