Don't end an answer as whole when the upload found a reset

Cause: a socket reports a reset once. The write consumed it; the read then found an ordinary end, which completes an answer without a length.

Ruled out: agents, which write the whole request before they read.

Change: the end of a connection completes nothing once the write has failed, but for broken_pipe, which says that the server had closed its side in order before. The write's handler always runs before the read's, as the event loop performs a socket's writes first and a speculative write posts its handler at once.

--- a/packages/agent/tests/backendclient_test.cpp
+++ b/packages/agent/tests/backendclient_test.cpp
@@ -164,3 +164,22 @@
         }
     }
 }
+
+// Reported by other operators: a part of an early answer looked whole when its server reset the
+// connection during the upload.
+SCENARIO("an agent's server resets the connection during a long upload")
+{
+    GIVEN("a server that has sent a part of an answer without a length")
+    {
+        const ScriptedServer server(
+                [](const ScriptedRequest &) {
+                    return ScriptedAnswer{"HTTP/1.1 200 OK\r\n\r\npart",
+                                          ScriptedAnswer::Then::Reset};
+                },
+                {16U << 10U, true});
+        THEN("the answer is broken")
+        {
+            CHECK(passedOn(server, std::string(3U << 20U, 'b')).outcome == BackendOutcome::Broken);
+        }
+    }
+}
--- a/packages/direct/src/server/serverattempt.cpp
+++ b/packages/direct/src/server/serverattempt.cpp
@@ -132,6 +132,8 @@
 void ServerAttempt::handleWritten(boost::system::error_code error, std::size_t sent)
 {
     m_upload = error ? Upload::Failed : Upload::Written;
+    // A server that has closed its side of the connection before gives broken_pipe.
+    m_wasReset = error && error != asio::error::broken_pipe;
     if (m_uploadTimer)
         m_uploadTimer->cancel();
     // An early response may arrive although the server did not read the whole request.
@@ -226,7 +228,9 @@
 void ServerAttempt::handleEof()
 {
     boost::system::error_code error;
-    if (m_headerHandled && m_parser->need_eof())
+    if (m_wasReset)
+        error = asio::error::connection_reset;
+    else if (m_headerHandled && m_parser->need_eof())
         m_parser->put_eof(error);
     deliverBody();
     if (m_finished)
--- a/packages/direct/src/server/serverattempt.h
+++ b/packages/direct/src/server/serverattempt.h
@@ -106,6 +106,7 @@
     bool m_headerHandled = false;
     bool m_idMismatch = false; ///< the message being read has the id of another request
     Upload m_upload = Upload::NotStarted;
+    bool m_wasReset = false; ///< as the write has learned; the read then finds an ordinary end
     /// Runs while the server reads the rest of a request that it has answered.
     std::optional<boost::asio::steady_timer> m_uploadTimer;
     bool m_finished = false;
