Let go of callers that don't read, and of the memory of large responses

Callers saw nothing; a caller that reads nothing of a response after which its connection is closed held that connection, and up to 512 KB, until it went away.

Cause: a close waits for the write of what is left, and that wait had no limit. Besides, a part of a response was copied once more than needed, and a connection kept the memory of its largest write while it was idle.

Ruled out: unbounded memory in any form (no head, status line, head, interim answers, chunk extensions, trailers, bodies, events), at direct routers and agents.

Change: the idle limit applies to the last response, too; the memory of a write is given back at its end; chunks are written without a further copy.

--- a/packages/agent/tests/backendclient_test.cpp
+++ b/packages/agent/tests/backendclient_test.cpp
@@ -6,6 +6,7 @@
 #include <catch2/catch.hpp>
 
 #include <optional>
+#include <tuple>
 
 using namespace bilberry;
 using namespace bilberry::agent;
@@ -183,3 +184,45 @@
         }
     }
 }
+
+// Reported by other operators: a machine kept all bytes of such answers and ran out of memory.
+SCENARIO("an agent's server sends bytes without end")
+{
+    const std::string filler(4096, 'x');
+    const std::string head = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+    const auto passedOf = [](const std::string &start, const std::string &repeated) {
+        const ScriptedServer server([&](const ScriptedRequest &) {
+            return ScriptedAnswer{start, ScriptedAnswer::Then::Repeat, repeated};
+        });
+        return passedOn(server);
+    };
+    const std::vector<std::tuple<std::string, std::string, std::string>> broken{
+            {"that are no head", "", filler},
+            {"in a status line", "HTTP/1.1 200 ", filler},
+            {"in a head", "HTTP/1.1 200 OK\r\n", "X-Field: " + filler + "\r\n"},
+            {"in a chunk's extension", head + "5;x=", filler},
+            {"in trailer fields", head + "5\r\nwhole\r\n0\r\n", "X-Field: " + filler + "\r\n"}};
+    for (const auto &[name, start, repeated] : broken) {
+        GIVEN("bytes " + name)
+        {
+            const Passed passed = passedOf(start, repeated);
+            THEN("the answer is broken")
+            {
+                CHECK(passed.outcome == BackendOutcome::Broken);
+                CHECK(passed.body.size() <= 5);
+            }
+        }
+    }
+    GIVEN("a body, and a router that gives no credit for more")
+    {
+        const Passed passed = passedOf("HTTP/1.1 200 OK\r\n\r\n", filler);
+        THEN("the agent takes what it has credit for, and waits")
+        {
+            constexpr std::size_t creditWindow = 256U << 10U;
+            constexpr std::size_t readBytes = 32U << 10U;
+            CHECK(passed.body.size() >= creditWindow);
+            CHECK(passed.body.size() < creditWindow + readBytes);
+            CHECK_FALSE(passed.outcome);
+        }
+    }
+}
--- a/packages/direct/src/caller/callerconnection.cpp
+++ b/packages/direct/src/caller/callerconnection.cpp
@@ -4,9 +4,10 @@
 
 #include <boost/asio/post.hpp>
 #include <boost/asio/write.hpp>
-#include <boost/beast/core/buffers_to_string.hpp>
 
 #include <algorithm>
+#include <array>
+#include <charconv>
 #include <sstream>
 
 namespace bilberry::direct {
@@ -36,6 +37,15 @@
     return text.str();
 }
 
+/// @return the line in front of a chunk's data
+std::string chunkHeader(std::size_t size)
+{
+    constexpr int hexadecimal = 16;
+    std::array<char, 2 * sizeof size> digits{};
+    const auto end = std::to_chars(digits.begin(), digits.end(), size, hexadecimal).ptr;
+    return std::string(digits.begin(), end) + "\r\n";
+}
+
 bool isBodyless(unsigned status)
 {
     return status / 100 == 1 || status == 204 || status == 304;
@@ -225,9 +235,11 @@
     if (m_isClosed || data.empty() || m_isHeadRequest)
         return;
     if (m_isChunked)
-        queueWrite(beast::buffers_to_string(http::make_chunk(asio::buffer(data))));
-    else
-        queueWrite(data);
+        m_pendingWrite += chunkHeader(data.size());
+    m_pendingWrite += data;
+    if (m_isChunked)
+        m_pendingWrite += "\r\n";
+    startWrite();
 }
 
 void CallerConnection::finishResponse()
@@ -313,8 +325,11 @@
 void CallerConnection::startLingeringClose()
 {
     m_isLingering = true;
-    if (m_isWriting)
+    if (m_isWriting) {
+        // The caller may never read the rest.
+        startTimer(m_bounds.idleLimit);
         return;
+    }
     boost::system::error_code ignored;
     m_socket.shutdown(asio::ip::tcp::socket::shutdown_send, ignored);
     m_buffer.clear();
@@ -339,7 +354,8 @@
     asio::async_write(m_socket, asio::buffer(m_writeBuffer),
                       [self = shared_from_this()](boost::system::error_code error, std::size_t) {
                           self->m_isWriting = false;
-                          self->m_writeBuffer.clear();
+                          // Idle connections must not keep the memory of large responses.
+                          self->m_writeBuffer = std::string();
                           self->handleWrite(error);
                       });
 }
--- a/packages/direct/tests/callerconnection_test.cpp
+++ b/packages/direct/tests/callerconnection_test.cpp
@@ -75,3 +75,37 @@
         }
     }
 }
+
+// Nothing ended such a connection, nor gave back the memory of its response.
+SCENARIO("a caller reads nothing of a large response")
+{
+    asio::io_context context;
+    direct::CallerHooks hooks;
+    const std::string body(8U << 20U, 'b');
+    hooks.onRequest = [&](const direct::CallerConnectionPtr &caller, direct::CallerRequest &&) {
+        caller->sendResponse({}, body);
+    };
+    hooks.onRequestError = [](const direct::CallerConnectionPtr &, direct::RequestError) {};
+    hooks.onClosed = [](const direct::CallerConnectionPtr &) {};
+    hooks.currentBounds = [] {
+        CallerBounds bounds;
+        bounds.idleLimit = 300ms;
+        return bounds;
+    };
+    for (const std::string fields : {"", "Connection: close\r\n"}) {
+        GIVEN(std::string(fields.empty() ? "a kept connection" : "one that is to be closed"))
+        {
+            ConnectedCaller caller(context, hooks);
+            caller.connection->start();
+            caller.send("GET / HTTP/1.1\r\nHost: h\r\n" + fields + "\r\n");
+            context.run_for(100ms);
+            CHECK_FALSE(caller.connection->isClosed());
+            CHECK(caller.connection->unsentBytes() > 0);
+            THEN("it is closed when its time for that is over")
+            {
+                context.run_for(600ms);
+                CHECK(caller.connection->isClosed());
+            }
+        }
+    }
+}
--- a/packages/direct/tests/endlessanswer_test.cpp
+++ b/packages/direct/tests/endlessanswer_test.cpp
@@ -7,6 +7,10 @@
 
 #include <sys/resource.h>
 
+#include <list>
+#include <thread>
+#include <tuple>
+
 using namespace bilberry;
 using namespace bilberry::tests;
 using namespace std::chrono_literals;
@@ -80,7 +84,12 @@
                 {"the body of a refusal that states that nothing ran",
                  "HTTP/1.1 503 Busy\r\nBilberry-Request-Id: r1\r\nBilberry-Not-Run: 1\r\n\r\n",
                  filler},
+                {"a status line that doesn't end", "HTTP/1.1 200 ", filler},
                 {"a chunk's extension that doesn't end", streamHead + "5;x=", filler},
+                {"trailer fields that don't end",
+                 "HTTP/1.1 200 OK\r\nBilberry-Request-Id: r1\r\nBilberry-Signature: s\r\n"
+                 "Transfer-Encoding: chunked\r\n\r\n5\r\nwhole\r\n0\r\n",
+                 "X-Field: " + filler + "\r\n"},
                 {"interim answers", "", "HTTP/1.1 102 Processing\r\n\r\n"},
         };
         for (const Case &example : cases) {
@@ -163,3 +172,98 @@
         }
     }
 }
+
+namespace {
+
+constexpr int manyServers = 5;
+constexpr int manyCallers = 40;
+
+/// What many answers cost together.
+struct Crowd
+{
+    long growthKb = 0;
+    int requests = 0;  ///< that reached a server
+    int abandoned = 0; ///< answers that the router gave up
+    int whole = 0;     ///< answers that look complete
+};
+
+/// Lets many callers send a request to a server that answers without end.
+/// @param pause between two reads of a caller; negative for callers that read nothing
+Crowd callTogether(const std::string &path, const std::string &start, const std::string &repeated,
+                   std::chrono::milliseconds pause)
+{
+    std::list<ScriptedServer> servers;
+    std::vector<ScriptedServer *> all;
+    for (int i = 0; i < manyServers; ++i) {
+        servers.emplace_back([=](const ScriptedRequest &) {
+            return ScriptedAnswer{start, Then::Repeat, repeated};
+        });
+        all.push_back(&servers.back());
+    }
+    const RouterFixture fixture(all, acceptOldPlans);
+    // Memory isn't given back, so that all crowds count from the first one.
+    static const long before = peakMemoryKb();
+    std::atomic<int> whole = 0;
+    std::vector<std::thread> callers;
+    for (int i = 0; i < manyCallers; ++i)
+        callers.emplace_back([&] {
+            RawCaller caller(fixture.port());
+            caller.send(InProcessRouter::request(path, "", "", "key"));
+            if (pause < 0ms)
+                std::this_thread::sleep_for(2500ms);
+            for (RawAnswer part; !part.closed && !part.reset;) {
+                std::this_thread::sleep_for(std::max(pause, 0ms));
+                part = caller.readSome();
+                whole += part.text.ends_with("\r\n0\r\n\r\n") ? 1 : 0;
+            }
+        });
+    for (std::thread &caller : callers)
+        caller.join();
+    Crowd crowd;
+    for (const ScriptedServer &server : servers) {
+        crowd.requests += static_cast<int>(server.requests().size());
+        crowd.abandoned += server.abandoned();
+    }
+    crowd.growthKb = peakMemoryKb() - before;
+    crowd.whole = whole;
+    return crowd;
+}
+
+/// Memory that one of many endless answers may occupy, so that a hundred fit into an entry VM.
+constexpr long maxGrowthOfManyKb = 1536;
+
+} // namespace
+
+// Reported by other operators: a machine kept all bytes of such answers and ran out of memory.
+SCENARIO("a server answers many requests without end")
+{
+    const std::string body = "HTTP/1.1 200 OK\r\nBilberry-Request-Id: r1\r\n"
+                             "Bilberry-Signature: sig\r\n\r\n";
+    const std::string event = "id: 1\ndata: " + filler + "\n\n";
+    const std::string shortChunks = "1;x=" + filler + "\r\nx\r\n" + "1;x=" + filler + "\r\nx\r\n";
+    const std::vector<std::tuple<std::string, std::string, std::string, std::string>> answers{
+            {"a body", "/book/x", body, filler},
+            {"events", "/stream/x", streamHead, chunk(event)},
+            {"events that can be resumed", "/resume/x", streamHead, chunk(event)},
+            {"events without a length or chunks", "/stream/x", unframedStreamHead, event},
+            {"chunks with long extensions", "/stream/x", streamHead, shortChunks}};
+    for (const auto &[name, path, start, repeated] : answers) {
+        for (const auto pause : {-1ms, 0ms, 50ms}) {
+            GIVEN(name + ", to callers that "
+                  + (pause < 0ms    ? "read nothing"
+                     : pause == 0ms ? "read at once"
+                                    : "read slowly"))
+            {
+                const Crowd crowd = callTogether(path, start, repeated, pause);
+                THEN("all are cut off at their time limits, and the router keeps little of them")
+                {
+                    CHECK(crowd.requests >= manyCallers / 2);
+                    CHECK(crowd.abandoned == crowd.requests);
+                    CHECK(crowd.whole == 0);
+                    INFO(crowd.requests << " answers, " << crowd.growthKb << " KiB");
+                    CHECK(crowd.growthKb < manyCallers * maxGrowthOfManyKb);
+                }
+            }
+        }
+    }
+}
--- a/tests/support/rawcaller.cpp
+++ b/tests/support/rawcaller.cpp
@@ -68,6 +68,11 @@
             [&](const RawAnswer &answer) { return part.empty() || !answer.contains(part); });
 }
 
+RawAnswer RawCaller::readSome()
+{
+    return readWhile([](const RawAnswer &answer) { return answer.text.empty(); });
+}
+
 RawAnswer RawCaller::readAnswer(bool hasBody)
 {
     return readWhile([&](const RawAnswer &answer) {
--- a/tests/support/rawcaller.h
+++ b/tests/support/rawcaller.h
@@ -34,6 +34,8 @@
     /// Reads until the received text contains a part or the connection ends.
     /// @param part empty to read until the connection ends
     RawAnswer readUntil(const std::string &part);
+    /// Reads what has arrived, at least a byte unless the connection ends.
+    RawAnswer readSome();
     /// Reads one complete answer.
     /// @param hasBody false for an answer to HEAD
     RawAnswer readAnswer(bool hasBody = true);
