Ask about a restored store only when all of the copy is known

Cause: the inquiry began when any collection was found restored, and was answered while the plan, servers and zones were still those of the era before: the list of routers, which the inquiry needs no items of, was often found first.

Change: the inquiry belongs to an era, and asks when all its collections are known in it.

--- a/packages/direct/src/store/restorecatchup.cpp
+++ b/packages/direct/src/store/restorecatchup.cpp
@@ -72,28 +72,31 @@
     return lowest;
 }
 
-/// @return true when no collection is still to be listed again after a restore
-bool RestoreCatchUp::isOfOneEra() const
+std::uint64_t RestoreCatchUp::newestEra() const
 {
-    const StoreRevision lowest = knownRevision();
-    return lowest != 0
-           && std::all_of(m_collections.begin(), m_collections.end(), [&](const Collection &other) {
-                  return other.watcher->revision().era == lowest.era;
-              });
+    std::uint64_t newest = m_era;
+    for (const Collection &collection : m_collections)
+        newest = std::max(newest, collection.watcher->revision().era);
+    return newest;
+}
+
+/// @return true when all collections are known, and none is to be listed again after a restore
+bool RestoreCatchUp::isListed() const
+{
+    return knownRevision() != 0 && knownRevision().era == newestEra();
 }
 
 bool RestoreCatchUp::isStarting() const
 {
     if (m_hasStarted)
         return m_inquiry.isOpen() && m_isStartInquiry;
-    return std::any_of(m_collections.begin(), m_collections.end(), [](const Collection &other) {
-        return other.watcher->revision().era > firstEra;
-    });
+    return newestEra() > firstEra;
 }
 
-void RestoreCatchUp::begin()
+void RestoreCatchUp::begin(std::uint64_t era)
 {
     m_isStartInquiry = isStarting();
+    m_era = era;
     m_answeredRevision = {};
     m_heldCount = 0;
     m_inquiry.start(Clock::now());
@@ -101,17 +104,17 @@
 
 void RestoreCatchUp::update()
 {
-    const bool isListed = isOfOneEra();
-    if (!m_hasStarted && isListed) {
+    const bool hasList = isListed();
+    if (!m_hasStarted && hasList) {
         if (isStarting())
-            begin();
+            begin(newestEra());
         m_hasStarted = true;
     }
     if (!m_inquiry.isOpen())
         return;
     const TimePoint now = Clock::now();
     // What others hold can be compared with the restored items only.
-    const std::vector<RouterId> others = isListed ? m_peers.routers() : std::vector<RouterId>();
+    const std::vector<RouterId> others = hasList ? m_peers.routers() : std::vector<RouterId>();
     const bool isBehind = m_collections.front().watcher->revision() < m_answeredRevision;
     if (!isBehind && m_inquiry.endIfComplete(others, now)) {
         m_log.decision("Asked the other routers what the restored store lacks.",
@@ -132,7 +135,7 @@
 {
     for (const Collection &collection : m_collections)
         collection.watcher->recordReachedRevision(query.storeRevision);
-    if (!isOfOneEra() || knownRevision().era < query.storeRevision.era)
+    if (!isListed() || knownRevision().era < query.storeRevision.era)
         return;
     wire::RestoredStateReply reply;
     reply.query = query.query;
@@ -159,7 +162,7 @@
 void RestoreCatchUp::handleReply(const wire::RestoredStateReply &reply)
 {
     // What the other router holds is of no use for another era's copy.
-    if (!m_inquiry.isOpen() || !isOfOneEra() || knownRevision().era != reply.storeRevision.era)
+    if (!m_inquiry.isOpen() || !isListed() || knownRevision().era != reply.storeRevision.era)
         return;
     applyHeld(reply);
     if (!reply.isLast
--- a/packages/direct/src/store/restorecatchup.h
+++ b/packages/direct/src/store/restorecatchup.h
@@ -28,7 +28,8 @@
     void add(const std::string &collection, store::CollectionWatcher &watcher);
 
     /// Starts an inquiry, as the store was restored while this router ran.
-    void begin();
+    /// @param era of the restored store; the others are asked when all collections are known in it
+    void begin(std::uint64_t era);
     /// Continues the inquiry that is open; to be called often.
     void update();
 
@@ -50,7 +51,8 @@
     };
 
     StoreRevision knownRevision() const;
-    bool isOfOneEra() const;
+    std::uint64_t newestEra() const;
+    bool isListed() const;
     void answer(const wire::RestoredStateQuery &query);
     void handleReply(const wire::RestoredStateReply &reply);
     void applyHeld(const wire::RestoredStateReply &reply);
@@ -61,6 +63,7 @@
     decision::RestoreInquiry m_inquiry;
     std::vector<Collection> m_collections;
     StoreRevision m_answeredRevision; ///< the newest one up to which another router knows the plans
+    std::uint64_t m_era = 0;          ///< of the inquiry
     std::size_t m_heldCount = 0;      ///< items that others hold, in this inquiry
     bool m_hasStarted = false;        ///< all collections were listed once
     bool m_isStartInquiry = false;
--- a/packages/direct/tests/restartafterrestore_test.cpp
+++ b/packages/direct/tests/restartafterrestore_test.cpp
@@ -7,6 +7,7 @@
 #include <boost/asio/ip/udp.hpp>
 #include <catch2/catch.hpp>
 
+#include <limits>
 #include <thread>
 
 using namespace bilberry;
@@ -43,7 +44,17 @@
                  {{"other", R"({"address":"127.0.0.1","port":)"
                                     + std::to_string(m_socket.local_endpoint().port()) + "}"}}}};
     }
+    /// Tells a router at which revision the store is.
+    void announce(std::uint16_t routerPort, StoreRevision revision)
+    {
+        asio::ip::udp::socket socket(m_context, asio::ip::udp::v4());
+        socket.send_to(asio::buffer(wire::encodeDatagram(
+                               wire::StoreNotice{m_reply.sender, 1, revision, {}})),
+                       {asio::ip::address_v4::loopback(), routerPort});
+    }
     int answered() const { return m_answered; }
+    /// @return lowest era of the store in the questions
+    std::uint64_t lowestEra() const { return m_lowestEra; }
 
 private:
     void answer()
@@ -57,6 +68,7 @@
                     = message ? std::get_if<wire::RestoredStateQuery>(&message.value()) : nullptr;
             if (!query)
                 continue;
+            m_lowestEra = std::min<std::uint64_t>(m_lowestEra, query->storeRevision.era);
             m_reply.query = query->query;
             m_reply.storeRevision.era = query->storeRevision.era;
             m_socket.send_to(asio::buffer(wire::encodeDatagram(m_reply)), from);
@@ -68,6 +80,7 @@
     asio::ip::udp::socket m_socket;
     wire::RestoredStateReply m_reply;
     std::atomic<int> m_answered = 0;
+    std::atomic<std::uint64_t> m_lowestEra = std::numeric_limits<std::uint64_t>::max();
     std::atomic<bool> m_stopping = false;
     std::thread m_thread;
 };
@@ -195,6 +208,20 @@
             CHECK(other.answered() > 0);
         }
     }
+    GIVEN("a restore that the router notices by the list of routers first")
+    {
+        OtherRouter other(reply(1));
+        RouterFixture router({&server}, acceptOldPlans, other.entry());
+        router.restoreStore(false);
+        other.announce(router.settings().peerEndpoint.port, {2, 1});
+        std::this_thread::sleep_for(500ms);
+        router.showRestore();
+        THEN("it asks when it knows all of the copy, with which it compares the answer")
+        {
+            CHECK(eventually([&] { return other.answered() > 0; }, 4s));
+            CHECK(other.lowestEra() == 2);
+        }
+    }
     GIVEN("another router that knows no newer plan")
     {
         const OtherRouter other(reply(1));
--- a/tests/support/inprocessrouter.cpp
+++ b/tests/support/inprocessrouter.cpp
@@ -28,10 +28,10 @@
 public:
     MemoryStore(asio::io_context &context, InProcessRouter::Collections &collections,
                 std::function<void(const std::string &, const store::Item &)> onPut,
-                std::atomic<bool> &down, std::atomic<std::uint64_t> &era,
+                std::atomic<bool> &down, std::function<std::uint64_t(const std::string &)> eraOf,
                 std::atomic<int> &removedItems)
         : m_context(context), m_collections(collections), m_onPut(std::move(onPut)), m_down(down),
-          m_era(era), m_removedItems(removedItems)
+          m_eraOf(std::move(eraOf)), m_removedItems(removedItems)
     {
     }
 
@@ -39,17 +39,17 @@
     {
         if (m_down)
             co_return store::StoreErrc::Unavailable;
-        co_return store::Snapshot{m_collections[collection], {m_era, 1}};
+        co_return store::Snapshot{m_collections[collection], {m_eraOf(collection), 1}};
     }
 
-    asio::awaitable<Result<store::Changes>> watch(std::string, StoreRevision, Duration wait,
-                                                  Duration) override
+    asio::awaitable<Result<store::Changes>> watch(std::string collection, StoreRevision,
+                                                  Duration wait, Duration) override
     {
         asio::steady_timer timer(m_context, wait);
         co_await timer.async_wait(asio::use_awaitable);
         if (m_down)
             co_return store::StoreErrc::Unavailable;
-        co_return store::Changes{{}, {m_era, 1}};
+        co_return store::Changes{{}, {m_eraOf(collection), 1}};
     }
 
     asio::awaitable<Status> put(std::string collection, store::Item item, Duration) override
@@ -70,7 +70,7 @@
     InProcessRouter::Collections &m_collections;
     std::function<void(const std::string &, const store::Item &)> m_onPut;
     std::atomic<bool> &m_down;
-    std::atomic<std::uint64_t> &m_era;
+    std::function<std::uint64_t(const std::string &)> m_eraOf;
     std::atomic<int> &m_removedItems;
 };
 
@@ -103,7 +103,12 @@
                               const std::lock_guard lock(m_writtenMutex);
                               m_written[collection].push_back(item);
                           },
-                          m_storeDown, m_storeEra, m_removedItems);
+                          m_storeDown,
+                          [this](const std::string &collection) {
+                              const bool seesIt = m_isRestoreSeen || collection == "routers";
+                              return m_storeEra - (seesIt ? 0 : 1);
+                          },
+                          m_removedItems);
               };
     adapter.headers.reserved = {"Bilberry-Secret"};
     m_settings.router = RouterId("router");
--- a/tests/support/inprocessrouter.h
+++ b/tests/support/inprocessrouter.h
@@ -49,7 +49,13 @@
     void waitForStop() { m_thread.join(); }
     void setStoreDown(bool down) { m_storeDown = down; }
     /// Restores the store from a copy that has all its items.
-    void restoreStore() { ++m_storeEra; }
+    /// @param isSeen false: only calls for the list of routers find out, until showRestore()
+    void restoreStore(bool isSeen = true)
+    {
+        m_isRestoreSeen = isSeen;
+        ++m_storeEra;
+    }
+    void showRestore() { m_isRestoreSeen = true; }
     /// @return number of items that the router has removed from the store; each call takes 400 ms
     int removedItems() const { return m_removedItems; }
     /// @return what the router has written to a collection of the store, oldest first
@@ -83,6 +89,7 @@
     Collections m_written;
     std::atomic<bool> m_storeDown = false;
     std::atomic<std::uint64_t> m_storeEra;
+    std::atomic<bool> m_isRestoreSeen = true;
     std::atomic<int> m_removedItems = 0;
     direct::DirectSettings m_settings;
     std::unique_ptr<direct::DirectRouter> m_router;
