Take over held items from the routers that know the store best

Callers saw nothing; by the code, a router that had been cut off while an evacuated zone was taken back could, after a restore, tell all others to hold that zone out until operators wrote it again.

Cause: the answers about a restored store counted alike, whatever their routers had known of the store before.

Change: an answer has the age of its router's plan proof when it learned of the restore. At the end of the inquiry only items of routers within 1 s of the youngest are held, and a router whose own knowledge is older lets go of what these don't hold. Items of an answer to another inquiry are ignored.

After: restartafterrestore_test passes in 3 of 3 runs, restoredstore_test, restoreinquiry_test and codec_test pass.

--- a/packages/decision/include/bilberry/decision/restoreinquiry.h
+++ b/packages/decision/include/bilberry/decision/restoreinquiry.h
@@ -61,6 +61,11 @@
     bool endIfComplete(const std::vector<RouterId> &others, TimePoint now);
 
     bool isOpen() const { return m_isOpen; }
+    /// @return true for the number of a question of this inquiry
+    bool isOwnQuery(std::uint64_t query) const
+    {
+        return m_isOpen && query >= m_firstOpenQuery && query < m_nextQuery;
+    }
     std::size_t answerCount() const { return m_answered.size(); }
 
 private:
--- a/packages/decision/src/restoreinquiry.cpp
+++ b/packages/decision/src/restoreinquiry.cpp
@@ -34,7 +34,7 @@
 bool RestoreInquiry::recordAnswer(const RouterId &router, std::uint64_t query, bool isStarting,
                                   TimePoint now)
 {
-    if (!m_isOpen || query < m_firstOpenQuery || query >= m_nextQuery)
+    if (!isOwnQuery(query))
         return false;
     m_answered.insert(router);
     if (!isStarting)
--- a/packages/direct/src/store/platformstate.cpp
+++ b/packages/direct/src/store/platformstate.cpp
@@ -69,7 +69,8 @@
               },
               log),
       m_catchUp(
-              peers, [this] { return m_plan ? m_plan->version() : 0; }, log)
+              peers, [this] { return m_plan ? m_plan->version() : 0; },
+              [this] { return planAge(); }, log)
 {
     m_catchUp.onPlanElsewhere = [this](std::uint64_t version, StoreRevision revision) {
         recordPlanElsewhere(version, revision);
--- a/packages/direct/src/store/restorecatchup.cpp
+++ b/packages/direct/src/store/restorecatchup.cpp
@@ -1,8 +1,11 @@
 #include "store/restorecatchup.h"
 
+#include "headerfields.h"
+
 #include "bilberry/base/digest.h"
 
 #include <algorithm>
+#include <set>
 
 namespace bilberry::direct {
 
@@ -12,6 +15,10 @@
 constexpr std::uint64_t firstEra = 1;
 /// Limit of the items in one part of an answer, which must fit into a datagram.
 constexpr std::size_t maxPartBytes = 16U << 10U;
+/// Difference in the age of what routers in touch with the store know of it.
+constexpr Duration knowledgeSlack = std::chrono::seconds(1);
+/// Ages above this one are not told apart.
+constexpr Duration maxKnowledgeAge = std::chrono::hours(1);
 
 wire::HeldItemNotice toNotice(const std::string &collection, const store::HeldItem &item)
 {
@@ -50,8 +57,9 @@
 } // namespace
 
 RestoreCatchUp::RestoreCatchUp(PeerExchange &peers, std::function<std::uint64_t()> planVersion,
-                               Log &log)
-    : m_peers(peers), m_planVersion(std::move(planVersion)), m_log(log), m_inquiry({}, randomId())
+                               std::function<Duration()> planAge, Log &log)
+    : m_peers(peers), m_planVersion(std::move(planVersion)), m_planAge(std::move(planAge)),
+      m_log(log), m_inquiry({}, randomId())
 {
     m_peers.onRestoredStateQuery = [this](const wire::RestoredStateQuery &query) { answer(query); };
     m_peers.onRestoredStateReply
@@ -97,8 +105,9 @@
 {
     m_isStartInquiry = isStarting();
     m_era = era;
+    m_knowledgeAge = std::min(m_planAge(), maxKnowledgeAge);
     m_answeredRevision = {};
-    m_heldCount = 0;
+    m_answers.clear();
     m_inquiry.start(Clock::now());
 }
 
@@ -117,12 +126,7 @@
     const std::vector<RouterId> others = hasList ? m_peers.routers() : std::vector<RouterId>();
     const bool isBehind = m_collections.front().watcher->revision() < m_answeredRevision;
     if (!isBehind && m_inquiry.endIfComplete(others, now)) {
-        m_log.decision("Asked the other routers what the restored store lacks.",
-                       {{"routers", std::to_string(others.size())},
-                        {"answers", std::to_string(m_inquiry.answerCount())},
-                        {"heldItems", std::to_string(m_heldCount)},
-                        {"starting", m_isStartInquiry ? "true" : "false"}});
-        onEnd();
+        end();
         return;
     }
     const auto round = m_inquiry.nextRound(others, now);
@@ -130,6 +134,51 @@
         m_peers.queryRestoredState(router, round.query, knownRevision());
 }
 
+void RestoreCatchUp::end()
+{
+    takeOver();
+    std::size_t heldItems = 0;
+    for (const Collection &collection : m_collections)
+        heldItems += collection.watcher->heldItems().size();
+    m_log.decision("Asked the other routers what the restored store lacks.",
+                   {{"answers", std::to_string(m_inquiry.answerCount())},
+                    {"heldItems", std::to_string(heldItems)},
+                    {"knowledgeAgeMs", toMillisecondsText(m_knowledgeAge)},
+                    {"starting", m_isStartInquiry ? "true" : "false"}});
+    m_answers.clear();
+    onEnd();
+}
+
+/// Holds what the routers hold that knew the store best before it was restored. One that was cut
+/// off holds items that have changed since.
+void RestoreCatchUp::takeOver()
+{
+    Duration youngest = m_knowledgeAge;
+    for (const auto &[router, answer] : m_answers) {
+        if (answer.isUsable)
+            youngest = std::min(youngest, answer.knowledgeAge);
+    }
+    const bool isOutdated = m_knowledgeAge > youngest + knowledgeSlack;
+    for (const Collection &collection : m_collections) {
+        std::vector<store::HeldItem> items;
+        std::set<std::string> names;
+        for (const auto &[router, answer] : m_answers) {
+            if (!answer.isUsable || answer.knowledgeAge > youngest + knowledgeSlack)
+                continue;
+            for (const wire::HeldItemNotice &notice : answer.items) {
+                if (notice.collection != collection.name)
+                    continue;
+                items.push_back(toHeldItem(notice));
+                names.insert(notice.name);
+            }
+        }
+        if (isOutdated)
+            collection.watcher->releaseHeldExcept(names);
+        collection.watcher->hold(items);
+    }
+    m_knowledgeAge = youngest;
+}
+
 /// Answers when all collections of the restored store are known here, so that what it lacks is.
 void RestoreCatchUp::answer(const wire::RestoredStateQuery &query)
 {
@@ -140,6 +189,8 @@
     wire::RestoredStateReply reply;
     reply.query = query.query;
     reply.isStarting = isStarting();
+    reply.knowledgeAgeMs
+            = static_cast<std::uint32_t>(toMilliseconds(std::min(m_knowledgeAge, maxKnowledgeAge)));
     reply.planVersion = m_planVersion();
     reply.storeRevision = m_collections.front().watcher->revision();
     reply.isLast = false;
@@ -164,28 +215,20 @@
     // What the other router holds is of no use for another era's copy.
     if (!m_inquiry.isOpen() || !isListed() || knownRevision().era != reply.storeRevision.era)
         return;
-    applyHeld(reply);
-    if (!reply.isLast
-        || !m_inquiry.recordAnswer(reply.sender.router, reply.query, reply.isStarting,
-                                   Clock::now()))
+    if (!m_inquiry.isOwnQuery(reply.query))
+        return;
+    Answer &answer = m_answers[reply.sender.router];
+    if (answer.query != reply.query)
+        answer = {reply.query, false, std::chrono::milliseconds(reply.knowledgeAgeMs), {}};
+    answer.items.insert(answer.items.end(), reply.items.begin(), reply.items.end());
+    if (!reply.isLast)
         return;
+    answer.isUsable = !reply.isStarting;
+    m_inquiry.recordAnswer(reply.sender.router, reply.query, reply.isStarting, Clock::now());
     m_answeredRevision = std::max(m_answeredRevision, reply.storeRevision);
     if (reply.planVersion > m_planVersion())
         onPlanElsewhere(reply.planVersion, reply.storeRevision);
     update();
 }
 
-void RestoreCatchUp::applyHeld(const wire::RestoredStateReply &reply)
-{
-    for (const Collection &collection : m_collections) {
-        std::vector<store::HeldItem> items;
-        for (const wire::HeldItemNotice &notice : reply.items) {
-            if (notice.collection == collection.name)
-                items.push_back(toHeldItem(notice));
-        }
-        m_heldCount += items.size();
-        collection.watcher->hold(items);
-    }
-}
-
 } // namespace bilberry::direct
--- a/packages/direct/src/store/restorecatchup.h
+++ b/packages/direct/src/store/restorecatchup.h
@@ -9,6 +9,7 @@
 
 #include <cstdint>
 #include <functional>
+#include <map>
 #include <string>
 #include <vector>
 
@@ -20,8 +21,10 @@
 class RestoreCatchUp
 {
 public:
-    /// @param planVersion version of the plan in force here
-    RestoreCatchUp(PeerExchange &peers, std::function<std::uint64_t()> planVersion, Log &log);
+    /// @param planVersion returns the version of the newest plan known here
+    /// @param planAge returns the time since that plan was last proved to be the newest one
+    RestoreCatchUp(PeerExchange &peers, std::function<std::uint64_t()> planVersion,
+                   std::function<Duration()> planAge, Log &log);
 
     /// Adds a collection, which must be known before the others can be asked.
     /// @param watcher must outlive this object
@@ -50,22 +53,35 @@
         store::CollectionWatcher *watcher = nullptr;
     };
 
+    /// What another router holds.
+    struct Answer
+    {
+        std::uint64_t query = 0;
+        bool isUsable = false; ///< whole, and of a router that ran before the restore
+        Duration knowledgeAge{};
+        std::vector<wire::HeldItemNotice> items;
+    };
+
     StoreRevision knownRevision() const;
     std::uint64_t newestEra() const;
     bool isListed() const;
     void answer(const wire::RestoredStateQuery &query);
     void handleReply(const wire::RestoredStateReply &reply);
-    void applyHeld(const wire::RestoredStateReply &reply);
+    void end();
+    void takeOver();
 
     PeerExchange &m_peers;
     std::function<std::uint64_t()> m_planVersion;
+    std::function<Duration()> m_planAge;
     Log &m_log;
     decision::RestoreInquiry m_inquiry;
     std::vector<Collection> m_collections;
     StoreRevision m_answeredRevision; ///< the newest one up to which another router knows the plans
     std::uint64_t m_era = 0;          ///< of the inquiry
-    std::size_t m_heldCount = 0;      ///< items that others hold, in this inquiry
-    bool m_hasStarted = false;        ///< all collections were listed once
+    std::map<RouterId, Answer> m_answers;
+    /// Age of what this router knew when it learned of the restore; unset before there was any.
+    Duration m_knowledgeAge = Duration::max();
+    bool m_hasStarted = false; ///< all collections were listed once
     bool m_isStartInquiry = false;
 };
 
--- a/packages/direct/tests/restartafterrestore_test.cpp
+++ b/packages/direct/tests/restartafterrestore_test.cpp
@@ -22,11 +22,11 @@
 class OtherRouter
 {
 public:
-    explicit OtherRouter(const wire::RestoredStateReply &reply)
+    explicit OtherRouter(const wire::RestoredStateReply &reply, std::string name = "other")
         : m_socket(m_context, asio::ip::udp::endpoint(asio::ip::address_v4::loopback(), 0)),
-          m_reply(reply)
+          m_reply(reply), m_name(std::move(name))
     {
-        m_reply.sender = {RouterId("other"), 7, ZoneId("a")};
+        m_reply.sender = {RouterId(m_name), 7, ZoneId("a")};
         m_thread = std::thread([this] { answer(); });
     }
 
@@ -38,12 +38,13 @@
         m_thread.join();
     }
 
-    InProcessRouter::Collections entry() const
+    /// @return this router's item in the store
+    store::Item item() const
     {
-        return {{"routers",
-                 {{"other", R"({"address":"127.0.0.1","port":)"
-                                    + std::to_string(m_socket.local_endpoint().port()) + "}"}}}};
+        return {m_name, R"({"address":"127.0.0.1","port":)"
+                                + std::to_string(m_socket.local_endpoint().port()) + "}"};
     }
+    InProcessRouter::Collections entry() const { return {{"routers", {item()}}}; }
     /// Tells a router at which revision the store is.
     void announce(std::uint16_t routerPort, StoreRevision revision)
     {
@@ -79,6 +80,7 @@
     asio::io_context m_context;
     asio::ip::udp::socket m_socket;
     wire::RestoredStateReply m_reply;
+    std::string m_name;
     std::atomic<int> m_answered = 0;
     std::atomic<std::uint64_t> m_lowestEra = std::numeric_limits<std::uint64_t>::max();
     std::atomic<bool> m_stopping = false;
@@ -165,6 +167,24 @@
             CHECK(server.requests().empty());
         }
     }
+    GIVEN("one that was cut off before that zone was taken back, beside one that was not")
+    {
+        wire::RestoredStateReply outdated = reply(1);
+        outdated.items = {held("zones-out", "a", true, false)};
+        outdated.knowledgeAgeMs = 20'000;
+        const OtherRouter cutOff(outdated, "cut-off");
+        const OtherRouter inTouch(reply(1), "in-touch");
+        const RouterFixture router({&server}, acceptOldPlans,
+                                   {{"routers", {cutOff.item(), inTouch.item()}}}, afterRestore);
+        THEN("the zone is used")
+        {
+            CHECK(becomesReady(router));
+            CHECK(cutOff.answered() > 0);
+            const RawAnswer given = router.call("/read/x");
+            INFO(given.text);
+            CHECK(given.status() == 200);
+        }
+    }
     GIVEN("another router that knows that the only server has left")
     {
         wire::RestoredStateReply made = reply(1);
--- a/packages/store/src/collectionwatcher.cpp
+++ b/packages/store/src/collectionwatcher.cpp
@@ -433,6 +433,11 @@
     m_state->items->hold(items);
 }
 
+void CollectionWatcher::releaseHeldExcept(const std::set<std::string> &names)
+{
+    m_state->items->releaseHeldExcept(names);
+}
+
 void CollectionWatcher::relyOnRelay(TimePoint until)
 {
     m_state->relayedUntil = std::max(m_state->relayedUntil, until);
--- a/packages/store/src/knownitems.cpp
+++ b/packages/store/src/knownitems.cpp
@@ -128,16 +128,30 @@
     m_heldTimer.async_wait([self = shared_from_this()](boost::system::error_code error) {
         if (error || self->m_isStopped)
             return;
-        for (const auto &[name, copy] : self->m_held.takeEnded(Clock::now())) {
-            if (copy)
-                self->applyItem({name, *copy});
-            else
-                self->removeItem(name);
-        }
+        for (const auto &[name, copy] : self->m_held.takeEnded(Clock::now()))
+            self->applyCopy(name, copy);
         self->scheduleHeldEnd();
     });
 }
 
+void KnownItems::releaseHeldExcept(const std::set<std::string> &names)
+{
+    for (const auto &[name, held] : std::map(m_held.items())) {
+        if (names.contains(name))
+            continue;
+        m_held.release(name);
+        applyCopy(name, held.copy);
+    }
+}
+
+void KnownItems::applyCopy(const std::string &name, const HeldStates::ItemState &copy)
+{
+    if (copy)
+        applyItem({name, *copy});
+    else
+        removeItem(name);
+}
+
 void KnownItems::applyNewest(const std::map<std::string, const ItemChange *> &newest)
 {
     for (const auto &[name, change] : newest) {
--- a/packages/store/src/knownitems.h
+++ b/packages/store/src/knownitems.h
@@ -42,6 +42,8 @@
     std::vector<HeldItem> heldItems() const;
     /// Takes over what another watcher holds, where this one knows the copy only.
     void hold(const std::vector<HeldItem> &items);
+    /// Follows the restored store where an item is held but isn't among these.
+    void releaseHeldExcept(const std::set<std::string> &names);
 
     /// Lets items that disappear until a point in time return before they count as removed.
     void allowReturns(TimePoint until) { m_returnDeadline = until; }
@@ -52,6 +54,7 @@
     void holdNewerStates(const std::vector<Item> &items);
     bool isOlder(const Item &known, const Item &restored) const;
     void scheduleHeldEnd();
+    void applyCopy(const std::string &name, const HeldStates::ItemState &copy);
     void applyWritten(const Item &item);
     void applyRemoval(const std::string &name);
     void applyItem(const Item &item);
--- a/packages/store/tests/restoredstore_test.cpp
+++ b/packages/store/tests/restoredstore_test.cpp
@@ -362,6 +362,15 @@
             CHECK(starting.values == Values{{"a", "2"}, {"removed", "1"}});
         }
     }
+    GIVEN("one that holds what it knew before it was cut off, while others know better")
+    {
+        running.watcher->releaseHeldExcept({"a"});
+        THEN("it follows the copy but for what they hold")
+        {
+            CHECK(running.values == Values{{"a", "2"}, {"removed", "1"}});
+            CHECK(running.watcher->heldItems().size() == 1);
+        }
+    }
     GIVEN("one that has read an item that was written again")
     {
         starting.store.change("a", "3");
--- a/packages/wire/include/bilberry/wire/gossipmessages.h
+++ b/packages/wire/include/bilberry/wire/gossipmessages.h
@@ -269,6 +269,8 @@
     GossipSender sender;
     std::uint64_t query = 0;
     bool isStarting = false; ///< the sender has started since the restore and knows nothing more
+    /// Age of what the sender knew of the store when it learned of the restore.
+    std::uint32_t knowledgeAgeMs = 0;
     std::uint64_t planVersion = 0;
     StoreRevision storeRevision; ///< up to which the sender knows the plans
     bool isLast = true;          ///< no further part of the answer follows
--- a/packages/wire/src/serialization.h
+++ b/packages/wire/src/serialization.h
@@ -86,8 +86,8 @@
 BILBERRY_FIELDS(RestoredStateQuery, m.sender, m.query, m.storeRevision)
 BILBERRY_FIELDS(HeldItemNotice, m.collection, m.name, m.exists, m.value, m.isInCopy, m.copiedValue,
                 m.ends, m.remainingMs)
-BILBERRY_FIELDS(RestoredStateReply, m.sender, m.query, m.isStarting, m.planVersion, m.storeRevision,
-                m.isLast, m.items)
+BILBERRY_FIELDS(RestoredStateReply, m.sender, m.query, m.isStarting, m.knowledgeAgeMs,
+                m.planVersion, m.storeRevision, m.isLast, m.items)
 
 #undef BILBERRY_FIELDS
 
