Count routers within 5 s of the youngest as equally well informed

Callers saw nothing. With a slack of 1 s one of them could let go of an evacuation that it alone had heard of just before the store went away.

Change: 5 s, above the age at which a router stops to admit keyed requests.

--- a/packages/direct/src/store/restorecatchup.cpp
+++ b/packages/direct/src/store/restorecatchup.cpp
@@ -15,8 +15,9 @@
 constexpr std::uint64_t firstEra = 1;
 /// Limit of the items in one part of an answer, which must fit into a datagram.
 constexpr std::size_t maxPartBytes = 16U << 10U;
-/// Difference in the age of what routers in touch with the store know of it.
-constexpr Duration knowledgeSlack = std::chrono::seconds(1);
+/// Difference in age within which routers count as equally well informed: proofs are renewed each
+/// second, and restores are noticed one after the other.
+constexpr Duration knowledgeSlack = std::chrono::seconds(5);
 /// Ages above this one are not told apart.
 constexpr Duration maxKnowledgeAge = std::chrono::hours(1);
 
