Repeat cleared crashes only where a record may have them

Callers saw nothing.

Change: of what was cleared only suspects that had a record are repeated.

After: decision_tests pass; "a router that starts reads crashes that were cleared since" checks that others are left out.

--- a/packages/decision/src/crashsuspicion.cpp
+++ b/packages/decision/src/crashsuspicion.cpp
@@ -200,8 +200,9 @@
 {
     std::vector<CrashSuspect> suspects = m_routes.summary(now);
     for (const auto &[feature, suspect] : m_suspects) {
-        // A router that has started may have read crashes that were cleared since.
-        const bool isRepeated = now < m_repeatAllUntil;
+        // A router that has started may have read a record that was cleared since.
+        const bool mayMatter = !suspect.crashes.empty() || suspect.wasStored;
+        const bool isRepeated = now < m_repeatAllUntil && mayMatter;
         if (isRepeated || isQuarantined(suspect) || now - suspect.changedAt < repeatTime)
             suspects.push_back(describe(feature, suspect, now));
     }
--- a/packages/decision/tests/crashsuspicion_test.cpp
+++ b/packages/decision/tests/crashsuspicion_test.cpp
@@ -482,7 +482,9 @@
     CrashSuspicion starting({});
     for (const CrashSuspect &read : running.summary(now))
         starting.merge(read, now);
-    running.recordAnswer({document}, now);
+    running.takeStoreChanges(now);
+    running.recordCrash(7, {otherCrashing}, now - crashDelay, now);
+    running.recordAnswer({document, otherCrashing}, now);
     now += 10s;
     REQUIRE(starting.check({document}, now) == Admission::Refuse);
     GIVEN("a running router that repeats all it knows")
@@ -494,6 +496,10 @@
         {
             CHECK(starting.check({document}, now) == Admission::Admit);
         }
+        THEN("crashes that no record had are left out")
+        {
+            CHECK(running.summary(now).size() == 1);
+        }
     }
 }
 
