--- a/packages/direct/tests/endlessanswer_test.cpp
+++ b/packages/direct/tests/endlessanswer_test.cpp
@@ -220,10 +220,17 @@
     for (std::thread &caller : callers)
         caller.join();
     Crowd crowd;
-    for (const ScriptedServer &server : servers) {
+    for (const ScriptedServer &server : servers)
         crowd.requests += static_cast<int>(server.requests().size());
-        crowd.abandoned += server.abandoned();
-    }
+    // A server notices the end of a connection by its next write.
+    eventually(
+            [&] {
+                crowd.abandoned = 0;
+                for (const ScriptedServer &server : servers)
+                    crowd.abandoned += server.abandoned();
+                return crowd.abandoned == crowd.requests;
+            },
+            1s);
     crowd.growthKb = peakMemoryKb() - before;
     crowd.whole = whole;
     return crowd;
