Skip interim responses wherever one is read

Callers saw (by the test): the client of the store returns an interim response (103) as the answer to a call, and keeps a connection on which the actual one then answers the next call. The agent's health check took a server for unreachable, and the admin client had the same fault.

Cause: the reader of messages that these four share reads one head.

Change: readResponseHeader() and readResponse() skip up to 32 interim responses; the four readers use them, and the agent's own loop is gone. The store's client keeps no connection with bytes behind a response, like the agent.

--- a/packages/admin/src/adminclient.cpp
+++ b/packages/admin/src/adminclient.cpp
@@ -11,6 +11,8 @@
 #include <boost/beast/core/tcp_stream.hpp>
 #include <boost/beast/http.hpp>
 
+#include <optional>
+
 namespace bilberry::admin {
 
 namespace {
@@ -45,12 +47,11 @@
     if (error)
         co_return std::error_code(error);
     beast::flat_buffer buffer;
-    bilberry::http::BoundedResponseParser parser;
-    parser.body_limit(maxResponseSize);
-    error = co_await bilberry::http::readMessage(stream, buffer, parser);
+    std::optional<bilberry::http::BoundedResponseParser> parser;
+    error = co_await bilberry::http::readResponse(stream, buffer, parser, maxResponseSize);
     if (error)
         co_return std::error_code(error);
-    auto response = parser.release();
+    auto response = parser->release();
     co_return AdminResponse{response.result_int(), std::move(response.body()),
                             std::string(response[http::field::content_type])};
 }
--- a/packages/agent/src/backendclient.cpp
+++ b/packages/agent/src/backendclient.cpp
@@ -35,8 +35,6 @@
 constexpr auto connectTimeout = std::chrono::seconds(1);
 constexpr auto healthCheckTimeout = std::chrono::milliseconds(500);
 constexpr std::size_t maxHealthBytes = 64U << 10U;
-/// Interim answers that are skipped before the attempt fails.
-constexpr int maxInterimAnswers = 32;
 /// Consecutive failed health checks after which the server counts as unreachable.
 constexpr int failuresToUnreachable = 2;
 
@@ -60,11 +58,6 @@
 using Stream = beast::tcp_stream;
 using AnswerParser = bilberry::http::BoundedParser<false, http::buffer_body>;
 
-bool isInterim(const AnswerParser &parser)
-{
-    return parser.get().result_int() / 100 == 1;
-}
-
 /// State of one request on the server.
 struct RunningRequest
 {
@@ -223,23 +216,18 @@
                                                   http::verb method)
     {
         Stream &stream = *running.stream;
-        beast::flat_buffer buffer(bilberry::http::maxUnparsedBytes);
-        std::optional<AnswerParser> currentParser;
-        boost::system::error_code error;
-        // Interim answers precede the actual one.
-        for (int heads = 0; !currentParser || isInterim(*currentParser); ++heads) {
-            if (heads > maxInterimAnswers)
-                co_return BackendOutcome::Broken;
-            currentParser.emplace();
-            currentParser->body_limit(boost::none);
+        beast::flat_buffer buffer(bilberry::http::maxUnparsedBytes + bilberry::http::maxReadBytes);
+        std::optional<AnswerParser> finalParser;
+        const std::function<void(AnswerParser &)> prepare = [method](AnswerParser &next) {
+            next.body_limit(boost::none);
             // The answer to HEAD has the length of a body but no body.
-            currentParser->skip(method == http::verb::head);
-            co_await http::async_read_header(stream, buffer, *currentParser,
-                                             asio::redirect_error(asio::use_awaitable, error));
-            if (error)
-                co_return BackendOutcome::Broken;
-        }
-        AnswerParser &parser = *currentParser;
+            next.skip(method == http::verb::head);
+        };
+        boost::system::error_code error
+                = co_await bilberry::http::readResponseHeader(stream, buffer, finalParser, prepare);
+        if (error)
+            co_return BackendOutcome::Broken;
+        AnswerParser &parser = *finalParser;
         sendHead(attempt, parser);
         std::optional<bilberry::http::EventBoundary> eventBoundary;
         const bool hasBody
@@ -327,17 +315,16 @@
             co_await http::async_write(*stream, request,
                                        asio::redirect_error(asio::use_awaitable, error));
         beast::flat_buffer buffer;
-        bilberry::http::BoundedResponseParser parser;
-        parser.body_limit(maxHealthBytes);
+        std::optional<bilberry::http::BoundedResponseParser> parser;
         if (!error)
-            error = co_await bilberry::http::readMessage(*stream, buffer, parser);
-        if (error || parser.get().result() != http::status::ok) {
+            error = co_await bilberry::http::readResponse(*stream, buffer, parser, maxHealthBytes);
+        if (error || parser->get().result() != http::status::ok) {
             stream.reset();
             BackendHealth health;
             health.connectionRefused = error == asio::error::connection_refused;
             co_return health;
         }
-        co_return parseHealth(parser.get().body());
+        co_return parseHealth(parser->get().body());
     }
 
     asio::io_context &context;
--- a/packages/http/include/bilberry/http/messagereader.h
+++ b/packages/http/include/bilberry/http/messagereader.h
@@ -8,8 +8,17 @@
 #include <boost/beast/core/tcp_stream.hpp>
 #include <boost/beast/http/basic_parser.hpp>
 
+#include <cstdint>
+#include <functional>
+#include <optional>
+
 namespace bilberry::http {
 
+/// Bytes that one read of a message takes at most.
+inline constexpr std::size_t maxReadBytes = 16U << 10U;
+/// Interim responses that are skipped before a response is given up.
+inline constexpr int maxInterimResponses = 32;
+
 enum class MessagePart {
     Header,
     Whole,
@@ -27,6 +36,37 @@
             boost::beast::http::basic_parser<isRequest> &parser,
             MessagePart part = MessagePart::Whole, std::size_t maxUnparsed = maxUnparsedBytes);
 
+/// Reads the header of a response, and skips the interim responses before it: taken for the
+/// response, they would leave it on the connection, as the answer to the next request.
+/// @param parser replaced for each header
+/// @param prepare sets the limits of a new parser
+/// @return as readMessage(); http::error::bad_status when the interim responses don't end
+template <typename Parser>
+boost::asio::awaitable<boost::system::error_code>
+readResponseHeader(boost::beast::tcp_stream &stream, boost::beast::flat_buffer &buffer,
+                   std::optional<Parser> &parser, std::function<void(Parser &)> prepare)
+{
+    constexpr unsigned interimClass = 1;
+    constexpr unsigned statusesPerClass = 100;
+    for (int skipped = 0; skipped <= maxInterimResponses; ++skipped) {
+        parser.emplace();
+        prepare(*parser);
+        const boost::system::error_code error
+                = co_await readMessage(stream, buffer, *parser, MessagePart::Header);
+        if (error || parser->get().result_int() / statusesPerClass != interimClass)
+            co_return error;
+    }
+    co_return boost::beast::http::error::bad_status;
+}
+
+/// Reads a whole response, and skips the interim ones before it.
+/// @param parser has the response after a success
+/// @param maxBodyBytes limit of its body
+/// @return as readResponseHeader()
+boost::asio::awaitable<boost::system::error_code>
+readResponse(boost::beast::tcp_stream &stream, boost::beast::flat_buffer &buffer,
+             std::optional<BoundedResponseParser> &parser, std::uint64_t maxBodyBytes);
+
 } // namespace bilberry::http
 
 #endif
--- a/packages/http/src/messagereader.cpp
+++ b/packages/http/src/messagereader.cpp
@@ -12,8 +12,6 @@
 
 namespace {
 
-constexpr std::size_t readBufferBytes = 16U << 10U;
-
 template <bool isRequest>
 bool hasParsed(const beast::http::basic_parser<isRequest> &parser, MessagePart part)
 {
@@ -53,7 +51,7 @@
     error_code error = parseReceived(buffer, parser, part, maxUnparsed);
     while (!error && !hasParsed(parser, part)) {
         const std::size_t size = co_await stream.async_read_some(
-                buffer.prepare(readBufferBytes), asio::redirect_error(asio::use_awaitable, error));
+                buffer.prepare(maxReadBytes), asio::redirect_error(asio::use_awaitable, error));
         if (error == asio::error::eof) {
             error = beast::http::error::end_of_stream;
             if (parser.got_some()) {
@@ -70,6 +68,18 @@
     co_return error;
 }
 
+asio::awaitable<error_code> readResponse(beast::tcp_stream &stream, beast::flat_buffer &buffer,
+                                         std::optional<BoundedResponseParser> &parser,
+                                         std::uint64_t maxBodyBytes)
+{
+    const std::function<void(BoundedResponseParser &)> prepare
+            = [maxBodyBytes](BoundedResponseParser &next) { next.body_limit(maxBodyBytes); };
+    const error_code error = co_await readResponseHeader(stream, buffer, parser, prepare);
+    if (error)
+        co_return error;
+    co_return co_await readMessage(stream, buffer, *parser);
+}
+
 template asio::awaitable<error_code> readMessage(beast::tcp_stream &, beast::flat_buffer &,
                                                  beast::http::basic_parser<true> &, MessagePart,
                                                  std::size_t);
--- a/packages/store/src/httptransport.cpp
+++ b/packages/store/src/httptransport.cpp
@@ -12,6 +12,7 @@
 
 #include <algorithm>
 #include <cctype>
+#include <optional>
 #include <vector>
 
 namespace bilberry::store {
@@ -181,13 +182,13 @@
         if (error)
             co_return result;
         beast::flat_buffer buffer;
-        bilberry::http::BoundedResponseParser parser;
-        parser.body_limit(maxResponseBytes);
-        error = co_await bilberry::http::readMessage(stream, buffer, parser);
+        std::optional<bilberry::http::BoundedResponseParser> parser;
+        error = co_await bilberry::http::readResponse(stream, buffer, parser, maxResponseBytes);
         if (error)
             co_return result;
-        auto message = parser.release();
-        result.keepAlive = message.keep_alive();
+        auto message = parser->release();
+        // Bytes after the response belong to no request.
+        result.keepAlive = message.keep_alive() && buffer.size() == 0;
         HttpResponse response;
         response.status = message.result_int();
         response.entityTag = std::string(message[http::field::etag]);
--- a/packages/store/tests/httptransport_test.cpp
+++ b/packages/store/tests/httptransport_test.cpp
@@ -75,6 +75,50 @@
     }
 }
 
+// An interim response, or a part of a second one, left bytes that answered the next call.
+SCENARIO("a store sends more than one response to a call")
+{
+    const std::string interim = "HTTP/1.1 103 Early Hints\r\n\r\n";
+    const std::string second = "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nextra";
+    struct Case
+    {
+        std::string name;
+        std::string bytes;
+        std::string late; ///< sent a moment later
+    };
+    const std::vector<Case> cases{
+            {"interim ones before it", interim + interim + soundResponse, ""},
+            {"an interim one, and it some time later", interim, soundResponse},
+            {"a part of another one behind it", soundResponse + second.substr(0, second.size() - 5),
+             "extra"}};
+    for (const Case &example : cases) {
+        GIVEN("a store that sends " + example.name)
+        {
+            int count = 0;
+            const ScriptedServer store([&](const ScriptedRequest &) {
+                if (++count > 1)
+                    return ScriptedAnswer{soundResponse};
+                return example.late.empty()
+                               ? ScriptedAnswer{example.bytes}
+                               : ScriptedAnswer{example.bytes, ScriptedAnswer::Then::Repeat,
+                                                example.late, 100ms};
+            });
+            asio::io_context context;
+            HttpTransport transport(context, "127.0.0.1", store.port());
+            THEN("each call gets the response to it")
+            {
+                for (int i = 0; i < 2; ++i) {
+                    const auto got = callBlocking(context, transport, read("/a"), 2s);
+                    REQUIRE(got);
+                    CHECK(got.value().status == 200);
+                    CHECK(got.value().body == "sound");
+                    std::this_thread::sleep_for(200ms);
+                }
+            }
+        }
+    }
+}
+
 // Each call on a connection that had gone silent waited for its whole limit, and there were
 // several.
 SCENARIO("idle connections to the store go silent while new ones work")
