Let slow callers read the rest of their responses

Cause: the idle limit ran from the end of the response, whether bytes were taken or not.

Change: while a write is under way, the limit runs from the last bytes it took.

--- a/packages/direct/src/caller/callerconnection.cpp
+++ b/packages/direct/src/caller/callerconnection.cpp
@@ -27,6 +27,8 @@
 /// Delay between the read of a request and its handler from which on the caller may have left in
 /// the meantime.
 constexpr Duration maxDispatchDelay = std::chrono::milliseconds(20);
+/// Bytes of a response that one write takes at most.
+constexpr std::size_t maxWriteBytes = 64U << 10U;
 /// Time for which bytes that arrive after the last response are discarded before the close.
 constexpr Duration lingerTimeout = std::chrono::seconds(1);
 
@@ -351,7 +353,12 @@
     m_isWriting = true;
     m_writeBuffer = std::move(m_pendingWrite);
     m_pendingWrite.clear();
-    asio::async_write(m_socket, asio::buffer(m_writeBuffer),
+    m_lastProgressAt = Clock::now();
+    const auto recordProgress = [this](boost::system::error_code error, std::size_t) {
+        m_lastProgressAt = Clock::now();
+        return error ? 0 : maxWriteBytes;
+    };
+    asio::async_write(m_socket, asio::buffer(m_writeBuffer), recordProgress,
                       [self = shared_from_this()](boost::system::error_code error, std::size_t) {
                           self->m_isWriting = false;
                           // Idle connections must not keep the memory of large responses.
@@ -389,6 +396,12 @@
 {
     if (m_timer.expiry() > Clock::now() || m_isResponding)
         return;
+    // A caller that reads slowly gets the rest of its response.
+    const Duration stalled = Clock::now() - m_lastProgressAt;
+    if (m_isWriting && !m_isReadingRequest && stalled < m_bounds.idleLimit) {
+        startTimer(m_bounds.idleLimit - stalled);
+        return;
+    }
     if (!m_isReadingRequest || m_isLingering) {
         close();
         return;
--- a/packages/direct/src/caller/callerconnection.h
+++ b/packages/direct/src/caller/callerconnection.h
@@ -133,6 +133,7 @@
     std::string m_writeBuffer;
     std::string m_pendingWrite;
     bool m_isWriting = false;
+    TimePoint m_lastProgressAt{}; ///< when the write took bytes last
     bool m_isReading = false;
     bool m_isReadingRequest = false; ///< some but not all bytes of it have arrived
     bool m_isResponding = false;
--- a/packages/direct/tests/callerconnection_test.cpp
+++ b/packages/direct/tests/callerconnection_test.cpp
@@ -1,6 +1,7 @@
 #include "caller/callerconnection.h"
 
 #include <boost/asio/io_context.hpp>
+#include <boost/asio/read.hpp>
 #include <boost/asio/write.hpp>
 #include <catch2/catch.hpp>
 
@@ -76,12 +77,13 @@
     }
 }
 
-// Nothing ended such a connection, nor gave back the memory of its response.
+// Nothing ended such a connection, nor gave back the memory of its response. A slow reader must get
+// the rest of it.
 SCENARIO("a caller reads nothing of a large response")
 {
     asio::io_context context;
     direct::CallerHooks hooks;
-    const std::string body(8U << 20U, 'b');
+    const std::string body(32U << 20U, 'b');
     hooks.onRequest = [&](const direct::CallerConnectionPtr &caller, direct::CallerRequest &&) {
         caller->sendResponse({}, body);
     };
@@ -89,7 +91,7 @@
     hooks.onClosed = [](const direct::CallerConnectionPtr &) {};
     hooks.currentBounds = [] {
         CallerBounds bounds;
-        bounds.idleLimit = 300ms;
+        bounds.idleLimit = 500ms;
         return bounds;
     };
     for (const std::string fields : {"", "Connection: close\r\n"}) {
@@ -103,9 +105,22 @@
             CHECK(caller.connection->unsentBytes() > 0);
             THEN("it is closed when its time for that is over")
             {
-                context.run_for(600ms);
+                context.run_for(1s);
                 CHECK(caller.connection->isClosed());
             }
+            THEN("it is not closed while the caller reads on slowly")
+            {
+                std::vector<char> bytes(1U << 20U);
+                std::size_t received = 0;
+                boost::system::error_code error;
+                for (int i = 0; i < 60 && received < body.size() && !error; ++i) {
+                    context.run_for(50ms);
+                    caller.client.non_blocking(true);
+                    received += asio::read(caller.client, asio::buffer(bytes), error);
+                    error = error == asio::error::would_block ? boost::system::error_code() : error;
+                }
+                CHECK(received >= body.size());
+            }
         }
     }
 }
