Restore inquiries: live routers first, lost parts, nobody to ask

Callers saw nothing. Those that were heard of are asked first. - An answer in several datagrams counted as whole when its last one came. Parts are numbered; a router with a part missing is asked again, and the parts that came are used. - A running router without others waited 1.5 s for nobody, and refused requests with keys where its proof of the plan grew too old meanwhile. It waits no more; one that starts does, since the copy may lack entries.

The stages of RestoreCatchUp are an enumeration, RestoreInquiry only answers whether it is complete or overdue, and hold() is adoptHeldItems().

--- a/packages/decision/include/bilberry/decision/restoreinquiry.h
+++ b/packages/decision/include/bilberry/decision/restoreinquiry.h
@@ -45,34 +45,38 @@
     }
 
     /// Starts an inquiry; one that is open begins anew.
-    void start(TimePoint now);
+    /// @param mayMissOthers true when the list of the other routers may lack some
+    void start(bool mayMissOthers, TimePoint now);
+    void end() { m_isOpen = false; }
+    bool isOpen() const { return m_isOpen; }
 
-    /// @param others the other routers, which may be dead
+    /// @param live routers that have been heard of lately, which are asked first
+    /// @param others all other routers, some of which may be dead
     /// @return nobody unless a round is due
-    Round nextRound(const std::vector<RouterId> &others, TimePoint now);
-
-    /// Records an answer.
-    /// @param isStarting true when the other router has started since the restore, too
-    /// @return false when it answers no question of this inquiry
-    bool recordAnswer(const RouterId &router, std::uint64_t query, bool isStarting, TimePoint now);
-
-    /// Ends the inquiry when there is nothing more to wait for.
-    /// @return true when it has ended now
-    bool endIfComplete(const std::vector<RouterId> &others, TimePoint now);
+    Round nextRound(const std::vector<RouterId> &live, const std::vector<RouterId> &others,
+                    TimePoint now);
 
-    bool isOpen() const { return m_isOpen; }
     /// @return true for the number of a question of this inquiry
     bool isOwnQuery(std::uint64_t query) const
     {
         return m_isOpen && query >= m_firstOpenQuery && query < m_nextQuery;
     }
+
+    /// Records the answer to a question of this inquiry.
+    /// @param isStarting true when the other router has started since the restore, too
+    void recordAnswer(const RouterId &router, bool isStarting, TimePoint now);
     std::size_t answerCount() const { return m_answered.size(); }
 
+    /// @return true when no further answer is worth waiting for
+    bool isComplete(const std::vector<RouterId> &others, TimePoint now) const;
+    bool isOverdue(TimePoint now) const { return now - m_startedAt >= m_settings.limit; }
+
 private:
     RestoreInquirySettings m_settings;
     std::uint64_t m_nextQuery;
     std::uint64_t m_firstOpenQuery = 0;
     bool m_isOpen = false;
+    bool m_mayMissOthers = false;
     TimePoint m_startedAt{};
     TimePoint m_nextRoundAt{};
     TimePoint m_knownAt = TimePoint::max(); ///< first answer of a router that is not starting
--- a/packages/direct/src/store/platformstate.cpp
+++ b/packages/direct/src/store/platformstate.cpp
@@ -235,7 +235,7 @@
     if (revision.era <= m_restoredEra)
         return;
     m_restoredEra = revision.era;
-    m_catchUp.begin(revision.era);
+    m_catchUp.recordRestore(revision.era);
     if (onStoreRestored)
         onStoreRestored();
 }
--- a/packages/direct/src/store/restorecatchup.cpp
+++ b/packages/direct/src/store/restorecatchup.cpp
@@ -60,7 +60,7 @@
 RestoreCatchUp::RestoreCatchUp(PeerExchange &peers, std::function<std::uint64_t()> planVersion,
                                std::function<Duration()> planAge, Log &log)
     : m_peers(peers), m_planVersion(std::move(planVersion)), m_planAge(std::move(planAge)),
-      m_log(log), m_inquiry({}, randomId())
+      m_log(log), m_inquiry({}, randomId()), m_knowledgeAge(maxKnowledgeAge)
 {
     m_peers.onRestoredStateQuery = [this](const wire::RestoredStateQuery &query) { answer(query); };
     m_peers.onRestoredStateReply
@@ -75,7 +75,7 @@
 /// @return the lowest revision up to which a collection is known; 0 before all of them are listed
 StoreRevision RestoreCatchUp::knownRevision() const
 {
-    StoreRevision lowest = m_collections.front().watcher->revision();
+    StoreRevision lowest = planRevision();
     for (const Collection &collection : m_collections)
         lowest = std::min(lowest, collection.watcher->revision());
     return lowest;
@@ -97,47 +97,57 @@
 
 bool RestoreCatchUp::isStarting() const
 {
-    if (m_hasStarted)
-        return m_inquiry.isOpen() && m_isStartInquiry;
-    return newestEra() > firstEra;
+    return m_stage == Stage::AskingAtStart
+           || (m_stage == Stage::Unlisted && newestEra() > firstEra);
 }
 
-void RestoreCatchUp::begin(std::uint64_t era)
+void RestoreCatchUp::recordRestore(std::uint64_t era)
 {
-    m_isStartInquiry = isStarting();
     m_era = era;
+    if (m_stage != Stage::Unlisted)
+        startInquiry(isStarting() ? Stage::AskingAtStart : Stage::Asking);
+}
+
+void RestoreCatchUp::startInquiry(Stage stage)
+{
+    m_stage = stage;
     m_knowledgeAge = std::min(m_planAge(), maxKnowledgeAge);
     m_answeredRevision = {};
     m_answers.clear();
-    m_inquiry.start(Clock::now());
+    // The copy may lack routers that this one has never heard of.
+    m_inquiry.start(stage == Stage::AskingAtStart, Clock::now());
 }
 
 void RestoreCatchUp::update()
 {
     const bool hasList = isListed();
-    if (!m_hasStarted && hasList) {
+    if (m_stage == Stage::Unlisted && hasList) {
         if (isStarting())
-            begin(newestEra());
-        m_hasStarted = true;
+            startInquiry(Stage::AskingAtStart);
+        else
+            m_stage = Stage::Settled;
     }
     if (!m_inquiry.isOpen())
         return;
     const TimePoint now = Clock::now();
-    // What others hold can be compared with the restored items only.
-    const std::vector<RouterId> others = hasList ? m_peers.routers() : std::vector<RouterId>();
-    const bool isBehind = m_collections.front().watcher->revision() < m_answeredRevision;
-    if (!isBehind && m_inquiry.endIfComplete(others, now)) {
-        end();
+    const std::vector<RouterId> others = m_peers.routers();
+    const bool isComplete = hasList && m_inquiry.isComplete(others, now);
+    const bool isBehind = planRevision() < m_answeredRevision;
+    if (!isBehind && (isComplete || m_inquiry.isOverdue(now))) {
+        endInquiry();
         return;
     }
-    const auto round = m_inquiry.nextRound(others, now);
+    // What others hold can be compared with the restored items only.
+    if (!hasList)
+        return;
+    const auto round = m_inquiry.nextRound(m_peers.liveRouters(), others, now);
     for (const RouterId &router : round.routers)
         m_peers.queryRestoredState(router, round.query, knownRevision());
 }
 
-void RestoreCatchUp::end()
+void RestoreCatchUp::endInquiry()
 {
-    takeOver();
+    adoptHeldItems();
     std::size_t heldItems = 0;
     for (const Collection &collection : m_collections)
         heldItems += collection.watcher->heldItems().size();
@@ -145,37 +155,39 @@
                    {{"answers", std::to_string(m_inquiry.answerCount())},
                     {"heldItems", std::to_string(heldItems)},
                     {"knowledgeAgeMs", toMillisecondsText(m_knowledgeAge)},
-                    {"starting", m_isStartInquiry ? "true" : "false"}});
+                    {"starting", isStarting() ? "true" : "false"}});
     m_answers.clear();
+    m_inquiry.end();
+    m_stage = Stage::Settled;
     onEnd();
 }
 
 /// Holds what the routers hold that knew the store best before it was restored. One that was cut
-/// off holds items that have changed since.
-void RestoreCatchUp::takeOver()
+/// off may hold items that have changed since.
+void RestoreCatchUp::adoptHeldItems()
 {
     Duration youngest = m_knowledgeAge;
     for (const auto &[router, answer] : m_answers) {
-        if (answer.isUsable)
+        if (!answer.isStarting)
             youngest = std::min(youngest, answer.knowledgeAge);
     }
     const bool isOutdated = m_knowledgeAge > youngest + knowledgeSlack;
-    for (const Collection &collection : m_collections) {
-        std::vector<store::HeldItem> items;
-        std::set<std::string> names;
-        for (const auto &[router, answer] : m_answers) {
-            if (!answer.isUsable || answer.knowledgeAge > youngest + knowledgeSlack)
-                continue;
-            for (const wire::HeldItemNotice &notice : answer.items) {
-                if (notice.collection != collection.name)
-                    continue;
-                items.push_back(toHeldItem(notice));
-                names.insert(notice.name);
+    std::map<std::string, std::vector<store::HeldItem>> items;
+    std::map<std::string, std::set<std::string>> names;
+    for (const auto &[router, answer] : m_answers) {
+        if (answer.isStarting || answer.knowledgeAge > youngest + knowledgeSlack)
+            continue;
+        for (const auto &[part, notices] : answer.parts) {
+            for (const wire::HeldItemNotice &notice : notices) {
+                items[notice.collection].push_back(toHeldItem(notice));
+                names[notice.collection].insert(notice.name);
             }
         }
+    }
+    for (const Collection &collection : m_collections) {
         if (isOutdated)
-            collection.watcher->releaseHeldExcept(names);
-        collection.watcher->hold(items);
+            collection.watcher->releaseHeldExcept(names[collection.name]);
+        collection.watcher->adoptHeldItems(items[collection.name]);
     }
     m_knowledgeAge = youngest;
 }
@@ -190,42 +202,52 @@
     wire::RestoredStateReply reply;
     reply.query = query.query;
     reply.isStarting = isStarting();
-    reply.knowledgeAgeMs
-            = static_cast<std::uint32_t>(toMilliseconds(std::min(m_knowledgeAge, maxKnowledgeAge)));
+    reply.knowledgeAgeMs = static_cast<std::uint32_t>(toMilliseconds(m_knowledgeAge));
     reply.planVersion = m_planVersion();
-    reply.storeRevision = m_collections.front().watcher->revision();
-    reply.isLast = false;
+    reply.storeRevision = planRevision();
+    const auto parts = heldItemParts();
+    reply.partCount = static_cast<std::uint32_t>(parts.size());
+    for (const auto &part : parts) {
+        reply.items = part;
+        m_peers.sendRestoredState(query.sender.router, reply);
+        ++reply.part;
+    }
+}
+
+/// @return all held items, in parts that fit into a datagram; one part at least
+std::vector<std::vector<wire::HeldItemNotice>> RestoreCatchUp::heldItemParts() const
+{
+    std::vector<std::vector<wire::HeldItemNotice>> parts(1);
     std::size_t bytes = 0;
     for (const Collection &collection : m_collections) {
         for (const store::HeldItem &item : collection.watcher->heldItems()) {
-            reply.items.push_back(toNotice(collection.name, item));
-            bytes += sizeOf(reply.items.back());
-            if (bytes < maxPartBytes)
-                continue;
-            m_peers.sendRestoredState(query.sender.router, reply);
-            reply.items.clear();
-            bytes = 0;
+            const wire::HeldItemNotice notice = toNotice(collection.name, item);
+            bytes += sizeOf(notice);
+            if (bytes > maxPartBytes && !parts.back().empty()) {
+                parts.emplace_back();
+                bytes = sizeOf(notice);
+            }
+            parts.back().push_back(notice);
         }
     }
-    reply.isLast = true;
-    m_peers.sendRestoredState(query.sender.router, reply);
+    return parts;
 }
 
 void RestoreCatchUp::handleReply(const wire::RestoredStateReply &reply)
 {
     // What the other router holds is of no use for another era's copy.
-    if (!m_inquiry.isOpen() || !isListed() || knownRevision().era != reply.storeRevision.era)
-        return;
-    if (!m_inquiry.isOwnQuery(reply.query))
+    if (!m_inquiry.isOwnQuery(reply.query) || !isListed()
+        || knownRevision().era != reply.storeRevision.era)
         return;
-    Answer &answer = m_answers[reply.sender.router];
+    const RouterId &router = reply.sender.router;
+    Answer &answer = m_answers[router];
     if (answer.query != reply.query)
-        answer = {reply.query, false, std::chrono::milliseconds(reply.knowledgeAgeMs), {}};
-    answer.items.insert(answer.items.end(), reply.items.begin(), reply.items.end());
-    if (!reply.isLast)
+        answer = {
+                reply.query, std::chrono::milliseconds(reply.knowledgeAgeMs), reply.isStarting, {}};
+    answer.parts[reply.part] = reply.items;
+    if (answer.parts.size() < reply.partCount)
         return;
-    answer.isUsable = !reply.isStarting;
-    m_inquiry.recordAnswer(reply.sender.router, reply.query, reply.isStarting, Clock::now());
+    m_inquiry.recordAnswer(router, reply.isStarting, Clock::now());
     m_answeredRevision = std::max(m_answeredRevision, reply.storeRevision);
     if (reply.planVersion > m_planVersion())
         onPlanElsewhere(reply.planVersion, reply.storeRevision);
--- a/packages/direct/src/store/restorecatchup.h
+++ b/packages/direct/src/store/restorecatchup.h
@@ -17,7 +17,7 @@
 
 /// Lets a router learn from the others what the store lacks since it was restored from a copy: a
 /// newer plan, zones that are out, servers that are leaving or were lost. One that starts after the
-/// restore, or returns, would otherwise take the copy for the newest state.
+/// restore, or was cut off before it, would otherwise take the copy for the newest state.
 class RestoreCatchUp
 {
 public:
@@ -26,18 +26,17 @@
     RestoreCatchUp(PeerExchange &peers, std::function<std::uint64_t()> planVersion,
                    std::function<Duration()> planAge, Log &log);
 
-    /// Adds a collection, which must be known before the others can be asked.
+    /// Adds a collection, which must be known before the others can be asked. The plans come first.
     /// @param watcher must outlive this object
     void add(const std::string &collection, store::CollectionWatcher &watcher);
 
-    /// Starts an inquiry, as the store was restored while this router ran.
-    /// @param era of the restored store; the others are asked when all collections are known in it
-    void begin(std::uint64_t era);
-    /// Continues the inquiry that is open; to be called often.
+    /// Records that the store was restored while this router ran.
+    void recordRestore(std::uint64_t era);
+    /// Starts, continues and ends inquiries; to be called often.
     void update();
 
     /// @return true while others may know more than the store
-    bool isOpen() const { return m_inquiry.isOpen() || isStarting(); }
+    bool isOpen() const { return m_stage == Stage::Asking || isStarting(); }
     /// @return true while this router knows nothing but a restored store
     bool isStarting() const;
 
@@ -47,6 +46,13 @@
     std::function<void()> onEnd;
 
 private:
+    enum class Stage {
+        Unlisted, ///< not all collections are known yet
+        AskingAtStart,
+        Asking, ///< as the store was restored while this router ran
+        Settled,
+    };
+
     struct Collection
     {
         std::string name;
@@ -57,18 +63,21 @@
     struct Answer
     {
         std::uint64_t query = 0;
-        bool isUsable = false; ///< whole, and of a router that ran before the restore
         Duration knowledgeAge{};
-        std::vector<wire::HeldItemNotice> items;
+        bool isStarting = false; ///< the router has started since the restore
+        std::map<std::uint32_t, std::vector<wire::HeldItemNotice>> parts;
     };
 
+    StoreRevision planRevision() const { return m_collections.front().watcher->revision(); }
     StoreRevision knownRevision() const;
     std::uint64_t newestEra() const;
     bool isListed() const;
+    void startInquiry(Stage stage);
+    void endInquiry();
+    void adoptHeldItems();
     void answer(const wire::RestoredStateQuery &query);
+    std::vector<std::vector<wire::HeldItemNotice>> heldItemParts() const;
     void handleReply(const wire::RestoredStateReply &reply);
-    void end();
-    void takeOver();
 
     PeerExchange &m_peers;
     std::function<std::uint64_t()> m_planVersion;
@@ -76,13 +85,12 @@
     Log &m_log;
     decision::RestoreInquiry m_inquiry;
     std::vector<Collection> m_collections;
+    Stage m_stage = Stage::Unlisted;
+    std::uint64_t m_era = 0;          ///< of the last restore that was recorded
     StoreRevision m_answeredRevision; ///< the newest one up to which another router knows the plans
-    std::uint64_t m_era = 0;          ///< of the inquiry
     std::map<RouterId, Answer> m_answers;
-    /// Age of what this router knew when it learned of the restore; unset before there was any.
-    Duration m_knowledgeAge = Duration::max();
-    bool m_hasStarted = false; ///< all collections were listed once
-    bool m_isStartInquiry = false;
+    /// Age of what this router knew of the store when it learned of the restore.
+    Duration m_knowledgeAge;
 };
 
 } // namespace bilberry::direct
--- a/packages/direct/tests/crashingpart_test.cpp
+++ b/packages/direct/tests/crashingpart_test.cpp
@@ -2,10 +2,8 @@
 #include "routerfixture.h"
 
 #include "support/fleet.h"
+#include "support/peerstandin.h"
 
-#include "bilberry/wire/codec.h"
-
-#include <boost/asio/ip/udp.hpp>
 #include <catch2/catch.hpp>
 
 #include <list>
@@ -132,6 +130,17 @@
     return suspect ? static_cast<int>(suspect->crashes.size()) : 0;
 }
 
+/// @return true when the suspects have a part of prompts with so many crashes
+bool tellsOfPart(const wire::CrashSuspectGossip &gossip, std::size_t crashes)
+{
+    return std::any_of(gossip.suspects.begin(), gossip.suspects.end(),
+                       [&](const wire::CrashSuspectNotice &suspect) {
+                           return decision::featureKind(suspect.feature)
+                                          == decision::FeatureKind::PromptPart
+                                  && suspect.crashes.size() == crashes;
+                       });
+}
+
 /// Sends requests with the part to the routers in turn, no two alike, each before a sound one.
 void playCrashingPart(const std::vector<const InProcessRouter *> &routers)
 {
@@ -366,37 +375,23 @@
 SCENARIO("a router that was cut off learns what crashes servers")
 {
     CrashingServers servers(12);
-    boost::asio::io_context io;
-    boost::asio::ip::udp::socket other(io, {boost::asio::ip::address_v4::loopback(), 0});
-    other.non_blocking(true);
-    const store::Item entry{"other", R"({"address":"127.0.0.1","port":)"
-                                             + std::to_string(other.local_endpoint().port()) + "}"};
-    const RouterFixture router(servers.all(), acceptOldPlans, {{"routers", {entry}}});
+    std::atomic<bool> isTold = false;
+    PeerStandin other(
+            "other", [&](const wire::GossipMessage &message) -> std::optional<wire::GossipMessage> {
+                if (const auto *gossip = std::get_if<wire::CrashSuspectGossip>(&message))
+                    isTold = isTold || tellsOfPart(*gossip, 2);
+                return std::nullopt;
+            });
+    const RouterFixture router(servers.all(), acceptOldPlans, {{"routers", {other.entry()}}});
     const auto speak = [&] {
-        const wire::GossipSender sender{RouterId("other"), 7, ZoneId("a")};
-        other.send_to(
-                boost::asio::buffer(wire::encodeDatagram(wire::StoreNotice{sender, 0, {}, {}})),
-                {boost::asio::ip::address_v4::loopback(), router.settings().peerEndpoint.port});
+        other.send(router.settings().peerEndpoint.port,
+                   wire::StoreNotice{other.sender(), 0, {}, {}});
     };
-    /// @return true when a datagram received in a while tells of a part that crashed two servers
+    /// @return true when a datagram received in a while tells of the part
     const auto hearsOfPart = [&] {
+        isTold = false;
         std::this_thread::sleep_for(600ms);
-        std::array<char, 65536> bytes{};
-        boost::system::error_code error;
-        bool hears = false;
-        for (;;) {
-            const std::size_t size = other.receive(boost::asio::buffer(bytes), 0, error);
-            if (error)
-                return hears;
-            const auto message = wire::decodeDatagram({bytes.data(), size});
-            const auto *gossip
-                    = message ? std::get_if<wire::CrashSuspectGossip>(&message.value()) : nullptr;
-            for (const auto &suspect : gossip ? gossip->suspects : decltype(gossip->suspects)())
-                hears = hears
-                        || (decision::featureKind(suspect.feature)
-                                    == decision::FeatureKind::PromptPart
-                            && suspect.crashes.size() == 2);
-        }
+        return isTold.load();
     };
     GIVEN("a router that is silent while two servers crash, and for some time more")
     {
--- a/packages/direct/tests/longupload_test.cpp
+++ b/packages/direct/tests/longupload_test.cpp
@@ -61,24 +61,24 @@
 // The unfinished write kept the connection open, so that the server worked on.
 SCENARIO("an attempt is given up while its request is being written")
 {
-    GIVEN("a server that sends bytes that are no answer, and reads no further")
+    struct Case
     {
-        ScriptedServer server(always("no answer\r\n\r\n", Then::AwaitEnd), beginning);
-        const RouterFixture router({&server}, acceptOldPlans);
-        THEN("the caller gets a failure, and the server soon sees the end of the connection")
-        {
-            CHECK(callWithLongBody(router, "/book/x").status() == 502);
-            CHECK(eventually([&] { return server.abandoned() == 1; }, 1s));
-        }
-    }
-    GIVEN("a server that is silent and reads no further")
-    {
-        ScriptedServer server(always("", Then::AwaitEnd), beginning);
-        const RouterFixture router({&server}, acceptOldPlans);
-        THEN("it sees the end of the connection soon after the deadline")
+        std::string name;
+        std::string bytes;
+        int status;
+    };
+    const std::vector<Case> cases{{"sends bytes that are no answer", "no answer\r\n\r\n", 502},
+                                  {"is silent", "", 504}};
+    for (const Case &example : cases) {
+        GIVEN("a server that " + example.name + ", and reads no further")
         {
-            CHECK(callWithLongBody(router, "/book/x").status() == 504);
-            CHECK(eventually([&] { return server.abandoned() == 1; }, 1s));
+            ScriptedServer server(always(example.bytes, Then::AwaitEnd), beginning);
+            const RouterFixture router({&server}, acceptOldPlans);
+            THEN("the caller gets a failure, and the server soon sees the end of the connection")
+            {
+                CHECK(callWithLongBody(router, "/book/x").status() == example.status);
+                CHECK(eventually([&] { return server.abandoned() == 1; }, 1s));
+            }
         }
     }
 }
--- a/packages/direct/tests/restartafterrestore_test.cpp
+++ b/packages/direct/tests/restartafterrestore_test.cpp
@@ -1,10 +1,8 @@
 #include "routerfixture.h"
 
 #include "support/fleet.h"
+#include "support/peerstandin.h"
 
-#include "bilberry/wire/codec.h"
-
-#include <boost/asio/ip/udp.hpp>
 #include <catch2/catch.hpp>
 
 #include <limits>
@@ -14,77 +12,44 @@
 using namespace bilberry::tests;
 using namespace std::chrono_literals;
 
-namespace asio = boost::asio;
-
 namespace {
 
 /// Another router, which answers what the restored store lacks.
-class OtherRouter
+class InformedRouter
 {
 public:
-    explicit OtherRouter(const wire::RestoredStateReply &reply, std::string name = "other")
-        : m_socket(m_context, asio::ip::udp::endpoint(asio::ip::address_v4::loopback(), 0)),
-          m_reply(reply), m_name(std::move(name))
-    {
-        m_reply.sender = {RouterId(m_name), 7, ZoneId("a")};
-        m_thread = std::thread([this] { answer(); });
-    }
-
-    ~OtherRouter()
+    explicit InformedRouter(const wire::RestoredStateReply &reply,
+                            const std::string &name = "other")
+        : m_peer(name, [this, reply](const wire::GossipMessage &message) {
+              return answer(reply, message);
+          })
     {
-        asio::ip::udp::socket wake(m_context, asio::ip::udp::v4());
-        m_stopping = true;
-        wake.send_to(asio::buffer("", 1), m_socket.local_endpoint());
-        m_thread.join();
     }
 
-    /// @return this router's item in the store
-    store::Item item() const
-    {
-        return {m_name, R"({"address":"127.0.0.1","port":)"
-                                + std::to_string(m_socket.local_endpoint().port()) + "}"};
-    }
-    InProcessRouter::Collections entry() const { return {{"routers", {item()}}}; }
-    /// Tells a router at which revision the store is.
-    void announce(std::uint16_t routerPort, StoreRevision revision)
-    {
-        asio::ip::udp::socket socket(m_context, asio::ip::udp::v4());
-        socket.send_to(asio::buffer(wire::encodeDatagram(
-                               wire::StoreNotice{m_reply.sender, 1, revision, {}})),
-                       {asio::ip::address_v4::loopback(), routerPort});
-    }
+    PeerStandin &peer() { return m_peer; }
+    InProcessRouter::Collections entries() const { return {{"routers", {m_peer.entry()}}}; }
     int answered() const { return m_answered; }
     /// @return lowest era of the store in the questions
     std::uint64_t lowestEra() const { return m_lowestEra; }
 
 private:
-    void answer()
+    std::optional<wire::GossipMessage> answer(wire::RestoredStateReply reply,
+                                              const wire::GossipMessage &message)
     {
-        std::array<char, 65536> bytes{};
-        asio::ip::udp::endpoint from;
-        while (!m_stopping) {
-            const std::size_t size = m_socket.receive_from(asio::buffer(bytes), from);
-            const auto message = wire::decodeDatagram({bytes.data(), size});
-            const auto *query
-                    = message ? std::get_if<wire::RestoredStateQuery>(&message.value()) : nullptr;
-            if (!query)
-                continue;
-            m_lowestEra = std::min<std::uint64_t>(m_lowestEra, query->storeRevision.era);
-            m_reply.query = query->query;
-            m_reply.storeRevision.era = query->storeRevision.era;
-            m_socket.send_to(asio::buffer(wire::encodeDatagram(m_reply)), from);
-            ++m_answered;
-        }
+        const auto *query = std::get_if<wire::RestoredStateQuery>(&message);
+        if (!query)
+            return std::nullopt;
+        m_lowestEra = std::min<std::uint64_t>(m_lowestEra, query->storeRevision.era);
+        ++m_answered;
+        reply.sender = m_peer.sender();
+        reply.query = query->query;
+        reply.storeRevision.era = query->storeRevision.era;
+        return reply;
     }
 
-    asio::io_context m_context;
-    asio::ip::udp::socket m_socket;
-    wire::RestoredStateReply m_reply;
-    std::string m_name;
     std::atomic<int> m_answered = 0;
     std::atomic<std::uint64_t> m_lowestEra = std::numeric_limits<std::uint64_t>::max();
-    std::atomic<bool> m_stopping = false;
-    std::thread m_thread;
+    PeerStandin m_peer;
 };
 
 /// @return what a router says that runs since before the restore and has the plan of that version
@@ -124,14 +89,14 @@
 SCENARIO("a router starts after its store was restored from a copy")
 {
     ScriptedServer server(always(answer("200 OK", "whole")));
-    const auto start = [&](const OtherRouter &other) {
-        return std::make_unique<RouterFixture>(std::vector{&server}, acceptOldPlans, other.entry(),
+    const auto start = [&](const InProcessRouter::Collections &stored) {
+        return std::make_unique<RouterFixture>(std::vector{&server}, acceptOldPlans, stored,
                                                afterRestore);
     };
     GIVEN("another router that knows a newer plan")
     {
-        const OtherRouter other(reply(2));
-        const auto router = start(other);
+        const InformedRouter other(reply(2));
+        const auto router = start(other.entries());
         THEN("nothing is served by the copy's plan")
         {
             const TimePoint end = Clock::now() + 2500ms;
@@ -146,25 +111,45 @@
     }
     GIVEN("another router that knows no newer plan")
     {
-        const OtherRouter other(reply(1));
-        const auto router = start(other);
+        const InformedRouter other(reply(1));
+        const auto router = start(other.entries());
         THEN("it serves soon")
         {
             CHECK(becomesReady(*router, 1s));
             CHECK(router->call("/read/x").status() == 200);
         }
     }
-    GIVEN("another router that knows of an evacuation that the copy lacks")
+    const std::vector<std::pair<std::string, wire::HeldItemNotice>> lacking{
+            {"the zone is evacuated", held("zones-out", "a", true, false)},
+            {"the only server has left", held("servers", "s0", false, true)}};
+    for (const auto &[name, item] : lacking) {
+        GIVEN("another router that knows, other than the copy, that " + name)
+        {
+            wire::RestoredStateReply made = reply(1);
+            made.items = {item};
+            const InformedRouter other(made);
+            const auto router = start(other.entries());
+            THEN("no request goes there")
+            {
+                REQUIRE(eventually([&] { return other.answered() > 0; }));
+                std::this_thread::sleep_for(500ms);
+                CHECK(router->call("/read/x").status() == 503);
+                CHECK(server.requests().empty());
+            }
+        }
+    }
+    GIVEN("one that knows of an evacuation, and of whose answer a part is lost")
     {
         wire::RestoredStateReply made = reply(1);
         made.items = {held("zones-out", "a", true, false)};
-        const OtherRouter other(made);
-        const auto router = start(other);
-        THEN("no request goes to that zone")
+        made.partCount = 2;
+        const InformedRouter other(made);
+        const auto router = start(other.entries());
+        THEN("the router asks again, and uses the part that it has")
         {
-            CHECK(becomesReady(*router));
+            CHECK(becomesReady(*router, 3s));
+            CHECK(other.answered() > 1);
             CHECK(router->call("/read/x").status() == 503);
-            CHECK(server.requests().empty());
         }
     }
     GIVEN("one that was cut off before that zone was taken back, beside one that was not")
@@ -172,42 +157,27 @@
         wire::RestoredStateReply outdated = reply(1);
         outdated.items = {held("zones-out", "a", true, false)};
         outdated.knowledgeAgeMs = 20'000;
-        const OtherRouter cutOff(outdated, "cut-off");
-        const OtherRouter inTouch(reply(1), "in-touch");
-        const RouterFixture router({&server}, acceptOldPlans,
-                                   {{"routers", {cutOff.item(), inTouch.item()}}}, afterRestore);
+        const InformedRouter cutOff(outdated, "cut-off");
+        const InformedRouter inTouch(reply(1), "in-touch");
+        auto entries = cutOff.entries();
+        entries["routers"].push_back(inTouch.entries()["routers"].front());
+        const auto router = start(entries);
         THEN("the zone is used")
         {
-            CHECK(becomesReady(router));
+            CHECK(becomesReady(*router));
             CHECK(cutOff.answered() > 0);
-            const RawAnswer given = router.call("/read/x");
+            const RawAnswer given = router->call("/read/x");
             INFO(given.text);
             CHECK(given.status() == 200);
         }
     }
-    GIVEN("another router that knows that the only server has left")
-    {
-        wire::RestoredStateReply made = reply(1);
-        made.items = {held("servers", "s0", false, true)};
-        const OtherRouter other(made);
-        const auto router = start(other);
-        THEN("no request goes to that server")
-        {
-            REQUIRE(eventually([&] { return other.answered() > 0; }));
-            std::this_thread::sleep_for(500ms);
-            CHECK(router->call("/read/x").status() == 503);
-            CHECK(server.requests().empty());
-        }
-    }
     GIVEN("no other router that answers")
     {
-        const RouterFixture router({&server}, acceptOldPlans,
-                                   {{"routers", {{"dead", R"({"address":"127.0.0.1","port":9})"}}}},
-                                   afterRestore);
+        const auto router = start({{"routers", {{"dead", R"({"address":"127.0.0.1","port":9})"}}}});
         THEN("it serves after a while, as nobody knows more")
         {
-            CHECK(becomesReady(router, 3s));
-            CHECK(router.call("/read/x").status() == 200);
+            CHECK(becomesReady(*router, 3s));
+            CHECK(router->call("/read/x").status() == 200);
         }
     }
 }
@@ -218,8 +188,8 @@
     ScriptedServer server(always(answer("200 OK", "whole")));
     GIVEN("another router that knows a newer plan")
     {
-        const OtherRouter other(reply(2));
-        RouterFixture router({&server}, acceptOldPlans, other.entry());
+        const InformedRouter other(reply(2));
+        RouterFixture router({&server}, acceptOldPlans, other.entries());
         REQUIRE(router.call("/read/x").status() == 200);
         router.restoreStore();
         THEN("it soon refuses requests as not run")
@@ -230,10 +200,11 @@
     }
     GIVEN("a restore that the router notices by the list of routers first")
     {
-        OtherRouter other(reply(1));
-        RouterFixture router({&server}, acceptOldPlans, other.entry());
+        InformedRouter other(reply(1));
+        RouterFixture router({&server}, acceptOldPlans, other.entries());
         router.restoreStore(false);
-        other.announce(router.settings().peerEndpoint.port, {2, 1});
+        other.peer().send(router.settings().peerEndpoint.port,
+                          wire::StoreNotice{other.peer().sender(), 1, {2, 1}, {}});
         std::this_thread::sleep_for(500ms);
         router.showRestore();
         THEN("it asks when it knows all of the copy, with which it compares the answer")
@@ -242,10 +213,25 @@
             CHECK(other.lowestEra() == 2);
         }
     }
+    GIVEN("no other router, and a limit of a second for the age of the plan's proof")
+    {
+        RouterFixture router({&server}, [](direct::DirectSettings &settings) {
+            settings.maxPlanStaleness = 1s;
+        });
+        router.restoreStore();
+        THEN("there is nobody to wait for, and no request is refused")
+        {
+            const TimePoint end = Clock::now() + 2s;
+            while (Clock::now() < end) {
+                CHECK(router.call("/read/x").status() == 200);
+                std::this_thread::sleep_for(20ms);
+            }
+        }
+    }
     GIVEN("another router that knows no newer plan")
     {
-        const OtherRouter other(reply(1));
-        RouterFixture router({&server}, acceptOldPlans, other.entry());
+        const InformedRouter other(reply(1));
+        RouterFixture router({&server}, acceptOldPlans, other.entries());
         router.restoreStore();
         THEN("no request is refused meanwhile")
         {
--- a/packages/store/include/bilberry/store/collectionwatcher.h
+++ b/packages/store/include/bilberry/store/collectionwatcher.h
@@ -140,7 +140,7 @@
     std::vector<HeldItem> heldItems() const;
     /// Lets what another watcher holds be in force here, for a watcher that has started since the
     /// restore, or missed what was written before. Items that were written again stay as they are.
-    void hold(const std::vector<HeldItem> &items);
+    void adoptHeldItems(const std::vector<HeldItem> &items);
     /// Follows the restored store where an item is held but isn't among these: what this watcher
     /// knew was older than what others know.
     void releaseHeldExcept(const std::set<std::string> &names);
--- a/packages/store/src/collectionwatcher.cpp
+++ b/packages/store/src/collectionwatcher.cpp
@@ -428,9 +428,9 @@
     return m_state->items->heldItems();
 }
 
-void CollectionWatcher::hold(const std::vector<HeldItem> &items)
+void CollectionWatcher::adoptHeldItems(const std::vector<HeldItem> &items)
 {
-    m_state->items->hold(items);
+    m_state->items->adoptHeldItems(items);
 }
 
 void CollectionWatcher::releaseHeldExcept(const std::set<std::string> &names)
--- a/packages/store/src/knownitems.cpp
+++ b/packages/store/src/knownitems.cpp
@@ -91,7 +91,7 @@
     return items;
 }
 
-void KnownItems::hold(const std::vector<HeldItem> &items)
+void KnownItems::adoptHeldItems(const std::vector<HeldItem> &items)
 {
     for (const HeldItem &item : items) {
         const auto known = m_valuesByName.find(item.name);
--- a/packages/store/src/knownitems.h
+++ b/packages/store/src/knownitems.h
@@ -41,7 +41,7 @@
     /// @return the items whose state in the restored store is older than the known one
     std::vector<HeldItem> heldItems() const;
     /// Takes over what another watcher holds, where this one knows the copy only.
-    void hold(const std::vector<HeldItem> &items);
+    void adoptHeldItems(const std::vector<HeldItem> &items);
     /// Follows the restored store where an item is held but isn't among these.
     void releaseHeldExcept(const std::set<std::string> &names);
 
--- a/packages/store/tests/restoredstore_test.cpp
+++ b/packages/store/tests/restoredstore_test.cpp
@@ -341,7 +341,7 @@
     {
         starting.start();
         REQUIRE(starting.values == copy);
-        starting.watcher->hold(running.watcher->heldItems());
+        starting.watcher->adoptHeldItems(running.watcher->heldItems());
         THEN("it knows the same, and holds the same for others")
         {
             CHECK(starting.values == running.values);
@@ -375,7 +375,7 @@
     {
         starting.store.change("a", "3");
         starting.start();
-        starting.watcher->hold(running.watcher->heldItems());
+        starting.watcher->adoptHeldItems(running.watcher->heldItems());
         THEN("that one stays as it is")
         {
             CHECK(starting.values == Values{{"a", "3"}, {"b", "2"}});
--- a/packages/wire/include/bilberry/wire/gossipmessages.h
+++ b/packages/wire/include/bilberry/wire/gossipmessages.h
@@ -273,7 +273,8 @@
     std::uint32_t knowledgeAgeMs = 0;
     std::uint64_t planVersion = 0;
     StoreRevision storeRevision; ///< up to which the sender knows the plans
-    bool isLast = true;          ///< no further part of the answer follows
+    std::uint32_t part = 0;      ///< of the answer, which may not fit into one datagram
+    std::uint32_t partCount = 1;
     std::vector<HeldItemNotice> items;
     bool operator==(const RestoredStateReply &) const = default;
 };
--- a/packages/wire/src/serialization.h
+++ b/packages/wire/src/serialization.h
@@ -87,7 +87,7 @@
 BILBERRY_FIELDS(HeldItemNotice, m.collection, m.name, m.exists, m.value, m.isInCopy, m.copiedValue,
                 m.ends, m.remainingMs)
 BILBERRY_FIELDS(RestoredStateReply, m.sender, m.query, m.isStarting, m.knowledgeAgeMs,
-                m.planVersion, m.storeRevision, m.isLast, m.items)
+                m.planVersion, m.storeRevision, m.part, m.partCount, m.items)
 
 #undef BILBERRY_FIELDS
 
