Pass on an agent's early answer though its upload failed

Callers saw (by the test): a server behind an agent answers a long upload before it has read all of it, and closes the connection; the caller gets an unknown outcome in place of the answer.

Cause: the agent gave up as soon as its write failed, and never read.

Change: after a reset or a closed connection the agent reads what has come. An answer without a length counts as whole only if the server closed its side in order, as in direct routers; the connection isn't kept.

Not covered: a server that answers early, keeps the connection open and reads nothing; the write then ends at the silence limit, as before.

--- a/packages/agent/src/backendclient.cpp
+++ b/packages/agent/src/backendclient.cpp
@@ -66,6 +66,7 @@
     std::unique_ptr<Stream> stream;
     asio::steady_timer creditTimer;
     std::int64_t credit = creditWindow;
+    boost::system::error_code uploadError; ///< of the write of the request
     bool stopped = false;
 };
 
@@ -207,7 +208,11 @@
         running.stream->expires_after(settings.answerSilenceLimit);
         co_await http::async_write(*running.stream, message,
                                    asio::redirect_error(asio::use_awaitable, error));
-        if (error)
+        running.uploadError = error;
+        // A server may answer and close the connection before it has read the whole request.
+        const bool mayHaveAnswer
+                = error == asio::error::broken_pipe || error == asio::error::connection_reset;
+        if (error && !mayHaveAnswer)
             co_return BackendOutcome::Broken;
         co_return co_await receiveAnswer(request.attempt, running, message.method());
     }
@@ -257,8 +262,11 @@
         const bool endsWithConnection = !parser.chunked() && !parser.content_length();
         if (eventBoundary && eventBoundary->isBrokenOff(endsWithConnection))
             co_return BackendOutcome::Broken;
+        // The write has consumed the reset, so that the read found an ordinary end.
+        if (endsWithConnection && running.uploadError == asio::error::connection_reset)
+            co_return BackendOutcome::Broken;
         // Bytes after the answer belong to no request.
-        if (!parser.get().keep_alive() || buffer.size() > 0)
+        if (!parser.get().keep_alive() || buffer.size() > 0 || running.uploadError)
             running.stream.reset();
         co_return BackendOutcome::Complete;
     }
--- a/packages/agent/tests/backendclient_test.cpp
+++ b/packages/agent/tests/backendclient_test.cpp
@@ -167,20 +167,47 @@
 }
 
 // Reported by other operators: a part of an early answer looked whole when its server reset the
-// connection during the upload.
-SCENARIO("an agent's server resets the connection during a long upload")
+// connection during the upload. A whole one must not be lost by that.
+SCENARIO("an agent's server answers a long upload early and ends the connection")
 {
-    GIVEN("a server that has sent a part of an answer without a length")
-    {
+    const auto passedOf = [](const std::string &bytes, ScriptedAnswer::Then then) {
         const ScriptedServer server(
-                [](const ScriptedRequest &) {
-                    return ScriptedAnswer{"HTTP/1.1 200 OK\r\n\r\npart",
-                                          ScriptedAnswer::Then::Reset};
+                [&](const ScriptedRequest &) {
+                    return ScriptedAnswer{bytes, then};
                 },
                 {16U << 10U, true});
-        THEN("the answer is broken")
+        return passedOn(server, std::string(3U << 20U, 'b'));
+    };
+    const std::string unframed = "HTTP/1.1 200 OK\r\n\r\npart";
+    const std::string framed = "HTTP/1.1 503 Busy\r\nContent-Length: 5\r\n\r\nwhole";
+    GIVEN("an answer without a length, and a reset")
+    {
+        THEN("it is broken")
+        {
+            for (int i = 0; i < 10; ++i)
+                CHECK(passedOf(unframed, ScriptedAnswer::Then::Reset).outcome
+                      == BackendOutcome::Broken);
+        }
+    }
+    GIVEN("an answer without a length, and an end in order")
+    {
+        THEN("it is whole")
         {
-            CHECK(passedOn(server, std::string(3U << 20U, 'b')).outcome == BackendOutcome::Broken);
+            const Passed passed = passedOf(unframed, ScriptedAnswer::Then::HalfClose);
+            CHECK(passed.outcome == BackendOutcome::Complete);
+            CHECK(passed.body == "part");
+        }
+    }
+    GIVEN("an answer with a length")
+    {
+        for (const auto then : {ScriptedAnswer::Then::Close, ScriptedAnswer::Then::HalfClose}) {
+            THEN("it is passed on, however the connection ends: " + std::to_string(int(then)))
+            {
+                const Passed passed = passedOf(framed, then);
+                CHECK(passed.statuses == std::vector<unsigned>{503});
+                CHECK(passed.body == "whole");
+                CHECK(passed.outcome == BackendOutcome::Complete);
+            }
         }
     }
 }
