Wait for a later revision only if another router has a newer plan there

Callers saw nothing. A starting router waited until it knew the store up to the revision of each answer, though that matters only where the other router has a newer plan, which may have been written again; the store's revision also rises by changes of other collections, and the question for it was limited to one a second.

Found on reading the change again; not measured.

Change: only answers with a newer plan have to be reached, and the plan is asked for at once.

--- a/packages/direct/src/store/platformstate.cpp
+++ b/packages/direct/src/store/platformstate.cpp
@@ -74,7 +74,7 @@
 {
     m_catchUp.onPlanElsewhere = [this](std::uint64_t version, StoreRevision revision) {
         recordPlanElsewhere(version, revision);
-        m_planWatcher->expectRevision(revision, Duration::zero());
+        m_planWatcher->check();
     };
     m_catchUp.onEnd = [this] { m_planWatcher->check(); };
     m_peers.onPlanProofQuery
--- a/packages/direct/src/store/restorecatchup.cpp
+++ b/packages/direct/src/store/restorecatchup.cpp
@@ -112,7 +112,7 @@
 {
     m_stage = stage;
     m_knowledgeAge = std::min(m_planAge(), maxKnowledgeAge);
-    m_answeredRevision = {};
+    m_newerPlanAt = {};
     m_answers.clear();
     // The copy may lack routers that this one has never heard of.
     m_inquiry.start(stage == Stage::AskingAtStart, Clock::now());
@@ -132,7 +132,8 @@
     const TimePoint now = Clock::now();
     const std::vector<RouterId> others = m_peers.routers();
     const bool isComplete = hasList && m_inquiry.isComplete(others, now);
-    const bool isBehind = planRevision() < m_answeredRevision;
+    // The newer plan that another router has may have been written again.
+    const bool isBehind = planRevision() < m_newerPlanAt;
     if (!isBehind && (isComplete || m_inquiry.isOverdue(now))) {
         endInquiry();
         return;
@@ -248,9 +249,10 @@
     if (answer.parts.size() < reply.partCount)
         return;
     m_inquiry.recordAnswer(router, reply.isStarting, Clock::now());
-    m_answeredRevision = std::max(m_answeredRevision, reply.storeRevision);
-    if (reply.planVersion > m_planVersion())
+    if (reply.planVersion > m_planVersion()) {
+        m_newerPlanAt = std::max(m_newerPlanAt, reply.storeRevision);
         onPlanElsewhere(reply.planVersion, reply.storeRevision);
+    }
     update();
 }
 
--- a/packages/direct/src/store/restorecatchup.h
+++ b/packages/direct/src/store/restorecatchup.h
@@ -86,8 +86,8 @@
     decision::RestoreInquiry m_inquiry;
     std::vector<Collection> m_collections;
     Stage m_stage = Stage::Unlisted;
-    std::uint64_t m_era = 0;          ///< of the last restore that was recorded
-    StoreRevision m_answeredRevision; ///< the newest one up to which another router knows the plans
+    std::uint64_t m_era = 0;     ///< of the last restore that was recorded
+    StoreRevision m_newerPlanAt; ///< a revision at which another router had a newer plan
     std::map<RouterId, Answer> m_answers;
     /// Age of what this router knew of the store when it learned of the restore.
     Duration m_knowledgeAge;
