Tests of crowds of callers that don't behave, as the code stands

Shown here by real processes: 120 callers (3,200 with unfinished heads), each of which connects again up to three times. Checked while the crowd's connections are open, and after: the process lives, what is resident and what the kernel holds unread stay below 120 MB, the smallest VM's memory, descriptors below 2,875, its 3,075 less 200; an ordinary request is answered; half of the VM is free after the crowd has left. A single body of 4 MB is served in calm, with a length, in large and in 4-byte chunks. No limit had to be lowered but the process's descriptors: the default limits let these crowds in.

The stand-in for a backend server took bodies up to 1 MB only, by Beast's default; it takes any now. directrouter_test's router process moves to tests/support, for both.

--- /dev/null
+++ b/tests/crowd/crowd_router_test.cpp
@@ -0,0 +1,200 @@
+#include "crowdcheck.h"
+
+#include "support/fleet.h"
+#include "support/rawcaller.h"
+
+#include "bilberry/base/digest.h"
+
+#include <catch2/catch.hpp>
+
+using namespace bilberry;
+using namespace bilberry::crowd;
+using namespace bilberry::tests;
+
+namespace {
+
+std::string releaseNote()
+{
+    return "added:\n"
+           "  zones: { a: {} }\n"
+           "  pools:\n"
+           "    models: { zones: [a], coldLimit: 200, fullLimit: 200 }\n"
+           "  customers:\n"
+           "    kitchen: { share: 1, keyDigests: ["
+           + sha256Hex("kitchen-key")
+           + "] }\n"
+             "  routes:\n"
+             "    /v1: { pool: models, repeatable: always }\n";
+}
+
+FleetPlan smallPlan()
+{
+    FleetPlan plan;
+    plan.binaries = BILBERRY_BIN;
+    plan.routers = {"a"};
+    plan.servers = {{"model-a", "models", "a"}};
+    plan.releaseNote = releaseNote();
+    plan.routerSettings = {{"callers.bodyBytes", "4194304"}};
+    plan.processOptions.maxDescriptors = vmDescriptors;
+    return plan;
+}
+
+/// @param fields that tell the server how to answer, each with its line end
+RequestHead head(const std::string &fields = "X-Ms: 300\r\n")
+{
+    return "POST /v1/a HTTP/1.1\r\nHost: router\r\nX-Api-Key: kitchen-key\r\n" + fields;
+}
+
+/// A router, an agent and a server.
+struct SmallFleet
+{
+    SmallFleet() : fleet(smallPlan()) { REQUIRE(fleet.start()); }
+
+    int status(const std::string &bytes) const
+    {
+        RawCaller caller(fleet.callerPort(0));
+        caller.send(bytes);
+        return caller.readAnswer().status();
+    }
+
+    bool servesOrdinary() const { return status(wholeRequest(head(""), 1500, withLength)) == 200; }
+
+    std::vector<WatchedProcess> processes()
+    {
+        const std::uint16_t agentPort = fleet.agentPort("model-a");
+        return {{"router",
+                 fleet.router(0),
+                 {{fleet.callerPort(0), fleet.routerAdminPort(0)}, {agentPort}}},
+                {"agent",
+                 fleet.agent("model-a"),
+                 {{agentPort, fleet.agentAdminPort("model-a")},
+                  {fleet.backend("model-a").port()}}}};
+    }
+
+    void check(std::vector<CrowdCaller> callers)
+    {
+        checkAt(fleet.callerPort(0), std::move(callers));
+    }
+
+    void checkAt(std::uint16_t port, std::vector<CrowdCaller> callers)
+    {
+        checkCrowd(processes(), port, std::move(callers), [this] { return servesOrdinary(); });
+    }
+
+    bool answersAdmin(std::uint16_t port) const
+    {
+        return fleet.admin(port, "/metrics").find("bilberry_") != std::string::npos;
+    }
+
+    void checkAdmin(std::uint16_t port, std::vector<CrowdCaller> callers)
+    {
+        checkCrowd(processes(), port, std::move(callers),
+                   [this, port] { return answersAdmin(port) && servesOrdinary(); });
+    }
+
+    Fleet fleet;
+};
+
+RequestHead adminHead()
+{
+    return "PUT /v1/configuration HTTP/1.1\r\nHost: admin\r\n";
+}
+
+/// @return a link's frame that announces its size and stops short of its end
+std::vector<CrowdCaller> frameCrowd()
+{
+    const std::string announced("\x00\x7f\x00\x00\x03\x09", 6);
+    const auto bytes
+            = std::make_shared<const std::string>(announced + std::string(8'000'000, '\0'));
+    return std::vector<CrowdCaller>(crowdSize, {bytes, bytes->size()});
+}
+
+} // namespace
+
+SCENARIO("a router serves a single large body in calm", "[calm]")
+{
+    SmallFleet fleet;
+    for (const BodyFraming framing : {withLength, largeChunks, smallChunks}) {
+        INFO("chunks of " << framing.chunkBytes << " bytes");
+        CHECK(fleet.status(wholeRequest(head(), bodyBytes, framing)) == 200);
+    }
+}
+
+SCENARIO("many callers send whole bodies to a router", "[whole]")
+{
+    SmallFleet().check(bodyCrowd(head(), withLength, 0));
+}
+
+SCENARIO("many callers send bodies to a router, most of them unfinished", "[unfinished]")
+{
+    SmallFleet().check(bodyCrowd(head(), withLength, 9));
+}
+
+SCENARIO("many callers send large chunks to a router, most bodies unfinished", "[large-chunks]")
+{
+    SmallFleet().check(bodyCrowd(head(), largeChunks, 9));
+}
+
+SCENARIO("many callers send small chunks to a router, most bodies unfinished", "[small-chunks]")
+{
+    SmallFleet().check(bodyCrowd(head(), smallChunks, 9));
+}
+
+SCENARIO("many callers announce bodies over the limit to a router", "[announced]")
+{
+    SmallFleet().check(announcedCrowd(head()));
+}
+
+SCENARIO("many callers send large chunks without end to a router", "[endless]")
+{
+    SmallFleet().check(endlessCrowd(head(), largeChunks));
+}
+
+SCENARIO("many callers send small chunks without end to a router", "[endless-small]")
+{
+    SmallFleet().check(endlessCrowd(head(), smallChunks));
+}
+
+SCENARIO("more callers than descriptors leave their heads unfinished at a router", "[heads]")
+{
+    SmallFleet().check(headCrowd(head()));
+}
+
+SCENARIO("many callers leave their trailers unfinished at a router", "[trailers]")
+{
+    SmallFleet().check(trailerCrowd(head()));
+}
+
+SCENARIO("many callers don't read large answers of a router", "[unread]")
+{
+    SmallFleet().check(unreadCrowd(head("X-Chunks: 200\r\nX-Bytes: 50000\r\n")));
+}
+
+SCENARIO("many callers pipeline requests at a router and read nothing", "[pipelined]")
+{
+    SmallFleet().check(pipeliningCrowd(head("X-Chunks: 200\r\nX-Bytes: 50000\r\n")));
+}
+
+SCENARIO("a crowd of unfinished bodies at the admin port of a router", "[admin]")
+{
+    SmallFleet fleet;
+    fleet.checkAdmin(fleet.fleet.routerAdminPort(0), bodyCrowd(adminHead(), withLength, 9));
+}
+
+SCENARIO("a crowd of unfinished heads at the admin port of a router", "[admin-heads]")
+{
+    SmallFleet fleet;
+    fleet.checkAdmin(fleet.fleet.routerAdminPort(0), headCrowd(adminHead()));
+}
+
+SCENARIO("a crowd of unfinished bodies at the admin port of an agent", "[agent-admin]")
+{
+    SmallFleet fleet;
+    fleet.checkAdmin(fleet.fleet.agentAdminPort("model-a"), bodyCrowd(adminHead(), withLength, 9));
+}
+
+SCENARIO("a crowd of unfinished frames at the link port of an agent", "[agent-links]")
+{
+    SmallFleet fleet;
+    fleet.checkAt(fleet.fleet.agentPort("model-a"), frameCrowd());
+}
--- a/tests/integration/directrouter_test.cpp
+++ b/tests/integration/directrouter_test.cpp
@@ -1,11 +1,10 @@
+#include "support/directprogram.h"
 #include "support/fleet.h"
-#include "support/rawcaller.h"
 #include "support/scriptedserver.h"
 
 #include <catch2/catch.hpp>
 
 #include <csignal>
-#include <filesystem>
 #include <fstream>
 #include <thread>
 
@@ -52,67 +51,7 @@
     };
 }
 
-struct RouterProgram
-{
-    explicit RouterProgram(std::uint16_t storePort)
-        : folder(std::filesystem::temp_directory_path()
-                 / ("bilberry-direct-" + std::to_string(getpid()))),
-          callers(freePort()), readiness(freePort()), metrics(freePort())
-    {
-        std::filesystem::create_directories(folder);
-        const auto listenLine = [](std::uint16_t port) {
-            return "  listen: 127.0.0.1:" + std::to_string(port) + "\n";
-        };
-        std::ofstream(folder / "settings.yaml")
-                << "role: direct-router\nname: r1\nzone: a\nlog:\n  format: json\n"
-                << "callers:\n"
-                << listenLine(callers) << "readiness:\n"
-                << listenLine(readiness) << "  path: /v1/readyz\n  balancerLagMs: 300\nmetrics:\n"
-                << listenLine(metrics) << "peers:\n"
-                << listenLine(freePort()) << "store:\n  address: 127.0.0.1:" << storePort << "\n";
-        process = std::make_unique<Process>(
-                BILBERRY_BIN "/bilberryd",
-                std::vector<std::string>{"--settings", (folder / "settings.yaml").string()},
-                (folder / "log").string());
-    }
-
-    ~RouterProgram()
-    {
-        process.reset();
-        std::filesystem::remove_all(folder);
-    }
-
-    static RawAnswer get(std::uint16_t port, const std::string &path)
-    {
-        RawCaller caller(port);
-        caller.send("GET " + path
-                    + " HTTP/1.1\r\nHost: h.example\r\n"
-                      "Bilberrystile-Attempt-Id: id-7\r\nConnection: close\r\n\r\n");
-        return caller.readAnswer();
-    }
-
-    bool ready() const
-    {
-        // Connections are refused until the process listens on the port.
-        try {
-            return get(readiness, "/v1/readyz").status() == 200;
-        } catch (const std::exception &) {
-            return false;
-        }
-    }
-
-    std::string logText() const
-    {
-        std::ifstream in(folder / "log");
-        return {std::istreambuf_iterator<char>(in), {}};
-    }
-
-    std::filesystem::path folder;
-    std::uint16_t callers;
-    std::uint16_t readiness;
-    std::uint16_t metrics;
-    std::unique_ptr<Process> process;
-};
+const std::string daemonProgram = BILBERRY_BIN "/bilberryd";
 
 /// @return true when the process currently ignores SIGHUP
 bool ignoresHangup(int process)
@@ -139,18 +78,18 @@
                                     "Content-Length: 5\r\n\r\nwhole"};
         });
         ScriptedServer store(storeWith(server.port()));
-        RouterProgram program(store.port());
-        REQUIRE(eventually([&] { return program.ready(); }));
+        DirectProgram program(daemonProgram, store.port());
+        REQUIRE(eventually([&] { return program.isReady(); }));
 
         WHEN("a caller sends a request")
         {
-            const RawAnswer answer = RouterProgram::get(program.callers, "/a/x");
+            const RawAnswer answer = DirectProgram::get(program.callerPort(), "/a/x");
             THEN("it gets the server's answer, and the metrics count it")
             {
                 CHECK(answer.status() == 200);
                 CHECK(answer.contains("whole"));
                 CHECK(server.requests().front().field("Bilberrystile-Target-Instance") == "i-1");
-                CHECK(RouterProgram::get(program.metrics, "/metrics")
+                CHECK(DirectProgram::get(program.metricsPort(), "/metrics")
                               .contains("bilberry_requests{event=\"answered\"} 1"));
             }
             THEN("the log has the request's dispatch and its answer under its id")
@@ -167,7 +106,7 @@
         WHEN("it receives SIGTERM")
         {
             const TimePoint start = Clock::now();
-            const int code = program.process->terminate();
+            const int code = program.process().terminate();
             THEN("it exits with 0 well within the grace period and logs that it stopped")
             {
                 CHECK(code == 0);
@@ -177,14 +116,14 @@
         }
         WHEN("its settings file becomes invalid and it receives SIGHUP")
         {
-            std::ofstream(program.folder / "settings.yaml", std::ios::app) << "unknown: 1\n";
-            program.process->signal(SIGHUP);
+            std::ofstream(program.settingsFile(), std::ios::app) << "unknown: 1\n";
+            program.process().signal(SIGHUP);
             THEN("it logs the fault and continues to serve")
             {
                 CHECK(eventually([&] {
                     return program.logText().find("unknown key") != std::string::npos;
                 }));
-                CHECK(RouterProgram::get(program.callers, "/a/x").status() == 200);
+                CHECK(DirectProgram::get(program.callerPort(), "/a/x").status() == 200);
             }
         }
     }
@@ -202,10 +141,10 @@
             constexpr int starts = 20;
             bool ignored = false;
             for (int i = 0; i < starts && !ignored; ++i) {
-                RouterProgram program(unusedPort);
+                DirectProgram program(daemonProgram, unusedPort);
                 const TimePoint end = Clock::now() + 100ms;
                 while (Clock::now() < end && !ignored)
-                    ignored = ignoresHangup(program.process->id());
+                    ignored = ignoresHangup(program.process().id());
             }
             THEN("SIGHUP is ignored until its handler is installed")
             {
--- a/tests/support/backendstandin.cpp
+++ b/tests/support/backendstandin.cpp
@@ -70,11 +70,14 @@
         bool keepAlive = true;
         while (keepAlive) {
             boost::system::error_code error;
-            Request request;
-            co_await http::async_read(*stream, buffer, request,
+            // Beast's default limit is below the bodies that routers may allow.
+            http::request_parser<Request::body_type> parser;
+            parser.body_limit(boost::none);
+            co_await http::async_read(*stream, buffer, parser,
                                       asio::redirect_error(asio::use_awaitable, error));
             if (error)
                 break;
+            const Request request = parser.release();
             if (request.target() == "/health")
                 keepAlive = co_await self->health(*stream);
             else
--- a/tests/support/fleet.cpp
+++ b/tests/support/fleet.cpp
@@ -143,9 +143,9 @@
     if (m_plan.routerLines)
         settings << m_plan.routerLines(*this, index);
     const std::string file = write(router.name + ".yaml", settings.str());
-    router.process = std::make_unique<Process>(m_plan.binaries + "/bilberryd",
-                                               std::vector<std::string>{"--settings", file},
-                                               m_folder + "/" + router.name + ".log");
+    router.process = std::make_unique<Process>(
+            m_plan.binaries + "/bilberryd", std::vector<std::string>{"--settings", file},
+            m_folder + "/" + router.name + ".log", m_plan.processOptions);
 }
 
 void Fleet::startAgent(const std::string &name)
@@ -161,7 +161,7 @@
     const std::string file = write(name + ".yaml", settings.str());
     server.agent = std::make_unique<Process>(m_plan.binaries + "/bilberryd",
                                              std::vector<std::string>{"--settings", file},
-                                             m_folder + "/" + name + ".log");
+                                             m_folder + "/" + name + ".log", m_plan.processOptions);
 }
 
 bool Fleet::start()
--- a/tests/support/fleet.h
+++ b/tests/support/fleet.h
@@ -33,6 +33,7 @@
     std::string releaseNote;                           ///< applied at the start
     std::map<std::string, std::string> routerSettings; ///< extra settings, by dotted key
     std::map<std::string, std::string> agentSettings;
+    ProcessOptions processOptions; ///< of routers and agents
     /// Maps a router's index and the platform's real port to the port that the router connects to,
     /// so that a test can insert a proxy. Called at each start of the router.
     std::function<std::uint16_t(std::size_t, std::uint16_t)> platformPort;
--- a/tests/support/process.cpp
+++ b/tests/support/process.cpp
@@ -6,6 +6,7 @@
 #include <csignal>
 
 #include <linux/close_range.h>
+#include <sys/resource.h>
 #include <unistd.h>
 
 namespace bilberry::tests {
@@ -42,13 +43,19 @@
 };
 
 Process::Process(const std::string &program, const std::vector<std::string> &arguments,
-                 const std::string &logFile)
+                 const std::string &logFile, const ProcessOptions &options)
     : m_state(std::make_unique<State>())
 {
+    const auto prepareExec = [&options](auto &executor) {
+        closeInheritedFiles(executor);
+        if (options.maxDescriptors > 0) {
+            const rlimit limit{options.maxDescriptors, options.maxDescriptors};
+            ::setrlimit(RLIMIT_NOFILE, &limit);
+        }
+    };
     std::FILE *log = std::fopen(logFile.c_str(), "a");
-    m_state->child
-            = bp::child(program, bp::args(arguments), (bp::std_out & bp::std_err) > log,
-                        bp::std_in < bp::null, bp::extend::on_exec_setup = closeInheritedFiles);
+    m_state->child = bp::child(program, bp::args(arguments), (bp::std_out & bp::std_err) > log,
+                               bp::std_in < bp::null, bp::extend::on_exec_setup = prepareExec);
     std::fclose(log);
 }
 
--- a/tests/support/process.h
+++ b/tests/support/process.h
@@ -17,13 +17,19 @@
 /// Runs a program and waits for its exit.
 Finished runProgram(const std::string &program, const std::vector<std::string> &arguments);
 
+/// How a program is started.
+struct ProcessOptions
+{
+    unsigned maxDescriptors = 0; ///< limit of its open descriptors; 0: as this process
+};
+
 /// A program that runs in the background and is killed when the object is destroyed.
 class Process
 {
 public:
     /// @param logFile standard output and error are appended to it
     Process(const std::string &program, const std::vector<std::string> &arguments,
-            const std::string &logFile);
+            const std::string &logFile, const ProcessOptions &options = {});
     ~Process();
     Process(Process &&) noexcept;
     Process &operator=(Process &&) noexcept;
