Settings for the memory and the descriptors of the VM

memory.limitMb, vm.memoryMb and vm.descriptors, for all roles.

The daemon lets freed blocks of 128 KiB and more return to the system at once: glibc raises that threshold with each larger block that is freed, up to 32 MB.

--- a/packages/agent/include/bilberry/agent/agentsettings.h
+++ b/packages/agent/include/bilberry/agent/agentsettings.h
@@ -1,6 +1,7 @@
 #ifndef BILBERRY_AGENT_AGENTSETTINGS_H
 #define BILBERRY_AGENT_AGENTSETTINGS_H
 
+#include "bilberry/base/processlimits.h"
 #include "bilberry/base/settings.h"
 #include "bilberry/decision/configurationfreshness.h"
 #include "bilberry/model/ids.h"
@@ -28,11 +29,13 @@
     std::uint32_t grantsBeyondWindow = 1;           ///< open grants allowed beyond the window
     std::size_t ringCapacity = 65536;               ///< maximum number of items in each ring
     decision::FreshnessSettings freshness;
+    ProcessLimits limits;
     bool operator==(const AgentSettings &) const = default;
 };
 
+/// @param vm size of the VM where the file doesn't tell it
 /// @return the settings; the reader keeps the faults that it finds
-AgentSettings readAgentSettings(SettingsReader &reader);
+AgentSettings readAgentSettings(SettingsReader &reader, const VmSize &vm = {});
 
 } // namespace bilberry::agent
 
--- a/packages/agent/src/agentsettings.cpp
+++ b/packages/agent/src/agentsettings.cpp
@@ -24,7 +24,7 @@
 
 } // namespace
 
-AgentSettings readAgentSettings(SettingsReader &reader)
+AgentSettings readAgentSettings(SettingsReader &reader, const VmSize &vm)
 {
     AgentSettings settings;
     settings.server = ServerId(reader.identifier("name"));
@@ -46,6 +46,7 @@
     const std::string policy = reader.choice("island.policy", {"stop", "serve"}, "stop");
     settings.freshness.partitionPolicy = policy == "serve" ? decision::PartitionPolicy::Serve
                                                            : decision::PartitionPolicy::Stop;
+    settings.limits = readProcessLimits(reader, vm);
     checkContradictions(reader, settings);
     return settings;
 }
--- a/packages/daemon/src/daemon.cpp
+++ b/packages/daemon/src/daemon.cpp
@@ -91,6 +91,7 @@
 
 int start(const DaemonSettings &settings, const std::string &file)
 {
+    returnLargeBlocksToSystem();
     setUpLogging(settings.log);
     try {
         if (settings.role == Role::DirectRouter)
@@ -104,10 +105,10 @@
     }
 }
 
-int runWithFile(const std::string &file, bool checkOnly)
+int runWithFile(const std::string &file, const VmSize &vm, bool checkOnly)
 {
     SettingsReader reader(file);
-    const DaemonSettings settings = readSettings(reader);
+    const DaemonSettings settings = readSettings(reader, vm);
     const std::vector<SettingsFault> faults = reader.finish();
     for (const SettingsFault &fault : faults)
         std::cerr << fault.text() << '\n';
@@ -126,7 +127,11 @@
 {
     cxxopts::Options options("bilberryd", "Runs a router or an agent of a bilberrystile fleet.");
     options.add_options()("s,settings", "path of the settings file (YAML)",
-                          cxxopts::value<std::string>())("c,check", "check the settings and exit")(
+                          cxxopts::value<std::string>())(
+            "vm-memory-mb", "memory of the VM; vm.memoryMb goes before it",
+            cxxopts::value<std::int64_t>())(
+            "vm-descriptors", "descriptors that the VM allows; vm.descriptors goes before it",
+            cxxopts::value<std::int64_t>())("c,check", "check the settings and exit")(
             "h,help", "print this help");
     try {
         const auto arguments = options.parse(argc, argv);
@@ -138,7 +143,13 @@
             std::cerr << "bilberryd: --settings is required\n";
             return ExitSettings;
         }
-        return runWithFile(arguments["settings"].as<std::string>(), arguments.count("check") > 0);
+        VmSize vm;
+        if (arguments.count("vm-memory-mb") > 0)
+            vm.memoryMb = arguments["vm-memory-mb"].as<std::int64_t>();
+        if (arguments.count("vm-descriptors") > 0)
+            vm.descriptors = arguments["vm-descriptors"].as<std::int64_t>();
+        return runWithFile(arguments["settings"].as<std::string>(), vm,
+                           arguments.count("check") > 0);
     } catch (const cxxopts::exceptions::exception &exception) {
         std::cerr << "bilberryd: " << exception.what() << '\n';
         return ExitSettings;
--- a/packages/daemon/src/daemonsettings.cpp
+++ b/packages/daemon/src/daemonsettings.cpp
@@ -22,19 +22,19 @@
 
 } // namespace
 
-DaemonSettings readSettings(SettingsReader &reader)
+DaemonSettings readSettings(SettingsReader &reader, const VmSize &vm)
 {
     DaemonSettings settings;
     settings.log = readLog(reader);
     const std::string role = reader.choice("role", {"router", "agent", "direct-router"});
     if (role == "direct-router") {
         settings.role = Role::DirectRouter;
-        settings.direct = direct::readDirectSettings(reader);
+        settings.direct = direct::readDirectSettings(reader, vm);
     } else if (role == "agent") {
         settings.role = Role::Agent;
-        settings.agent = agent::readAgentSettings(reader);
+        settings.agent = agent::readAgentSettings(reader, vm);
     } else {
-        settings.router = router::readRouterSettings(reader);
+        settings.router = router::readRouterSettings(reader, vm);
     }
     return settings;
 }
--- a/packages/daemon/src/daemonsettings.h
+++ b/packages/daemon/src/daemonsettings.h
@@ -21,8 +21,9 @@
 };
 
 /// Reads the log settings, the role and the settings of that role.
+/// @param vm size of the VM where the file doesn't tell it
 /// @return settings that are valid only when reader.finish() reports no faults
-DaemonSettings readSettings(SettingsReader &reader);
+DaemonSettings readSettings(SettingsReader &reader, const VmSize &vm = {});
 
 } // namespace bilberry::daemon
 
--- a/packages/direct/include/bilberry/direct/directsettings.h
+++ b/packages/direct/include/bilberry/direct/directsettings.h
@@ -1,6 +1,7 @@
 #ifndef BILBERRY_DIRECT_DIRECTSETTINGS_H
 #define BILBERRY_DIRECT_DIRECTSETTINGS_H
 
+#include "bilberry/base/processlimits.h"
 #include "bilberry/base/settings.h"
 #include "bilberry/decision/crashsuspicion.h"
 #include "bilberry/decision/serverselector.h"
@@ -46,6 +47,7 @@
     /// Window in which the use of each customer is measured.
     Duration fairnessWindow = std::chrono::seconds(4);
     std::size_t maxCallerConnections = 3000;
+    ProcessLimits limits;
     decision::WindowedRetryBudgetSettings retryBudget;
     decision::ServerSelectorSettings serverSelector;
     decision::CrashSuspicionSettings crashSuspicion;
@@ -54,8 +56,9 @@
 
 /// Reads the settings.
 /// @param reader collects the faults
+/// @param vm size of the VM where the file doesn't tell it
 /// @return the settings, usable when the reader has no faults
-DirectSettings readDirectSettings(SettingsReader &reader);
+DirectSettings readDirectSettings(SettingsReader &reader, const VmSize &vm = {});
 
 } // namespace bilberry::direct
 
--- a/packages/direct/src/directsettings.cpp
+++ b/packages/direct/src/directsettings.cpp
@@ -61,7 +61,7 @@
 
 } // namespace
 
-DirectSettings readDirectSettings(SettingsReader &reader)
+DirectSettings readDirectSettings(SettingsReader &reader, const VmSize &vm)
 {
     DirectSettings settings;
     settings.router = RouterId(reader.identifier("name"));
@@ -98,6 +98,7 @@
             = reader.number("retries.reserve", 0.0, 10000.0, settings.retryBudget.reserve);
     settings.retryBudget.window = readMilliseconds(reader, "retries.windowMs", 100, 600000,
                                                    settings.retryBudget.window);
+    settings.limits = readProcessLimits(reader, vm);
     readFleetSettings(reader, settings.serverSelector);
     return settings;
 }
--- a/packages/router/include/bilberry/router/routersettings.h
+++ b/packages/router/include/bilberry/router/routersettings.h
@@ -1,6 +1,7 @@
 #ifndef BILBERRY_ROUTER_ROUTERSETTINGS_H
 #define BILBERRY_ROUTER_ROUTERSETTINGS_H
 
+#include "bilberry/base/processlimits.h"
 #include "bilberry/base/settings.h"
 #include "bilberry/decision/configurationfreshness.h"
 #include "bilberry/decision/fairqueue.h"
@@ -57,11 +58,13 @@
     double catchUpCapMs = 60000.0;
     decision::ReportSettings reports;
     decision::FreshnessSettings freshness;
+    ProcessLimits limits;
     bool operator==(const RouterSettings &) const = default;
 };
 
 /// Reads the settings; faults are recorded in the reader.
-RouterSettings readRouterSettings(SettingsReader &reader);
+/// @param vm size of the VM where the file doesn't tell it
+RouterSettings readRouterSettings(SettingsReader &reader, const VmSize &vm = {});
 
 } // namespace bilberry::router
 
--- a/packages/router/src/routersettings.cpp
+++ b/packages/router/src/routersettings.cpp
@@ -115,7 +115,7 @@
 
 } // namespace
 
-RouterSettings readRouterSettings(SettingsReader &reader)
+RouterSettings readRouterSettings(SettingsReader &reader, const VmSize &vm)
 {
     RouterSettings settings;
     settings.router = RouterId(reader.identifier("name"));
@@ -152,6 +152,7 @@
             = static_cast<std::size_t>(reader.integer("ringCapacity", 8, 1 << 20, 65536));
     settings.freshness.maxProofAge = readMilliseconds(reader, "island.proofLimitMs", 500, 60000,
                                                       settings.freshness.maxProofAge);
+    settings.limits = readProcessLimits(reader, vm);
     checkConsistency(reader, settings);
     return settings;
 }
