Parsers tell what a message holds; bodies grow no further than declared

The capacity of a body doubled beyond its declared length, so that one of 4 MB could hold 8. BoundedParser tells what its message holds, and readMessage() reports each read and lets its caller give the message up.

--- a/packages/http/include/bilberry/http/boundedparser.h
+++ b/packages/http/include/bilberry/http/boundedparser.h
@@ -1,12 +1,15 @@
 #ifndef BILBERRY_HTTP_BOUNDEDPARSER_H
 #define BILBERRY_HTTP_BOUNDEDPARSER_H
 
+#include <boost/beast/core/buffers_range.hpp>
 #include <boost/beast/http/error.hpp>
 #include <boost/beast/http/parser.hpp>
 #include <boost/beast/http/string_body.hpp>
 
+#include <algorithm>
 #include <cstdint>
 #include <string>
+#include <type_traits>
 
 namespace bilberry::http {
 
@@ -29,9 +32,10 @@
     {
     }
 
-    void init(const boost::optional<std::uint64_t> &, boost::system::error_code &error)
+    void init(const boost::optional<std::uint64_t> &declaredBytes, boost::system::error_code &error)
     {
         error = {};
+        m_declaredBytes = declaredBytes.value_or(m_body.max_size());
     }
 
     template <typename ConstBufferSequence>
@@ -39,6 +43,7 @@
     {
         error = {};
         const std::size_t before = m_body.size();
+        grow(before + boost::beast::buffer_bytes(buffers));
         for (const auto buffer : boost::beast::buffers_range_ref(buffers))
             m_body.append(static_cast<const char *>(buffer.data()), buffer.size());
         return m_body.size() - before;
@@ -47,7 +52,16 @@
     void finish(boost::system::error_code &error) { error = {}; }
 
 private:
+    /// Doubles the capacity, but not beyond the declared length.
+    void grow(std::size_t size)
+    {
+        if (size > m_body.capacity())
+            m_body.reserve(std::max<std::size_t>(
+                    size, std::min<std::uint64_t>(2 * m_body.capacity(), m_declaredBytes)));
+    }
+
     std::string &m_body;
+    std::uint64_t m_declaredBytes = 0;
 };
 
 /// A message body in a string that grows as its bytes arrive. Beast's string_body reserves the
@@ -79,6 +93,15 @@
 public:
     BoundedParser() = default;
 
+    /// @return memory that the message holds, estimated for its fields
+    std::size_t heldBytes() const
+    {
+        std::size_t bytes = m_fieldBytes;
+        if constexpr (std::is_same_v<Body, GrowingBody>)
+            bytes += this->get().body().capacity();
+        return bytes;
+    }
+
 private:
     void on_response_impl(int code, boost::beast::string_view reason, int version,
                           boost::system::error_code &error) override
@@ -101,11 +124,17 @@
             error = boost::beast::http::error::header_limit;
             return;
         }
-        if (!this->is_header_done())
-            this->get().base().insert(name, nameText, value);
+        if (this->is_header_done())
+            return;
+        this->get().base().insert(name, nameText, value);
+        m_fieldBytes += nameText.size() + value.size() + fieldOverheadBytes;
     }
 
+    /// Of a field in Beast's container, and of its allocation.
+    static constexpr std::size_t fieldOverheadBytes = 96;
+
     std::size_t m_fieldCount = 0;
+    std::size_t m_fieldBytes = 0;
 };
 
 using BoundedRequestParser = BoundedParser<true>;
--- a/packages/http/include/bilberry/http/messagereader.h
+++ b/packages/http/include/bilberry/http/messagereader.h
@@ -24,17 +24,24 @@
     Whole,
 };
 
+/// Called after each read of a message.
+/// @param size bytes that were read
+/// @return false to give up the message with asio::error::operation_aborted
+using ReadHook = std::function<bool(std::size_t size)>;
+
 /// Reads from a stream until a part of a message is parsed. An exception of the parser ends this
 /// message only; one that leaves Beast's own read operations ends the event loop.
 /// @param buffer bytes that were received and not parsed yet
 /// @param maxUnparsed limit of the bytes that the parser doesn't consume; above its header limit
+/// @param onRead may be unset
 /// @return success; http::error::end_of_stream when the connection ended before the first byte of
 ///         the message; the stream's or the parser's error
 template <bool isRequest>
 boost::asio::awaitable<boost::system::error_code>
 readMessage(boost::beast::tcp_stream &stream, boost::beast::flat_buffer &buffer,
             boost::beast::http::basic_parser<isRequest> &parser,
-            MessagePart part = MessagePart::Whole, std::size_t maxUnparsed = maxUnparsedBytes);
+            MessagePart part = MessagePart::Whole, std::size_t maxUnparsed = maxUnparsedBytes,
+            ReadHook onRead = {});
 
 /// Reads the header of a response, and skips the interim responses before it: taken for the
 /// response, they would leave it on the connection, as the answer to the next request.
--- a/packages/http/src/messagereader.cpp
+++ b/packages/http/src/messagereader.cpp
@@ -12,6 +12,10 @@
 
 namespace {
 
+/// Bytes that the first reads of a message take, so that a connection that sends little holds
+/// little.
+constexpr std::size_t firstReadBytes = 4U << 10U;
+
 template <bool isRequest>
 bool hasParsed(const beast::http::basic_parser<isRequest> &parser, MessagePart part)
 {
@@ -45,13 +49,14 @@
 template <bool isRequest>
 asio::awaitable<error_code> readMessage(beast::tcp_stream &stream, beast::flat_buffer &buffer,
                                         beast::http::basic_parser<isRequest> &parser,
-                                        MessagePart part, std::size_t maxUnparsed)
+                                        MessagePart part, std::size_t maxUnparsed, ReadHook onRead)
 {
     parser.eager(part == MessagePart::Whole);
+    std::size_t readBytes = firstReadBytes;
     error_code error = parseReceived(buffer, parser, part, maxUnparsed);
     while (!error && !hasParsed(parser, part)) {
         const std::size_t size = co_await stream.async_read_some(
-                buffer.prepare(maxReadBytes), asio::redirect_error(asio::use_awaitable, error));
+                buffer.prepare(readBytes), asio::redirect_error(asio::use_awaitable, error));
         if (error == asio::error::eof) {
             error = beast::http::error::end_of_stream;
             if (parser.got_some()) {
@@ -63,7 +68,11 @@
         if (error)
             co_return error;
         buffer.commit(size);
+        if (size == readBytes)
+            readBytes = maxReadBytes;
         error = parseReceived(buffer, parser, part, maxUnparsed);
+        if (!error && onRead && !onRead(size))
+            error = asio::error::operation_aborted;
     }
     co_return error;
 }
@@ -82,9 +91,9 @@
 
 template asio::awaitable<error_code> readMessage(beast::tcp_stream &, beast::flat_buffer &,
                                                  beast::http::basic_parser<true> &, MessagePart,
-                                                 std::size_t);
+                                                 std::size_t, ReadHook);
 template asio::awaitable<error_code> readMessage(beast::tcp_stream &, beast::flat_buffer &,
                                                  beast::http::basic_parser<false> &, MessagePart,
-                                                 std::size_t);
+                                                 std::size_t, ReadHook);
 
 } // namespace bilberry::http
