Account for the connections of admin servers, and make room for new ones

Operators and the balancer saw: 64 connections that leave their requests unfinished keep everyone else from metrics, readiness and status for 30 s, and bodies of 16 MB each may fill the memory.

Cause: a limit of connections that refuses the newest; no limit of what they hold together.

Change: each connection has a holder in the process's account. At the limit of connections the one that has moved nothing for longest is closed for the new one. The kernel's receive buffer is bounded.

--- a/packages/admin/include/bilberry/admin/adminserver.h
+++ b/packages/admin/include/bilberry/admin/adminserver.h
@@ -1,6 +1,7 @@
 #ifndef BILBERRY_ADMIN_ADMINSERVER_H
 #define BILBERRY_ADMIN_ADMINSERVER_H
 
+#include "bilberry/base/memoryaccount.h"
 #include "bilberry/base/result.h"
 
 #include <boost/asio/io_context.hpp>
@@ -42,9 +43,10 @@
     /// @param handlers keyed by the path for GET and by "METHOD path" for other methods. A path
     /// without a GET handler gets status 404, another method of a known path 405.
     /// @param maxBodyBytes limit of a request's body; a longer one ends its connection
+    /// @param memory account of the process; null for one of its own
     AdminServer(boost::asio::io_context &context, const std::string &address, std::uint16_t port,
-                std::map<std::string, AdminHandler> handlers,
-                std::size_t maxBodyBytes = 16U << 20U);
+                std::map<std::string, AdminHandler> handlers, std::size_t maxBodyBytes = 16U << 20U,
+                std::shared_ptr<MemoryAccount> memory = nullptr);
     ~AdminServer();
 
 private:
--- a/packages/admin/src/adminserver.cpp
+++ b/packages/admin/src/adminserver.cpp
@@ -24,6 +24,10 @@
 constexpr auto requestTimeout = std::chrono::seconds(30);
 constexpr std::size_t maxConnections = 64;
 constexpr auto acceptRetryDelay = std::chrono::milliseconds(100);
+/// Receive buffer in the kernel. The kernel would let it grow to megabytes.
+constexpr int receiveBufferBytes = 32 << 10;
+/// Memory of a connection besides its buffers.
+constexpr std::size_t connectionBytes = 4U << 10U;
 
 } // namespace
 
@@ -46,10 +50,14 @@
     };
 
     State(asio::io_context &context, const asio::ip::tcp::endpoint &endpoint,
-          std::map<std::string, AdminHandler> handlers, std::size_t maxBodyBytes)
+          std::map<std::string, AdminHandler> handlers, std::size_t maxBodyBytes,
+          std::shared_ptr<MemoryAccount> memory)
         : context(context), acceptor(context, endpoint), handlers(std::move(handlers)),
-          maxBodyBytes(maxBodyBytes)
+          maxBodyBytes(maxBodyBytes),
+          memory(memory ? std::move(memory) : std::make_shared<MemoryAccount>())
     {
+        boost::system::error_code ignored;
+        acceptor.set_option(asio::socket_base::receive_buffer_size(receiveBufferBytes), ignored);
     }
 
     AdminResponse dispatch(const bilberry::http::GrowingRequest &request) const
@@ -64,20 +72,44 @@
         return handler->second({method, request.body()});
     }
 
-    asio::awaitable<void> serve(beast::tcp_stream stream)
+    /// @return the hook that closes a connection whose memory or place others need
+    static ReleaseHook closeHook(const std::shared_ptr<beast::tcp_stream> &stream)
+    {
+        return [executor = stream->get_executor(), weak = std::weak_ptr(stream)](MemoryUse,
+                                                                                 ReleaseCause) {
+            asio::post(executor, [weak] {
+                if (const auto open = weak.lock())
+                    open->close();
+            });
+        };
+    }
+
+    asio::awaitable<void> serve(std::shared_ptr<beast::tcp_stream> shared)
     {
         const ConnectionCount count(shared_from_this());
+        beast::tcp_stream &stream = *shared;
+        MemoryHolder holder(memory, this, closeHook(shared));
         boost::system::error_code error;
         beast::flat_buffer buffer;
         while (!error) {
             stream.expires_after(requestTimeout);
             bilberry::http::BoundedRequestParser parser;
             parser.body_limit(maxBodyBytes);
-            error = co_await bilberry::http::readMessage(stream, buffer, parser);
+            const bilberry::http::ReadHook reportMemory = [&](std::size_t size) {
+                holder.update(MemoryUse::Receiving,
+                              connectionBytes + buffer.capacity() + parser.heldBytes(), size);
+                return true;
+            };
+            reportMemory(0);
+            error = co_await bilberry::http::readMessage(
+                    stream, buffer, parser, bilberry::http::MessagePart::Whole,
+                    bilberry::http::maxUnparsedBytes, reportMemory);
             if (error)
                 break;
             const auto request = parser.release();
             const AdminResponse result = dispatch(request);
+            holder.update(MemoryUse::Sending,
+                          connectionBytes + buffer.capacity() + 2 * result.body.size());
             http::response<http::string_body> response(http::status(result.status), 11);
             response.set(http::field::content_type, result.contentType);
             response.body() = result.body;
@@ -111,9 +143,14 @@
                 co_return;
             if (error)
                 co_await waitBeforeRetry();
-            if (error || connections >= maxConnections)
+            // The connections of clients that have stopped must not keep out a balancer.
+            const bool isFull = connections >= maxConnections;
+            if (error
+                || (isFull
+                    && !memory->releaseSlowest(this, {MemoryUse::Receiving, MemoryUse::Sending})))
                 continue;
-            asio::co_spawn(context, serve(beast::tcp_stream(std::move(socket))), asio::detached);
+            asio::co_spawn(context, serve(std::make_shared<beast::tcp_stream>(std::move(socket))),
+                           asio::detached);
         }
     }
 
@@ -121,14 +158,16 @@
     asio::ip::tcp::acceptor acceptor;
     std::map<std::string, AdminHandler> handlers;
     std::size_t maxBodyBytes;
+    std::shared_ptr<MemoryAccount> memory;
     std::size_t connections = 0;
 };
 
 AdminServer::AdminServer(asio::io_context &context, const std::string &address, std::uint16_t port,
-                         std::map<std::string, AdminHandler> handlers, std::size_t maxBodyBytes)
+                         std::map<std::string, AdminHandler> handlers, std::size_t maxBodyBytes,
+                         std::shared_ptr<MemoryAccount> memory)
     : m_state(std::make_shared<State>(
             context, asio::ip::tcp::endpoint(asio::ip::make_address(address), port),
-            std::move(handlers), maxBodyBytes))
+            std::move(handlers), maxBodyBytes, std::move(memory)))
 {
     asio::co_spawn(context, m_state->accept(), asio::detached);
 }
