Keep direct routers within the memory and descriptors of their VM

Cause: nothing bounded the sum of what callers hold: bodies being read, the request and its serialized copy for the server, answers not read, the kernel's buffers for both. The next pipelined request was read although the answers before it weren't. Idle connections had read areas of 16 KiB each. Callers alone could use up the descriptors.

Change: caller connections, requests that were passed on and uploads that outlive their answer report to the account. The one who pays is refused with 503 memory-full while its request is incomplete; a caller that doesn't read is disconnected; a request that was passed on ends as 502 (or 503 if it can't have run), and only if nobody else holds as much. The body is written to the server from the request itself, so that no copy is made, for any attempt. A pipelined request waits while 256 KiB are unread. Receive buffers in the kernel are bounded at 32 KiB for callers and 64 for servers (it doubles these), since it would let them grow to megabytes. Callers may have what descriptors servers and the process leave; beyond nine tenths of that, callers that have stopped inside a request for 1 s are disconnected before idle ones are.

--- a/packages/direct/src/caller/callerconnection.cpp
+++ b/packages/direct/src/caller/callerconnection.cpp
@@ -29,6 +29,13 @@
 constexpr Duration maxDispatchDelay = std::chrono::milliseconds(20);
 /// Bytes of a response that one write takes at most.
 constexpr std::size_t maxWriteBytes = 64U << 10U;
+/// Bytes that one read takes at most: of a connection without a long request, and of one with it.
+constexpr std::size_t smallReadBytes = 4U << 10U;
+constexpr std::size_t largeReadBytes = 16U << 10U;
+/// Capacity that the buffer of an idle connection may keep.
+constexpr std::size_t idleBufferBytes = 16U << 10U;
+/// Memory of a connection besides its buffers: the object, its timer and socket.
+constexpr std::size_t connectionBytes = 2U << 10U;
 /// Time for which bytes that arrive after the last response are discarded before the close.
 constexpr Duration lingerTimeout = std::chrono::seconds(1);
 
@@ -55,9 +62,16 @@
 
 } // namespace
 
-CallerConnection::CallerConnection(asio::ip::tcp::socket socket, const CallerHooks &hooks)
+CallerConnection::CallerConnection(asio::ip::tcp::socket socket, const CallerHooks &hooks,
+                                   std::shared_ptr<MemoryAccount> memory)
     : m_socket(std::move(socket)), m_timer(m_socket.get_executor()), m_hooks(hooks)
 {
+    m_memory.emplace(std::move(memory), &hooks, [this](MemoryUse use, ReleaseCause cause) {
+        asio::post(m_socket.get_executor(), [weak = weak_from_this(), use, cause] {
+            if (const auto self = weak.lock())
+                self->releaseMemory(use, cause);
+        });
+    });
 }
 
 void CallerConnection::start()
@@ -75,15 +89,31 @@
     m_isReadingRequest = false;
     m_continueSent = false;
     startTimer(m_idleTimeout);
-    if (m_buffer.size() > 0)
+    parseNextRequest();
+}
+
+/// A caller that pipelines requests and reads no responses would fill the memory with them.
+void CallerConnection::parseNextRequest()
+{
+    m_awaitsReader = unsentBytes() >= maxUnsentBytes;
+    if (!m_awaitsReader && m_buffer.size() > 0) {
         parseBuffer();
-    else if (!m_isReading)
+        return;
+    }
+    if (m_buffer.size() == 0 && m_buffer.capacity() > idleBufferBytes)
+        m_buffer.shrink_to_fit();
+    if (!m_isReading && m_buffer.size() < maxPipelinedBytes)
         startRead();
+    reportMemory();
 }
 
 void CallerConnection::startRead()
 {
     m_isReading = true;
+    const std::size_t size
+            = m_isReadingRequest && m_isReadAreaFull ? largeReadBytes : smallReadBytes;
+    if (m_readArea.size() != size)
+        m_readArea = std::vector<char>(size);
     m_socket.async_read_some(
             asio::buffer(m_readArea),
             [self = shared_from_this()](boost::system::error_code error, std::size_t size) {
@@ -104,14 +134,17 @@
         startRead();
         return;
     }
+    m_isReadAreaFull = size == m_readArea.size();
     m_buffer.commit(asio::buffer_copy(m_buffer.prepare(size), asio::buffer(m_readArea, size)));
-    if (m_isResponding) {
+    if (m_isResponding || m_awaitsReader) {
         // Pipelined requests stay in the buffer; reading detects when the caller disconnects.
         if (m_buffer.size() < maxPipelinedBytes)
             startRead();
-        return;
+    } else {
+        parseBuffer();
     }
-    parseBuffer();
+    if (!m_isClosed)
+        reportMemory(size);
 }
 
 /// Applies the limits that are in force when the first byte of a request arrives: the connection
@@ -166,6 +199,7 @@
     m_isReadingRequest = false;
     m_timer.cancel();
     CallerRequest request = m_parser->release();
+    m_parser.reset();
     m_keepAlive = request.keep_alive();
     m_isHeadRequest = request.method() == http::verb::head;
     m_httpVersion = request.version();
@@ -348,14 +382,19 @@
 
 void CallerConnection::startWrite()
 {
-    if (m_isWriting || m_pendingWrite.empty())
+    if (m_isWriting || m_pendingWrite.empty()) {
+        reportMemory();
         return;
+    }
     m_isWriting = true;
     m_writeBuffer = std::move(m_pendingWrite);
     m_pendingWrite.clear();
     m_lastProgressAt = Clock::now();
-    const auto recordProgress = [this](boost::system::error_code error, std::size_t) {
+    const auto recordProgress = [this, written = std::size_t(0)](boost::system::error_code error,
+                                                                 std::size_t total) mutable {
         m_lastProgressAt = Clock::now();
+        if (!m_isClosed && total > written)
+            reportMemory(total - std::exchange(written, total));
         return error ? 0 : maxWriteBytes;
     };
     asio::async_write(m_socket, asio::buffer(m_writeBuffer), recordProgress,
@@ -365,6 +404,7 @@
                           self->m_writeBuffer = std::string();
                           self->handleWrite(error);
                       });
+    reportMemory();
 }
 
 void CallerConnection::handleWrite(boost::system::error_code error)
@@ -381,6 +421,10 @@
         startLingeringClose();
     if (onWritten && !m_isClosed)
         onWritten();
+    if (m_awaitsReader && !m_isClosed && !m_isLingering)
+        parseNextRequest();
+    if (!m_isClosed)
+        reportMemory();
 }
 
 void CallerConnection::startTimer(Duration limit)
@@ -415,9 +459,62 @@
     m_isResponding = true;
     m_isReadingRequest = false;
     m_keepAlive = false;
+    releaseRequest();
     m_hooks.onRequestError(shared_from_this(), error);
 }
 
+/// Frees a request that is refused before it is complete.
+void CallerConnection::releaseRequest()
+{
+    m_parser.reset();
+    m_buffer = beast::flat_buffer();
+    reportMemory();
+}
+
+MemoryUse CallerConnection::memoryUse() const
+{
+    if (m_isReadingRequest)
+        return MemoryUse::Receiving;
+    if (m_isWriting || m_awaitsReader)
+        return MemoryUse::Sending;
+    return m_isResponding ? MemoryUse::Serving : MemoryUse::Idle;
+}
+
+void CallerConnection::reportMemory(std::size_t movedBytes)
+{
+    std::size_t bytes = connectionBytes + m_readArea.size() + m_buffer.capacity()
+                        + m_writeBuffer.capacity() + m_pendingWrite.capacity();
+    if (m_parser)
+        bytes += m_parser->heldBytes();
+    // The kernel receives on for a caller that is not read from.
+    if (!m_isReading)
+        bytes += receiveBufferBytes;
+    m_memory->update(memoryUse(), bytes, movedBytes);
+}
+
+/// Refuses the request that is being read, or closes the connection where no answer is possible or
+/// none would be read. A close before the whole request tells the caller that it did not run.
+void CallerConnection::releaseMemory(MemoryUse use, ReleaseCause cause)
+{
+    if (m_isClosed || use != memoryUse())
+        return;
+    if (use == MemoryUse::Receiving && cause == ReleaseCause::Memory) {
+        refuseUnread(RequestError::MemoryFull);
+        return;
+    }
+    if (use == MemoryUse::Serving) {
+        endRequest();
+        return;
+    }
+    if (m_hooks.onMemoryReleased)
+        m_hooks.onMemoryReleased(use, cause);
+    if (use == MemoryUse::Sending) {
+        boost::system::error_code ignored;
+        m_socket.set_option(asio::socket_base::linger(true, 0), ignored);
+    }
+    handleDisconnect();
+}
+
 /// Resets the connection when the handler throws.
 void CallerConnection::guard(const std::function<void()> &handler)
 {
@@ -447,6 +544,11 @@
     boost::system::error_code ignored;
     m_timer.cancel();
     m_socket.close(ignored);
+    // Whoever still refers to the connection must not hold its memory.
+    m_parser.reset();
+    m_buffer = beast::flat_buffer();
+    m_pendingWrite = std::string();
+    m_memory.reset();
     m_hooks.onClosed(shared_from_this());
 }
 
--- a/packages/direct/src/caller/callerconnection.h
+++ b/packages/direct/src/caller/callerconnection.h
@@ -1,6 +1,7 @@
 #ifndef BILBERRY_DIRECT_CALLERCONNECTION_H
 #define BILBERRY_DIRECT_CALLERCONNECTION_H
 
+#include "bilberry/base/memoryaccount.h"
 #include "bilberry/base/time.h"
 #include "bilberry/http/boundedparser.h"
 #include "bilberry/model/trafficplan.h"
@@ -10,11 +11,11 @@
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http.hpp>
 
-#include <array>
 #include <functional>
 #include <memory>
 #include <optional>
 #include <string>
+#include <vector>
 
 namespace bilberry::direct {
 
@@ -22,7 +23,14 @@
 using CallerResponseHeader = boost::beast::http::response_header<>;
 
 /// Why the bytes of a caller can't be handled as a request.
-enum class RequestError { Malformed, HeadTooLarge, BodyTooLarge, SlowSender, Shutdown };
+enum class RequestError {
+    Malformed,
+    HeadTooLarge,
+    BodyTooLarge,
+    SlowSender,
+    Shutdown,
+    MemoryFull, ///< the router needs the memory that the request takes
+};
 
 class CallerConnection;
 using CallerConnectionPtr = std::shared_ptr<CallerConnection>;
@@ -35,6 +43,9 @@
     /// Called with the text of an exception that ends the connection. May be unset.
     std::function<void(const std::string &)> onException;
     std::function<CallerBounds()> currentBounds;
+    /// Called when a connection is closed because others need its memory or its place. May be
+    /// unset.
+    std::function<void(MemoryUse, ReleaseCause)> onMemoryReleased;
     std::function<void(const CallerConnectionPtr &)> onClosed;
 };
 
@@ -43,7 +54,14 @@
 class CallerConnection : public std::enable_shared_from_this<CallerConnection>
 {
 public:
-    CallerConnection(boost::asio::ip::tcp::socket socket, const CallerHooks &hooks);
+    /// Bytes that a caller may leave unread before its next request is not started any more.
+    static constexpr std::size_t maxUnsentBytes = 256U << 10U;
+    /// Receive buffer in the kernel. The kernel would let it grow to megabytes.
+    static constexpr int receiveBufferBytes = 32 << 10;
+
+    /// @param memory account of the process
+    CallerConnection(boost::asio::ip::tcp::socket socket, const CallerHooks &hooks,
+                     std::shared_ptr<MemoryAccount> memory);
 
     void start();
 
@@ -96,17 +114,20 @@
 private:
     using Parser = bilberry::http::BoundedRequestParser;
 
-    static constexpr std::size_t readAreaBytes = 16U << 10U;
-
     void awaitRequest();
     void startRead();
     void startRequest();
     void handleRead(boost::system::error_code error, std::size_t size);
     void parseBuffer();
+    void parseNextRequest();
     void dispatchRequest();
     void handleResponseEnd();
     void reportParseError(boost::system::error_code error);
     void refuseUnread(RequestError error);
+    void releaseRequest();
+    void reportMemory(std::size_t movedBytes = 0);
+    MemoryUse memoryUse() const;
+    void releaseMemory(MemoryUse use, ReleaseCause cause);
     void queueWrite(std::string_view bytes);
     void startWrite();
     void handleWrite(boost::system::error_code error);
@@ -124,7 +145,8 @@
     const CallerHooks &m_hooks;
     /// Belongs to the read that is in progress. Bytes go to m_buffer when they have arrived, so
     /// that parsing and reading never share memory.
-    std::array<char, readAreaBytes> m_readArea;
+    std::vector<char> m_readArea;
+    bool m_isReadAreaFull = false;      ///< the last read took as much as it could
     boost::beast::flat_buffer m_buffer; ///< received and not parsed yet
     std::optional<Parser> m_parser;
     CallerBounds m_bounds;
@@ -143,8 +165,10 @@
     bool m_closeAfterResponse = false;
     bool m_isLingering = false;
     bool m_isClosed = false;
+    bool m_awaitsReader = false; ///< the next request waits until the caller has read enough
     bool m_continueSent = false;
     unsigned m_httpVersion = 11;
+    std::optional<MemoryHolder> m_memory; ///< absent after the close
 };
 
 } // namespace bilberry::direct
--- a/packages/direct/src/caller/callerlistener.cpp
+++ b/packages/direct/src/caller/callerlistener.cpp
@@ -24,6 +24,10 @@
 /// of the idle ones that is closed at once.
 constexpr double reclaimFill = 0.9;
 constexpr double reclaimedShare = 0.25;
+/// Connections whose callers may have stopped.
+constexpr auto stoppable = {MemoryUse::Receiving, MemoryUse::Sending};
+/// Time without a byte from which on a caller counts as stopped.
+constexpr Duration minStall = std::chrono::seconds(1);
 /// Time for which a connection is idle before a stopping router closes it: the first request of a
 /// new connection may still be on its way.
 constexpr Duration stopIdleTime = std::chrono::milliseconds(300);
@@ -31,14 +35,19 @@
 } // namespace
 
 CallerListener::CallerListener(asio::io_context &io, const tcp::endpoint &endpoint,
-                               std::size_t maxConnections, CallerHooks hooks,
-                               std::function<bool()> isOverloaded, Log &log)
-    : m_io(io), m_maxConnections(maxConnections), m_hooks(std::move(hooks)),
-      m_isOverloaded(std::move(isOverloaded)), m_log(log), m_acceptor(io), m_acceptTimer(io)
+                               std::function<std::size_t()> maxConnections, CallerHooks hooks,
+                               std::function<bool()> isOverloaded,
+                               std::shared_ptr<MemoryAccount> memory, Log &log)
+    : m_io(io), m_maxConnections(std::move(maxConnections)), m_hooks(std::move(hooks)),
+      m_isOverloaded(std::move(isOverloaded)), m_memory(std::move(memory)), m_log(log),
+      m_acceptor(io), m_acceptTimer(io)
 {
     m_hooks.onClosed = [this](const CallerConnectionPtr &caller) { m_callers.erase(caller); };
     m_acceptor.open(endpoint.protocol());
     m_acceptor.set_option(asio::socket_base::reuse_address(true));
+    // Accepted connections inherit it.
+    m_acceptor.set_option(
+            asio::socket_base::receive_buffer_size(CallerConnection::receiveBufferBytes));
     m_acceptor.bind(endpoint);
     m_acceptor.listen(acceptBacklog);
     m_acceptor.non_blocking(true);
@@ -126,11 +135,11 @@
 void CallerListener::add(tcp::socket socket)
 {
     if (isFilled(reclaimFill))
-        reclaimIdle();
+        makeRoom();
     // A close before the request is read tells the caller that it did not run.
-    if (m_callers.size() >= m_maxConnections)
+    if (isFilled(1.0) && !m_memory->releaseSlowest(&m_hooks, stoppable))
         return;
-    const auto caller = std::make_shared<CallerConnection>(std::move(socket), m_hooks);
+    const auto caller = std::make_shared<CallerConnection>(std::move(socket), m_hooks, m_memory);
     m_callers.insert(caller);
     if (m_isDraining)
         caller->closeAfterResponse();
@@ -141,7 +150,14 @@
 bool CallerListener::isFilled(double fraction) const
 {
     return static_cast<double>(m_callers.size())
-           >= fraction * static_cast<double>(m_maxConnections);
+           >= fraction * static_cast<double>(m_maxConnections());
+}
+
+/// Closes a connection whose caller has stopped inside a request or an answer, or else idle ones.
+void CallerListener::makeRoom()
+{
+    if (!m_memory->releaseSlowest(&m_hooks, stoppable, minStall))
+        reclaimIdle();
 }
 
 /// Closes the connections that have been idle for longest. Many at once, because finding them takes
--- a/packages/direct/src/caller/callerlistener.h
+++ b/packages/direct/src/caller/callerlistener.h
@@ -16,12 +16,14 @@
 {
 public:
     /// Starts to listen; throws boost::system::system_error when the endpoint can't be used.
-    /// @param maxConnections limit of the connections held
+    /// @param maxConnections returns the limit of the connections held
     /// @param hooks of each connection; onClosed is set here
+    /// @param memory account of the process
     /// @param isOverloaded returns whether the router has no processor time to spare
     CallerListener(boost::asio::io_context &io, const boost::asio::ip::tcp::endpoint &endpoint,
-                   std::size_t maxConnections, CallerHooks hooks,
-                   std::function<bool()> isOverloaded, Log &log);
+                   std::function<std::size_t()> maxConnections, CallerHooks hooks,
+                   std::function<bool()> isOverloaded, std::shared_ptr<MemoryAccount> memory,
+                   Log &log);
 
     /// Starts to accept connections.
     void start() { startAccept(); }
@@ -46,12 +48,14 @@
     void delayAccept(boost::system::error_code error);
     void add(boost::asio::ip::tcp::socket socket);
     bool isFilled(double fraction) const;
+    void makeRoom();
     void reclaimIdle();
 
     boost::asio::io_context &m_io;
-    std::size_t m_maxConnections;
+    std::function<std::size_t()> m_maxConnections;
     CallerHooks m_hooks;
     std::function<bool()> m_isOverloaded;
+    std::shared_ptr<MemoryAccount> m_memory;
     Log &m_log;
     boost::asio::ip::tcp::acceptor m_acceptor;
     boost::asio::steady_timer m_acceptTimer;
--- a/packages/direct/src/directmetrics.h
+++ b/packages/direct/src/directmetrics.h
@@ -3,6 +3,8 @@
 
 #include "request/requesthandler.h"
 
+#include "bilberry/admin/memorymetrics.h"
+
 #include <prometheus/counter.h>
 #include <prometheus/gauge.h>
 #include <prometheus/histogram.h>
@@ -23,6 +25,9 @@
     /// @param duration time from the complete request to the first byte of its response
     void recordFirstByteLatency(const PoolId &pool, Duration duration);
 
+    /// Sets the gauges of the memory held.
+    void update(const MemoryAccount &memory) { m_memory.update(memory); }
+
     /// Sets the gauges of what may crash servers.
     void update(const decision::CrashSuspicion &suspicion);
 
@@ -48,6 +53,7 @@
     prometheus::Gauge &m_connectionsOpened;
     prometheus::Gauge &m_planVersion;
     prometheus::Gauge &m_planAge;
+    admin::MemoryMetrics m_memory{m_registry};
 };
 
 } // namespace bilberry::direct
--- a/packages/direct/src/directrouter.cpp
+++ b/packages/direct/src/directrouter.cpp
@@ -33,6 +33,9 @@
 constexpr Duration stopCheckPeriod = std::chrono::milliseconds(50);
 /// Part of the limit of a shutdown that is left for the final responses to requests in progress.
 constexpr Duration finalResponseTime = std::chrono::milliseconds(400);
+/// Sockets that a router needs besides those of callers and servers: for the store, the other
+/// routers, readiness and metrics.
+constexpr std::size_t ownSockets = 160;
 /// Limit of the bodies of requests for readiness and metrics, which need none.
 constexpr std::size_t maxAdminBodyBytes = 1024;
 tcp::endpoint toEndpoint(const Endpoint &endpoint)
@@ -58,6 +61,8 @@
         return RefusalReason::HeadTooLarge;
     case RequestError::BodyTooLarge:
         return RefusalReason::BodyTooLarge;
+    case RequestError::MemoryFull:
+        return RefusalReason::MemoryFull;
     case RequestError::Shutdown:
         return RefusalReason::Stopping;
     case RequestError::SlowSender:
@@ -73,11 +78,14 @@
     Impl(const DirectSettings &settings, PlatformAdapter adapter)
         : settings(settings), adapter(std::move(adapter)), random(std::random_device{}()),
           serverSelector(settings.serverSelector), usageMeter(settings.fairnessWindow),
-          crashSuspicion(settings.crashSuspicion), connections(io, settings.connectTimeout),
+          crashSuspicion(settings.crashSuspicion),
+          memory(std::make_shared<MemoryAccount>(settings.limits.memoryBytes)),
+          connections(io, settings.connectTimeout, memory),
           crashDetector(io, connections, crashSuspicion, log), housekeepingTimer(io), lagTimer(io),
           stopTimer(io), requestContext{.io = io,
                                         .settings = this->settings,
                                         .headerNames = this->adapter.headers,
+                                        .memory = memory,
                                         .connections = connections,
                                         .serverSelector = serverSelector,
                                         .usageMeter = usageMeter,
@@ -119,9 +127,27 @@
             log.decision("Closed a caller's connection after an exception.", {{"error", reason}});
         };
         hooks.currentBounds = [this] { return callerBounds(); };
+        hooks.onMemoryReleased = [this](MemoryUse use, ReleaseCause cause) {
+            log.decision(cause == ReleaseCause::Memory
+                                 ? "Closed a caller's connection to free its memory."
+                                 : "Closed a caller's connection that had stopped, to make room.",
+                         {{"use", toText(use)},
+                          {"heldBytes", std::to_string(memory->counters().heldBytes)},
+                          {"limitBytes", std::to_string(memory->limitBytes())},
+                          {"callers", std::to_string(callers->size())}});
+        };
         callers = std::make_shared<CallerListener>(
-                io, toEndpoint(settings.callerEndpoint), settings.maxCallerConnections,
-                std::move(hooks), [this] { return overloadDetector.isOverloaded(); }, log);
+                io, toEndpoint(settings.callerEndpoint), [this] { return maxCallers(); },
+                std::move(hooks), [this] { return overloadDetector.isOverloaded(); }, memory, log);
+    }
+
+    /// @return limit of the callers' connections: each request in progress needs another one to
+    ///         its server
+    std::size_t maxCallers() const
+    {
+        const std::size_t taken = ownSockets + connections.openCount();
+        const std::size_t sockets = settings.limits.maxSockets();
+        return std::min(settings.maxCallerConnections, sockets > taken ? sockets - taken : 1);
     }
 
     void startAdminServers()
@@ -133,7 +159,7 @@
                          [this](const admin::AdminRequest &) {
                              return admin::AdminResponse{isReady() ? 200U : 503U, "{}\n"};
                          }}},
-                maxAdminBodyBytes);
+                maxAdminBodyBytes, memory);
         metricsServer = std::make_unique<admin::AdminServer>(
                 io, settings.metricsEndpoint.address, settings.metricsEndpoint.port,
                 std::map<std::string, admin::AdminHandler>{
@@ -143,7 +169,7 @@
                              return admin::AdminResponse{200, metrics.text(),
                                                          "text/plain; version=0.0.4"};
                          }}},
-                maxAdminBodyBytes);
+                maxAdminBodyBytes, memory);
     }
 
     void openStore()
@@ -193,8 +219,10 @@
         crashRecords->load();
         runHousekeeping();
         measureLag();
-        log.decision("Started.",
-                     {{"router", settings.router.text()}, {"zone", settings.zone.text()}});
+        log.decision("Started.", {{"router", settings.router.text()},
+                                  {"zone", settings.zone.text()},
+                                  {"memoryLimitBytes", std::to_string(memory->limitBytes())},
+                                  {"maxCallers", std::to_string(maxCallers())}});
     }
 
     void refuseRequest(const CallerConnectionPtr &caller, RequestError error)
@@ -212,7 +240,8 @@
         log.decision("Refused.", {{"request", ""},
                                   {"reason", toText(reason)},
                                   {"headLimitBytes", std::to_string(bounds.headBytes)},
-                                  {"bodyLimitBytes", std::to_string(bounds.bodyBytes)}});
+                                  {"bodyLimitBytes", std::to_string(bounds.bodyBytes)},
+                                  {"heldBytes", std::to_string(memory->counters().heldBytes)}});
         caller->sendResponse(header, problemBody(reason));
     }
 
@@ -256,6 +285,7 @@
     void runHousekeeping()
     {
         connections.dropExpired(Clock::now());
+        memory->returnFreedMemory();
         crashSuspicion.expire(Clock::now());
         crashRecords->saveChanges(settings.router, peerExchange->liveRouters());
         housekeepingTimer.expires_after(housekeepingPeriod);
@@ -268,6 +298,7 @@
     void updateMetrics()
     {
         metrics.update(crashSuspicion);
+        metrics.update(*memory);
         metrics.update(counters, serverSelector, connections.openedCount(),
                        state->plan() ? state->plan()->version() : 0, state->planAge());
     }
@@ -337,6 +368,7 @@
     std::map<PoolId, decision::WindowedRetryBudget> retryBudgets;
     RequestCounters counters;
     DirectMetrics metrics;
+    std::shared_ptr<MemoryAccount> memory;
     ServerConnections connections;
     CrashDetector crashDetector;
     asio::steady_timer housekeepingTimer;
--- a/packages/direct/src/request/refusal.cpp
+++ b/packages/direct/src/request/refusal.cpp
@@ -50,6 +50,8 @@
         return {413, "body-too-large", "The request body is too large."};
     case RefusalReason::SlowSender:
         return {408, "slow-sender", "The request arrived too slowly."};
+    case RefusalReason::MemoryFull:
+        return {503, "memory-full", "The router's memory is full; it did not run the request."};
     case RefusalReason::Stopping:
         return {503, "stopping", "The router is shutting down; it did not run the request."};
     case RefusalReason::NoPlan:
--- a/packages/direct/src/request/refusal.h
+++ b/packages/direct/src/request/refusal.h
@@ -17,6 +17,7 @@
     HeadTooLarge,
     BodyTooLarge,
     SlowSender,
+    MemoryFull,     ///< the router needs the memory that the request takes
     Stopping,       ///< the router stops before the request's deadline
     NoPlan,         ///< the router has not received a plan yet
     StalePlan,      ///< the plan may be outdated, and the key withdrawn
--- a/packages/direct/src/request/requestcontext.h
+++ b/packages/direct/src/request/requestcontext.h
@@ -6,6 +6,7 @@
 #include "server/serverconnections.h"
 
 #include "bilberry/base/log.h"
+#include "bilberry/base/memoryaccount.h"
 #include "bilberry/decision/customerusagemeter.h"
 #include "bilberry/decision/serverselector.h"
 #include "bilberry/decision/windowedretrybudget.h"
@@ -37,6 +38,7 @@
     boost::asio::io_context &io;
     const DirectSettings &settings;
     const HeaderNames &headerNames;
+    std::shared_ptr<MemoryAccount> memory;
     ServerConnections &connections;
     decision::ServerSelector &serverSelector;
     decision::CustomerUsageMeter &usageMeter;
--- a/packages/direct/src/request/requesthandler.cpp
+++ b/packages/direct/src/request/requesthandler.cpp
@@ -29,11 +29,28 @@
     return status >= 500;
 }
 
+/// @return memory that a request takes
+std::size_t heldBytes(const CallerRequest &request)
+{
+    std::size_t bytes = sizeof(RequestHandler) + request.body().capacity();
+    for (const auto &field : request)
+        bytes += field.name_string().size() + field.value().size();
+    return bytes;
+}
+
 } // namespace
 
 RequestHandler::RequestHandler(RequestContext &context, CallerConnectionPtr caller,
                                CallerRequest &&request)
-    : m_context(context), m_caller(std::move(caller)), m_request(std::move(request)),
+    : m_context(context), m_caller(std::move(caller)),
+      m_sharedRequest(std::make_shared<const CallerRequest>(std::move(request))),
+      m_request(*m_sharedRequest), m_memory(context.memory, &context,
+                                            [this](MemoryUse, ReleaseCause) {
+                                                asio::post(m_context.io, [weak = weak_from_this()] {
+                                                    if (const auto self = weak.lock())
+                                                        self->releaseMemory();
+                                                });
+                                            }),
       m_requestId(m_request[context.headerNames.requestId]), m_receivedAt(Clock::now()),
       m_deadlineTimer(context.io), m_silenceTimer(context.io),
       m_crashGuard(context.crashSuspicion, context.crashDetector, context.serverSelector,
@@ -44,6 +61,7 @@
 void RequestHandler::start()
 {
     ++m_context.counters.received;
+    reportMemory();
     if (m_caller->isClosed()) {
         handleCallerDisconnect();
         return;
@@ -144,7 +162,8 @@
     fields.customer = m_admitted.customer;
     fields.remainingTime = remainingTime();
     fields.lastEventId = m_relay->lastEventId();
-    m_attempt->start(serializeServerRequest(m_request, fields, m_context.headerNames),
+    m_attempt->start({serializeServerRequestHeader(m_request, fields, m_context.headerNames),
+                      {m_sharedRequest, &m_request.body()}},
                      std::move(hooks));
     startSilenceTimer();
 }
@@ -217,6 +236,7 @@
     const auto progress = m_relay->addBody(std::move(data));
     if (m_attempt && m_relay->isCallerBehind())
         m_attempt->setPaused(true);
+    reportMemory();
     handleProgress(progress);
 }
 
@@ -472,21 +492,45 @@
 {
     if (m_finished)
         return;
+    if (m_attempt && !m_relay->hasHeader())
+        dropSilentConnections();
+    const bool mayHaveRun = m_attempt && m_attempt->mayHaveSent();
+    endUnanswered(mayHaveRun ? AttemptOutcome::TimedOut : AttemptOutcome::ConnectFailed,
+                  RefusalReason::TimedOut);
+}
+
+/// Ends the request without waiting for the rest of its response.
+/// @param outcome of an attempt in progress whose response has not been passed on
+/// @param reason told to a caller whose request may have run
+void RequestHandler::endUnanswered(AttemptOutcome outcome, RefusalReason reason)
+{
     if (m_attempt) {
-        const bool mayHaveRun = m_attempt->mayHaveSent();
-        if (!m_relay->hasHeader())
-            dropSilentConnections();
+        m_possibleRunCount += m_attempt->mayHaveSent() ? 1 : 0;
         m_attempt->cancel();
         m_attempt.reset();
-        const AttemptOutcome silent
-                = mayHaveRun ? AttemptOutcome::TimedOut : AttemptOutcome::ConnectFailed;
-        recordAttemptOutcome(m_relay->hasStarted() ? AttemptOutcome::Cancelled : silent);
-        m_possibleRunCount += mayHaveRun ? 1 : 0;
+        recordAttemptOutcome(m_relay->hasStarted() ? AttemptOutcome::Cancelled : outcome);
     }
     if (m_relay->hasStarted() || m_relay->hasServerError())
         failRequest();
     else
-        refuse(m_possibleRunCount > 0 ? RefusalReason::TimedOut : RefusalReason::NotAccepted);
+        refuse(m_possibleRunCount > 0 ? reason : RefusalReason::NotAccepted);
+}
+
+/// Ends the request because others need its memory and nobody else holds as much.
+void RequestHandler::releaseMemory()
+{
+    if (m_finished || !m_relay)
+        return;
+    m_context.log.decision("Ended a request to free its memory.", {{"request", m_requestId}});
+    endUnanswered(AttemptOutcome::Cancelled, RefusalReason::ServerFailed);
+}
+
+void RequestHandler::reportMemory()
+{
+    std::size_t bytes = heldBytes(m_request);
+    bytes += m_relay ? m_relay->heldBytes() : 0;
+    bytes += m_attempt ? m_attempt->heldBytes() : 0;
+    m_memory.update(MemoryUse::Serving, bytes);
 }
 
 void RequestHandler::recordAttemptOutcome(AttemptOutcome outcome)
--- a/packages/direct/src/request/requesthandler.h
+++ b/packages/direct/src/request/requesthandler.h
@@ -49,6 +49,9 @@
     void failRequest();
     void handleCallerDisconnect();
     void handleDeadline();
+    void endUnanswered(decision::AttemptOutcome outcome, RefusalReason reason);
+    void releaseMemory();
+    void reportMemory();
     void finish();
     void recordAttemptOutcome(decision::AttemptOutcome outcome);
     Duration remainingTime() const { return m_admitted.deadline - Clock::now(); }
@@ -57,7 +60,9 @@
 
     RequestContext &m_context;
     CallerConnectionPtr m_caller;
-    CallerRequest m_request;
+    std::shared_ptr<const CallerRequest> m_sharedRequest; ///< attempts share its body
+    const CallerRequest &m_request;
+    MemoryHolder m_memory;
     std::string m_requestId;
     TimePoint m_receivedAt;
     TimePoint m_sentAt{};       ///< of the current attempt
--- a/packages/direct/src/request/responserelay.cpp
+++ b/packages/direct/src/request/responserelay.cpp
@@ -11,8 +11,6 @@
 constexpr std::size_t maxBufferedBytes = 256U << 10U;
 /// Size of an incomplete event from which on its stream counts as broken.
 constexpr std::size_t maxEventBytes = 256U << 10U;
-/// Unsent bytes of a caller at which reading from its server is paused.
-constexpr std::size_t maxUnsentBytes = 256U << 10U;
 constexpr unsigned misdirected = 421;
 
 /// @return false for a successful response without a signature or with an encoded body
@@ -127,7 +125,7 @@
 
 bool ResponseRelay::isCallerBehind() const
 {
-    return m_hasStarted && m_caller->unsentBytes() >= maxUnsentBytes;
+    return m_hasStarted && m_caller->unsentBytes() >= CallerConnection::maxUnsentBytes;
 }
 
 void ResponseRelay::start()
--- a/packages/direct/src/request/responserelay.h
+++ b/packages/direct/src/request/responserelay.h
@@ -70,6 +70,12 @@
     bool isBrokenOff() const;
     /// @return true when the event stream being received ends inside an event so far
     bool isInsideEvent() const { return m_boundary && !m_boundary->isAtEventEnd(); }
+    /// @return bytes of the response that were not passed on yet
+    std::size_t heldBytes() const
+    {
+        return m_buffered.capacity() + m_serverErrorBody.capacity()
+               + (m_splitter ? m_splitter->incompleteBytes() : 0);
+    }
     /// @return true while the caller has received too little for more to be passed on
     bool isCallerBehind() const;
     std::optional<std::uint64_t> lastEventId() const
--- a/packages/direct/src/server/serverattempt.cpp
+++ b/packages/direct/src/server/serverattempt.cpp
@@ -7,6 +7,7 @@
 #include <linux/sockios.h>
 #include <sys/ioctl.h>
 
+#include <array>
 #include <charconv>
 
 namespace bilberry::direct {
@@ -66,9 +67,9 @@
 {
 }
 
-void ServerAttempt::start(std::string requestBytes, AttemptHooks hooks)
+void ServerAttempt::start(ServerRequestBytes request, AttemptHooks hooks)
 {
-    m_requestBytes = std::move(requestBytes);
+    m_request = std::move(request);
     m_hooks = std::move(hooks);
     const DirectServer *server = m_connections.findServer(m_server);
     if (!server) {
@@ -116,12 +117,22 @@
         startRead();
 }
 
+std::size_t ServerAttempt::heldBytes() const
+{
+    if (!m_connection)
+        return 0;
+    const std::size_t unread = m_isPaused ? ServerConnections::receiveBufferBytes : 0;
+    return m_connection->buffer.capacity() + unread;
+}
+
 void ServerAttempt::sendRequest()
 {
     m_upload = Upload::Unfinished;
     resetParser();
     // The handler keeps the connection alive: a cancelled attempt releases it.
-    asio::async_write(m_connection->socket, asio::buffer(m_requestBytes),
+    const std::array<asio::const_buffer, 2> bytes{asio::buffer(m_request.header),
+                                                  asio::buffer(*m_request.body)};
+    asio::async_write(m_connection->socket, bytes,
                       [self = shared_from_this(), connection = m_connection](
                               boost::system::error_code error, std::size_t sent) {
                           self->handleWritten(error, sent);
@@ -136,6 +147,7 @@
     m_wasReset = error && error != asio::error::broken_pipe;
     if (m_uploadTimer)
         m_uploadTimer->cancel();
+    m_uploadMemory.reset();
     // An early response may arrive although the server did not read the whole request.
     if (!m_finished && error && sent == 0)
         finish(AttemptResult::NothingSent);
@@ -150,6 +162,15 @@
         if (!error)
             closePromptly(connection->socket);
     });
+    m_uploadMemory.emplace(
+            m_connections.memory(), &m_connections,
+            [this, connection = std::weak_ptr(m_connection)](MemoryUse, ReleaseCause) {
+                asio::post(m_connections.context(), [connection] {
+                    if (const auto open = connection.lock())
+                        closePromptly(open->socket);
+                });
+            });
+    m_uploadMemory->update(MemoryUse::Receiving, m_request.body->capacity());
 }
 
 void ServerAttempt::startRead()
--- a/packages/direct/src/server/serverattempt.h
+++ b/packages/direct/src/server/serverattempt.h
@@ -25,6 +25,13 @@
     Broken,        ///< the connection ended early or the response was invalid
 };
 
+/// A request as it is written to a server.
+struct ServerRequestBytes
+{
+    std::string header;
+    std::shared_ptr<const std::string> body; ///< shared by all attempts of a request
+};
+
 /// Callbacks of an attempt to its request.
 struct AttemptHooks
 {
@@ -49,8 +56,7 @@
                   std::string requestId, bool expectsBody);
 
     /// Connects, sends the request and reads the response.
-    /// @param requestBytes the serialized request, header and body
-    void start(std::string requestBytes, AttemptHooks hooks);
+    void start(ServerRequestBytes request, AttemptHooks hooks);
 
     /// Closes the connection, so that the server stops its work. No hook is called afterwards.
     void cancel();
@@ -58,6 +64,10 @@
     /// @return false as long as nothing can have reached the server
     bool mayHaveSent() const { return m_upload != Upload::NotStarted; }
 
+    /// @return memory that the response being received takes, also in the kernel while reading from
+    ///         the server is paused
+    std::size_t heldBytes() const;
+
     /// @return true when the request was sent on a connection that an earlier one had used
     bool isOnKeptConnection() const { return m_connection && m_connection->hasCarriedRequest; }
 
@@ -98,7 +108,7 @@
     std::string m_requestIdHeader;
     std::string m_requestId;
     bool m_expectsBody;
-    std::string m_requestBytes;
+    ServerRequestBytes m_request;
     AttemptHooks m_hooks;
     ServerConnectionPtr m_connection;
     std::optional<Parser> m_parser;
@@ -109,6 +119,7 @@
     bool m_wasReset = false; ///< as the write has learned; the read then finds an ordinary end
     /// Runs while the server reads the rest of a request that it has answered.
     std::optional<boost::asio::steady_timer> m_uploadTimer;
+    std::optional<MemoryHolder> m_uploadMemory; ///< the same; its caller has the response already
     bool m_finished = false;
     bool m_isPaused = false;
     bool m_isReading = false;
--- a/packages/direct/src/server/serverconnections.cpp
+++ b/packages/direct/src/server/serverconnections.cpp
@@ -67,15 +67,21 @@
         return nullptr;
     }
     ++m_openedCount;
-    auto connection = std::make_shared<ServerConnection>(m_context);
+    auto connection = std::make_shared<ServerConnection>(m_context, m_openCount);
     connection->startedAtMs = server.startedAtMs;
+    const tcp::endpoint endpoint(address, server.port);
+    // Takes effect only before the connect.
+    boost::system::error_code ignored;
+    connection->socket.open(endpoint.protocol(), ignored);
+    connection->socket.set_option(asio::socket_base::receive_buffer_size(receiveBufferBytes),
+                                  ignored);
     auto timer = std::make_shared<asio::steady_timer>(m_context, m_connectTimeout);
     timer->async_wait([connection, timer](boost::system::error_code waitError) {
         boost::system::error_code ignored;
         if (!waitError)
             connection->socket.close(ignored);
     });
-    connection->socket.async_connect(tcp::endpoint(address, server.port),
+    connection->socket.async_connect(endpoint,
                                      [connection, timer, onConnected = std::move(onConnected)](
                                              boost::system::error_code connectError) {
                                          timer->cancel();
--- a/packages/direct/src/server/serverconnections.h
+++ b/packages/direct/src/server/serverconnections.h
@@ -1,6 +1,7 @@
 #ifndef BILBERRY_DIRECT_SERVERCONNECTIONS_H
 #define BILBERRY_DIRECT_SERVERCONNECTIONS_H
 
+#include "bilberry/base/memoryaccount.h"
 #include "bilberry/base/time.h"
 #include "bilberry/model/trafficplan.h"
 
@@ -18,7 +19,15 @@
 /// A connection to one run of a server process; carries one request at a time.
 struct ServerConnection
 {
-    explicit ServerConnection(boost::asio::io_context &context) : socket(context) {}
+    /// @param openCount counts the connections that exist
+    ServerConnection(boost::asio::io_context &context, std::shared_ptr<std::size_t> openCount)
+        : socket(context), m_openCount(std::move(openCount))
+    {
+        ++*m_openCount;
+    }
+    ~ServerConnection() { --*m_openCount; }
+    ServerConnection(const ServerConnection &) = delete;
+    ServerConnection &operator=(const ServerConnection &) = delete;
 
     boost::asio::ip::tcp::socket socket;
     boost::beast::flat_buffer buffer;
@@ -27,6 +36,9 @@
     TimePoint expiresAt{};
     Duration keepAliveTimeout = std::chrono::seconds(3);
     bool hasCarriedRequest = false; ///< an earlier one, whose answer may be repeated
+
+private:
+    std::shared_ptr<std::size_t> m_openCount;
 };
 
 using ServerConnectionPtr = std::shared_ptr<ServerConnection>;
@@ -35,11 +47,16 @@
 class ServerConnections
 {
 public:
+    /// Receive buffer in the kernel. The kernel would let it grow to megabytes.
+    static constexpr int receiveBufferBytes = 64 << 10;
+
     using ConnectHandler
             = std::function<void(ServerConnectionPtr)>; ///< nullptr when the connect failed
 
-    ServerConnections(boost::asio::io_context &context, Duration connectTimeout)
-        : m_context(context), m_connectTimeout(connectTimeout)
+    /// @param memory account of the process
+    ServerConnections(boost::asio::io_context &context, Duration connectTimeout,
+                      std::shared_ptr<MemoryAccount> memory)
+        : m_context(context), m_connectTimeout(connectTimeout), m_memory(std::move(memory))
     {
     }
 
@@ -65,12 +82,17 @@
     std::function<const DirectServer *(const ServerId &)> findServer;
 
     boost::asio::io_context &context() { return m_context; }
+    const std::shared_ptr<MemoryAccount> &memory() const { return m_memory; }
     std::uint64_t openedCount() const { return m_openedCount; }
+    /// @return connections that are open or being opened
+    std::size_t openCount() const { return *m_openCount; }
 
 private:
     boost::asio::io_context &m_context;
     Duration m_connectTimeout;
+    std::shared_ptr<MemoryAccount> m_memory;
     std::uint64_t m_openedCount = 0;
+    std::shared_ptr<std::size_t> m_openCount = std::make_shared<std::size_t>(0);
     std::map<ServerId, std::deque<ServerConnectionPtr>> m_idle;
 };
 
--- a/packages/direct/src/server/serverrequest.cpp
+++ b/packages/direct/src/server/serverrequest.cpp
@@ -24,8 +24,9 @@
 
 } // namespace
 
-std::string serializeServerRequest(const CallerRequest &request, const ServerRequestFields &fields,
-                                   const HeaderNames &names)
+std::string serializeServerRequestHeader(const CallerRequest &request,
+                                         const ServerRequestFields &fields,
+                                         const HeaderNames &names)
 {
     http::request_header<> header;
     header.version(11);
@@ -50,7 +51,7 @@
         header.set(http::field::content_length, std::to_string(request.body().size()));
     std::ostringstream text;
     text << header;
-    return text.str() + request.body();
+    return text.str();
 }
 
 } // namespace bilberry::direct
--- a/packages/direct/src/server/serverrequest.h
+++ b/packages/direct/src/server/serverrequest.h
@@ -23,10 +23,12 @@
     bool operator==(const ServerRequestFields &) const = default;
 };
 
-/// @return the bytes of the request to a server: the caller's without its API key, the headers that
-///         concern one connection only and those that the router sets itself
-std::string serializeServerRequest(const CallerRequest &request, const ServerRequestFields &fields,
-                                   const HeaderNames &names);
+/// @return the header of the request to a server: the caller's without its API key, the fields that
+///         concern one connection only and those that the router sets itself. The body follows as
+///         it is.
+std::string serializeServerRequestHeader(const CallerRequest &request,
+                                         const ServerRequestFields &fields,
+                                         const HeaderNames &names);
 
 } // namespace bilberry::direct
 
--- a/packages/direct/tests/callerconnection_test.cpp
+++ b/packages/direct/tests/callerconnection_test.cpp
@@ -22,7 +22,8 @@
     {
         tcp::acceptor acceptor(context, {asio::ip::address_v4::loopback(), 0});
         client.connect(acceptor.local_endpoint());
-        connection = std::make_shared<direct::CallerConnection>(acceptor.accept(), hooks);
+        connection = std::make_shared<direct::CallerConnection>(acceptor.accept(), hooks,
+                                                                std::make_shared<MemoryAccount>());
     }
 
     void send(const std::string &bytes) { asio::write(client, asio::buffer(bytes)); }
--- a/packages/direct/tests/damagedmessage_test.cpp
+++ b/packages/direct/tests/damagedmessage_test.cpp
@@ -160,7 +160,9 @@
         hooks.onRequestError = [&](const direct::CallerConnectionPtr &caller,
                                    direct::RequestError) { respond(caller, 413); };
         RawCaller caller(acceptor.local_endpoint().port());
-        std::make_shared<direct::CallerConnection>(acceptor.accept(), hooks)->start();
+        std::make_shared<direct::CallerConnection>(acceptor.accept(), hooks,
+                                                   std::make_shared<MemoryAccount>())
+                ->start();
         const auto statusOf = [&](std::size_t bodyBytes) {
             caller.send("POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: "
                         + std::to_string(bodyBytes) + "\r\n\r\n" + std::string(bodyBytes, 'b'));
@@ -210,7 +212,9 @@
                   };
         const auto connect = [&] {
             auto caller = std::make_unique<RawCaller>(acceptor.local_endpoint().port());
-            std::make_shared<direct::CallerConnection>(acceptor.accept(), hooks)->start();
+            std::make_shared<direct::CallerConnection>(acceptor.accept(), hooks,
+                                                       std::make_shared<MemoryAccount>())
+                    ->start();
             return caller;
         };
         const auto first = connect();
