Account for the links and the connections of agents

Seen: 120 links that announce frames of 8 MB and stop short made an agent hold 944 MB; a link kept the memory of its largest frame for ever; the kernel received megabytes for each server connection that waited for a slow caller (112 MB at 120 callers that don't read).

Cause: each link was bounded alone (8 MB received, 64 MB queued).

Change: links and the admin server report to the agent's account, and the slowest link makes room for a new one at the limit of 1,024. Empty buffers above 256 KiB are freed. Receive buffers in the kernel are bounded.

--- a/packages/agent/include/bilberry/agent/routerlinks.h
+++ b/packages/agent/include/bilberry/agent/routerlinks.h
@@ -23,8 +23,9 @@
 {
 public:
     /// Starts listening; throws std::system_error when the address can't be used.
+    /// @param memory account of the process
     RouterLinks(boost::asio::io_context &context, const std::string &address, std::uint16_t port,
-                RouterLinksHooks hooks);
+                std::shared_ptr<MemoryAccount> memory, RouterLinksHooks hooks);
 
     /// Starts accepting connections.
     void start();
@@ -42,6 +43,7 @@
     void add(boost::asio::ip::tcp::socket socket);
 
     boost::asio::ip::tcp::acceptor m_acceptor;
+    std::shared_ptr<MemoryAccount> m_memory;
     RouterLinksHooks m_hooks;
     Log m_log{"agent.links"};
     decision::LinkId m_lastLink = 0;
--- a/packages/agent/src/agent.cpp
+++ b/packages/agent/src/agent.cpp
@@ -21,6 +21,9 @@
 namespace {
 
 constexpr Duration tickPeriod = std::chrono::milliseconds(50);
+/// Ticks after which freed memory is returned to the system.
+constexpr std::uint64_t ticksPerTrim = 20;
+constexpr std::size_t adminBodyBytes = 16U << 20U;
 constexpr Duration finalAnswerDelay = std::chrono::milliseconds(200);
 
 struct LinkUp
@@ -63,7 +66,7 @@
                     unsentCommands.push_back(std::move(command));
                     sendCommands();
                 }}),
-          links(linkDuty.context(), settings.listenAddress, settings.listenPort,
+          links(linkDuty.context(), settings.listenAddress, settings.listenPort, memory,
                 {[this](decision::LinkId link) { push<CoreEvent>(coreRing, LinkUp{link}); },
                  [this](decision::LinkId link) { push<CoreEvent>(coreRing, LinkDown{link}); },
                  [this](decision::LinkId link, wire::LinkMessage &&message) {
@@ -72,7 +75,8 @@
                  [this](std::size_t bytes) { metrics.addControlBytes(bytes); }}),
           backend(backendDuty.context(), settings,
                   [this](BackendEvent &&event) { push<CoreEvent>(coreRing, std::move(event)); }),
-          admin(adminDuty.context(), settings.listenAddress, settings.adminPort, adminHandlers()),
+          admin(adminDuty.context(), settings.listenAddress, settings.adminPort, adminHandlers(),
+                adminBodyBytes, memory),
           tickTimer(coreDuty.context())
     {
     }
@@ -139,6 +143,8 @@
                 return;
             core.tick(Clock::now());
             sendCommands();
+            if (++ticks % ticksPerTrim == 0)
+                memory->returnFreedMemory();
             tick();
         });
     }
@@ -184,6 +190,7 @@
     admin::AdminResponse metricsPage()
     {
         runOn(coreDuty, [this] { metrics.update(core); });
+        metrics.update(*memory);
         return {200, metrics.text(), "text/plain; version=0.0.4"};
     }
 
@@ -215,6 +222,9 @@
     AgentSettings settings;
     Log log{"agent"};
     AgentMetrics metrics;
+    std::shared_ptr<MemoryAccount> memory
+            = std::make_shared<MemoryAccount>(settings.limits.memoryBytes);
+    std::uint64_t ticks = 0;
     EventLoopThread coreDuty{"agent-core"};
     EventLoopThread linkDuty{"agent-links"};
     EventLoopThread backendDuty{"agent-backend"};
--- a/packages/agent/src/agentmetrics.h
+++ b/packages/agent/src/agentmetrics.h
@@ -1,6 +1,7 @@
 #ifndef BILBERRY_AGENT_AGENTMETRICS_H
 #define BILBERRY_AGENT_AGENTMETRICS_H
 
+#include "bilberry/admin/memorymetrics.h"
 #include "bilberry/agent/agentcore.h"
 
 #include <prometheus/counter.h>
@@ -23,6 +24,9 @@
     /// Counts a message dropped because the links' ring was full; may be called on any thread.
     void addOverflow() { m_overflows.Increment(); }
 
+    /// Sets the gauges of the memory held; may be called on any thread.
+    void update(const MemoryAccount &memory) { m_memory.update(memory); }
+
     /// Copies the core's counters and load; must run on the core's thread.
     void update(const AgentCore &core);
 
@@ -41,6 +45,7 @@
     prometheus::Gauge &m_held;
     prometheus::Gauge &m_revision;
     prometheus::Family<prometheus::Gauge> &m_refused;
+    admin::MemoryMetrics m_memory{m_registry};
 };
 
 /// @return the agent's state as a JSON object for operators
--- a/packages/agent/src/backendclient.cpp
+++ b/packages/agent/src/backendclient.cpp
@@ -31,6 +31,9 @@
 /// Maximum number of answer bytes of one attempt in transit to the caller.
 constexpr std::int64_t creditWindow = 256 << 10;
 constexpr std::size_t readBufferSize = 32U << 10U;
+/// Receive buffer in the kernel, which holds what a caller is too slow for. The kernel would let it
+/// grow to megabytes.
+constexpr int receiveBufferBytes = 64 << 10;
 constexpr std::size_t maxIdleConnections = 256;
 constexpr auto connectTimeout = std::chrono::seconds(1);
 constexpr auto healthCheckTimeout = std::chrono::milliseconds(500);
@@ -157,6 +160,10 @@
         auto stream = std::make_unique<Stream>(context);
         stream->expires_after(connectTimeout);
         boost::system::error_code error;
+        // Takes effect only before the connect.
+        stream->socket().open(endpoint.protocol(), error);
+        stream->socket().set_option(asio::socket_base::receive_buffer_size(receiveBufferBytes),
+                                    error);
         co_await stream->async_connect(endpoint, asio::redirect_error(asio::use_awaitable, error));
         if (error)
             co_return nullptr;
--- a/packages/agent/src/routerlinks.cpp
+++ b/packages/agent/src/routerlinks.cpp
@@ -9,14 +9,18 @@
 namespace {
 
 constexpr std::size_t maxLinks = 1024;
+/// Receive buffer in the kernel. The kernel would let it grow to megabytes.
+constexpr int receiveBufferBytes = 128 << 10;
 
 } // namespace
 
 RouterLinks::RouterLinks(asio::io_context &context, const std::string &address, std::uint16_t port,
-                         RouterLinksHooks hooks)
+                         std::shared_ptr<MemoryAccount> memory, RouterLinksHooks hooks)
     : m_acceptor(context, asio::ip::tcp::endpoint(asio::ip::make_address(address), port)),
-      m_hooks(std::move(hooks))
+      m_memory(std::move(memory)), m_hooks(std::move(hooks))
 {
+    boost::system::error_code ignored;
+    m_acceptor.set_option(asio::socket_base::receive_buffer_size(receiveBufferBytes), ignored);
 }
 
 void RouterLinks::start()
@@ -29,7 +33,9 @@
     m_acceptor.async_accept([this](boost::system::error_code error, asio::ip::tcp::socket socket) {
         if (!m_acceptor.is_open())
             return;
-        if (!error && m_links.size() < maxLinks)
+        if (!error
+            && (m_links.size() < maxLinks
+                || m_memory->releaseSlowest(this, {MemoryUse::Receiving, MemoryUse::Sending})))
             add(std::move(socket));
         accept();
     });
@@ -48,6 +54,7 @@
     };
     const auto link = std::make_shared<wire::FrameLink>(
             std::move(socket), wire::FrameLinkHooks{onMessage, onClosed, m_hooks.onControlSent});
+    link->accountFor(m_memory, this);
     m_links[id] = link;
     m_hooks.onLinkUp(id);
     link->start();
--- a/packages/wire/include/bilberry/wire/codec.h
+++ b/packages/wire/include/bilberry/wire/codec.h
@@ -40,8 +40,12 @@
 
     /// @return number of received bytes that next() has not consumed yet
     std::size_t bufferedSize() const { return m_buffer.size() - m_start; }
+    /// @return memory of the buffer
+    std::size_t capacity() const { return m_buffer.capacity(); }
 
 private:
+    void discardConsumed();
+
     std::string m_buffer;
     std::size_t m_start = 0;
 };
--- a/packages/wire/include/bilberry/wire/framelink.h
+++ b/packages/wire/include/bilberry/wire/framelink.h
@@ -1,6 +1,7 @@
 #ifndef BILBERRY_WIRE_FRAMELINK_H
 #define BILBERRY_WIRE_FRAMELINK_H
 
+#include "bilberry/base/memoryaccount.h"
 #include "bilberry/base/time.h"
 #include "bilberry/wire/codec.h"
 
@@ -9,6 +10,7 @@
 
 #include <functional>
 #include <memory>
+#include <optional>
 #include <system_error>
 
 namespace bilberry::wire {
@@ -34,6 +36,12 @@
 public:
     FrameLink(boost::asio::ip::tcp::socket socket, FrameLinkHooks hooks);
 
+    /// Accounts for what the link holds, and closes it when others need its memory or place. To be
+    /// called before start().
+    /// @param memory account of the process
+    /// @param group as for MemoryHolder
+    void accountFor(std::shared_ptr<MemoryAccount> memory, const void *group);
+
     /// Starts reading.
     void start();
 
@@ -53,6 +61,7 @@
     void write();
     void startSilenceTimer();
     void fail(std::error_code error);
+    void reportMemory(std::size_t movedBytes);
 
     boost::asio::ip::tcp::socket m_socket;
     boost::asio::steady_timer m_silenceTimer;
@@ -61,6 +70,7 @@
     std::string m_queued; ///< frames to send after m_writing
     std::string m_writing;
     TimePoint m_lastReceivedAt;
+    std::optional<MemoryHolder> m_memory; ///< absent on links whose peer is trusted
     bool m_closed = false;
 };
 
--- a/packages/wire/src/codec.cpp
+++ b/packages/wire/src/codec.cpp
@@ -98,13 +98,24 @@
 
 void FrameReader::append(std::string_view bytes)
 {
-    if (m_start > 0 && m_start == m_buffer.size()) {
-        m_buffer.clear();
-        m_start = 0;
-    }
     m_buffer.append(bytes);
 }
 
+void FrameReader::discardConsumed()
+{
+    constexpr std::size_t compactThreshold = 64U << 10U;
+    /// Capacity that an empty buffer keeps for the next frame.
+    constexpr std::size_t maxIdleBytes = 256U << 10U;
+    const bool isEmpty = m_start == m_buffer.size();
+    if (!isEmpty && m_start <= compactThreshold)
+        return;
+    if (isEmpty && m_buffer.capacity() > maxIdleBytes)
+        m_buffer = std::string();
+    else
+        m_buffer.erase(0, m_start);
+    m_start = 0;
+}
+
 Result<std::optional<LinkMessage>> FrameReader::next()
 {
     using Next = std::optional<LinkMessage>;
@@ -125,11 +136,7 @@
     const std::string_view body = bytes.substr(frameHeaderSize, length - frameHeaderSize);
     Result<LinkMessage> message = decodeAlternative<LinkMessage>(type, body);
     m_start += length;
-    constexpr std::size_t compactThreshold = 64U << 10U;
-    if (m_start > compactThreshold) {
-        m_buffer.erase(0, m_start);
-        m_start = 0;
-    }
+    discardConsumed();
     if (!message)
         return message.error();
     return Next(std::move(message).value());
--- a/packages/wire/src/framelink.cpp
+++ b/packages/wire/src/framelink.cpp
@@ -15,6 +15,10 @@
 constexpr Duration silenceLimit = std::chrono::milliseconds(3500);
 constexpr std::size_t readBufferSize = 64U << 10U;
 constexpr std::size_t maxQueuedBytes = 64U << 20U;
+/// Memory of a link besides its buffers.
+constexpr std::size_t linkBytes = 2U << 10U;
+/// Capacity that an empty buffer may keep.
+constexpr std::size_t maxIdleBytes = 256U << 10U;
 
 } // namespace
 
@@ -35,6 +39,27 @@
     m_socket.non_blocking(true, ignored);
 }
 
+void FrameLink::accountFor(std::shared_ptr<MemoryAccount> memory, const void *group)
+{
+    m_memory.emplace(std::move(memory), group, [this](MemoryUse, ReleaseCause) {
+        asio::post(m_socket.get_executor(), [weak = weak_from_this()] {
+            if (const auto self = weak.lock())
+                self->fail(std::make_error_code(std::errc::no_buffer_space));
+        });
+    });
+    reportMemory(0);
+}
+
+void FrameLink::reportMemory(std::size_t movedBytes)
+{
+    if (!m_memory)
+        return;
+    const MemoryUse use = m_writing.empty() ? MemoryUse::Receiving : MemoryUse::Sending;
+    m_memory->update(use,
+                     linkBytes + m_reader.capacity() + m_queued.capacity() + m_writing.capacity(),
+                     movedBytes);
+}
+
 void FrameLink::start()
 {
     waitReadable();
@@ -55,6 +80,7 @@
         m_hooks.onControlSent(frame.size());
     if (m_writing.empty())
         write();
+    reportMemory(0);
 }
 
 void FrameLink::close()
@@ -90,6 +116,7 @@
         m_lastReceivedAt = Clock::now();
         m_reader.append({input.data(), size});
         processMessages();
+        reportMemory(size);
     }
     if (!m_closed)
         waitReadable();
@@ -114,14 +141,18 @@
 {
     // Sends all frames that were queued during the last write together.
     m_writing.swap(m_queued);
-    asio::async_write(m_socket, asio::buffer(m_writing),
-                      [self = shared_from_this()](boost::system::error_code error, std::size_t) {
-                          self->m_writing.clear();
-                          if (error)
-                              self->fail(error);
-                          else if (!self->m_queued.empty())
-                              self->write();
-                      });
+    asio::async_write(
+            m_socket, asio::buffer(m_writing),
+            [self = shared_from_this()](boost::system::error_code error, std::size_t size) {
+                self->m_writing.clear();
+                if (self->m_writing.capacity() > maxIdleBytes)
+                    self->m_writing = std::string();
+                self->reportMemory(size);
+                if (error)
+                    self->fail(error);
+                else if (!self->m_queued.empty())
+                    self->write();
+            });
 }
 
 void FrameLink::startSilenceTimer()
