Keep routers with agents within the memory and descriptors of their VM

Callers saw: the router ends, and all requests in progress with it; with unfinished heads no descriptors were left (3,075 open).

Cause: as in direct routers, nothing bounded the sum of what callers hold. The body was copied once more when it was submitted.

Change: each caller's connection reports to the process's account: what it reads, the request until its answer ends (the body twice: one for a second try, one for the link to an agent), and the parts of the answer that wait for it. A request that is incomplete is refused with 503 memory-full, "not run"; a caller that doesn't read is disconnected. The body is moved when it is submitted. When connections are short, callers that have stopped inside a request make room, then idle ones. The kernel accepts 512 connections ahead in place of 4,096, and receives 32 KiB for each (doubled by the kernel). An accept that fails is repeated after 20 ms.

--- a/packages/router/include/bilberry/router/callerevents.h
+++ b/packages/router/include/bilberry/router/callerevents.h
@@ -61,6 +61,7 @@
     NoConfiguration,
     Stopping,
     Overloaded,
+    MemoryFull, ///< the router needs the memory that the request takes
     Quarantined,
     ClaimUnavailable, ///< the platform can't store the claim, so the request may not run
     AlreadyClaimed,   ///< a request with this idempotency key was accepted before
--- a/packages/router/include/bilberry/router/callerserver.h
+++ b/packages/router/include/bilberry/router/callerserver.h
@@ -1,6 +1,7 @@
 #ifndef BILBERRY_ROUTER_CALLERSERVER_H
 #define BILBERRY_ROUTER_CALLERSERVER_H
 
+#include "bilberry/base/memoryaccount.h"
 #include "bilberry/model/configuration.h"
 #include "bilberry/router/callerevents.h"
 #include "bilberry/router/routersettings.h"
@@ -21,8 +22,9 @@
     using EventHook = std::function<bool(CallerEvent &&)>;
 
     /// Binds the listening socket; throws std::system_error when the address can't be used.
+    /// @param memory account of the process; null for one of its own
     CallerServer(boost::asio::io_context &context, const RouterSettings &settings,
-                 EventHook onEvent);
+                 EventHook onEvent, std::shared_ptr<MemoryAccount> memory = nullptr);
     ~CallerServer();
 
     /// Starts accepting connections.
--- a/packages/router/src/callerrequest.cpp
+++ b/packages/router/src/callerrequest.cpp
@@ -66,7 +66,7 @@
            && request[idempotencyHeader].size() <= maxIdempotencyKeyBytes;
 }
 
-std::optional<RefusalKind> authorize(const HttpRequest &request, const Configuration *configuration,
+std::optional<RefusalKind> authorize(HttpRequest &request, const Configuration *configuration,
                                      SubmittedRequest &submitted)
 {
     const std::string key = apiKey(request);
@@ -88,7 +88,7 @@
     submitted.costHint = parseCostHint(request);
     submitted.target = std::string(request.target());
     submitted.headers = forwardedHeaders(request);
-    submitted.body = request.body();
+    submitted.body = std::move(request.body());
     return std::nullopt;
 }
 
--- a/packages/router/src/callerrequest.h
+++ b/packages/router/src/callerrequest.h
@@ -20,10 +20,11 @@
 
 /// Determines the request's customer and pool, and the parts that are forwarded.
 /// @param request a well-formed request
+/// @param request its body is moved to the submitted one
 /// @param configuration nullptr when there is none yet
 /// @param submitted filled when nothing is returned
 /// @return why the request is refused; nothing when it is accepted
-std::optional<RefusalKind> authorize(const HttpRequest &request, const Configuration *configuration,
+std::optional<RefusalKind> authorize(HttpRequest &request, const Configuration *configuration,
                                      SubmittedRequest &submitted);
 
 /// @return true when an answer of this status to this method has no body
--- a/packages/router/src/callerserver.cpp
+++ b/packages/router/src/callerserver.cpp
@@ -19,6 +19,7 @@
 #include <boost/beast/core/tcp_stream.hpp>
 #include <boost/beast/http.hpp>
 
+#include <algorithm>
 #include <array>
 #include <charconv>
 #include <deque>
@@ -42,19 +43,112 @@
 /// Limits on discarding input after the last answer of a connection.
 constexpr auto lingerTimeout = std::chrono::seconds(1);
 constexpr std::size_t maxLingerBytes = 4U << 20U;
+/// Receive buffer in the kernel. The kernel would let it grow to megabytes.
+constexpr int receiveBufferBytes = 32 << 10;
+/// Connections that the kernel accepts ahead, each with as much as its buffer holds.
+constexpr int acceptBacklog = 512;
+/// Memory of a connection besides its buffers, such as its coroutines.
+constexpr std::size_t connectionBytes = 8U << 10U;
+/// Copies of a body that is passed on: one for a second try, one for the link to an agent.
+constexpr std::size_t bodyCopies = 2;
+/// Capacity that the buffer of an idle connection may keep.
+constexpr std::size_t idleBufferBytes = 16U << 10U;
+/// Sockets that a router needs besides those of callers: for agents, operators and the platform.
+constexpr std::size_t ownSockets = 500;
+/// Fraction of the connections from which on callers that have stopped are disconnected, and the
+/// time without a byte from which on a caller counts as stopped.
+constexpr double stoppedFill = 0.9;
+constexpr Duration minStall = std::chrono::seconds(1);
+/// Delay before the next accept after an error, most of which are a lack of descriptors.
+constexpr auto acceptRetryDelay = std::chrono::milliseconds(20);
 /// Delay before an event is offered again after the core's queue was full.
 constexpr auto eventRetryDelay = std::chrono::milliseconds(5);
 
+struct Exchange;
+
+/// One caller's connection and what it holds.
+struct Connection : std::enable_shared_from_this<Connection>
+{
+    Connection(asio::ip::tcp::socket socket, std::shared_ptr<MemoryAccount> account,
+               const void *group)
+        : stream(std::make_shared<Stream>(std::move(socket)))
+    {
+        memory.emplace(std::move(account), group, [this](MemoryUse asked, ReleaseCause cause) {
+            asio::post(stream->get_executor(), [weak = weak_from_this(), asked, cause] {
+                if (const auto self = weak.lock())
+                    self->release(asked, cause);
+            });
+        });
+    }
+
+    /// @param bytes besides the connection's own and its buffer's
+    void report(MemoryUse newUse, std::size_t bytes, std::size_t movedBytes = 0)
+    {
+        use = newUse;
+        memory->update(use, connectionBytes + buffer.capacity() + bytes, movedBytes);
+    }
+
+    void release(MemoryUse asked, ReleaseCause cause);
+
+    std::shared_ptr<Stream> stream;
+    beast::flat_buffer buffer;
+    std::optional<MemoryHolder> memory;
+    MemoryUse use = MemoryUse::Idle;
+    std::weak_ptr<Exchange> exchange; ///< of the request in progress
+    bool isReleased = false;          ///< others need the memory of its request
+};
+
 /// Replies to be written to one caller.
 struct Exchange
 {
-    explicit Exchange(asio::io_context &context) : wakeTimer(context) {}
+    Exchange(asio::io_context &context, std::shared_ptr<Connection> connection,
+             std::size_t requestBytes)
+        : wakeTimer(context), connection(std::move(connection)), requestBytes(requestBytes)
+    {
+    }
+
+    /// Drops what waits for a caller that has disconnected.
+    void disconnect()
+    {
+        callerDisconnected = true;
+        replies.clear();
+        wakeTimer.cancel();
+    }
+
+    void report(std::size_t movedBytes = 0) const
+    {
+        connection->report(answerBytes > 0 ? MemoryUse::Sending : MemoryUse::Serving,
+                           requestBytes + answerBytes, movedBytes);
+    }
 
     asio::steady_timer wakeTimer;
+    std::shared_ptr<Connection> connection;
+    std::size_t requestBytes; ///< held for the request until its answer ends
     std::deque<CallerReply> replies;
+    std::size_t answerBytes = 0; ///< received and not written yet
     bool callerDisconnected = false;
 };
 
+/// Lets the request that is being read be refused, or closes the connection where no answer is
+/// possible or none would be read. A close before the whole request tells the caller that it did
+/// not run.
+void Connection::release(MemoryUse asked, ReleaseCause cause)
+{
+    if (asked != use)
+        return;
+    isReleased = true;
+    if (use == MemoryUse::Receiving && cause == ReleaseCause::Memory) {
+        stream->cancel();
+        return;
+    }
+    if (const auto running = exchange.lock())
+        running->disconnect();
+    boost::system::error_code ignored;
+    if (use == MemoryUse::Sending)
+        stream->socket().set_option(asio::socket_base::linger(true, 0), ignored);
+    stream->close();
+}
+
 bool endsAnswer(const CallerReply &reply)
 {
     return std::holds_alternative<ReplyEnd>(reply) || std::holds_alternative<ReplyRefusal>(reply);
@@ -75,12 +169,24 @@
 
 struct CallerServer::State : std::enable_shared_from_this<State>
 {
-    State(asio::io_context &context, const RouterSettings &settings, EventHook onEvent)
-        : context(context), limits(settings.callers),
+    State(asio::io_context &context, const RouterSettings &settings, EventHook onEvent,
+          std::shared_ptr<MemoryAccount> account)
+        : context(context), limits(settings.callers), memory(std::move(account)),
+          maxConnections(connectionLimit(settings)),
           acceptor(context, asio::ip::tcp::endpoint(asio::ip::make_address(settings.listenAddress),
                                                     settings.callerPort)),
           onEvent(std::move(onEvent)), lastRequest(randomId()), eventRetryTimer(context)
     {
+        boost::system::error_code ignored;
+        acceptor.set_option(asio::socket_base::receive_buffer_size(receiveBufferBytes), ignored);
+        acceptor.listen(acceptBacklog, ignored);
+    }
+
+    static std::size_t connectionLimit(const RouterSettings &settings)
+    {
+        const std::size_t sockets = settings.limits.maxSockets();
+        return std::min(settings.callers.connections,
+                        sockets > ownSockets ? sockets - ownSockets : 1);
     }
 
     // Accepting connections.
@@ -94,27 +200,55 @@
                                                  asio::redirect_error(asio::use_awaitable, error));
             if (!self->acceptor.is_open())
                 co_return;
-            if (!error && self->connections >= self->limits.connections)
+            if (error) {
+                asio::steady_timer delay(self->context, acceptRetryDelay);
+                co_await delay.async_wait(asio::redirect_error(asio::use_awaitable, error));
+                continue;
+            }
+            if (!self->makeRoom()) {
                 rejectConnection(socket);
-            if (error || self->connections >= self->limits.connections)
                 continue;
+            }
             socket.set_option(asio::ip::tcp::no_delay(true), error);
             ++self->connections;
-            asio::co_spawn(self->context,
-                           serveConnection(self, std::make_shared<Stream>(std::move(socket))),
-                           asio::detached);
+            asio::co_spawn(
+                    self->context,
+                    serveConnection(self, std::make_shared<Connection>(std::move(socket),
+                                                                       self->memory, self.get())),
+                    asio::detached);
         }
     }
 
+    /// Disconnects a caller that has stopped inside a request or an answer when connections are
+    /// short, or else the one that has been idle for longest.
+    /// @return false when there are too many connections, and none can be closed
+    bool makeRoom()
+    {
+        const auto inRequest = {MemoryUse::Receiving, MemoryUse::Sending};
+        const bool isFull = connections >= maxConnections;
+        const bool isFilled = static_cast<double>(connections)
+                              >= stoppedFill * static_cast<double>(maxConnections);
+        if (isFilled && memory->releaseSlowest(this, inRequest, minStall))
+            return true;
+        return !isFull || memory->releaseSlowest(this, {MemoryUse::Idle}, minStall)
+               || memory->releaseSlowest(this, inRequest);
+    }
+
     static asio::awaitable<void> serveConnection(std::shared_ptr<State> self,
-                                                 std::shared_ptr<Stream> stream)
+                                                 std::shared_ptr<Connection> connection)
     {
-        const auto buffer = std::make_shared<beast::flat_buffer>();
         bool keepAlive = true;
-        while (keepAlive)
-            keepAlive = co_await self->serveRequest(stream, buffer);
-        co_await lingerAndDiscard(*stream);
-        stream->close();
+        while (keepAlive) {
+            if (connection->buffer.size() == 0 && connection->buffer.capacity() > idleBufferBytes)
+                connection->buffer.shrink_to_fit();
+            connection->report(MemoryUse::Idle, 0);
+            keepAlive = co_await self->serveRequest(connection);
+        }
+        connection->buffer = beast::flat_buffer();
+        connection->report(MemoryUse::Idle, 0);
+        if (connection->stream->socket().is_open())
+            co_await lingerAndDiscard(*connection->stream);
+        connection->stream->close();
         --self->connections;
     }
 
@@ -159,12 +293,18 @@
     // Handling one request.
 
     /// @return true when another request may follow on the connection
-    asio::awaitable<bool> serveRequest(std::shared_ptr<Stream> stream,
-                                       std::shared_ptr<beast::flat_buffer> buffer)
+    asio::awaitable<bool> serveRequest(std::shared_ptr<Connection> connection)
     {
-        if (buffer->size() == 0 && !co_await waitForRequest(stream))
+        const std::shared_ptr<Stream> stream = connection->stream;
+        if (connection->buffer.size() == 0 && !co_await waitForRequest(stream))
             co_return false;
         RequestParser parser;
+        const bilberry::http::ReadHook reportMemory = [&](std::size_t size) {
+            connection->report(MemoryUse::Receiving, parser.heldBytes(), size);
+            return !connection->isReleased;
+        };
+        connection->isReleased = false;
+        reportMemory(0);
         parser.header_limit(static_cast<std::uint32_t>(limits.headBytes));
         parser.body_limit(limits.bodyBytes);
         const std::size_t maxUnparsed = limits.headBytes + bilberry::http::maxUnparsedBytes;
@@ -172,22 +312,30 @@
         stream->expires_never();
         {
             const ReadTimeout timeout(stream, limits.headTimeout);
-            error = co_await bilberry::http::readMessage(
-                    *stream, *buffer, parser, bilberry::http::MessagePart::Header, maxUnparsed);
+            error = co_await bilberry::http::readMessage(*stream, connection->buffer, parser,
+                                                         bilberry::http::MessagePart::Header,
+                                                         maxUnparsed, reportMemory);
         }
         if (error == http::error::end_of_stream)
             co_return false;
         if (!error) {
             const ReadTimeout timeout(stream, limits.bodyTimeout);
-            error = co_await bilberry::http::readMessage(
-                    *stream, *buffer, parser, bilberry::http::MessagePart::Whole, maxUnparsed);
+            error = co_await bilberry::http::readMessage(*stream, connection->buffer, parser,
+                                                         bilberry::http::MessagePart::Whole,
+                                                         maxUnparsed, reportMemory);
         }
         if (error) {
-            const ReplyRefusal refusal{0, refusalFor(error), RequestOutcome::NotRun, 0, ""};
+            const bool isReleased = connection->isReleased;
+            const RefusalKind kind = isReleased ? RefusalKind::MemoryFull : refusalFor(error);
+            const ReplyRefusal refusal{0, kind, RequestOutcome::NotRun, isReleased ? 1U : 0U, ""};
+            parser.get().body() = std::string();
+            connection->report(MemoryUse::Idle, 0);
             co_await sendRefusal(*stream, refusal, false);
             co_return false;
         }
-        const HttpRequest request = parser.release();
+        const std::size_t requestBytes
+                = parser.heldBytes() + (bodyCopies - 1) * parser.get().body().capacity();
+        HttpRequest request = parser.release();
         SubmittedRequest submitted;
         const auto refusal = checkRequest(request, submitted);
         if (refusal) {
@@ -196,7 +344,7 @@
             const bool keepAlive = request.keep_alive() && !draining;
             co_return co_await sendRefusal(*stream, reply, keepAlive, request.method());
         }
-        co_return co_await forwardRequest(stream, buffer, request, std::move(submitted));
+        co_return co_await forwardRequest(connection, request, std::move(submitted), requestBytes);
     }
 
     asio::awaitable<bool> waitForRequest(std::shared_ptr<Stream> stream)
@@ -208,8 +356,8 @@
         co_return !error;
     }
 
-    std::optional<RefusalKind> checkRequest(const HttpRequest &request,
-                                            SubmittedRequest &submitted) const
+    /// @param request its body is moved to the submitted one
+    std::optional<RefusalKind> checkRequest(HttpRequest &request, SubmittedRequest &submitted) const
     {
         if (!isWellFormed(request))
             return RefusalKind::MalformedRequest;
@@ -218,14 +366,18 @@
         return authorize(request, configuration.get(), submitted);
     }
 
-    asio::awaitable<bool> forwardRequest(std::shared_ptr<Stream> stream,
-                                         std::shared_ptr<beast::flat_buffer> buffer,
-                                         const HttpRequest &request, SubmittedRequest submitted)
+    /// @param requestBytes memory that the request takes until its answer ends
+    asio::awaitable<bool> forwardRequest(std::shared_ptr<Connection> connection,
+                                         const HttpRequest &request, SubmittedRequest submitted,
+                                         std::size_t requestBytes)
     {
+        const std::shared_ptr<Stream> stream = connection->stream;
         const RequestId id = ++lastRequest;
         submitted.request = id;
-        const auto exchange = std::make_shared<Exchange>(context);
+        const auto exchange = std::make_shared<Exchange>(context, connection, requestBytes);
         exchanges[id] = exchange;
+        connection->exchange = exchange;
+        exchange->report();
         if (!onEvent(std::move(submitted))) {
             exchanges.erase(id);
             const ReplyRefusal refusal{id, RefusalKind::Overloaded, RequestOutcome::NotRun, 1, ""};
@@ -233,7 +385,7 @@
                                            request.method());
         }
         stream->expires_never();
-        asio::co_spawn(context, detectDisconnect(shared_from_this(), id, stream, exchange, buffer),
+        asio::co_spawn(context, detectDisconnect(shared_from_this(), id, connection, exchange),
                        asio::detached);
         const bool keepAlive = co_await writeAnswer(*stream, request, id, *exchange);
         exchanges.erase(id);
@@ -247,26 +399,28 @@
     /// the buffer, so that a close behind them is seen; detection ends when the buffer reaches the
     /// size limit of a head.
     static asio::awaitable<void> detectDisconnect(std::shared_ptr<State> self, RequestId id,
-                                                  std::shared_ptr<Stream> stream,
-                                                  std::shared_ptr<Exchange> exchange,
-                                                  std::shared_ptr<beast::flat_buffer> buffer)
+                                                  std::shared_ptr<Connection> connection,
+                                                  std::shared_ptr<Exchange> exchange)
     {
+        const std::shared_ptr<Stream> stream = connection->stream;
+        beast::flat_buffer &buffer = connection->buffer;
         for (;;) {
             boost::system::error_code error;
             co_await stream->socket().async_wait(asio::ip::tcp::socket::wait_read,
                                                  asio::redirect_error(asio::use_awaitable, error));
             if (error || !self->exchanges.contains(id))
                 co_return;
-            if (buffer->size() >= self->limits.headBytes)
+            if (buffer.size() >= self->limits.headBytes)
                 co_return;
             stream->socket().non_blocking(true, error);
-            const std::size_t space = self->limits.headBytes - buffer->size();
-            const std::size_t size = stream->socket().read_some(buffer->prepare(space), error);
+            const std::size_t space = self->limits.headBytes - buffer.size();
+            const std::size_t size = stream->socket().read_some(buffer.prepare(space), error);
             if (error == asio::error::would_block)
                 continue;
             if (error || size == 0)
                 break;
-            buffer->commit(size);
+            buffer.commit(size);
+            exchange->report();
         }
         exchange->callerDisconnected = true;
         exchange->wakeTimer.cancel();
@@ -362,6 +516,8 @@
                 stream.expires_after(writeTimeout);
                 if (!noBody)
                     co_await writeData(stream, data, chunked, error);
+                exchange.answerBytes -= std::min(exchange.answerBytes, data.size());
+                exchange.report(data.size());
                 unreportedBytes += static_cast<std::uint32_t>(data.size());
                 if (!error && unreportedBytes >= creditThreshold)
                     sendToCore(AnswerBytesWritten{id, std::exchange(unreportedBytes, 0)});
@@ -468,6 +624,8 @@
 
     asio::io_context &context;
     CallerLimits limits;
+    std::shared_ptr<MemoryAccount> memory;
+    std::size_t maxConnections;
     asio::ip::tcp::acceptor acceptor;
     EventHook onEvent;
     RequestId lastRequest;
@@ -480,8 +638,10 @@
 };
 
 CallerServer::CallerServer(asio::io_context &context, const RouterSettings &settings,
-                           EventHook onEvent)
-    : m_state(std::make_shared<State>(context, settings, std::move(onEvent)))
+                           EventHook onEvent, std::shared_ptr<MemoryAccount> memory)
+    : m_state(
+            std::make_shared<State>(context, settings, std::move(onEvent),
+                                    memory ? std::move(memory) : std::make_shared<MemoryAccount>()))
 {
 }
 
@@ -498,8 +658,12 @@
     const auto found = m_state->exchanges.find(id);
     if (found == m_state->exchanges.end() || found->second->callerDisconnected)
         return;
-    found->second->replies.push_back(std::move(reply));
-    found->second->wakeTimer.cancel();
+    Exchange &exchange = *found->second;
+    if (const auto *chunk = std::get_if<ReplyChunk>(&reply))
+        exchange.answerBytes += chunk->data.size();
+    exchange.replies.push_back(std::move(reply));
+    exchange.wakeTimer.cancel();
+    exchange.report();
 }
 
 void CallerServer::disconnect(RequestId request)
@@ -507,9 +671,7 @@
     const auto found = m_state->exchanges.find(request);
     if (found == m_state->exchanges.end())
         return;
-    found->second->callerDisconnected = true;
-    found->second->replies.clear();
-    found->second->wakeTimer.cancel();
+    found->second->disconnect();
 }
 
 void CallerServer::setConfiguration(ConfigurationPtr configuration)
--- a/packages/router/src/problem.cpp
+++ b/packages/router/src/problem.cpp
@@ -42,6 +42,8 @@
         return {503, "stopping", "The router is shutting down."};
     case RefusalKind::Overloaded:
         return {503, "overloaded", "The router is overloaded."};
+    case RefusalKind::MemoryFull:
+        return {503, "memory-full", "The router's memory is full."};
     case RefusalKind::Quarantined:
         return {422, "quarantined", "The request crashed backend servers before."};
     case RefusalKind::ClaimUnavailable:
--- a/packages/router/src/router.cpp
+++ b/packages/router/src/router.cpp
@@ -28,6 +28,9 @@
 namespace {
 
 constexpr Duration coreTickPeriod = std::chrono::milliseconds(20);
+/// Ticks after which freed memory is returned to the system.
+constexpr std::uint64_t ticksPerTrim = 50;
+constexpr std::size_t adminBodyBytes = 16U << 20U;
 /// Half of the minimum time between two service reports.
 constexpr Duration localServicePeriod = std::chrono::milliseconds(50);
 constexpr Duration gossipTickPeriod = std::chrono::milliseconds(50);
@@ -88,9 +91,12 @@
                   },
                   [this](std::size_t bytes) { metrics.addControlBytes("gossip", bytes); }),
           platform(platformThread.context(), settings, platformHooks()),
-          callers(callerThread.context(), settings,
-                  [this](CallerEvent &&event) { return pushCallerEvent(std::move(event)); }),
-          admin(adminThread.context(), settings.listenAddress, settings.adminPort, adminHandlers()),
+          callers(
+                  callerThread.context(), settings,
+                  [this](CallerEvent &&event) { return pushCallerEvent(std::move(event)); },
+                  memory),
+          admin(adminThread.context(), settings.listenAddress, settings.adminPort, adminHandlers(),
+                adminBodyBytes, memory),
           coreTimer(coreThread.context()), gossipTimer(gossipThread.context())
     {
         gossip.setPeers(gossipPeers(settings.peers));
@@ -360,6 +366,8 @@
                 return;
             core.tick(Clock::now());
             sendLocalService();
+            if (++coreTicks % ticksPerTrim == 0)
+                memory->returnFreedMemory();
             tickCore();
         });
     }
@@ -426,6 +434,7 @@
     admin::AdminResponse handleMetrics()
     {
         runOn(coreThread, [this] { metrics.update(core); });
+        metrics.update(*memory);
         return {200, metrics.text(), "text/plain; version=0.0.4"};
     }
 
@@ -461,6 +470,9 @@
     Log log{"router"};
     std::atomic<bool> draining = false;
     RouterMetrics metrics;
+    std::shared_ptr<MemoryAccount> memory
+            = std::make_shared<MemoryAccount>(settings.limits.memoryBytes);
+    std::uint64_t coreTicks = 0;
     EventLoopThread coreThread{"router-core"};
     EventLoopThread linksThread{"router-links"};
     EventLoopThread gossipThread{"router-gossip"};
--- a/packages/router/src/routermetrics.h
+++ b/packages/router/src/routermetrics.h
@@ -1,6 +1,7 @@
 #ifndef BILBERRY_ROUTER_ROUTERMETRICS_H
 #define BILBERRY_ROUTER_ROUTERMETRICS_H
 
+#include "bilberry/admin/memorymetrics.h"
 #include "bilberry/router/routercore.h"
 
 #include <prometheus/counter.h>
@@ -27,6 +28,9 @@
     /// Counts an item that a full event queue rejected; thread-safe.
     void addOverflow(const char *ring);
 
+    /// Sets the gauges of the memory held; thread-safe.
+    void update(const MemoryAccount &memory) { m_memory.update(memory); }
+
     /// Copies the core's counters into the metrics.
     void update(const RouterCore &core);
 
@@ -47,6 +51,7 @@
     prometheus::Family<prometheus::Gauge> &m_refused;
     prometheus::Family<prometheus::Gauge> &m_service;
     prometheus::Family<prometheus::Gauge> &m_waiting;
+    admin::MemoryMetrics m_memory{m_registry};
 };
 
 /// @return the router's state as JSON for operators
