Count what the kernel receives ahead of the reads

Change: the receive buffer asked for is 16 KiB (32 in the kernel), and 32 KiB are charged to each connection while its request is incomplete, while it lingers, and while it isn't read from. The account then bounds the number of these, too. Links of agents: 64 KiB in place of 128.

--- a/packages/agent/src/routerlinks.cpp
+++ b/packages/agent/src/routerlinks.cpp
@@ -9,8 +9,9 @@
 namespace {
 
 constexpr std::size_t maxLinks = 1024;
-/// Receive buffer in the kernel. The kernel would let it grow to megabytes.
-constexpr int receiveBufferBytes = 128 << 10;
+/// Receive buffer in the kernel, which takes twice as much for it. The kernel would let it grow to
+/// megabytes.
+constexpr int receiveBufferBytes = 64 << 10;
 
 } // namespace
 
--- a/packages/direct/src/caller/callerconnection.cpp
+++ b/packages/direct/src/caller/callerconnection.cpp
@@ -34,6 +34,8 @@
 constexpr std::size_t largeReadBytes = 16U << 10U;
 /// Capacity that the buffer of an idle connection may keep.
 constexpr std::size_t idleBufferBytes = 16U << 10U;
+/// Bytes that the kernel may hold for a connection.
+constexpr std::size_t kernelBytes = 2 * CallerConnection::receiveBufferBytes;
 /// Memory of a connection besides its buffers: the object, its timer and socket.
 constexpr std::size_t connectionBytes = 2U << 10U;
 /// Time for which bytes that arrive after the last response are discarded before the close.
@@ -372,6 +374,7 @@
     startTimer(lingerTimeout);
     if (!m_isReading)
         startRead();
+    reportMemory();
 }
 
 void CallerConnection::queueWrite(std::string_view bytes)
@@ -486,9 +489,9 @@
                         + m_writeBuffer.capacity() + m_pendingWrite.capacity();
     if (m_parser)
         bytes += m_parser->heldBytes();
-    // The kernel receives on for a caller that is not read from.
-    if (!m_isReading)
-        bytes += receiveBufferBytes;
+    // The kernel receives ahead of the reads, and on for a caller that is not read from.
+    if (m_isReadingRequest || m_isLingering || !m_isReading)
+        bytes += kernelBytes;
     m_memory->update(memoryUse(), bytes, movedBytes);
 }
 
--- a/packages/direct/src/caller/callerconnection.h
+++ b/packages/direct/src/caller/callerconnection.h
@@ -56,8 +56,9 @@
 public:
     /// Bytes that a caller may leave unread before its next request is not started any more.
     static constexpr std::size_t maxUnsentBytes = 256U << 10U;
-    /// Receive buffer in the kernel. The kernel would let it grow to megabytes.
-    static constexpr int receiveBufferBytes = 32 << 10;
+    /// Receive buffer in the kernel, which takes twice as much for it. The kernel would let it grow
+    /// to megabytes.
+    static constexpr int receiveBufferBytes = 16 << 10;
 
     /// @param memory account of the process
     CallerConnection(boost::asio::ip::tcp::socket socket, const CallerHooks &hooks,
--- a/packages/router/src/callerserver.cpp
+++ b/packages/router/src/callerserver.cpp
@@ -43,8 +43,11 @@
 /// Limits on discarding input after the last answer of a connection.
 constexpr auto lingerTimeout = std::chrono::seconds(1);
 constexpr std::size_t maxLingerBytes = 4U << 20U;
-/// Receive buffer in the kernel. The kernel would let it grow to megabytes.
-constexpr int receiveBufferBytes = 32 << 10;
+/// Receive buffer in the kernel, which takes twice as much for it. The kernel would let it grow to
+/// megabytes.
+constexpr int receiveBufferBytes = 16 << 10;
+/// Bytes that the kernel may hold for a connection that is read from, ahead of the reads.
+constexpr std::size_t kernelBytes = 2 * receiveBufferBytes;
 /// Connections that the kernel accepts ahead, each with as much as its buffer holds.
 constexpr int acceptBacklog = 512;
 /// Memory of a connection besides its buffers, such as its coroutines.
@@ -245,7 +248,7 @@
             keepAlive = co_await self->serveRequest(connection);
         }
         connection->buffer = beast::flat_buffer();
-        connection->report(MemoryUse::Idle, 0);
+        connection->report(MemoryUse::Idle, kernelBytes);
         if (connection->stream->socket().is_open())
             co_await lingerAndDiscard(*connection->stream);
         connection->stream->close();
@@ -300,7 +303,7 @@
             co_return false;
         RequestParser parser;
         const bilberry::http::ReadHook reportMemory = [&](std::size_t size) {
-            connection->report(MemoryUse::Receiving, parser.heldBytes(), size);
+            connection->report(MemoryUse::Receiving, kernelBytes + parser.heldBytes(), size);
             return !connection->isReleased;
         };
         connection->isReleased = false;
