--- a/tests/soak/soak.cpp
+++ b/tests/soak/soak.cpp
@@ -4,8 +4,10 @@
 #include "invariantchecker.h"
 #include "soakfleet.h"
 
+#include "crowd/crowdforms.h"
 #include "support/fleet.h"
 #include "support/rawcaller.h"
+#include "support/resourcewatch.h"
 
 #include <cxxopts.hpp>
 
@@ -26,6 +28,8 @@
 constexpr auto callerPause = 15ms;
 /// Wait after the last fault; covers the recovery time and the longest backoffs.
 constexpr auto settleTime = 5s;
+/// Mean number of faults for each crowd.
+constexpr std::size_t faultsPerCrowd = 6;
 /// The platform kills a process that still runs this long after SIGTERM.
 constexpr auto graceTime = 8s;
 
@@ -136,7 +140,7 @@
 {
 public:
     FaultInjector(std::uint64_t seed, SoakFleet &fleet, InvariantChecker &checker)
-        : m_random(seed), m_fleet(fleet), m_checker(checker)
+        : m_random(seed), m_crowdRandom(seed), m_fleet(fleet), m_checker(checker)
     {
     }
 
@@ -145,6 +149,8 @@
         const TimePoint end = Clock::now() + length;
         while (Clock::now() < end) {
             injectFault();
+            if (m_crowdRandom() % faultsPerCrowd == 0)
+                sendCrowd();
             wait(std::chrono::milliseconds(100 + static_cast<int>(500 * randomFraction())));
         }
         while (!m_scheduledEnds.empty())
@@ -208,6 +214,32 @@
         }
     }
 
+    /// Lets callers come that leave large bodies unfinished, with a length or in small chunks.
+    /// Whatever else happens to the router meanwhile, it must stay within its memory.
+    void sendCrowd()
+    {
+        const std::size_t router = m_crowdRandom() % m_fleet.routers().size();
+        const crowd::BodyFraming framing
+                = m_crowdRandom() % 2 == 0 ? crowd::withLength : crowd::smallChunks;
+        const auto length = std::chrono::milliseconds(500 + m_crowdRandom() % 2000);
+        logFault("crowd at r" + std::to_string(router) + ", chunks of "
+                         + std::to_string(framing.chunkBytes),
+                 length);
+        constexpr std::size_t allOfTen = 10;
+        auto callers = std::make_shared<tests::Crowd>(
+                m_fleet.routers()[router]->port(),
+                crowd::bodyCrowd("POST /read/x HTTP/1.1\r\nHost: h.example\r\n", framing,
+                                 allOfTen));
+        schedule(length, [this, router, callers]() mutable {
+            callers.reset();
+            const std::size_t peak
+                    = tests::peakResidentBytes(m_fleet.routers()[router]->process().id());
+            if (peak > crowd::vmBytes)
+                m_checker.addViolation("r" + std::to_string(router) + " has held "
+                                       + std::to_string(peak) + " bytes");
+        });
+    }
+
     /// Skips routers with a fault: a restarted process may not have reached its main() yet.
     void reloadRouter()
     {
@@ -455,6 +487,7 @@
     }
 
     std::mt19937_64 m_random;
+    std::mt19937_64 m_crowdRandom; ///< of its own, so that a seed's other faults stay as they were
     SoakFleet &m_fleet;
     InvariantChecker &m_checker;
     TimePoint m_start = Clock::now();
--- a/tests/support/resourcewatch.cpp
+++ b/tests/support/resourcewatch.cpp
@@ -44,6 +44,17 @@
 
 } // namespace
 
+std::size_t peakResidentBytes(int process)
+{
+    std::ifstream status(processFile(process, "status"));
+    const std::string field = "VmHWM:";
+    for (std::string line; std::getline(status, line);) {
+        if (line.starts_with(field))
+            return std::stoul(line.substr(field.size())) << 10U;
+    }
+    return 0;
+}
+
 ResourceWatch::ResourceWatch(int process, WatchedPorts ports)
     : m_process(process), m_ports(std::move(ports)), m_thread([this] {
           while (!m_stopping) {
--- a/tests/support/resourcewatch.h
+++ b/tests/support/resourcewatch.h
@@ -16,6 +16,9 @@
     std::set<std::uint16_t> peer; ///< the process connects to these
 };
 
+/// @return largest resident memory of a process since its start, in bytes; 0 when it has ended
+std::size_t peakResidentBytes(int process);
+
 /// Samples the memory and the descriptors of a process until it is destroyed. Memory is what is
 /// resident and what the kernel has received for the process and the process hasn't read, also on
 /// connections that it hasn't accepted yet.
