Report memory only when something has changed

Each part of an answer counted the request's header fields again and took the account's lock several times, mostly without news. The request's memory is counted once, and reports without news return at once.

--- a/packages/base/include/bilberry/base/memoryaccount.h
+++ b/packages/base/include/bilberry/base/memoryaccount.h
@@ -53,8 +53,9 @@
 
     /// Reports what is held. The account may ask this or other holders to release theirs.
     /// @param movedBytes bytes received from or written to the peer since the last report
-    void update(MemoryUse use, std::size_t bytes, std::size_t movedBytes = 0,
-                TimePoint now = Clock::now());
+    void update(MemoryUse use, std::size_t bytes, std::size_t movedBytes = 0);
+    /// The same at a given time.
+    void update(MemoryUse use, std::size_t bytes, std::size_t movedBytes, TimePoint now);
 
 private:
     friend class MemoryAccount;
--- a/packages/base/src/memoryaccount.cpp
+++ b/packages/base/src/memoryaccount.cpp
@@ -59,6 +59,13 @@
     m_account->remove(*this);
 }
 
+void MemoryHolder::update(MemoryUse use, std::size_t bytes, std::size_t movedBytes)
+{
+    // Reports without news are frequent.
+    if (use != m_use || bytes != m_bytes || movedBytes > 0)
+        update(use, bytes, movedBytes, Clock::now());
+}
+
 void MemoryHolder::update(MemoryUse use, std::size_t bytes, std::size_t movedBytes, TimePoint now)
 {
     m_account->update(*this, use, bytes, movedBytes, now);
--- a/packages/direct/src/request/requesthandler.cpp
+++ b/packages/direct/src/request/requesthandler.cpp
@@ -44,13 +44,14 @@
                                CallerRequest &&request)
     : m_context(context), m_caller(std::move(caller)),
       m_sharedRequest(std::make_shared<const CallerRequest>(std::move(request))),
-      m_request(*m_sharedRequest), m_memory(context.memory, &context,
-                                            [this](MemoryUse, ReleaseCause) {
-                                                asio::post(m_context.io, [weak = weak_from_this()] {
-                                                    if (const auto self = weak.lock())
-                                                        self->releaseMemory();
-                                                });
-                                            }),
+      m_request(*m_sharedRequest), m_requestBytes(heldBytes(m_request)),
+      m_memory(context.memory, &context,
+               [this](MemoryUse, ReleaseCause) {
+                   asio::post(m_context.io, [weak = weak_from_this()] {
+                       if (const auto self = weak.lock())
+                           self->releaseMemory();
+                   });
+               }),
       m_requestId(m_request[context.headerNames.requestId]), m_receivedAt(Clock::now()),
       m_deadlineTimer(context.io), m_silenceTimer(context.io),
       m_crashGuard(context.crashSuspicion, context.crashDetector, context.serverSelector,
@@ -527,7 +528,7 @@
 
 void RequestHandler::reportMemory()
 {
-    std::size_t bytes = heldBytes(m_request);
+    std::size_t bytes = m_requestBytes;
     bytes += m_relay ? m_relay->heldBytes() : 0;
     bytes += m_attempt ? m_attempt->heldBytes() : 0;
     m_memory.update(MemoryUse::Serving, bytes);
--- a/packages/direct/src/request/requesthandler.h
+++ b/packages/direct/src/request/requesthandler.h
@@ -62,6 +62,7 @@
     CallerConnectionPtr m_caller;
     std::shared_ptr<const CallerRequest> m_sharedRequest; ///< attempts share its body
     const CallerRequest &m_request;
+    std::size_t m_requestBytes; ///< memory that the request takes
     MemoryHolder m_memory;
     std::string m_requestId;
     TimePoint m_receivedAt;
