Keep an idle connection whose next request has arrived

Found on reading: an idle connection that pays, when all else is small, was closed without a look at the socket, so that a request that had just arrived was reset.

--- a/packages/direct/src/caller/callerconnection.cpp
+++ b/packages/direct/src/caller/callerconnection.cpp
@@ -509,6 +509,9 @@
         endRequest();
         return;
     }
+    // A request that has arrived meanwhile must not be lost with its connection.
+    if (use == MemoryUse::Idle && !m_isLingering && hasUnreadBytes())
+        return;
     if (m_hooks.onMemoryReleased)
         m_hooks.onMemoryReleased(use, cause);
     if (use == MemoryUse::Sending) {
--- a/packages/router/src/callerserver.cpp
+++ b/packages/router/src/callerserver.cpp
@@ -99,6 +99,7 @@
     MemoryUse use = MemoryUse::Idle;
     std::weak_ptr<Exchange> exchange; ///< of the request in progress
     bool isReleased = false;          ///< others need the memory of its request
+    bool isLingering = false;         ///< the last answer was written; input is discarded
 };
 
 /// Replies to be written to one caller.
@@ -139,6 +140,10 @@
 {
     if (asked != use)
         return;
+    // A request that has arrived meanwhile must not be lost with its connection.
+    boost::system::error_code ignored;
+    if (use == MemoryUse::Idle && !isLingering && stream->socket().available(ignored) > 0)
+        return;
     isReleased = true;
     if (use == MemoryUse::Receiving && cause == ReleaseCause::Memory) {
         stream->cancel();
@@ -146,7 +151,6 @@
     }
     if (const auto running = exchange.lock())
         running->disconnect();
-    boost::system::error_code ignored;
     if (use == MemoryUse::Sending)
         stream->socket().set_option(asio::socket_base::linger(true, 0), ignored);
     stream->close();
@@ -248,6 +252,7 @@
             keepAlive = co_await self->serveRequest(connection);
         }
         connection->buffer = beast::flat_buffer();
+        connection->isLingering = true;
         connection->report(MemoryUse::Idle, kernelBytes);
         if (connection->stream->socket().is_open())
             co_await lingerAndDiscard(*connection->stream);
