Tell the VM's size in the environment, not on the command line

Change: BILBERRY_VM_MEMORY_MB and BILBERRY_VM_DESCRIPTORS in place of the two options; the platform fills them in by `env`. A value that is no whole number ends the start with code 2 (settings_test).

Also two implicit conversions that the linter found.

--- a/packages/daemon/src/daemon.cpp
+++ b/packages/daemon/src/daemon.cpp
@@ -11,14 +11,22 @@
 #include <boost/asio/signal_set.hpp>
 #include <cxxopts.hpp>
 
+#include <charconv>
 #include <csignal>
+#include <cstdlib>
+#include <cstring>
 #include <functional>
 #include <iostream>
+#include <optional>
 
 namespace bilberry::daemon {
 
 namespace {
 
+/// Tell the size of the VM where a platform starts the process and the settings file doesn't.
+constexpr char memoryVariable[] = "BILBERRY_VM_MEMORY_MB";
+constexpr char descriptorsVariable[] = "BILBERRY_VM_DESCRIPTORS";
+
 /// Blocks SIGTERM and SIGINT in this thread and the threads it starts, so that sigwait() receives
 /// them, and ignores SIGPIPE.
 sigset_t blockStopSignals()
@@ -105,6 +113,29 @@
     }
 }
 
+/// Reads an environment variable.
+/// @param value stays as it is where the variable is not set
+/// @return false when it is no whole number
+bool readVariable(const char *name, std::int64_t &value)
+{
+    const char *text = std::getenv(name);
+    if (!text)
+        return true;
+    const char *end = text + std::strlen(text);
+    const auto parsed = std::from_chars(text, end, value);
+    return parsed.ec == std::errc() && parsed.ptr == end;
+}
+
+/// @return nullopt when a variable is no whole number
+std::optional<VmSize> vmSizeOfEnvironment()
+{
+    VmSize vm;
+    if (!readVariable(memoryVariable, vm.memoryMb)
+        || !readVariable(descriptorsVariable, vm.descriptors))
+        return std::nullopt;
+    return vm;
+}
+
 int runWithFile(const std::string &file, const VmSize &vm, bool checkOnly)
 {
     SettingsReader reader(file);
@@ -127,11 +158,7 @@
 {
     cxxopts::Options options("bilberryd", "Runs a router or an agent of a bilberrystile fleet.");
     options.add_options()("s,settings", "path of the settings file (YAML)",
-                          cxxopts::value<std::string>())(
-            "vm-memory-mb", "memory of the VM; vm.memoryMb goes before it",
-            cxxopts::value<std::int64_t>())(
-            "vm-descriptors", "descriptors that the VM allows; vm.descriptors goes before it",
-            cxxopts::value<std::int64_t>())("c,check", "check the settings and exit")(
+                          cxxopts::value<std::string>())("c,check", "check the settings and exit")(
             "h,help", "print this help");
     try {
         const auto arguments = options.parse(argc, argv);
@@ -143,12 +170,13 @@
             std::cerr << "bilberryd: --settings is required\n";
             return ExitSettings;
         }
-        VmSize vm;
-        if (arguments.count("vm-memory-mb") > 0)
-            vm.memoryMb = arguments["vm-memory-mb"].as<std::int64_t>();
-        if (arguments.count("vm-descriptors") > 0)
-            vm.descriptors = arguments["vm-descriptors"].as<std::int64_t>();
-        return runWithFile(arguments["settings"].as<std::string>(), vm,
+        const std::optional<VmSize> vm = vmSizeOfEnvironment();
+        if (!vm) {
+            std::cerr << "bilberryd: " << memoryVariable << " and " << descriptorsVariable
+                      << " must be whole numbers\n";
+            return ExitSettings;
+        }
+        return runWithFile(arguments["settings"].as<std::string>(), *vm,
                            arguments.count("check") > 0);
     } catch (const cxxopts::exceptions::exception &exception) {
         std::cerr << "bilberryd: " << exception.what() << '\n';
--- a/packages/direct/src/caller/callerconnection.cpp
+++ b/packages/direct/src/caller/callerconnection.cpp
@@ -35,7 +35,7 @@
 /// Capacity that the buffer of an idle connection may keep.
 constexpr std::size_t idleBufferBytes = 16U << 10U;
 /// Bytes that the kernel may hold for a connection.
-constexpr std::size_t kernelBytes = 2 * CallerConnection::receiveBufferBytes;
+constexpr auto kernelBytes = 2 * static_cast<std::size_t>(CallerConnection::receiveBufferBytes);
 /// Memory of a connection besides its buffers: the object, its timer and socket.
 constexpr std::size_t connectionBytes = 2U << 10U;
 /// Time for which bytes that arrive after the last response are discarded before the close.
--- a/packages/router/src/callerserver.cpp
+++ b/packages/router/src/callerserver.cpp
@@ -47,7 +47,7 @@
 /// megabytes.
 constexpr int receiveBufferBytes = 16 << 10;
 /// Bytes that the kernel may hold for a connection that is read from, ahead of the reads.
-constexpr std::size_t kernelBytes = 2 * receiveBufferBytes;
+constexpr auto kernelBytes = 2 * static_cast<std::size_t>(receiveBufferBytes);
 /// Connections that the kernel accepts ahead, each with as much as its buffer holds.
 constexpr int acceptBacklog = 512;
 /// Memory of a connection besides its buffers, such as its coroutines.
--- a/tests/integration/settings_test.cpp
+++ b/tests/integration/settings_test.cpp
@@ -3,6 +3,7 @@
 #include <boost/filesystem.hpp>
 #include <catch2/catch.hpp>
 
+#include <cstdlib>
 #include <fstream>
 
 using namespace bilberry;
@@ -87,6 +88,12 @@
                   == row.expected.size());
         }
     }
+    write(router);
+    ::setenv("BILBERRY_VM_MEMORY_MB", "260", 1);
+    CHECK(runProgram(program, {"--settings", file, "--check"}).exitCode == 0);
+    ::setenv("BILBERRY_VM_MEMORY_MB", "much", 1);
+    CHECK(runProgram(program, {"--settings", file, "--check"}).exitCode == 2);
+    ::unsetenv("BILBERRY_VM_MEMORY_MB");
     CHECK(runProgram(program, {}).exitCode == 2);
     CHECK(runProgram(program, {"--settings", "/nonexistent"}).exitCode == 2);
     boost::filesystem::remove_all(folder);
