Tests of further crowds: prompt parts, datagrams, documents, hang-ups, requests of links

Found on reading the change again: bytes that a peer can make a process hold and that are not in the account.

--- a/tests/crowd/crowd_direct_test.cpp
+++ b/tests/crowd/crowd_direct_test.cpp
@@ -5,6 +5,8 @@
 #include "support/scriptedserver.h"
 #include "support/storestandin.h"
 
+#include "bilberry/wire/codec.h"
+
 #include <catch2/catch.hpp>
 
 #include <thread>
@@ -114,13 +116,18 @@
         return status(wholeRequest(head("/note/a"), 1500, withLength)) == 200;
     }
 
+    std::vector<WatchedProcess> watched()
+    {
+        return {{"router",
+                 program.process(),
+                 {{program.callerPort(), program.readinessPort(), program.metricsPort()},
+                  {server.port()}}}};
+    }
+
     void check(std::vector<CrowdCaller> callers)
     {
-        checkCrowd({{"router",
-                     program.process(),
-                     {{program.callerPort(), program.readinessPort(), program.metricsPort()},
-                      {server.port()}}}},
-                   program.callerPort(), std::move(callers), [this] { return servesOrdinary(); });
+        checkCrowd(watched(), program.callerPort(), std::move(callers),
+                   [this] { return servesOrdinary(); });
     }
 
     StoreStandIn store;
@@ -144,6 +151,34 @@
     DirectFleet().check(bodyCrowd(head("/note/a"), withLength, 0));
 }
 
+SCENARIO("many callers send whole bodies to a direct router and hang up", "[hang-up]")
+{
+    DirectFleet().check(hangUpCrowd(head("/note/a")));
+}
+
+SCENARIO("many callers send prompts of many parts to a direct router", "[prompts]")
+{
+    DirectFleet().check(promptCrowd(head("/note/a"), "Bilberrystile-Prompt-Prefix"));
+}
+
+SCENARIO("reports of many routers that nobody knows reach a direct router", "[datagrams]")
+{
+    DirectFleet fleet;
+    constexpr std::size_t loadsPerReport = 100;
+    wire::DirectRouterReport report;
+    for (std::size_t i = 0; i < loadsPerReport; ++i)
+        report.loads.push_back({i + 1, 1000, 1});
+    checkDatagrams(
+            fleet.watched(), fleet.program.peerPort(),
+            [&](std::size_t number) {
+                report.sender
+                        = {RouterId("unknown-" + std::to_string(number)), number + 1, ZoneId("a")};
+                report.sequence = 1;
+                return wire::encodeDatagram(report);
+            },
+            [&] { return fleet.servesOrdinary(); });
+}
+
 SCENARIO("many callers send bodies to a direct router, most of them unfinished", "[unfinished]")
 {
     DirectFleet().check(bodyCrowd(head("/note/a"), withLength, 9));
--- a/tests/crowd/crowd_router_test.cpp
+++ b/tests/crowd/crowd_router_test.cpp
@@ -4,6 +4,7 @@
 #include "support/rawcaller.h"
 
 #include "bilberry/base/digest.h"
+#include "bilberry/wire/codec.h"
 
 #include <catch2/catch.hpp>
 
@@ -24,7 +25,8 @@
            + sha256Hex("kitchen-key")
            + "] }\n"
              "  routes:\n"
-             "    /v1: { pool: models, repeatable: always }\n";
+             "    /v1: { pool: models, repeatable: always }\n"
+             "    /book: { pool: models }\n";
 }
 
 FleetPlan smallPlan()
@@ -109,6 +111,33 @@
     return std::vector<CrowdCaller>(crowdSize, {bytes, bytes->size()});
 }
 
+/// Below the limit of bodies at admin ports.
+constexpr std::size_t documentBytes = 4'000'000;
+
+/// @return links that say hello and dispatch a request with a large body each
+std::vector<CrowdCaller> dispatchCrowd()
+{
+    std::vector<CrowdCaller> result;
+    for (std::size_t i = 0; i < crowdSize; ++i) {
+        wire::RouterHello hello;
+        hello.router = RouterId("crowd-" + std::to_string(i));
+        hello.incarnation = i + 1;
+        hello.zone = ZoneId("a");
+        wire::Dispatch dispatch;
+        dispatch.attempt = 1'000'000 + i;
+        dispatch.customer = CustomerId("kitchen");
+        dispatch.fingerprint = i + 1;
+        dispatch.method = "POST";
+        dispatch.target = "/v1/a";
+        dispatch.headers = {{"X-Ms", "3000"}};
+        dispatch.body = std::string(bodyBytes, 'b');
+        const auto bytes = std::make_shared<const std::string>(wire::encodeFrame(hello)
+                                                               + wire::encodeFrame(dispatch));
+        result.push_back({bytes, bytes->size()});
+    }
+    return result;
+}
+
 } // namespace
 
 SCENARIO("a router serves a single large body in calm", "[calm]")
@@ -125,6 +154,50 @@
     SmallFleet().check(bodyCrowd(head(), withLength, 0));
 }
 
+SCENARIO("many callers send whole bookings to a router and hang up", "[hang-up]")
+{
+    SmallFleet().check(
+            hangUpCrowd("POST /book HTTP/1.1\r\nHost: router\r\nX-Api-Key: kitchen-key\r\n"
+                        "X-Ms: 3000\r\n"));
+}
+
+SCENARIO("probes of many routers that nobody knows reach a router", "[datagrams]")
+{
+    SmallFleet fleet;
+    wire::Probe probe;
+    probe.hasLists = true;
+    constexpr std::size_t listedPeers = 50;
+    for (std::size_t i = 0; i < listedPeers; ++i)
+        probe.reachablePeers.push_back(RouterId("a-router-with-a-long-name-" + std::to_string(i)));
+    checkDatagrams(
+            fleet.processes(), fleet.fleet.gossipPort(0),
+            [&](std::size_t number) {
+                probe.sender
+                        = {RouterId("unknown-" + std::to_string(number)), number + 1, ZoneId("a")};
+                return wire::encodeDatagram(probe);
+            },
+            [&] { return fleet.servesOrdinary(); });
+}
+
+SCENARIO("a crowd of whole documents at the admin port of a router", "[admin-documents]")
+{
+    SmallFleet fleet;
+    fleet.checkAdmin(fleet.fleet.routerAdminPort(0), documentCrowd(adminHead(), documentBytes));
+}
+
+SCENARIO("a crowd of whole documents at the admin port of an agent", "[agent-documents]")
+{
+    SmallFleet fleet;
+    fleet.checkAdmin(fleet.fleet.agentAdminPort("model-a"),
+                     documentCrowd(adminHead(), documentBytes));
+}
+
+SCENARIO("a crowd of links that dispatch large requests to an agent", "[agent-requests]")
+{
+    SmallFleet fleet;
+    fleet.checkAt(fleet.fleet.agentPort("model-a"), dispatchCrowd());
+}
+
 SCENARIO("many callers send bodies to a router, most of them unfinished", "[unfinished]")
 {
     SmallFleet().check(bodyCrowd(head(), withLength, 9));
--- a/tests/crowd/crowdcheck.h
+++ b/tests/crowd/crowdcheck.h
@@ -31,6 +31,12 @@
 void checkCrowd(const std::vector<WatchedProcess> &processes, std::uint16_t port,
                 std::vector<tests::CrowdCaller> callers, const std::function<bool()> &isServed);
 
+/// As checkCrowd(), for many datagrams in place of connections.
+/// @param datagram returns the datagram with a number
+void checkDatagrams(const std::vector<WatchedProcess> &processes, std::uint16_t port,
+                    const std::function<std::string(std::size_t)> &datagram,
+                    const std::function<bool()> &isServed);
+
 } // namespace bilberry::crowd
 
 #endif
--- a/tests/crowd/crowdforms.cpp
+++ b/tests/crowd/crowdforms.cpp
@@ -16,6 +16,7 @@
 constexpr std::size_t trailerFields = 400;
 constexpr std::size_t trailerFieldBytes = 200;
 constexpr std::size_t pipelinedRequests = 40;
+constexpr std::size_t promptPartCount = 3000;
 
 Bytes share(std::string text)
 {
@@ -72,6 +73,45 @@
     return result;
 }
 
+std::vector<tests::CrowdCaller> hangUpCrowd(const RequestHead &head)
+{
+    const Bytes request = share(wholeRequest(head, bodyBytes, withLength));
+    tests::CrowdCaller caller{request, request->size()};
+    caller.hangsUp = true;
+    return callers(crowdSize, caller);
+}
+
+std::vector<tests::CrowdCaller> documentCrowd(const RequestHead &head, std::size_t bytes)
+{
+    std::string document = "[0";
+    while (document.size() + 3 <= bytes)
+        document += ",0";
+    document += "]";
+    const Bytes request = share(head + lengthField(document.size()) + document);
+    tests::CrowdCaller caller{request, request->size()};
+    caller.reads = false;
+    return callers(crowdSize, caller);
+}
+
+std::vector<tests::CrowdCaller> promptCrowd(const RequestHead &head, const std::string &field)
+{
+    std::vector<tests::CrowdCaller> result;
+    std::size_t lastPart = 0;
+    for (std::size_t i = 0; i < crowdSize; ++i) {
+        std::ostringstream requests;
+        for (std::size_t request = 0; request < pipelinedRequests; ++request) {
+            // The parts' keys are chained, so that one new part makes all others new.
+            requests << head << field << ": " << std::hex << ++lastPart << std::dec << ":0";
+            for (std::size_t part = 0; part < promptPartCount; ++part)
+                requests << ",1:0";
+            requests << "\r\n\r\n";
+        }
+        const Bytes bytes = share(requests.str());
+        result.push_back({bytes, bytes->size()});
+    }
+    return result;
+}
+
 std::vector<tests::CrowdCaller> announcedCrowd(const RequestHead &head)
 {
     const Bytes start = share(head + lengthField(overLimitBytes));
--- a/tests/crowd/crowdforms.h
+++ b/tests/crowd/crowdforms.h
@@ -49,6 +49,15 @@
 std::vector<tests::CrowdCaller> bodyCrowd(const RequestHead &head, BodyFraming framing,
                                           std::size_t unfinished);
 
+/// Callers that send whole bodies and close their connections.
+std::vector<tests::CrowdCaller> hangUpCrowd(const RequestHead &head);
+/// Callers that send whole documents of many small JSON values, and read nothing.
+std::vector<tests::CrowdCaller> documentCrowd(const RequestHead &head, std::size_t bytes);
+/// Callers that pipeline requests with as many prompt parts as fit, no two alike, and read the
+/// answers.
+/// @param field name of the header field that lists the parts
+std::vector<tests::CrowdCaller> promptCrowd(const RequestHead &head, const std::string &field);
+
 /// Callers that announce bodies far over the limit, and send them.
 std::vector<tests::CrowdCaller> announcedCrowd(const RequestHead &head);
 /// Callers that send chunks without end.
--- a/tests/support/crowd.cpp
+++ b/tests/support/crowd.cpp
@@ -103,7 +103,8 @@
             = ::send(member.socket, data, std::min(size, pieceBytes), MSG_NOSIGNAL | MSG_DONTWAIT);
     if (sent > 0)
         member.sent += static_cast<std::size_t>(sent);
-    else if (errno != EAGAIN)
+    const bool isDone = caller.hangsUp && !member.hasMoreToSend();
+    if (isDone || (sent <= 0 && errno != EAGAIN))
         end(member);
 }
 
--- a/tests/support/crowd.h
+++ b/tests/support/crowd.h
@@ -18,7 +18,8 @@
     std::size_t stopAt = 0; ///< bytes that are sent; then the connection stays open
     /// Sent again and again after the first bytes until the connection ends. May be null.
     std::shared_ptr<const std::string> repeated{};
-    bool reads = true; ///< false: nothing that arrives is read
+    bool reads = true;    ///< false: nothing that arrives is read
+    bool hangsUp = false; ///< closes the connection when everything is sent
 };
 
 /// Many connections to one port on loopback, driven by one thread. A caller whose connection ends
