Bound the parts that a server's prompt cache remembers

Cause: PromptCache evicts by tokens, which callers choose; a part without tokens never fills the capacity. The parsed parts of a request in flight were not in the account either, and its header fields without their overhead.

Change: 2,048 parts a server at most, the least recently used go first; a server's cache of 500,000 tokens holds so many only if they have fewer than 240 tokens on average. Parsed parts are reported with the request; the estimate for fields is the parser's.

--- a/packages/decision/include/bilberry/decision/promptcache.h
+++ b/packages/decision/include/bilberry/decision/promptcache.h
@@ -37,6 +37,8 @@
     Prompt(const std::string &model, const std::vector<PromptPart> &parts);
 
     const std::vector<Prefix> &prefixes() const { return m_prefixes; }
+    /// @return memory that the prefixes take
+    std::size_t heldBytes() const { return m_prefixes.capacity() * sizeof(Prefix); }
     std::uint32_t tokens() const { return m_tokens; }
     /// @return key of the prefix without the last part, by which prompts are assigned to servers; 0
     ///         when there is none
@@ -51,13 +53,16 @@
 };
 
 /// Estimates a server's prefix cache from the prompts sent to it. Evicts the least recently used
-/// parts when the capacity is exceeded.
+/// parts when the capacity is exceeded, or when there are too many of them.
 class PromptCache
 {
 public:
     /// @param capacity size of the server's prefix cache, in tokens
     explicit PromptCache(std::uint64_t capacity) : m_capacity(capacity) {}
 
+    /// @return number of parts that are remembered
+    std::size_t size() const { return m_entries.size(); }
+
     /// @return number of tokens in the longest prefix that the server is expected to have cached
     std::uint32_t cachedTokens(const Prompt &prompt) const;
 
--- a/packages/decision/src/promptcache.cpp
+++ b/packages/decision/src/promptcache.cpp
@@ -6,6 +6,14 @@
 
 namespace bilberry::decision {
 
+namespace {
+
+/// Parts of a server's cache that are remembered at most: callers choose the sizes of parts, and
+/// ones without tokens would never fill the capacity.
+constexpr std::size_t maxEntries = 2048;
+
+} // namespace
+
 Prompt::Prompt(const std::string &model, const std::vector<PromptPart> &parts)
 {
     std::uint64_t key = XXH64(model.data(), model.size(), 0);
@@ -70,7 +78,7 @@
 
 void PromptCache::evict()
 {
-    while (m_tokens > m_capacity && !m_entries.empty()) {
+    while (!m_entries.empty() && (m_tokens > m_capacity || m_entries.size() > maxEntries)) {
         m_tokens -= m_entries.back().tokens;
         m_entriesByKey.erase(m_entries.back().key);
         m_entries.pop_back();
--- a/packages/decision/tests/promptcache_test.cpp
+++ b/packages/decision/tests/promptcache_test.cpp
@@ -73,6 +73,18 @@
             }
         }
     }
+    GIVEN("a cache, and many prompts with parts without tokens, no two alike")
+    {
+        PromptCache cache(1000);
+        constexpr std::uint64_t prompts = 10'000;
+        constexpr std::size_t maxRemembered = 4096;
+        for (std::uint64_t i = 0; i < prompts; ++i)
+            cache.insert(Prompt("m", {{i, 0}, {1, 0}}));
+        THEN("it remembers some of them")
+        {
+            CHECK(cache.size() < maxRemembered);
+        }
+    }
     GIVEN("a prompt of one part")
     {
         THEN("it has no shared prefix")
--- a/packages/direct/src/request/requesthandler.cpp
+++ b/packages/direct/src/request/requesthandler.cpp
@@ -34,7 +34,8 @@
 {
     std::size_t bytes = sizeof(RequestHandler) + request.body().capacity();
     for (const auto &field : request)
-        bytes += field.name_string().size() + field.value().size();
+        bytes += field.name_string().size() + field.value().size()
+                 + bilberry::http::fieldOverheadBytes;
     return bytes;
 }
 
@@ -80,6 +81,7 @@
 {
     m_admitted = std::move(admitted);
     m_traits = takeTraits(m_context, m_request, m_admitted, m_receivedAt);
+    reportMemory();
     m_relay.emplace(m_caller, m_context.headerNames, route().kind == RequestKind::Stream,
                     route().resumable);
     m_relay->onCallerReady = [this] {
@@ -528,7 +530,7 @@
 
 void RequestHandler::reportMemory()
 {
-    std::size_t bytes = m_requestBytes;
+    std::size_t bytes = m_requestBytes + m_traits.prompt.heldBytes();
     bytes += m_relay ? m_relay->heldBytes() : 0;
     bytes += m_attempt ? m_attempt->heldBytes() : 0;
     m_memory.update(MemoryUse::Serving, bytes);
--- a/packages/http/include/bilberry/http/boundedparser.h
+++ b/packages/http/include/bilberry/http/boundedparser.h
@@ -18,6 +18,8 @@
 inline constexpr std::size_t maxFieldBytes = 60U << 10U;
 /// Limit of the header and trailer fields of one message.
 inline constexpr std::size_t maxFields = 512;
+/// Memory of a field in Beast's container besides its name and value, with its allocation.
+inline constexpr std::size_t fieldOverheadBytes = 96;
 /// Bytes that a parser may leave unconsumed, such as an incomplete chunk header or trailer, before
 /// its message is given up. A parser's header limit must be lower.
 inline constexpr std::size_t maxUnparsedBytes = 96U << 10U;
@@ -130,9 +132,6 @@
         m_fieldBytes += nameText.size() + value.size() + fieldOverheadBytes;
     }
 
-    /// Of a field in Beast's container, and of its allocation.
-    static constexpr std::size_t fieldOverheadBytes = 96;
-
     std::size_t m_fieldCount = 0;
     std::size_t m_fieldBytes = 0;
 };
