Listen to few routers that the list lacks

Cause: whoever says a name is listened to, since the list of routers may lag; receivers keep what each name says (loads, use, membership). The socket remembered 1,024 addresses, but passed on every datagram.

Change: the socket, which both kinds of router use, passes on datagrams of listed routers and of 128 others; one that has been silent for 60 s makes room. The numbers of reports of routers that the list lacks are forgotten with its next change. Ruled out: listening to listed routers only, as a router that joins is listed late.

--- a/packages/direct/src/peers/peerexchange.cpp
+++ b/packages/direct/src/peers/peerexchange.cpp
@@ -178,6 +178,8 @@
     for (const auto &[name, peer] : m_peers)
         peers.push_back(peer);
     m_socket.setPeers(peers);
+    std::erase_if(m_lastReports,
+                  [this](const auto &entry) { return !m_peers.contains(entry.first.text()); });
 }
 
 void PeerExchange::removePeer(const std::string &router)
--- a/packages/wire/include/bilberry/wire/gossipsocket.h
+++ b/packages/wire/include/bilberry/wire/gossipsocket.h
@@ -2,6 +2,7 @@
 #define BILBERRY_WIRE_GOSSIPSOCKET_H
 
 #include "bilberry/base/log.h"
+#include "bilberry/base/time.h"
 #include "bilberry/wire/codec.h"
 
 #include <boost/asio/ip/udp.hpp>
@@ -52,15 +53,21 @@
     void receivePending();
     void handleDatagram(std::size_t size);
     void sendDatagram(const boost::asio::ip::udp::endpoint &peer, const std::string &datagram);
-    void recordSender(const GossipMessage &message);
+    bool recordSender(const GossipMessage &message);
 
     boost::asio::ip::udp::socket m_socket;
     ReceiveHook m_onReceive;
     std::function<void(std::size_t)> m_onSent;
     Log m_log{"router.gossip"};
     std::map<RouterId, boost::asio::ip::udp::endpoint> m_peers;
-    /// Unlisted senders of datagrams received since the list was last set.
-    std::map<RouterId, boost::asio::ip::udp::endpoint> m_unlistedPeers;
+    /// A sender that the list of peers lacks, as it may lag behind the fleet.
+    struct UnlistedPeer
+    {
+        boost::asio::ip::udp::endpoint endpoint;
+        TimePoint heardAt{};
+    };
+    std::map<RouterId, UnlistedPeer> m_unlistedPeers;
+    TimePoint m_unlistedExpiredAt{};
     std::array<char, 65536> m_buffer{};
     boost::asio::ip::udp::endpoint m_sender;
 };
--- a/packages/wire/src/gossipsocket.cpp
+++ b/packages/wire/src/gossipsocket.cpp
@@ -6,7 +6,12 @@
 
 namespace {
 
-constexpr std::size_t maxUnlistedPeers = 1024;
+/// Unlisted routers that are listened to at most: receivers keep what each of them says, and
+/// anyone who reaches the port can invent some.
+constexpr std::size_t maxUnlistedPeers = 128;
+/// Time without a datagram after which an unlisted router makes room for another one.
+constexpr Duration unlistedLifetime = std::chrono::seconds(60);
+constexpr Duration unlistedExpiryPeriod = std::chrono::seconds(1);
 /// Maximum number of pending datagrams read in a row; other work of the event loop runs between two
 /// batches.
 constexpr int maxReceiveBatch = 32;
@@ -37,20 +42,18 @@
             peers[peer.router] = {address, peer.port};
     }
     m_peers = std::move(peers);
-    // Live unlisted routers are recorded again within a probe's period; stopped ones must not
-    // accumulate.
-    m_unlistedPeers.clear();
+    std::erase_if(m_unlistedPeers,
+                  [this](const auto &entry) { return m_peers.contains(entry.first); });
 }
 
 void GossipSocket::send(const RouterId &router, const GossipMessage &message)
 {
-    auto peer = m_peers.find(router);
-    if (peer == m_peers.end()) {
-        peer = m_unlistedPeers.find(router);
-        if (peer == m_unlistedPeers.end())
-            return;
-    }
-    sendDatagram(peer->second, encodeDatagram(message));
+    const auto listed = m_peers.find(router);
+    const auto unlisted = m_unlistedPeers.find(router);
+    if (listed != m_peers.end())
+        sendDatagram(listed->second, encodeDatagram(message));
+    else if (unlisted != m_unlistedPeers.end())
+        sendDatagram(unlisted->second.endpoint, encodeDatagram(message));
 }
 
 void GossipSocket::sendToAll(const GossipMessage &message)
@@ -68,12 +71,28 @@
     m_onSent(datagram.size());
 }
 
-void GossipSocket::recordSender(const GossipMessage &message)
+/// @return false when there are too many unlisted senders to listen to this one
+bool GossipSocket::recordSender(const GossipMessage &message)
 {
     const RouterId sender = std::visit(
             [](const auto &alternative) { return alternative.sender.router; }, message);
-    if (!m_peers.contains(sender) && m_unlistedPeers.size() < maxUnlistedPeers)
-        m_unlistedPeers[sender] = m_sender;
+    if (m_peers.contains(sender))
+        return true;
+    const TimePoint now = Clock::now();
+    const bool isNew = !m_unlistedPeers.contains(sender);
+    if (isNew && m_unlistedPeers.size() >= maxUnlistedPeers) {
+        // Searched at most once a second, since a flood would make each datagram search.
+        if (now - m_unlistedExpiredAt < unlistedExpiryPeriod)
+            return false;
+        m_unlistedExpiredAt = now;
+        std::erase_if(m_unlistedPeers, [now](const auto &entry) {
+            return now - entry.second.heardAt > unlistedLifetime;
+        });
+        if (m_unlistedPeers.size() >= maxUnlistedPeers)
+            return false;
+    }
+    m_unlistedPeers[sender] = {m_sender, now};
+    return true;
 }
 
 void GossipSocket::receive()
@@ -110,7 +129,8 @@
         m_log.warning("Invalid datagram dropped: " + message.error().message() + ".");
         return;
     }
-    recordSender(message.value());
+    if (!recordSender(message.value()))
+        return;
     // An exception ends the handling of this datagram, not the event loop.
     try {
         m_onReceive(std::move(message).value());
--- a/packages/wire/tests/gossipsocket_test.cpp
+++ b/packages/wire/tests/gossipsocket_test.cpp
@@ -40,6 +40,41 @@
 
 } // namespace
 
+SCENARIO("few unlisted routers are listened to at a time")
+{
+    GIVEN("a router that lists another one, and a sender that invents names")
+    {
+        boost::asio::io_context context;
+        Node router(context, "router");
+        Node listed(context, "listed");
+        Node inventor(context, "");
+        router.socket.setPeers({listed.peer("listed")});
+        listed.socket.setPeers({router.peer("router")});
+        inventor.socket.setPeers({router.peer("router")});
+
+        WHEN("it sends under many names, and the listed one sends afterwards")
+        {
+            constexpr int names = 1000;
+            constexpr int maxHeard = 300;
+            for (int i = 0; i < names; ++i) {
+                inventor.name = "unknown-" + std::to_string(i);
+                inventor.sendTo("router");
+                context.poll();
+            }
+            context.run_for(std::chrono::milliseconds(100));
+            const int heard = router.received;
+            listed.sendTo("router");
+            context.run_for(std::chrono::milliseconds(100));
+            THEN("some of the names are heard, and the listed one is")
+            {
+                CHECK(heard > 0);
+                CHECK(heard < maxHeard);
+                CHECK(router.received == heard + 1);
+            }
+        }
+    }
+}
+
 SCENARIO("datagrams are sent to listed routers and to senders not listed yet")
 {
     GIVEN("a joining router that lists an existing one, which does not list it yet")
