Bound what documents at admin ports take

Cause: a value of two characters takes 24 bytes once it is parsed, and more while its list grows; the body stayed until the answer had been read; the kernel's part was not counted.

Change: a parsed document may take 8 bytes for each of its characters, a fleet's takes about half; bodies at admin ports may have 2 MiB in place of 16 (the configuration of 7,800 customers has 874,239 bytes, docs/CAPACITY.md); the body is freed before the answer is written.

--- a/packages/admin/include/bilberry/admin/adminserver.h
+++ b/packages/admin/include/bilberry/admin/adminserver.h
@@ -14,6 +14,10 @@
 
 namespace bilberry::admin {
 
+/// Limit of a request's body by default: more than twice the configuration of the largest fleet
+/// that is planned for.
+inline constexpr std::size_t maxAdminBodyBytes = 2U << 20U;
+
 /// An HTTP request to an admin server.
 struct AdminRequest
 {
@@ -45,7 +49,8 @@
     /// @param maxBodyBytes limit of a request's body; a longer one ends its connection
     /// @param memory account of the process; null for one of its own
     AdminServer(boost::asio::io_context &context, const std::string &address, std::uint16_t port,
-                std::map<std::string, AdminHandler> handlers, std::size_t maxBodyBytes = 16U << 20U,
+                std::map<std::string, AdminHandler> handlers,
+                std::size_t maxBodyBytes = maxAdminBodyBytes,
                 std::shared_ptr<MemoryAccount> memory = nullptr);
     ~AdminServer();
 
--- a/packages/admin/src/adminserver.cpp
+++ b/packages/admin/src/adminserver.cpp
@@ -24,10 +24,11 @@
 constexpr auto requestTimeout = std::chrono::seconds(30);
 constexpr std::size_t maxConnections = 64;
 constexpr auto acceptRetryDelay = std::chrono::milliseconds(100);
-/// Receive buffer in the kernel. The kernel would let it grow to megabytes.
+/// Receive buffer in the kernel, which takes twice as much for it. The kernel would let it grow to
+/// megabytes.
 constexpr int receiveBufferBytes = 32 << 10;
-/// Memory of a connection besides its buffers.
-constexpr std::size_t connectionBytes = 4U << 10U;
+/// Memory of a connection besides its buffer, with what the kernel receives ahead of the reads.
+constexpr auto connectionBytes = (4U << 10U) + 2 * static_cast<std::size_t>(receiveBufferBytes);
 
 } // namespace
 
@@ -106,13 +107,15 @@
                     bilberry::http::maxUnparsedBytes, reportMemory);
             if (error)
                 break;
-            const auto request = parser.release();
-            const AdminResponse result = dispatch(request);
+            auto request = parser.release();
+            AdminResponse result = dispatch(request);
+            // The client may take long to read the response.
+            request.body() = std::string();
             holder.update(MemoryUse::Sending,
-                          connectionBytes + buffer.capacity() + 2 * result.body.size());
+                          connectionBytes + buffer.capacity() + result.body.capacity());
             http::response<http::string_body> response(http::status(result.status), 11);
             response.set(http::field::content_type, result.contentType);
-            response.body() = result.body;
+            response.body() = std::move(result.body);
             response.keep_alive(request.keep_alive());
             response.prepare_payload();
             co_await http::async_write(stream, response,
--- a/packages/agent/src/agent.cpp
+++ b/packages/agent/src/agent.cpp
@@ -23,7 +23,6 @@
 constexpr Duration tickPeriod = std::chrono::milliseconds(50);
 /// Ticks after which freed memory is returned to the system.
 constexpr std::uint64_t ticksPerTrim = 20;
-constexpr std::size_t adminBodyBytes = 16U << 20U;
 constexpr Duration finalAnswerDelay = std::chrono::milliseconds(200);
 
 struct LinkUp
@@ -76,7 +75,7 @@
           backend(backendDuty.context(), settings,
                   [this](BackendEvent &&event) { push<CoreEvent>(coreRing, std::move(event)); }),
           admin(adminDuty.context(), settings.listenAddress, settings.adminPort, adminHandlers(),
-                adminBodyBytes, memory),
+                admin::maxAdminBodyBytes, memory),
           tickTimer(coreDuty.context())
     {
     }
--- a/packages/model/src/configurationcodec.cpp
+++ b/packages/model/src/configurationcodec.cpp
@@ -8,6 +8,8 @@
 #include <charconv>
 #include <cstdio>
 
+#include <new>
+
 namespace bilberry {
 
 namespace {
@@ -176,6 +178,46 @@
 
 /// Runs a decoder and converts its exceptions: Boost.JSON throws when a value is missing or has
 /// the wrong type.
+/// Limits the memory of one parsed document: small values take several times their text.
+class BoundedMemory : public json::memory_resource
+{
+public:
+    explicit BoundedMemory(std::size_t limit) : m_available(limit) {}
+
+private:
+    void *do_allocate(std::size_t size, std::size_t alignment) override
+    {
+        if (size > m_available)
+            throw std::bad_alloc();
+        m_available -= size;
+        return ::operator new(size, std::align_val_t(alignment));
+    }
+
+    void do_deallocate(void *block, std::size_t size, std::size_t alignment) override
+    {
+        m_available += size;
+        ::operator delete(block, size, std::align_val_t(alignment));
+    }
+
+    bool do_is_equal(const json::memory_resource &other) const noexcept override
+    {
+        return this == &other;
+    }
+
+    std::size_t m_available;
+};
+
+/// Parses a document of a sender that may not be trusted; throws when its values take too much
+/// memory. Documents of a fleet take up to four times their text.
+json::value parseBounded(std::string_view text)
+{
+    constexpr std::size_t bytesPerCharacter = 8;
+    constexpr std::size_t minBytes = 64U << 10U;
+    return json::parse(
+            json::string_view(text.data(), text.size()),
+            json::make_shared_resource<BoundedMemory>(minBytes + bytesPerCharacter * text.size()));
+}
+
 /// @return the decoded value, or MalformedDocument
 template <typename F>
 auto catchMalformed(F &&decode) -> Result<decltype(decode())>
@@ -207,9 +249,9 @@
 {
     return catchMalformed([&] {
         ConfigurationParts parts;
-        decodeFleet(json::parse(shards.at(fleetShard)), parts);
+        decodeFleet(parseBounded(shards.at(fleetShard)), parts);
         for (std::size_t i = 0; i < customerShardCount; ++i)
-            decodeCustomers(json::parse(shards.at(shardName(i))), parts);
+            decodeCustomers(parseBounded(shards.at(shardName(i))), parts);
         return parts;
     });
 }
@@ -235,7 +277,7 @@
 Result<ConfigurationHead> decodeHead(std::string_view text)
 {
     return catchMalformed([&] {
-        const json::value document = json::parse(json::string_view(text.data(), text.size()));
+        const json::value document = parseBounded(text);
         ConfigurationHead head;
         head.revision = document.at("revision").to_number<Revision>();
         head.requestToken = json::value_to<std::string>(document.at("requestToken"));
@@ -262,7 +304,7 @@
         Shards shards;
     };
     const Result<Document> document = catchMalformed([&] {
-        const json::value value = json::parse(json::string_view(text.data(), text.size()));
+        const json::value value = parseBounded(text);
         Document result;
         result.revision = value.at("revision").to_number<Revision>();
         for (const auto &entry : value.at("shards").as_object())
--- a/packages/model/tests/configuration_test.cpp
+++ b/packages/model/tests/configuration_test.cpp
@@ -49,6 +49,18 @@
     }
 }
 
+SCENARIO("a document of many small values takes no more memory than documents of a fleet")
+{
+    constexpr std::size_t values = 1'000'000;
+    std::string document = "[0";
+    for (std::size_t i = 1; i < values; ++i)
+        document += ",0";
+    document += "]";
+    CHECK(decodeConfiguration(document).error() == ModelErrc::MalformedDocument);
+    CHECK(decodeConfiguration(R"({"revision":1,"shards":{"x":)" + document + "}}").error()
+          == ModelErrc::MalformedDocument);
+}
+
 SCENARIO("a configuration finds the route and customer of a request")
 {
     ConfigurationParts parts;
--- a/packages/router/src/router.cpp
+++ b/packages/router/src/router.cpp
@@ -30,7 +30,6 @@
 constexpr Duration coreTickPeriod = std::chrono::milliseconds(20);
 /// Ticks after which freed memory is returned to the system.
 constexpr std::uint64_t ticksPerTrim = 50;
-constexpr std::size_t adminBodyBytes = 16U << 20U;
 /// Half of the minimum time between two service reports.
 constexpr Duration localServicePeriod = std::chrono::milliseconds(50);
 constexpr Duration gossipTickPeriod = std::chrono::milliseconds(50);
@@ -96,7 +95,7 @@
                   [this](CallerEvent &&event) { return pushCallerEvent(std::move(event)); },
                   memory),
           admin(adminThread.context(), settings.listenAddress, settings.adminPort, adminHandlers(),
-                adminBodyBytes, memory),
+                admin::maxAdminBodyBytes, memory),
           coreTimer(coreThread.context()), gossipTimer(gossipThread.context())
     {
         gossip.setPeers(gossipPeers(settings.peers));
