--- a/tests/crowd/crowd_router_test.cpp
+++ b/tests/crowd/crowd_router_test.cpp
@@ -114,30 +114,56 @@
 /// Below the limit of bodies at admin ports.
 constexpr std::size_t documentBytes = 4'000'000;
 
+std::string helloFrame(std::size_t router)
+{
+    wire::RouterHello hello;
+    hello.router = RouterId("crowd-" + std::to_string(router));
+    hello.incarnation = router + 1;
+    hello.zone = ZoneId("a");
+    return wire::encodeFrame(hello);
+}
+
+/// @return the frame of a request with a large body that takes long
+std::string dispatchFrame(std::size_t number)
+{
+    constexpr AttemptId firstAttempt = 1'000'000;
+    wire::Dispatch dispatch;
+    dispatch.attempt = firstAttempt + number;
+    dispatch.customer = CustomerId("kitchen");
+    dispatch.fingerprint = number + 1;
+    dispatch.method = "POST";
+    dispatch.target = "/v1/a";
+    dispatch.headers = {{"X-Ms", "3000"}};
+    dispatch.body = std::string(bodyBytes, 'b');
+    return wire::encodeFrame(dispatch);
+}
+
 /// @return links that say hello and dispatch a request with a large body each
 std::vector<CrowdCaller> dispatchCrowd()
 {
     std::vector<CrowdCaller> result;
     for (std::size_t i = 0; i < crowdSize; ++i) {
-        wire::RouterHello hello;
-        hello.router = RouterId("crowd-" + std::to_string(i));
-        hello.incarnation = i + 1;
-        hello.zone = ZoneId("a");
-        wire::Dispatch dispatch;
-        dispatch.attempt = 1'000'000 + i;
-        dispatch.customer = CustomerId("kitchen");
-        dispatch.fingerprint = i + 1;
-        dispatch.method = "POST";
-        dispatch.target = "/v1/a";
-        dispatch.headers = {{"X-Ms", "3000"}};
-        dispatch.body = std::string(bodyBytes, 'b');
-        const auto bytes = std::make_shared<const std::string>(wire::encodeFrame(hello)
-                                                               + wire::encodeFrame(dispatch));
+        const auto bytes = std::make_shared<const std::string>(helloFrame(i) + dispatchFrame(i));
         result.push_back({bytes, bytes->size()});
     }
     return result;
 }
 
+/// @return a link that says hello and dispatches many requests with large bodies
+CrowdCaller dispatchInTurn()
+{
+    constexpr std::size_t dispatchCount = 60;
+    std::string frames;
+    for (std::size_t i = 0; i < dispatchCount; ++i)
+        frames += i == 0 ? helloFrame(0) + dispatchFrame(i) : dispatchFrame(i);
+    const auto bytes = std::make_shared<const std::string>(std::move(frames));
+    return {bytes, bytes->size()};
+}
+
+/// Of a request that may not be repeated, and takes long.
+const RequestHead bookingHead = "POST /book HTTP/1.1\r\nHost: router\r\nX-Api-Key: kitchen-key\r\n"
+                                "X-Ms: 3000\r\n";
+
 } // namespace
 
 SCENARIO("a router serves a single large body in calm", "[calm]")
@@ -156,9 +182,24 @@
 
 SCENARIO("many callers send whole bookings to a router and hang up", "[hang-up]")
 {
-    SmallFleet().check(
-            hangUpCrowd("POST /book HTTP/1.1\r\nHost: router\r\nX-Api-Key: kitchen-key\r\n"
-                        "X-Ms: 3000\r\n"));
+    SmallFleet().check(hangUpCrowd(bookingHead));
+}
+
+SCENARIO("callers send whole bookings to a router one after another and hang up",
+         "[hang-up-in-turn]")
+{
+    SmallFleet fleet;
+    std::vector<CrowdCaller> callers = hangUpCrowd(bookingHead);
+    callers.resize(1);
+    checkCrowd(
+            fleet.processes(), fleet.fleet.callerPort(0), std::move(callers),
+            [&] { return fleet.servesOrdinary(); }, crowdInTurn);
+}
+
+SCENARIO("one link dispatches many large requests to an agent", "[agent-requests-in-turn]")
+{
+    SmallFleet fleet;
+    fleet.checkAt(fleet.fleet.agentPort("model-a"), {dispatchInTurn()});
 }
 
 SCENARIO("probes of many routers that nobody knows reach a router", "[datagrams]")
--- a/tests/crowd/crowdcheck.cpp
+++ b/tests/crowd/crowdcheck.cpp
@@ -55,10 +55,11 @@
 } // namespace
 
 void checkCrowd(const std::vector<WatchedProcess> &processes, std::uint16_t port,
-                std::vector<tests::CrowdCaller> callers, const std::function<bool()> &isServed)
+                std::vector<tests::CrowdCaller> callers, const std::function<bool()> &isServed,
+                int connectionsPerCaller)
 {
     const auto press = [&] {
-        tests::Crowd crowd(port, std::move(callers));
+        tests::Crowd crowd(port, std::move(callers), connectionsPerCaller);
         tests::eventually([&] { return crowd.hasSettled(); }, settleLimit);
         std::this_thread::sleep_for(stayTime);
         std::cout << crowd.openConnections() << " connections of the crowd are open\n";
--- a/tests/crowd/crowdcheck.h
+++ b/tests/crowd/crowdcheck.h
@@ -28,8 +28,10 @@
 /// @param port the crowd connects to
 /// @param callers the crowd
 /// @param isServed sends an ordinary request; returns whether it was answered
+/// @param connectionsPerCaller number of connections that each of them opens one after another
 void checkCrowd(const std::vector<WatchedProcess> &processes, std::uint16_t port,
-                std::vector<tests::CrowdCaller> callers, const std::function<bool()> &isServed);
+                std::vector<tests::CrowdCaller> callers, const std::function<bool()> &isServed,
+                int connectionsPerCaller = 3);
 
 /// As checkCrowd(), for many datagrams in place of connections.
 /// @param datagram returns the datagram with a number
--- a/tests/crowd/crowdforms.h
+++ b/tests/crowd/crowdforms.h
@@ -19,6 +19,8 @@
 inline constexpr std::size_t reservedDescriptors = 200;
 
 inline constexpr std::size_t crowdSize = 120;
+/// Connections of a crowd whose callers come one after another.
+inline constexpr int crowdInTurn = 120;
 /// Callers of a crowd that sends heads: as many as a router accepts by default, and more.
 inline constexpr std::size_t headCrowdSize = 3200;
 /// Size of a large body that is legal everywhere.
