Free strings that were only emptied

Seen while the tests of one link failed on: an agent's bodies stayed after they were written, though the code assigned an empty string to free them. libstdc++ copies a short string on such an assignment and keeps the capacity of the target.

--- a/packages/admin/src/adminserver.cpp
+++ b/packages/admin/src/adminserver.cpp
@@ -1,5 +1,6 @@
 #include "bilberry/admin/adminserver.h"
 
+#include "bilberry/base/freestring.h"
 #include "bilberry/http/boundedparser.h"
 #include "bilberry/http/messagereader.h"
 
@@ -110,7 +111,7 @@
             auto request = parser.release();
             AdminResponse result = dispatch(request);
             // The client may take long to read the response.
-            request.body() = std::string();
+            freeString(request.body());
             holder.update(MemoryUse::Sending,
                           connectionBytes + buffer.capacity() + result.body.capacity());
             http::response<http::string_body> response(http::status(result.status), 11);
--- a/packages/direct/src/caller/callerconnection.cpp
+++ b/packages/direct/src/caller/callerconnection.cpp
@@ -1,5 +1,7 @@
 #include "caller/callerconnection.h"
 
+#include "bilberry/base/freestring.h"
+
 #include "guarded.h"
 
 #include <boost/asio/post.hpp>
@@ -34,6 +36,8 @@
 constexpr std::size_t largeReadBytes = 16U << 10U;
 /// Capacity that the buffer of an idle connection may keep.
 constexpr std::size_t idleBufferBytes = 16U << 10U;
+/// The same of a buffer for writes.
+constexpr std::size_t idleWriteBytes = 4U << 10U;
 /// Bytes that the kernel may hold for a connection.
 constexpr auto kernelBytes = 2 * static_cast<std::size_t>(CallerConnection::receiveBufferBytes);
 /// Memory of a connection besides its buffers: the object, its timer and socket.
@@ -404,7 +408,9 @@
                       [self = shared_from_this()](boost::system::error_code error, std::size_t) {
                           self->m_isWriting = false;
                           // Idle connections must not keep the memory of large responses.
-                          self->m_writeBuffer = std::string();
+                          if (self->m_writeBuffer.capacity() > idleWriteBytes)
+                              freeString(self->m_writeBuffer);
+                          self->m_writeBuffer.clear();
                           self->handleWrite(error);
                       });
     reportMemory();
@@ -553,7 +559,7 @@
     // Whoever still refers to the connection must not hold its memory.
     m_parser.reset();
     m_buffer = beast::flat_buffer();
-    m_pendingWrite = std::string();
+    freeString(m_pendingWrite);
     m_memory.reset();
     m_hooks.onClosed(shared_from_this());
 }
--- a/packages/wire/src/codec.cpp
+++ b/packages/wire/src/codec.cpp
@@ -1,5 +1,7 @@
 #include "bilberry/wire/codec.h"
 
+#include "bilberry/base/freestring.h"
+
 #include "boundedarchive.h"
 #include "serialization.h"
 
@@ -110,7 +112,7 @@
     if (!isEmpty && m_start <= compactThreshold)
         return;
     if (isEmpty && m_buffer.capacity() > maxIdleBytes)
-        m_buffer = std::string();
+        freeString(m_buffer);
     else
         m_buffer.erase(0, m_start);
     m_start = 0;
