Account for the requests that an agent holds

Cause: an agent's requests were bounded by their number, and their bodies stayed until the answer had ended.

Change: what a request takes is held in the agent's account until it is written to the server; then its body is freed. Nobody can release it before, since routers take no request back: when such memory fills half of the limit, the agent refuses more as full, which is true as they haven't run, and issues no grants. Buffers of answers are counted, and what the kernel may hold for them, with receive buffers of 32 KiB. Links that carry requests pay after others. An accept that fails is repeated after 20 ms; it span before.

--- a/packages/agent/include/bilberry/agent/agentcore.h
+++ b/packages/agent/include/bilberry/agent/agentcore.h
@@ -22,6 +22,11 @@
 {
     std::function<void(decision::LinkId, wire::LinkMessage &&)> sendMessage;
     std::function<void(BackendCommand &&)> sendCommand;
+    /// Accounts for the memory of a request. May be unset.
+    /// @return what holds it
+    std::function<std::shared_ptr<void>(std::size_t bytes)> holdMemory{};
+    /// @return false when the agent has no memory for more requests. May be unset.
+    std::function<bool()> hasMemory{};
 };
 
 /// Counters for the metrics; all count since the agent's start.
@@ -123,6 +128,7 @@
     void finish(AttemptId attempt, wire::AttemptEnd end, TimePoint now);
     void serverCrashed(TimePoint now);
     bool isSuspectRunning() const;
+    bool hasMemory() const { return !m_hooks.hasMemory || m_hooks.hasMemory(); }
     /// Starts the held requests that admission has released, and sends new grants.
     void processAdmissions(TimePoint now);
     /// Opens or closes admission; refuses the held requests when it closes.
--- a/packages/agent/include/bilberry/agent/backendclient.h
+++ b/packages/agent/include/bilberry/agent/backendclient.h
@@ -3,6 +3,7 @@
 
 #include "bilberry/agent/agentsettings.h"
 #include "bilberry/agent/backendevents.h"
+#include "bilberry/base/memoryaccount.h"
 
 #include <boost/asio/io_context.hpp>
 
@@ -18,8 +19,9 @@
 public:
     using EventHook = std::function<void(BackendEvent &&)>;
 
+    /// @param memory account of the process; null for one of its own
     BackendClient(boost::asio::io_context &context, const AgentSettings &settings,
-                  EventHook onEvent);
+                  EventHook onEvent, std::shared_ptr<MemoryAccount> memory = nullptr);
     ~BackendClient();
 
     /// Starts polling the load report.
--- a/packages/agent/include/bilberry/agent/backendevents.h
+++ b/packages/agent/include/bilberry/agent/backendevents.h
@@ -3,6 +3,7 @@
 
 #include "bilberry/wire/linkmessages.h"
 
+#include <memory>
 #include <variant>
 
 /// Messages between the agent's core and the thread (duty) of the BackendClient.
@@ -17,6 +18,7 @@
     std::string target;
     wire::Headers headers;
     std::string body;
+    std::shared_ptr<void> memory{}; ///< held until the request is written to the server
 };
 
 struct StopCommand
--- a/packages/agent/include/bilberry/agent/routerlinks.h
+++ b/packages/agent/include/bilberry/agent/routerlinks.h
@@ -5,6 +5,8 @@
 #include "bilberry/decision/grantissuer.h"
 #include "bilberry/wire/framelink.h"
 
+#include <boost/asio/steady_timer.hpp>
+
 #include <map>
 
 namespace bilberry::agent {
@@ -40,9 +42,11 @@
 
 private:
     void accept();
+    void acceptLater();
     void add(boost::asio::ip::tcp::socket socket);
 
     boost::asio::ip::tcp::acceptor m_acceptor;
+    boost::asio::steady_timer m_acceptTimer;
     std::shared_ptr<MemoryAccount> m_memory;
     RouterLinksHooks m_hooks;
     Log m_log{"agent.links"};
--- a/packages/agent/src/agent.cpp
+++ b/packages/agent/src/agent.cpp
@@ -64,7 +64,9 @@
                 [this](BackendCommand &&command) {
                     unsentCommands.push_back(std::move(command));
                     sendCommands();
-                }}),
+                },
+                [this](std::size_t bytes) { return holdRequest(bytes); },
+                [this] { return memory->hasRoom(); }}),
           links(linkDuty.context(), settings.listenAddress, settings.listenPort, memory,
                 {[this](decision::LinkId link) { push<CoreEvent>(coreRing, LinkUp{link}); },
                  [this](decision::LinkId link) { push<CoreEvent>(coreRing, LinkDown{link}); },
@@ -72,14 +74,25 @@
                      push<CoreEvent>(coreRing, LinkReceived{link, std::move(message)});
                  },
                  [this](std::size_t bytes) { metrics.addControlBytes(bytes); }}),
-          backend(backendDuty.context(), settings,
-                  [this](BackendEvent &&event) { push<CoreEvent>(coreRing, std::move(event)); }),
+          backend(
+                  backendDuty.context(), settings,
+                  [this](BackendEvent &&event) { push<CoreEvent>(coreRing, std::move(event)); },
+                  memory),
           admin(adminDuty.context(), settings.listenAddress, settings.adminPort, adminHandlers(),
                 admin::maxAdminBodyBytes, memory),
           tickTimer(coreDuty.context())
     {
     }
 
+    /// @return what holds the memory of a request
+    std::shared_ptr<void> holdRequest(std::size_t bytes)
+    {
+        // Routers take no request back, so that nobody can release it.
+        auto holder = std::make_shared<MemoryHolder>(memory, nullptr, nullptr);
+        holder->update(MemoryUse::Serving, bytes);
+        return holder;
+    }
+
     /// Waits for space when the ring is full, since a dropped message could lose a request. The
     /// core itself never waits for a ring, so that it always frees space.
     template <typename T>
--- a/packages/agent/src/agentcore.cpp
+++ b/packages/agent/src/agentcore.cpp
@@ -122,6 +122,11 @@
         refuse(link, message.attempt, wire::RefusalReason::Full);
         return;
     }
+    if (!hasMemory()) {
+        m_admission.returnGrant(message.grantId, link);
+        refuse(link, message.attempt, wire::RefusalReason::Full);
+        return;
+    }
     m_admission.setOpen(true);
     const auto admissionDecision = m_admission.tryAdmit(
             {message.attempt, link, message.grantId, message.virtualTime}, now);
@@ -139,6 +144,8 @@
     state.mayRepeat = message.mayRepeat;
     state.request = {message.attempt, std::move(message.method), std::move(message.target),
                      std::move(message.headers), std::move(message.body)};
+    if (m_hooks.holdMemory)
+        state.request.memory = m_hooks.holdMemory(state.request.body.capacity());
     if (admissionDecision == decision::AdmissionDecision::Run)
         start(message.attempt, state, now);
 }
@@ -296,6 +303,9 @@
         if (found != m_attempts.end())
             start(attempt, found->second, now);
     }
+    // A request that comes by a grant would be refused.
+    if (!hasMemory())
+        return;
     for (const decision::IssuedGrant &grant : m_admission.issueGrants(now)) {
         const auto lifetimeMs = static_cast<std::uint32_t>(toMilliseconds(grantLifetime));
         m_hooks.sendMessage(grant.link, wire::Grant{grant.grant, lifetimeMs, load()});
--- a/packages/agent/src/backendclient.cpp
+++ b/packages/agent/src/backendclient.cpp
@@ -1,5 +1,6 @@
 #include "bilberry/agent/backendclient.h"
 
+#include "bilberry/base/freestring.h"
 #include "bilberry/http/boundedparser.h"
 #include "bilberry/http/eventboundary.h"
 #include "bilberry/http/messagereader.h"
@@ -31,9 +32,12 @@
 /// Maximum number of answer bytes of one attempt in transit to the caller.
 constexpr std::int64_t creditWindow = 256 << 10;
 constexpr std::size_t readBufferSize = 32U << 10U;
-/// Receive buffer in the kernel, which holds what a caller is too slow for. The kernel would let it
-/// grow to megabytes.
-constexpr int receiveBufferBytes = 64 << 10;
+/// Receive buffer in the kernel, which takes twice as much for it and holds what a caller is too
+/// slow for. The kernel would let it grow to megabytes.
+constexpr int receiveBufferBytes = 32 << 10;
+/// Memory of an answer that is received: buffers, and what the kernel holds.
+constexpr std::size_t answerBytes = readBufferSize + bilberry::http::maxReadBytes
+                                    + 2 * static_cast<std::size_t>(receiveBufferBytes);
 constexpr std::size_t maxIdleConnections = 256;
 constexpr auto connectTimeout = std::chrono::seconds(1);
 constexpr auto healthCheckTimeout = std::chrono::milliseconds(500);
@@ -103,8 +107,10 @@
 
 struct BackendClient::State : std::enable_shared_from_this<State>
 {
-    State(asio::io_context &context, const AgentSettings &settings, EventHook onEvent)
+    State(asio::io_context &context, const AgentSettings &settings, EventHook onEvent,
+          std::shared_ptr<MemoryAccount> account)
         : context(context), settings(settings),
+          memory(account ? std::move(account) : std::make_shared<MemoryAccount>()),
           endpoint(asio::ip::make_address(settings.backendAddress), settings.backendPort),
           onEvent(std::move(onEvent))
     {
@@ -216,11 +222,15 @@
         co_await http::async_write(*running.stream, message,
                                    asio::redirect_error(asio::use_awaitable, error));
         running.uploadError = error;
+        freeString(message.body());
+        request.memory.reset();
         // A server may answer and close the connection before it has read the whole request.
         const bool mayHaveAnswer
                 = error == asio::error::broken_pipe || error == asio::error::connection_reset;
         if (error && !mayHaveAnswer)
             co_return BackendOutcome::Broken;
+        MemoryHolder memoryOfAnswer(memory, nullptr, nullptr);
+        memoryOfAnswer.update(MemoryUse::Serving, answerBytes);
         co_return co_await receiveAnswer(request.attempt, running, message.method());
     }
 
@@ -344,6 +354,7 @@
 
     asio::io_context &context;
     AgentSettings settings;
+    std::shared_ptr<MemoryAccount> memory;
     asio::ip::tcp::endpoint endpoint;
     EventHook onEvent;
     std::unordered_map<AttemptId, std::shared_ptr<RunningRequest>> attempts;
@@ -354,8 +365,8 @@
 };
 
 BackendClient::BackendClient(asio::io_context &context, const AgentSettings &settings,
-                             EventHook onEvent)
-    : m_state(std::make_shared<State>(context, settings, std::move(onEvent)))
+                             EventHook onEvent, std::shared_ptr<MemoryAccount> memory)
+    : m_state(std::make_shared<State>(context, settings, std::move(onEvent), std::move(memory)))
 {
 }
 
--- a/packages/agent/src/routerlinks.cpp
+++ b/packages/agent/src/routerlinks.cpp
@@ -9,19 +9,18 @@
 namespace {
 
 constexpr std::size_t maxLinks = 1024;
-/// Receive buffer in the kernel, which takes twice as much for it. The kernel would let it grow to
-/// megabytes.
-constexpr int receiveBufferBytes = 64 << 10;
+constexpr Duration acceptRetryDelay = std::chrono::milliseconds(20);
 
 } // namespace
 
 RouterLinks::RouterLinks(asio::io_context &context, const std::string &address, std::uint16_t port,
                          std::shared_ptr<MemoryAccount> memory, RouterLinksHooks hooks)
     : m_acceptor(context, asio::ip::tcp::endpoint(asio::ip::make_address(address), port)),
-      m_memory(std::move(memory)), m_hooks(std::move(hooks))
+      m_acceptTimer(context), m_memory(std::move(memory)), m_hooks(std::move(hooks))
 {
     boost::system::error_code ignored;
-    m_acceptor.set_option(asio::socket_base::receive_buffer_size(receiveBufferBytes), ignored);
+    m_acceptor.set_option(asio::socket_base::receive_buffer_size(wire::linkReceiveBufferBytes),
+                          ignored);
 }
 
 void RouterLinks::start()
@@ -34,14 +33,27 @@
     m_acceptor.async_accept([this](boost::system::error_code error, asio::ip::tcp::socket socket) {
         if (!m_acceptor.is_open())
             return;
-        if (!error
-            && (m_links.size() < maxLinks
-                || m_memory->releaseSlowest(this, {MemoryUse::Receiving, MemoryUse::Sending})))
+        if (error) {
+            acceptLater();
+            return;
+        }
+        if (m_links.size() < maxLinks
+            || m_memory->releaseSlowest(this, {MemoryUse::Receiving, MemoryUse::Sending}))
             add(std::move(socket));
         accept();
     });
 }
 
+/// Accepts again after a delay. Most accept errors are a lack of file descriptors.
+void RouterLinks::acceptLater()
+{
+    m_acceptTimer.expires_after(acceptRetryDelay);
+    m_acceptTimer.async_wait([this](boost::system::error_code error) {
+        if (!error && m_acceptor.is_open())
+            accept();
+    });
+}
+
 void RouterLinks::add(asio::ip::tcp::socket socket)
 {
     const decision::LinkId id = ++m_lastLink;
@@ -51,11 +63,14 @@
         m_hooks.onLinkDown(id);
     };
     const auto onMessage = [this, id](wire::LinkMessage &&message) {
+        const auto found = m_links.find(id);
+        if (found != m_links.end() && std::holds_alternative<wire::RouterHello>(message))
+            found->second->markInUse();
         m_hooks.onMessage(id, std::move(message));
     };
     const auto link = std::make_shared<wire::FrameLink>(
             std::move(socket), wire::FrameLinkHooks{onMessage, onClosed, m_hooks.onControlSent});
-    link->accountFor(m_memory, this);
+    link->accountFor(m_memory, this, true);
     m_links[id] = link;
     m_hooks.onLinkUp(id);
     link->start();
--- a/packages/agent/tests/agentcore_test.cpp
+++ b/packages/agent/tests/agentcore_test.cpp
@@ -43,7 +43,8 @@
                {[this](decision::LinkId link, wire::LinkMessage &&message) {
                     sent.emplace_back(link, std::move(message));
                 },
-                [this](BackendCommand &&command) { commands.push_back(std::move(command)); }})
+                [this](BackendCommand &&command) { commands.push_back(std::move(command)); },
+                [this](std::size_t) { return memoryOfRequests; }, [this] { return hasMemory; }})
     {
         core.applyConfiguration(configuration(2, 4), now);
         core.addLink(firstLink, now);
@@ -114,6 +115,8 @@
 
     TimePoint now{std::chrono::seconds(100)};
     bool leaving = false;
+    bool hasMemory = true;
+    std::shared_ptr<void> memoryOfRequests = std::make_shared<int>();
     std::vector<std::pair<decision::LinkId, wire::LinkMessage>> sent;
     std::vector<BackendCommand> commands;
     AgentCore core;
@@ -153,6 +156,35 @@
     }
 }
 
+SCENARIO("an agent has no memory for more requests")
+{
+    CoreFixture fixture;
+    GIVEN("a running request whose memory is accounted for")
+    {
+        fixture.dispatch(1);
+        REQUIRE(fixture.memoryOfRequests.use_count() == 2);
+        fixture.hasMemory = false;
+
+        WHEN("another one arrives, and a router has more")
+        {
+            fixture.dispatch(2);
+            fixture.core.handleMessage(firstLink, wire::Demand{1, {0.0}}, fixture.now);
+            THEN("it is refused before it runs, and no grant invites others")
+            {
+                CHECK(fixture.lastRefusalReason() == wire::RefusalReason::Full);
+                CHECK(fixture.commandedAttempts<RunCommand>() == std::vector<AttemptId>{1});
+                CHECK(fixture.messagesTo<wire::Grant>(firstLink).empty());
+            }
+            THEN("the grant comes when there is memory again")
+            {
+                fixture.hasMemory = true;
+                fixture.core.tick(fixture.now);
+                CHECK(fixture.messagesTo<wire::Grant>(firstLink).size() == 1);
+            }
+        }
+    }
+}
+
 SCENARIO("a grant is valid for one link and one incarnation of the agent")
 {
     CoreFixture fixture;
--- a/packages/base/include/bilberry/base/memoryaccount.h
+++ b/packages/base/include/bilberry/base/memoryaccount.h
@@ -40,11 +40,13 @@
 /// @param use of the memory when the account chose it; the owner does nothing if it has changed
 using ReleaseHook = std::function<void(MemoryUse use, ReleaseCause cause)>;
 
-/// The part of one connection or request in a MemoryAccount. Must be used on one thread.
+/// The part of one connection or request in a MemoryAccount. May be handed from one thread to
+/// another, but not be updated by two at the same time.
 class MemoryHolder
 {
 public:
     /// @param group holders that share a limit of connections, identified by its owner's address
+    /// @param release null when nobody can release the memory before its time
     MemoryHolder(std::shared_ptr<MemoryAccount> account, const void *group, ReleaseHook release,
                  TimePoint now = Clock::now());
     ~MemoryHolder();
@@ -94,6 +96,10 @@
     std::size_t limitBytes() const { return m_limitBytes; }
     MemoryCounters counters() const;
 
+    /// @return false while memory that nobody can release before its time takes its part of the
+    ///         limit, so that new requests of that kind are to be refused
+    bool hasRoom() const;
+
     /// Asks a holder to release its connection: the one of a group that has moved no bytes for
     /// longest.
     /// @param uses of the memory, one of which the holder must have
@@ -122,6 +128,7 @@
     std::vector<MemoryHolder *> m_holders;
     std::size_t m_heldBytes = 0;      ///< of all holders
     std::size_t m_releasingBytes = 0; ///< of the ones that were asked to release
+    std::size_t m_fixedBytes = 0;     ///< of the ones that nobody can release
     std::size_t m_peakBytes = 0;      ///< since memory was returned to the system
     std::array<std::uint64_t, memoryUseCount> m_releases{};
 };
--- a/packages/base/src/memoryaccount.cpp
+++ b/packages/base/src/memoryaccount.cpp
@@ -13,6 +13,8 @@
 constexpr std::size_t ordinaryBytes = 64U << 10U;
 /// Fraction of the limit that holders of more than that may fill.
 constexpr double largeFraction = 0.75;
+/// Fraction of the limit that memory may fill which nobody can release before its time.
+constexpr double fixedFraction = 0.5;
 /// Time over which moved bytes are counted.
 constexpr double rateWindowS = 1.0;
 /// Added to each rate, so that a holder of little that has just begun isn't the slowest.
@@ -79,6 +81,12 @@
     return {m_heldBytes, m_releases};
 }
 
+bool MemoryAccount::hasRoom() const
+{
+    const std::lock_guard lock(m_mutex);
+    return static_cast<double>(m_fixedBytes) < fixedFraction * static_cast<double>(m_limitBytes);
+}
+
 void MemoryAccount::add(MemoryHolder &holder)
 {
     const std::lock_guard lock(m_mutex);
@@ -91,6 +99,7 @@
     const std::lock_guard lock(m_mutex);
     m_heldBytes -= holder.m_bytes;
     m_releasingBytes -= holder.m_isReleasing ? holder.m_bytes : 0;
+    m_fixedBytes -= holder.m_release ? 0 : holder.m_bytes;
     m_holders.back()->m_index = holder.m_index;
     m_holders[holder.m_index] = m_holders.back();
     m_holders.pop_back();
@@ -101,6 +110,7 @@
 {
     const std::lock_guard lock(m_mutex);
     m_heldBytes += bytes - holder.m_bytes;
+    m_fixedBytes += holder.m_release ? 0 : bytes - holder.m_bytes;
     if (holder.m_isReleasing)
         m_releasingBytes += bytes - holder.m_bytes;
     const bool grows = bytes > holder.m_bytes;
@@ -150,7 +160,7 @@
     MemoryHolder *payer = nullptr;
     double longest = 0.0;
     for (MemoryHolder *holder : m_holders) {
-        if (holder->m_isReleasing || holder->m_bytes <= minBytes
+        if (holder->m_isReleasing || !holder->m_release || holder->m_bytes <= minBytes
             || (holder->m_use == MemoryUse::Serving && !maySelectServing))
             continue;
         const double rate = holder->m_recentBytes * decay(now - holder->m_movedAt) / rateWindowS;
@@ -169,7 +179,8 @@
     const std::lock_guard lock(m_mutex);
     MemoryHolder *slowest = nullptr;
     for (MemoryHolder *holder : m_holders) {
-        const bool isCandidate = holder->m_group == group && !holder->m_isReleasing
+        const bool isCandidate = holder->m_group == group && holder->m_release
+                                 && !holder->m_isReleasing
                                  && std::find(uses.begin(), uses.end(), holder->m_use) != uses.end()
                                  && now - holder->m_movedAt >= minStall;
         if (isCandidate && (!slowest || holder->m_movedAt < slowest->m_movedAt))
--- a/packages/base/tests/memoryaccount_test.cpp
+++ b/packages/base/tests/memoryaccount_test.cpp
@@ -160,6 +160,30 @@
             }
         }
     }
+    GIVEN("requests that nobody can release, with more than their part of the limit")
+    {
+        MemoryHolder fixed(account, nullptr, nullptr, start);
+        fixed.update(MemoryUse::Serving, limitBytes / 2 + 1, 0, start);
+        REQUIRE_FALSE(account->hasRoom());
+
+        WHEN("a large request arrives, and all together exceed the limit")
+        {
+            Peer large(account, start);
+            large.receive(limitBytes / 2, start);
+            THEN("the one that can be released is asked")
+            {
+                CHECK(large.isAsked);
+            }
+        }
+        WHEN("they shrink")
+        {
+            fixed.update(MemoryUse::Serving, ordinaryBytes, 0, start);
+            THEN("there is room again")
+            {
+                CHECK(account->hasRoom());
+            }
+        }
+    }
     GIVEN("a holder that was asked while it received, and was faster than the question")
     {
         Peer large(account, start);
--- a/packages/wire/include/bilberry/wire/framelink.h
+++ b/packages/wire/include/bilberry/wire/framelink.h
@@ -15,6 +15,10 @@
 
 namespace bilberry::wire {
 
+/// Receive buffer of a link in the kernel, which takes twice as much for it. The kernel would let
+/// it grow to megabytes.
+inline constexpr int linkReceiveBufferBytes = 64 << 10;
+
 /// @return false for messages that carry a request or a part of an answer
 bool isControlMessage(const LinkMessage &message);
 
@@ -36,11 +40,14 @@
 public:
     FrameLink(boost::asio::ip::tcp::socket socket, FrameLinkHooks hooks);
 
-    /// Accounts for what the link holds, and closes it when others need its memory or place. To be
-    /// called before start().
+    /// Accounts for what the link holds. To be called before start().
     /// @param memory account of the process
     /// @param group as for MemoryHolder
-    void accountFor(std::shared_ptr<MemoryAccount> memory, const void *group);
+    /// @param mayClose the link is closed when others need its memory or place
+    void accountFor(std::shared_ptr<MemoryAccount> memory, const void *group, bool mayClose);
+
+    /// Marks the link as one that carries requests, so that others make room first.
+    void markInUse() { m_isInUse = true; }
 
     /// Starts reading.
     void start();
@@ -70,7 +77,8 @@
     std::string m_queued; ///< frames to send after m_writing
     std::string m_writing;
     TimePoint m_lastReceivedAt;
-    std::optional<MemoryHolder> m_memory; ///< absent on links whose peer is trusted
+    std::optional<MemoryHolder> m_memory;
+    bool m_isInUse = false;
     bool m_closed = false;
 };
 
--- a/packages/wire/src/framelink.cpp
+++ b/packages/wire/src/framelink.cpp
@@ -1,5 +1,7 @@
 #include "bilberry/wire/framelink.h"
 
+#include "bilberry/base/freestring.h"
+
 #include <boost/asio/write.hpp>
 
 #include <array>
@@ -15,6 +17,8 @@
 constexpr Duration silenceLimit = std::chrono::milliseconds(3500);
 constexpr std::size_t readBufferSize = 64U << 10U;
 constexpr std::size_t maxQueuedBytes = 64U << 20U;
+/// Bytes that the kernel may hold for a link.
+constexpr auto kernelBytes = 2 * static_cast<std::size_t>(linkReceiveBufferBytes);
 /// Memory of a link besides its buffers.
 constexpr std::size_t linkBytes = 2U << 10U;
 /// Capacity that an empty buffer may keep.
@@ -39,14 +43,15 @@
     m_socket.non_blocking(true, ignored);
 }
 
-void FrameLink::accountFor(std::shared_ptr<MemoryAccount> memory, const void *group)
+void FrameLink::accountFor(std::shared_ptr<MemoryAccount> memory, const void *group, bool mayClose)
 {
-    m_memory.emplace(std::move(memory), group, [this](MemoryUse, ReleaseCause) {
+    const ReleaseHook close = [this](MemoryUse, ReleaseCause) {
         asio::post(m_socket.get_executor(), [weak = weak_from_this()] {
             if (const auto self = weak.lock())
                 self->fail(std::make_error_code(std::errc::no_buffer_space));
         });
-    });
+    };
+    m_memory.emplace(std::move(memory), group, mayClose ? close : ReleaseHook());
     reportMemory(0);
 }
 
@@ -54,9 +59,14 @@
 {
     if (!m_memory)
         return;
-    const MemoryUse use = m_writing.empty() ? MemoryUse::Receiving : MemoryUse::Sending;
+    MemoryUse use = m_writing.empty() ? MemoryUse::Receiving : MemoryUse::Sending;
+    if (m_isInUse)
+        use = MemoryUse::Serving;
+    // The kernel receives ahead of the reads of a frame.
+    const std::size_t unread = m_reader.bufferedSize() > 0 ? kernelBytes : 0;
     m_memory->update(use,
-                     linkBytes + m_reader.capacity() + m_queued.capacity() + m_writing.capacity(),
+                     linkBytes + unread + m_reader.capacity() + m_queued.capacity()
+                             + m_writing.capacity(),
                      movedBytes);
 }
 
@@ -146,7 +156,7 @@
             [self = shared_from_this()](boost::system::error_code error, std::size_t size) {
                 self->m_writing.clear();
                 if (self->m_writing.capacity() > maxIdleBytes)
-                    self->m_writing = std::string();
+                    freeString(self->m_writing);
                 self->reportMemory(size);
                 if (error)
                     self->fail(error);
