Hold a request's memory as long as the core keeps it

Cause: the account forgot a request with its caller's connection, but the core keeps it: a booking runs on. Its body was kept to the end, though no other attempt may follow.

Change: the holder goes with the request. The body is freed when the answer begins or the caller has left, from when on the request is sent to no other server. Ruled out: freeing it when the attempt has started; an agent that can't reach its server refuses it afterwards, and it is sent again. Frames that wait in the links to agents are counted in place of a second copy.

--- a/packages/router/include/bilberry/router/agentlinks.h
+++ b/packages/router/include/bilberry/router/agentlinks.h
@@ -23,7 +23,9 @@
 class AgentLinks
 {
 public:
-    AgentLinks(boost::asio::io_context &context, wire::RouterHello hello, AgentLinksHooks hooks);
+    /// @param memory account of the process; null for one of its own
+    AgentLinks(boost::asio::io_context &context, wire::RouterHello hello, AgentLinksHooks hooks,
+               std::shared_ptr<MemoryAccount> memory = nullptr);
 
     /// Connects to newly listed agents, and removes unlisted ones that have no working link.
     void setAgents(const std::vector<store::Vm> &agents);
@@ -68,6 +70,7 @@
     boost::asio::io_context &m_context;
     wire::RouterHello m_hello;
     AgentLinksHooks m_hooks;
+    std::shared_ptr<MemoryAccount> m_memory;
     Log m_log{"router.links"};
     wire::ConfigurationStamp m_stamp;
     TimePoint m_stampCreatedAt{};
--- a/packages/router/include/bilberry/router/callerevents.h
+++ b/packages/router/include/bilberry/router/callerevents.h
@@ -1,9 +1,11 @@
 #ifndef BILBERRY_ROUTER_CALLEREVENTS_H
 #define BILBERRY_ROUTER_CALLEREVENTS_H
 
+#include "bilberry/base/memoryaccount.h"
 #include "bilberry/decision/fairqueue.h"
 #include "bilberry/wire/linkmessages.h"
 
+#include <memory>
 #include <optional>
 #include <string>
 #include <variant>
@@ -28,6 +30,8 @@
     std::string target;
     wire::Headers headers;
     std::string body;
+    /// Accounts for what the request takes as long as the core keeps it. May be null.
+    std::shared_ptr<MemoryHolder> memory{};
 };
 
 struct CallerDisconnected
--- a/packages/router/include/bilberry/router/routercore.h
+++ b/packages/router/include/bilberry/router/routercore.h
@@ -154,6 +154,7 @@
                 std::uint32_t retryAfterSeconds, TimePoint now, const std::string &detail = "");
     bool isRunning(decision::Fingerprint fingerprint) const;
     void endClaim(Request &request, bool ran);
+    static void releaseBody(Request &request);
     void applyLoad(const ServerId &server, const wire::ServerLoad &load);
     wire::Demand currentDemand(const PoolId &pool, TimePoint now);
     void sendDemand(const PoolId &pool, PoolQueue &queue, TimePoint now);
--- a/packages/router/src/agentlinks.cpp
+++ b/packages/router/src/agentlinks.cpp
@@ -39,8 +39,10 @@
 
 } // namespace
 
-AgentLinks::AgentLinks(asio::io_context &context, wire::RouterHello hello, AgentLinksHooks hooks)
-    : m_context(context), m_hello(std::move(hello)), m_hooks(std::move(hooks))
+AgentLinks::AgentLinks(asio::io_context &context, wire::RouterHello hello, AgentLinksHooks hooks,
+                       std::shared_ptr<MemoryAccount> memory)
+    : m_context(context), m_hello(std::move(hello)), m_hooks(std::move(hooks)),
+      m_memory(memory ? std::move(memory) : std::make_shared<MemoryAccount>())
 {
 }
 
@@ -126,6 +128,8 @@
     agent.connecting = false;
     agent.linkId = linkId;
     agent.link = std::make_shared<wire::FrameLink>(std::move(socket), std::move(hooks));
+    // Requests that wait in the link are what others would have to make room for.
+    agent.link->accountFor(m_memory, this, false);
     agent.link->start();
     wire::RouterHello hello = m_hello;
     hello.stamp = currentStamp();
--- a/packages/router/src/callerserver.cpp
+++ b/packages/router/src/callerserver.cpp
@@ -1,6 +1,7 @@
 #include "bilberry/router/callerserver.h"
 
 #include "bilberry/base/digest.h"
+#include "bilberry/base/freestring.h"
 #include "bilberry/base/log.h"
 #include "bilberry/http/boundedparser.h"
 #include "bilberry/http/messagereader.h"
@@ -52,8 +53,6 @@
 constexpr int acceptBacklog = 512;
 /// Memory of a connection besides its buffers, such as its coroutines.
 constexpr std::size_t connectionBytes = 8U << 10U;
-/// Copies of a body that is passed on: one for a second try, one for the link to an agent.
-constexpr std::size_t bodyCopies = 2;
 /// Capacity that the buffer of an idle connection may keep.
 constexpr std::size_t idleBufferBytes = 16U << 10U;
 /// Sockets that a router needs besides those of callers: for agents, operators and the platform.
@@ -92,6 +91,7 @@
     }
 
     void release(MemoryUse asked, ReleaseCause cause);
+    void closeRequest();
 
     std::shared_ptr<Stream> stream;
     beast::flat_buffer buffer;
@@ -105,9 +105,8 @@
 /// Replies to be written to one caller.
 struct Exchange
 {
-    Exchange(asio::io_context &context, std::shared_ptr<Connection> connection,
-             std::size_t requestBytes)
-        : wakeTimer(context), connection(std::move(connection)), requestBytes(requestBytes)
+    Exchange(asio::io_context &context, std::shared_ptr<Connection> connection)
+        : wakeTimer(context), connection(std::move(connection))
     {
     }
 
@@ -119,15 +118,28 @@
         wakeTimer.cancel();
     }
 
+    /// Accounts for a request as long as the core keeps it. Closing the caller's connection ends
+    /// it.
+    void holdRequest(const std::shared_ptr<MemoryAccount> &account, SubmittedRequest &request,
+                     std::size_t bytes)
+    {
+        const ReleaseHook close = [weak = std::weak_ptr(connection)](MemoryUse, ReleaseCause) {
+            const auto open = weak.lock();
+            if (open)
+                asio::post(open->stream->get_executor(), [open] { open->closeRequest(); });
+        };
+        request.memory = std::make_shared<MemoryHolder>(account, nullptr, close);
+        request.memory->update(MemoryUse::Serving, bytes);
+    }
+
     void report(std::size_t movedBytes = 0) const
     {
-        connection->report(answerBytes > 0 ? MemoryUse::Sending : MemoryUse::Serving,
-                           requestBytes + answerBytes, movedBytes);
+        connection->report(answerBytes > 0 ? MemoryUse::Sending : MemoryUse::Serving, answerBytes,
+                           movedBytes);
     }
 
     asio::steady_timer wakeTimer;
     std::shared_ptr<Connection> connection;
-    std::size_t requestBytes; ///< held for the request until its answer ends
     std::deque<CallerReply> replies;
     std::size_t answerBytes = 0; ///< received and not written yet
     bool callerDisconnected = false;
@@ -149,10 +161,19 @@
         stream->cancel();
         return;
     }
-    if (const auto running = exchange.lock())
-        running->disconnect();
     if (use == MemoryUse::Sending)
         stream->socket().set_option(asio::socket_base::linger(true, 0), ignored);
+    closeRequest();
+    stream->close();
+}
+
+/// Ends the request in progress without an answer. Does nothing when there is none.
+void Connection::closeRequest()
+{
+    const auto running = exchange.lock();
+    if (!running)
+        return;
+    running->disconnect();
     stream->close();
 }
 
@@ -336,13 +357,12 @@
             const bool isReleased = connection->isReleased;
             const RefusalKind kind = isReleased ? RefusalKind::MemoryFull : refusalFor(error);
             const ReplyRefusal refusal{0, kind, RequestOutcome::NotRun, isReleased ? 1U : 0U, ""};
-            parser.get().body() = std::string();
+            freeString(parser.get().body());
             connection->report(MemoryUse::Idle, 0);
             co_await sendRefusal(*stream, refusal, false);
             co_return false;
         }
-        const std::size_t requestBytes
-                = parser.heldBytes() + (bodyCopies - 1) * parser.get().body().capacity();
+        const std::size_t requestBytes = parser.heldBytes();
         HttpRequest request = parser.release();
         SubmittedRequest submitted;
         const auto refusal = checkRequest(request, submitted);
@@ -374,7 +394,7 @@
         return authorize(request, configuration.get(), submitted);
     }
 
-    /// @param requestBytes memory that the request takes until its answer ends
+    /// @param requestBytes memory that the request takes
     asio::awaitable<bool> forwardRequest(std::shared_ptr<Connection> connection,
                                          const HttpRequest &request, SubmittedRequest submitted,
                                          std::size_t requestBytes)
@@ -382,7 +402,8 @@
         const std::shared_ptr<Stream> stream = connection->stream;
         const RequestId id = ++lastRequest;
         submitted.request = id;
-        const auto exchange = std::make_shared<Exchange>(context, connection, requestBytes);
+        const auto exchange = std::make_shared<Exchange>(context, connection);
+        exchange->holdRequest(memory, submitted, requestBytes);
         exchanges[id] = exchange;
         connection->exchange = exchange;
         exchange->report();
--- a/packages/router/src/router.cpp
+++ b/packages/router/src/router.cpp
@@ -82,7 +82,7 @@
           coordinator(settings, incarnation, coordinatorHooks()),
           links(linksThread.context(),
                 {settings.router, incarnation, settings.zone, wire::ConfigurationStamp{}},
-                linksHooks()),
+                linksHooks(), memory),
           gossip(
                   gossipThread.context(), settings.listenAddress, settings.gossipPort,
                   [this](wire::GossipMessage &&message) {
--- a/packages/router/src/routeranswers.cpp
+++ b/packages/router/src/routeranswers.cpp
@@ -2,6 +2,8 @@
 
 #include "bilberry/router/routercore.h"
 
+#include "bilberry/base/freestring.h"
+
 #include <algorithm>
 
 namespace bilberry::router {
@@ -72,6 +74,7 @@
         return;
     }
     request.headSent = true;
+    releaseBody(request);
     request.status = message.status;
     const BackendPool *pool
             = m_configuration ? m_configuration->pool(request.submitted.pool) : nullptr;
@@ -136,6 +139,14 @@
     m_requests.erase(found);
 }
 
+/// Frees the body of a request that is sent to no other server: its answer has begun, or its caller
+/// has left.
+void RouterCore::releaseBody(Request &request)
+{
+    freeString(request.submitted.body);
+    request.submitted.memory.reset();
+}
+
 void RouterCore::failAttempt(RequestId id, Request &request, TimePoint now)
 {
     m_requestByAttempt.erase(request.attempt);
--- a/packages/router/src/routercore.cpp
+++ b/packages/router/src/routercore.cpp
@@ -131,6 +131,7 @@
         m_requests.erase(found);
         return;
     }
+    releaseBody(request);
     if (request.stage != Stage::Running)
         return;
     // A request that may not be repeated runs to completion: cancelling it would leave its outcome
--- a/packages/router/tests/routercore_test.cpp
+++ b/packages/router/tests/routercore_test.cpp
@@ -73,6 +73,8 @@
         message.pool = pool;
         message.mayRepeat = mayRepeat;
         message.body = std::to_string(request);
+        message.memory = std::make_shared<MemoryHolder>(memory, nullptr, nullptr);
+        message.memory->update(MemoryUse::Serving, message.body.size());
         core.handleCallerEvent(std::move(message), now);
         return attempts.back();
     }
@@ -136,6 +138,7 @@
     std::vector<std::pair<ServerId, wire::LinkMessage>> sent;
     std::vector<ClaimCommand> claims;
     std::map<RequestId, std::string> replies;
+    std::shared_ptr<MemoryAccount> memory = std::make_shared<MemoryAccount>();
     RouterCore core;
 };
 
@@ -195,6 +198,37 @@
     }));
 }
 
+SCENARIO("a request's memory is held until no other attempt may follow")
+{
+    CoreFixture fixture;
+    GIVEN("a request that runs")
+    {
+        const AttemptId attempt = fixture.submit(1, true);
+        REQUIRE(fixture.memory->counters().heldBytes > 0);
+
+        WHEN("its attempt fails before the answer, and it is sent again")
+        {
+            fixture.deliver("T", attempt);
+            fixture.core.handleAgentMessage(server, wire::Grant{1, 2000, CoreFixture::load(server)},
+                                            fixture.now);
+            REQUIRE(fixture.attempts.size() == 2);
+            THEN("the second attempt has its body, and its memory is held")
+            {
+                CHECK(fixture.sentMessages<wire::Dispatch>().back().body == "1");
+                CHECK(fixture.memory->counters().heldBytes > 0);
+            }
+        }
+        WHEN("its answer begins")
+        {
+            fixture.deliver("H", attempt);
+            THEN("its memory is free")
+            {
+                CHECK(fixture.memory->counters().heldBytes == 0);
+            }
+        }
+    }
+}
+
 SCENARIO("a caller disconnects while its request runs")
 {
     struct Case
@@ -214,6 +248,7 @@
             CoreFixture fixture;
             const AttemptId attempt = fixture.submit(1, c.mayRepeat);
             fixture.core.handleCallerEvent(CallerDisconnected{1}, fixture.now);
+            CHECK(fixture.memory->counters().heldBytes == 0);
             CHECK(fixture.sentMessages<wire::Cancel>().size() == c.cancels);
             CHECK(fixture.sentMessages<wire::AnswerCredit>().size() == c.credits);
             fixture.deliver("H 0 E1", attempt);
