Free the buffers of idle server connections; count a response's header and the kernel's part

Found on reading: an idle connection of a direct router to a server kept 16 KiB or more, outside the account; the header that is being received wasn't counted, and the kernel's buffer only by the half that was asked for. It is 32 KiB now, 64 in the kernel, for each response that waits for its caller.

--- a/packages/direct/src/request/requesthandler.cpp
+++ b/packages/direct/src/request/requesthandler.cpp
@@ -168,6 +168,7 @@
     m_attempt->start({serializeServerRequestHeader(m_request, fields, m_context.headerNames),
                       {m_sharedRequest, &m_request.body()}},
                      std::move(hooks));
+    reportMemory();
     startSilenceTimer();
 }
 
--- a/packages/direct/src/server/serverattempt.cpp
+++ b/packages/direct/src/server/serverattempt.cpp
@@ -7,6 +7,7 @@
 #include <linux/sockios.h>
 #include <sys/ioctl.h>
 
+#include <algorithm>
 #include <array>
 #include <charconv>
 
@@ -121,8 +122,11 @@
 {
     if (!m_connection)
         return 0;
-    const std::size_t unread = m_isPaused ? ServerConnections::receiveBufferBytes : 0;
-    return m_connection->buffer.capacity() + unread;
+    // The kernel takes twice as much for the buffer as was asked for.
+    const std::size_t unread
+            = m_isPaused ? 2 * static_cast<std::size_t>(ServerConnections::receiveBufferBytes) : 0;
+    const std::size_t parsed = m_parser ? m_parser->heldBytes() : 0;
+    return std::max(m_connection->buffer.capacity(), readBufferBytes) + parsed + unread;
 }
 
 void ServerAttempt::sendRequest()
--- a/packages/direct/src/server/serverconnections.cpp
+++ b/packages/direct/src/server/serverconnections.cpp
@@ -99,6 +99,8 @@
 {
     if (connection->keepAliveTimeout <= keepAliveMargin)
         return;
+    // An idle connection needs no buffer.
+    connection->buffer = boost::beast::flat_buffer();
     connection->releasedAt = Clock::now();
     connection->expiresAt = connection->releasedAt + connection->keepAliveTimeout - keepAliveMargin;
     m_idle[server].push_back(std::move(connection));
--- a/packages/direct/src/server/serverconnections.h
+++ b/packages/direct/src/server/serverconnections.h
@@ -47,8 +47,9 @@
 class ServerConnections
 {
 public:
-    /// Receive buffer in the kernel. The kernel would let it grow to megabytes.
-    static constexpr int receiveBufferBytes = 64 << 10;
+    /// Receive buffer in the kernel, which takes twice as much for it. The kernel would let it grow
+    /// to megabytes.
+    static constexpr int receiveBufferBytes = 32 << 10;
 
     using ConnectHandler
             = std::function<void(ServerConnectionPtr)>; ///< nullptr when the connect failed
--- a/tests/crowd/crowd_direct_test.cpp
+++ b/tests/crowd/crowd_direct_test.cpp
@@ -156,6 +156,17 @@
     DirectFleet().check(hangUpCrowd(head("/note/a")));
 }
 
+SCENARIO("callers send whole bodies to a direct router one after another and hang up",
+         "[hang-up-in-turn]")
+{
+    DirectFleet fleet;
+    std::vector<CrowdCaller> callers = hangUpCrowd(head("/note/a"));
+    callers.resize(1);
+    checkCrowd(
+            fleet.watched(), fleet.program.callerPort(), std::move(callers),
+            [&] { return fleet.servesOrdinary(); }, crowdInTurn);
+}
+
 SCENARIO("many callers send prompts of many parts to a direct router", "[prompts]")
 {
     DirectFleet().check(promptCrowd(head("/note/a"), "Bilberrystile-Prompt-Prefix"));
