--- a/tests/crowd/crowd_direct_test.cpp
+++ b/tests/crowd/crowd_direct_test.cpp
@@ -146,14 +146,14 @@
     }
 }
 
-SCENARIO("many callers send whole bodies to a direct router", "[whole]")
+SCENARIO("crowds of callers come to a direct router", "[callers]")
 {
-    DirectFleet().check(bodyCrowd(head("/note/a"), withLength, 0));
-}
-
-SCENARIO("many callers send whole bodies to a direct router and hang up", "[hang-up]")
-{
-    DirectFleet().check(hangUpCrowd(head("/note/a")));
+    for (const CrowdForm &form : callerForms(head("/note/a"))) {
+        DYNAMIC_SECTION(form.name)
+        {
+            DirectFleet().check(form.callers());
+        }
+    }
 }
 
 SCENARIO("callers send whole bodies to a direct router one after another and hang up",
@@ -190,48 +190,6 @@
             [&] { return fleet.servesOrdinary(); });
 }
 
-SCENARIO("many callers send bodies to a direct router, most of them unfinished", "[unfinished]")
-{
-    DirectFleet().check(bodyCrowd(head("/note/a"), withLength, 9));
-}
-
-SCENARIO("many callers send large chunks to a direct router, most bodies unfinished",
-         "[large-chunks]")
-{
-    DirectFleet().check(bodyCrowd(head("/note/a"), largeChunks, 9));
-}
-
-SCENARIO("many callers send small chunks to a direct router, most bodies unfinished",
-         "[small-chunks]")
-{
-    DirectFleet().check(bodyCrowd(head("/note/a"), smallChunks, 9));
-}
-
-SCENARIO("many callers announce bodies over the limit to a direct router", "[announced]")
-{
-    DirectFleet().check(announcedCrowd(head("/note/a")));
-}
-
-SCENARIO("many callers send large chunks without end to a direct router", "[endless]")
-{
-    DirectFleet().check(endlessCrowd(head("/note/a"), largeChunks));
-}
-
-SCENARIO("many callers send small chunks without end to a direct router", "[endless-small]")
-{
-    DirectFleet().check(endlessCrowd(head("/note/a"), smallChunks));
-}
-
-SCENARIO("more callers than connections leave their heads unfinished at a direct router", "[heads]")
-{
-    DirectFleet().check(headCrowd(head("/note/a")));
-}
-
-SCENARIO("many callers leave their trailers unfinished at a direct router", "[trailers]")
-{
-    DirectFleet().check(trailerCrowd(head("/note/a")));
-}
-
 SCENARIO("many callers don't read large answers of a direct router", "[unread]")
 {
     DirectFleet().check(unreadCrowd(head("/large/a")));
@@ -253,7 +211,7 @@
     checkCrowd({{"router",
                  fleet.program.process(),
                  {{fleet.program.callerPort(), fleet.program.readinessPort()}, {}}}},
-               fleet.program.readinessPort(), bodyCrowd(head("/v1/readyz"), withLength, 9),
+               fleet.program.readinessPort(), bodyCrowd(head("/v1/readyz"), withLength, mostOfTen),
                [&] { return fleet.program.isReady() && fleet.servesOrdinary(); });
 }
 
--- a/tests/crowd/crowd_router_test.cpp
+++ b/tests/crowd/crowd_router_test.cpp
@@ -111,8 +111,8 @@
     return std::vector<CrowdCaller>(crowdSize, {bytes, bytes->size()});
 }
 
-/// Below the limit of bodies at admin ports.
-constexpr std::size_t documentBytes = 4'000'000;
+/// Sizes of bodies above and below the limit at admin ports.
+constexpr std::size_t adminBodyBytes[] = {4'000'000, 2'000'000};
 
 std::string helloFrame(std::size_t router)
 {
@@ -175,12 +175,17 @@
     }
 }
 
-SCENARIO("many callers send whole bodies to a router", "[whole]")
+SCENARIO("crowds of callers come to a router", "[callers]")
 {
-    SmallFleet().check(bodyCrowd(head(), withLength, 0));
+    for (const CrowdForm &form : callerForms(head())) {
+        DYNAMIC_SECTION(form.name)
+        {
+            SmallFleet().check(form.callers());
+        }
+    }
 }
 
-SCENARIO("many callers send whole bookings to a router and hang up", "[hang-up]")
+SCENARIO("many callers send whole bookings to a router and hang up", "[bookings]")
 {
     SmallFleet().check(hangUpCrowd(bookingHead));
 }
@@ -222,15 +227,25 @@
 
 SCENARIO("a crowd of whole documents at the admin port of a router", "[admin-documents]")
 {
-    SmallFleet fleet;
-    fleet.checkAdmin(fleet.fleet.routerAdminPort(0), documentCrowd(adminHead(), documentBytes));
+    for (const std::size_t bytes : adminBodyBytes) {
+        DYNAMIC_SECTION(bytes << " bytes")
+        {
+            SmallFleet fleet;
+            fleet.checkAdmin(fleet.fleet.routerAdminPort(0), documentCrowd(adminHead(), bytes));
+        }
+    }
 }
 
 SCENARIO("a crowd of whole documents at the admin port of an agent", "[agent-documents]")
 {
-    SmallFleet fleet;
-    fleet.checkAdmin(fleet.fleet.agentAdminPort("model-a"),
-                     documentCrowd(adminHead(), documentBytes));
+    for (const std::size_t bytes : adminBodyBytes) {
+        DYNAMIC_SECTION(bytes << " bytes")
+        {
+            SmallFleet fleet;
+            fleet.checkAdmin(fleet.fleet.agentAdminPort("model-a"),
+                             documentCrowd(adminHead(), bytes));
+        }
+    }
 }
 
 SCENARIO("a crowd of links that dispatch large requests to an agent", "[agent-requests]")
@@ -239,46 +254,6 @@
     fleet.checkAt(fleet.fleet.agentPort("model-a"), dispatchCrowd());
 }
 
-SCENARIO("many callers send bodies to a router, most of them unfinished", "[unfinished]")
-{
-    SmallFleet().check(bodyCrowd(head(), withLength, 9));
-}
-
-SCENARIO("many callers send large chunks to a router, most bodies unfinished", "[large-chunks]")
-{
-    SmallFleet().check(bodyCrowd(head(), largeChunks, 9));
-}
-
-SCENARIO("many callers send small chunks to a router, most bodies unfinished", "[small-chunks]")
-{
-    SmallFleet().check(bodyCrowd(head(), smallChunks, 9));
-}
-
-SCENARIO("many callers announce bodies over the limit to a router", "[announced]")
-{
-    SmallFleet().check(announcedCrowd(head()));
-}
-
-SCENARIO("many callers send large chunks without end to a router", "[endless]")
-{
-    SmallFleet().check(endlessCrowd(head(), largeChunks));
-}
-
-SCENARIO("many callers send small chunks without end to a router", "[endless-small]")
-{
-    SmallFleet().check(endlessCrowd(head(), smallChunks));
-}
-
-SCENARIO("more callers than descriptors leave their heads unfinished at a router", "[heads]")
-{
-    SmallFleet().check(headCrowd(head()));
-}
-
-SCENARIO("many callers leave their trailers unfinished at a router", "[trailers]")
-{
-    SmallFleet().check(trailerCrowd(head()));
-}
-
 SCENARIO("many callers don't read large answers of a router", "[unread]")
 {
     SmallFleet().check(unreadCrowd(head("X-Chunks: 200\r\nX-Bytes: 50000\r\n")));
@@ -291,8 +266,14 @@
 
 SCENARIO("a crowd of unfinished bodies at the admin port of a router", "[admin]")
 {
-    SmallFleet fleet;
-    fleet.checkAdmin(fleet.fleet.routerAdminPort(0), bodyCrowd(adminHead(), withLength, 9));
+    for (const std::size_t bytes : adminBodyBytes) {
+        DYNAMIC_SECTION(bytes << " bytes")
+        {
+            SmallFleet fleet;
+            fleet.checkAdmin(fleet.fleet.routerAdminPort(0),
+                             bodyCrowd(adminHead(), withLength, mostOfTen, bytes));
+        }
+    }
 }
 
 SCENARIO("a crowd of unfinished heads at the admin port of a router", "[admin-heads]")
@@ -303,8 +284,14 @@
 
 SCENARIO("a crowd of unfinished bodies at the admin port of an agent", "[agent-admin]")
 {
-    SmallFleet fleet;
-    fleet.checkAdmin(fleet.fleet.agentAdminPort("model-a"), bodyCrowd(adminHead(), withLength, 9));
+    for (const std::size_t bytes : adminBodyBytes) {
+        DYNAMIC_SECTION(bytes << " bytes")
+        {
+            SmallFleet fleet;
+            fleet.checkAdmin(fleet.fleet.agentAdminPort("model-a"),
+                             bodyCrowd(adminHead(), withLength, mostOfTen, bytes));
+        }
+    }
 }
 
 SCENARIO("a crowd of unfinished frames at the link port of an agent", "[agent-links]")
--- a/tests/crowd/crowdforms.cpp
+++ b/tests/crowd/crowdforms.cpp
@@ -11,7 +11,6 @@
 
 /// Bytes that a caller which stops just short of the end doesn't send.
 constexpr std::size_t missingBytes = 4;
-constexpr std::size_t unfinishedOfTen = 9;
 constexpr std::size_t overLimitBytes = 400'000'000;
 constexpr std::size_t trailerFields = 400;
 constexpr std::size_t trailerFieldBytes = 200;
@@ -62,9 +61,9 @@
 }
 
 std::vector<tests::CrowdCaller> bodyCrowd(const RequestHead &head, BodyFraming framing,
-                                          std::size_t unfinished)
+                                          std::size_t unfinished, std::size_t bytes)
 {
-    const Bytes request = share(wholeRequest(head, bodyBytes, framing));
+    const Bytes request = share(wholeRequest(head, bytes, framing));
     std::vector<tests::CrowdCaller> result;
     for (std::size_t i = 0; i < crowdSize; ++i) {
         const bool isWhole = i % 10 >= unfinished;
@@ -73,6 +72,21 @@
     return result;
 }
 
+std::vector<CrowdForm> callerForms(const RequestHead &head)
+{
+    constexpr std::size_t noneOfTen = 0;
+    return {{"whole", [head] { return bodyCrowd(head, withLength, noneOfTen); }},
+            {"hang-up", [head] { return hangUpCrowd(head); }},
+            {"unfinished", [head] { return bodyCrowd(head, withLength, mostOfTen); }},
+            {"large-chunks", [head] { return bodyCrowd(head, largeChunks, mostOfTen); }},
+            {"small-chunks", [head] { return bodyCrowd(head, smallChunks, mostOfTen); }},
+            {"announced", [head] { return announcedCrowd(head); }},
+            {"endless", [head] { return endlessCrowd(head, largeChunks); }},
+            {"endless-small", [head] { return endlessCrowd(head, smallChunks); }},
+            {"heads", [head] { return headCrowd(head); }},
+            {"trailers", [head] { return trailerCrowd(head); }}};
+}
+
 std::vector<tests::CrowdCaller> hangUpCrowd(const RequestHead &head)
 {
     const Bytes request = share(wholeRequest(head, bodyBytes, withLength));
--- a/tests/crowd/crowdforms.h
+++ b/tests/crowd/crowdforms.h
@@ -4,6 +4,7 @@
 #include "support/crowd.h"
 
 #include <cstddef>
+#include <functional>
 #include <string>
 #include <vector>
 
@@ -21,6 +22,8 @@
 inline constexpr std::size_t crowdSize = 120;
 /// Connections of a crowd whose callers come one after another.
 inline constexpr int crowdInTurn = 120;
+/// Of ten callers, how many leave their bodies unfinished in most crowds.
+inline constexpr std::size_t mostOfTen = 9;
 /// Callers of a crowd that sends heads: as many as a router accepts by default, and more.
 inline constexpr std::size_t headCrowdSize = 3200;
 /// Size of a large body that is legal everywhere.
@@ -48,8 +51,19 @@
 
 /// Callers with large bodies of legal size.
 /// @param unfinished of ten callers, how many stop just short of the end
+/// @param bytes size of each body
 std::vector<tests::CrowdCaller> bodyCrowd(const RequestHead &head, BodyFraming framing,
-                                          std::size_t unfinished);
+                                          std::size_t unfinished, std::size_t bytes = bodyBytes);
+
+/// A form of crowd that any port for callers may meet.
+struct CrowdForm
+{
+    std::string name;
+    std::function<std::vector<tests::CrowdCaller>()> callers;
+};
+
+/// @return the forms that differ in how they send a request and where they stop
+std::vector<CrowdForm> callerForms(const RequestHead &head);
 
 /// Callers that send whole bodies and close their connections.
 std::vector<tests::CrowdCaller> hangUpCrowd(const RequestHead &head);
