--- a/packages/model/src/configurationcodec.cpp
+++ b/packages/model/src/configurationcodec.cpp
@@ -190,13 +190,13 @@
         if (size > m_available)
             throw std::bad_alloc();
         m_available -= size;
-        return ::operator new(size, std::align_val_t(alignment));
+        return m_upstream->allocate(size, alignment);
     }
 
     void do_deallocate(void *block, std::size_t size, std::size_t alignment) override
     {
         m_available += size;
-        ::operator delete(block, size, std::align_val_t(alignment));
+        m_upstream->deallocate(block, size, alignment);
     }
 
     bool do_is_equal(const json::memory_resource &other) const noexcept override
@@ -205,6 +205,7 @@
     }
 
     std::size_t m_available;
+    json::storage_ptr m_upstream; ///< the default one
 };
 
 /// Parses a document of a sender that may not be trusted; throws when its values take too much
--- a/packages/router/src/callerserver.cpp
+++ b/packages/router/src/callerserver.cpp
@@ -7,6 +7,7 @@
 #include "bilberry/http/messagereader.h"
 #include "bilberry/router/problem.h"
 
+#include "callerexchange.h"
 #include "callerrequest.h"
 #include "readtimeout.h"
 
@@ -51,8 +52,6 @@
 constexpr auto kernelBytes = 2 * static_cast<std::size_t>(receiveBufferBytes);
 /// Connections that the kernel accepts ahead, each with as much as its buffer holds.
 constexpr int acceptBacklog = 512;
-/// Memory of a connection besides its buffers, such as its coroutines.
-constexpr std::size_t connectionBytes = 8U << 10U;
 /// Capacity that the buffer of an idle connection may keep.
 constexpr std::size_t idleBufferBytes = 16U << 10U;
 /// Sockets that a router needs besides those of callers: for agents, operators and the platform.
@@ -66,117 +65,6 @@
 /// Delay before an event is offered again after the core's queue was full.
 constexpr auto eventRetryDelay = std::chrono::milliseconds(5);
 
-struct Exchange;
-
-/// One caller's connection and what it holds.
-struct Connection : std::enable_shared_from_this<Connection>
-{
-    Connection(asio::ip::tcp::socket socket, std::shared_ptr<MemoryAccount> account,
-               const void *group)
-        : stream(std::make_shared<Stream>(std::move(socket)))
-    {
-        memory.emplace(std::move(account), group, [this](MemoryUse asked, ReleaseCause cause) {
-            asio::post(stream->get_executor(), [weak = weak_from_this(), asked, cause] {
-                if (const auto self = weak.lock())
-                    self->release(asked, cause);
-            });
-        });
-    }
-
-    /// @param bytes besides the connection's own and its buffer's
-    void report(MemoryUse newUse, std::size_t bytes, std::size_t movedBytes = 0)
-    {
-        use = newUse;
-        memory->update(use, connectionBytes + buffer.capacity() + bytes, movedBytes);
-    }
-
-    void release(MemoryUse asked, ReleaseCause cause);
-    void closeRequest();
-
-    std::shared_ptr<Stream> stream;
-    beast::flat_buffer buffer;
-    std::optional<MemoryHolder> memory;
-    MemoryUse use = MemoryUse::Idle;
-    std::weak_ptr<Exchange> exchange; ///< of the request in progress
-    bool isReleased = false;          ///< others need the memory of its request
-    bool isLingering = false;         ///< the last answer was written; input is discarded
-};
-
-/// Replies to be written to one caller.
-struct Exchange
-{
-    Exchange(asio::io_context &context, std::shared_ptr<Connection> connection)
-        : wakeTimer(context), connection(std::move(connection))
-    {
-    }
-
-    /// Drops what waits for a caller that has disconnected.
-    void disconnect()
-    {
-        callerDisconnected = true;
-        replies.clear();
-        wakeTimer.cancel();
-    }
-
-    /// Accounts for a request as long as the core keeps it. Closing the caller's connection ends
-    /// it.
-    void holdRequest(const std::shared_ptr<MemoryAccount> &account, SubmittedRequest &request,
-                     std::size_t bytes)
-    {
-        const ReleaseHook close = [weak = std::weak_ptr(connection)](MemoryUse, ReleaseCause) {
-            const auto open = weak.lock();
-            if (open)
-                asio::post(open->stream->get_executor(), [open] { open->closeRequest(); });
-        };
-        request.memory = std::make_shared<MemoryHolder>(account, nullptr, close);
-        request.memory->update(MemoryUse::Serving, bytes);
-    }
-
-    void report(std::size_t movedBytes = 0) const
-    {
-        connection->report(answerBytes > 0 ? MemoryUse::Sending : MemoryUse::Serving, answerBytes,
-                           movedBytes);
-    }
-
-    asio::steady_timer wakeTimer;
-    std::shared_ptr<Connection> connection;
-    std::deque<CallerReply> replies;
-    std::size_t answerBytes = 0; ///< received and not written yet
-    bool callerDisconnected = false;
-};
-
-/// Lets the request that is being read be refused, or closes the connection where no answer is
-/// possible or none would be read. A close before the whole request tells the caller that it did
-/// not run.
-void Connection::release(MemoryUse asked, ReleaseCause cause)
-{
-    if (asked != use)
-        return;
-    // A request that has arrived meanwhile must not be lost with its connection.
-    boost::system::error_code ignored;
-    if (use == MemoryUse::Idle && !isLingering && stream->socket().available(ignored) > 0)
-        return;
-    isReleased = true;
-    if (use == MemoryUse::Receiving && cause == ReleaseCause::Memory) {
-        stream->cancel();
-        return;
-    }
-    if (use == MemoryUse::Sending)
-        stream->socket().set_option(asio::socket_base::linger(true, 0), ignored);
-    closeRequest();
-    stream->close();
-}
-
-/// Ends the request in progress without an answer. Does nothing when there is none.
-void Connection::closeRequest()
-{
-    const auto running = exchange.lock();
-    if (!running)
-        return;
-    running->disconnect();
-    stream->close();
-}
-
 bool endsAnswer(const CallerReply &reply)
 {
     return std::holds_alternative<ReplyEnd>(reply) || std::holds_alternative<ReplyRefusal>(reply);
@@ -241,7 +129,7 @@
             ++self->connections;
             asio::co_spawn(
                     self->context,
-                    serveConnection(self, std::make_shared<Connection>(std::move(socket),
+                    serveConnection(self, std::make_shared<CallerLink>(std::move(socket),
                                                                        self->memory, self.get())),
                     asio::detached);
         }
@@ -263,21 +151,21 @@
     }
 
     static asio::awaitable<void> serveConnection(std::shared_ptr<State> self,
-                                                 std::shared_ptr<Connection> connection)
+                                                 std::shared_ptr<CallerLink> link)
     {
         bool keepAlive = true;
         while (keepAlive) {
-            if (connection->buffer.size() == 0 && connection->buffer.capacity() > idleBufferBytes)
-                connection->buffer.shrink_to_fit();
-            connection->report(MemoryUse::Idle, 0);
-            keepAlive = co_await self->serveRequest(connection);
+            if (link->buffer.size() == 0 && link->buffer.capacity() > idleBufferBytes)
+                link->buffer.shrink_to_fit();
+            link->report(MemoryUse::Idle, 0);
+            keepAlive = co_await self->serveRequest(link);
         }
-        connection->buffer = beast::flat_buffer();
-        connection->isLingering = true;
-        connection->report(MemoryUse::Idle, kernelBytes);
-        if (connection->stream->socket().is_open())
-            co_await lingerAndDiscard(*connection->stream);
-        connection->stream->close();
+        link->buffer = beast::flat_buffer();
+        link->isLingering = true;
+        link->report(MemoryUse::Idle, kernelBytes);
+        if (link->stream->socket().is_open())
+            co_await lingerAndDiscard(*link->stream);
+        link->stream->close();
         --self->connections;
     }
 
@@ -322,17 +210,17 @@
     // Handling one request.
 
     /// @return true when another request may follow on the connection
-    asio::awaitable<bool> serveRequest(std::shared_ptr<Connection> connection)
+    asio::awaitable<bool> serveRequest(std::shared_ptr<CallerLink> link)
     {
-        const std::shared_ptr<Stream> stream = connection->stream;
-        if (connection->buffer.size() == 0 && !co_await waitForRequest(stream))
+        const std::shared_ptr<Stream> stream = link->stream;
+        if (link->buffer.size() == 0 && !co_await waitForRequest(stream))
             co_return false;
         RequestParser parser;
         const bilberry::http::ReadHook reportMemory = [&](std::size_t size) {
-            connection->report(MemoryUse::Receiving, kernelBytes + parser.heldBytes(), size);
-            return !connection->isReleased;
+            link->report(MemoryUse::Receiving, kernelBytes + parser.heldBytes(), size);
+            return !link->isReleased;
         };
-        connection->isReleased = false;
+        link->isReleased = false;
         reportMemory(0);
         parser.header_limit(static_cast<std::uint32_t>(limits.headBytes));
         parser.body_limit(limits.bodyBytes);
@@ -341,7 +229,7 @@
         stream->expires_never();
         {
             const ReadTimeout timeout(stream, limits.headTimeout);
-            error = co_await bilberry::http::readMessage(*stream, connection->buffer, parser,
+            error = co_await bilberry::http::readMessage(*stream, link->buffer, parser,
                                                          bilberry::http::MessagePart::Header,
                                                          maxUnparsed, reportMemory);
         }
@@ -349,16 +237,16 @@
             co_return false;
         if (!error) {
             const ReadTimeout timeout(stream, limits.bodyTimeout);
-            error = co_await bilberry::http::readMessage(*stream, connection->buffer, parser,
+            error = co_await bilberry::http::readMessage(*stream, link->buffer, parser,
                                                          bilberry::http::MessagePart::Whole,
                                                          maxUnparsed, reportMemory);
         }
         if (error) {
-            const bool isReleased = connection->isReleased;
+            const bool isReleased = link->isReleased;
             const RefusalKind kind = isReleased ? RefusalKind::MemoryFull : refusalFor(error);
             const ReplyRefusal refusal{0, kind, RequestOutcome::NotRun, isReleased ? 1U : 0U, ""};
             freeString(parser.get().body());
-            connection->report(MemoryUse::Idle, 0);
+            link->report(MemoryUse::Idle, 0);
             co_await sendRefusal(*stream, refusal, false);
             co_return false;
         }
@@ -372,7 +260,7 @@
             const bool keepAlive = request.keep_alive() && !draining;
             co_return co_await sendRefusal(*stream, reply, keepAlive, request.method());
         }
-        co_return co_await forwardRequest(connection, request, std::move(submitted), requestBytes);
+        co_return co_await forwardRequest(link, request, std::move(submitted), requestBytes);
     }
 
     asio::awaitable<bool> waitForRequest(std::shared_ptr<Stream> stream)
@@ -395,17 +283,17 @@
     }
 
     /// @param requestBytes memory that the request takes
-    asio::awaitable<bool> forwardRequest(std::shared_ptr<Connection> connection,
+    asio::awaitable<bool> forwardRequest(std::shared_ptr<CallerLink> link,
                                          const HttpRequest &request, SubmittedRequest submitted,
                                          std::size_t requestBytes)
     {
-        const std::shared_ptr<Stream> stream = connection->stream;
+        const std::shared_ptr<Stream> stream = link->stream;
         const RequestId id = ++lastRequest;
         submitted.request = id;
-        const auto exchange = std::make_shared<Exchange>(context, connection);
+        const auto exchange = std::make_shared<CallerExchange>(context, link);
         exchange->holdRequest(memory, submitted, requestBytes);
         exchanges[id] = exchange;
-        connection->exchange = exchange;
+        link->exchange = exchange;
         exchange->report();
         if (!onEvent(std::move(submitted))) {
             exchanges.erase(id);
@@ -414,7 +302,7 @@
                                            request.method());
         }
         stream->expires_never();
-        asio::co_spawn(context, detectDisconnect(shared_from_this(), id, connection, exchange),
+        asio::co_spawn(context, detectDisconnect(shared_from_this(), id, link, exchange),
                        asio::detached);
         const bool keepAlive = co_await writeAnswer(*stream, request, id, *exchange);
         exchanges.erase(id);
@@ -428,11 +316,11 @@
     /// the buffer, so that a close behind them is seen; detection ends when the buffer reaches the
     /// size limit of a head.
     static asio::awaitable<void> detectDisconnect(std::shared_ptr<State> self, RequestId id,
-                                                  std::shared_ptr<Connection> connection,
-                                                  std::shared_ptr<Exchange> exchange)
+                                                  std::shared_ptr<CallerLink> link,
+                                                  std::shared_ptr<CallerExchange> exchange)
     {
-        const std::shared_ptr<Stream> stream = connection->stream;
-        beast::flat_buffer &buffer = connection->buffer;
+        const std::shared_ptr<Stream> stream = link->stream;
+        beast::flat_buffer &buffer = link->buffer;
         for (;;) {
             boost::system::error_code error;
             co_await stream->socket().async_wait(asio::ip::tcp::socket::wait_read,
@@ -455,7 +343,7 @@
         exchange->wakeTimer.cancel();
     }
 
-    asio::awaitable<void> waitForReplies(Exchange &exchange)
+    asio::awaitable<void> waitForReplies(CallerExchange &exchange)
     {
         while (exchange.replies.empty() && !exchange.callerDisconnected) {
             boost::system::error_code ignored;
@@ -466,7 +354,7 @@
     }
 
     asio::awaitable<bool> writeAnswer(Stream &stream, const HttpRequest &request, RequestId id,
-                                      Exchange &exchange)
+                                      CallerExchange &exchange)
     {
         co_await waitForReplies(exchange);
         if (exchange.replies.empty()) {
@@ -498,7 +386,7 @@
 
     /// Writes an answer whose parts have all arrived, in one write and with its length.
     asio::awaitable<bool> writeWholeAnswer(Stream &stream, const HttpRequest &request,
-                                           const ReplyHead &head, Exchange &exchange)
+                                           const ReplyHead &head, CallerExchange &exchange)
     {
         const auto *end = std::get_if<ReplyEnd>(&exchange.replies.back());
         if (!end || !end->complete) {
@@ -521,7 +409,7 @@
     }
 
     asio::awaitable<bool> streamAnswer(Stream &stream, const HttpRequest &request, RequestId id,
-                                       const ReplyHead &head, Exchange &exchange)
+                                       const ReplyHead &head, CallerExchange &exchange)
     {
         auto response = makeResponse<http::empty_body>(request, head);
         const bool noBody = hasNoBody(head.status, request.method());
@@ -581,7 +469,7 @@
     }
 
     /// Removes the waiting chunks and joins them, for a single write.
-    static std::string takeChunks(Exchange &exchange)
+    static std::string takeChunks(CallerExchange &exchange)
     {
         std::string data;
         while (!exchange.replies.empty()) {
@@ -663,7 +551,7 @@
     std::size_t connections = 0;
     bool draining = false;
     ConfigurationPtr configuration;
-    std::unordered_map<RequestId, std::shared_ptr<Exchange>> exchanges;
+    std::unordered_map<RequestId, std::shared_ptr<CallerExchange>> exchanges;
 };
 
 CallerServer::CallerServer(asio::io_context &context, const RouterSettings &settings,
@@ -687,7 +575,7 @@
     const auto found = m_state->exchanges.find(id);
     if (found == m_state->exchanges.end() || found->second->callerDisconnected)
         return;
-    Exchange &exchange = *found->second;
+    CallerExchange &exchange = *found->second;
     if (const auto *chunk = std::get_if<ReplyChunk>(&reply))
         exchange.answerBytes += chunk->data.size();
     exchange.replies.push_back(std::move(reply));
