--- a/review/support-3/lab.h
+++ b/review/support-3/lab.h
@@ -336,6 +336,7 @@
     /// Closes the port and ends all its connections, as the end of a process does.
     void stop()
     {
+        const std::lock_guard stopping(m_stopMutex);
         m_stopping = true;
         if (m_thread.joinable())
             m_thread.join();
@@ -389,6 +390,7 @@
     int m_fd = -1;
     std::atomic<bool> m_stopping = false;
     std::atomic<int> m_active = 0;
+    std::mutex m_stopMutex;
     std::mutex m_mutex;
     std::vector<std::weak_ptr<Connection>> m_connections;
     std::thread m_thread;
