--- a/review/11/case.cpp
+++ b/review/11/case.cpp
@@ -55,6 +55,8 @@
                 connection->send(response(421, own, ""));
                 continue;
             }
+            record().line(m_id + " runs " + request->field("bilberrystile-attempt-id") + " from "
+                          + request->field("client-router"));
             {
                 const std::lock_guard lock(m_mutex);
                 m_requests.emplace_back(request->field("client-router"),
@@ -153,7 +155,10 @@
                 request.deadlineMs = 1200;
                 request.fields = "Client-Router: " + router.name()
                                  + "\r\nClient-Sent: " + std::to_string(now()) + "\r\n";
-                served += ask(router.front, request).status == 200 ? 1 : 0;
+                record().line("client sends " + request.id + " to " + router.name());
+                const Answer answer = ask(router.front, request);
+                record().line("client of " + request.id + " got " + std::to_string(answer.status));
+                served += answer.status == 200 ? 1 : 0;
                 --open;
             }).detach();
         }
--- a/review/13/case.cpp
+++ b/review/13/case.cpp
@@ -67,6 +67,7 @@
                 connection->send(response(421, "Bilberrystile-Attempt-Id: " + id + "\r\n", ""));
                 continue;
             }
+            record().line("server " + m_id + " runs " + id);
             countArrival(id);
             ++m_running;
             const bool whole = stream(*connection, id);
@@ -189,7 +190,11 @@
                 request.key = "key-depot-1";
                 request.body = "text";
                 request.deadlineMs = 8000;
-                const Answer answer = ask(routers[i % routers.size()]->front, request);
+                Router &router = *routers[i % routers.size()];
+                record().line("client sends " + request.id + " to " + router.name());
+                const Answer answer = ask(router.front, request);
+                record().line("client of " + request.id + " got " + std::to_string(answer.status)
+                              + (answer.whole ? "" : ", not whole"));
                 ++(answer.status == 200 && answer.whole ? served
                    : answer.status == 503               ? refused
                                                         : broken);
