--- a/review/12/case.cpp
+++ b/review/12/case.cpp
@@ -9,14 +9,17 @@
 constexpr double contactS = 3.0;
 constexpr double backAfterS = 3.0;   // a crashed server is back after some seconds
 constexpr double clumpPeriodS = 8.0; // the caller's sound requests come in clumps
-constexpr int clumpSize = 5;
+constexpr int clumpSize = 12;
 constexpr double badBeginS = 4 * clumpPeriodS + 5.0; // between two clumps
 constexpr double badPeriodS = 0.3;                   // until the third crash; then badLaterS
-constexpr double badLaterS = 1.0;
-constexpr double endS = badBeginS + 46.0;
+constexpr double badLaterS = 2.5;
+constexpr double badForS = 20.0;   // time in which such requests come
+constexpr double otherPerS = 20.0; // requests of another caller on the same route
+constexpr double endS = badBeginS + badForS;
 
 const std::string base = "5c1e07a2:3000";
 const std::string document = "91bd3f06:2000";
+const std::string otherBase = "e4402b7d:300";
 const std::string badPart = "bad0bad0:1500";
 
 /// One process of a model server.
@@ -195,7 +198,8 @@
           R"("kv_capacity_tokens":493853,"kv_token_bytes":163840,"link_mbps":1100000.0}}],)"
           R"("limits":{"max_header_bytes":16384,"max_body_bytes":4194304,"header_timeout_ms":3000,)"
           R"("idle_timeout_ms":15000,"tokens_per_s":240000},)"
-          R"("tenants":[{"name":"depot","api_keys":["key-depot-1"]}]})";
+          R"("tenants":[{"name":"depot","api_keys":["key-depot-1"]},)"
+          R"({"name":"clerk","api_keys":["key-clerk-1"]}]})";
 
 /// A client's request that was sent, with its answer.
 struct Sent
@@ -237,18 +241,22 @@
     std::atomic<int> open = 0;
     std::mutex mutex;
     std::vector<Sent> sound;
-    const auto send = [&](std::size_t router, bool bad) {
+    std::atomic<int> badSent = 0;
+    std::atomic<int> sentMeanwhile = 0;
+    const auto send = [&](std::size_t router, bool bad, bool other = false) {
         Request request;
         request.method = "POST";
         request.path = "/review/clause";
-        request.key = "key-depot-1";
+        request.key = other ? "key-clerk-1" : "key-depot-1";
         request.body = "text " + request.id;
         request.deadlineMs = 8000;
         request.fields = "Bilberrystile-Model: m\r\nBilberrystile-Token-Usage: 6900,120\r\n"
                          "Bilberrystile-Prompt-Prefix: "
-                         + base + "," + document + "," + (bad ? badPart + "," : "")
-                         + request.id.substr(8) + ":400\r\n";
-        if (!bad) {
+                         + (other ? otherBase + "," : base + "," + document + ",")
+                         + (bad ? badPart + "," : "") + request.id.substr(8) + ":400\r\n";
+        badSent += bad ? 1 : 0;
+        sentMeanwhile += badSent > 0 ? 1 : 0;
+        if (!bad && !other) {
             const std::lock_guard lock(mutex);
             sound.push_back({request.id, now()});
         }
@@ -270,6 +278,7 @@
     const double end = begin + endS;
     double nextSound = begin;
     double nextBad = trouble ? badBegin : end + 1.0;
+    double nextOther = begin;
     std::size_t turn = 0;
     while (now() < end) {
         if (now() >= nextSound) {
@@ -281,6 +290,10 @@
             send(turn++ % routers.size(), true);
             nextBad += engines->crashes().size() < 3 ? badPeriodS : badLaterS;
         }
+        if (now() >= nextOther) {
+            send(turn++ % routers.size(), false, true);
+            nextOther += 1.0 / otherPerS;
+        }
         sleepFor(0.005);
     }
     while (open > 0)
@@ -307,7 +320,8 @@
     summary << "servers crashed " << crashes.size() << " times; sound requests before: " << before
             << ", begun " << beforeBegun << "; from 2 x contact_ms after the "
             << std::min<std::size_t>(crashes.size(), 5) << ". crash: " << after << ", begun "
-            << afterBegun;
+            << afterBegun << "; requests with the part: " << badSent << " of " << sentMeanwhile
+            << " sent in that time";
     record().line(summary.str());
     std::puts(summary.str().c_str());
     for (const auto &router : routers)
--- a/review/13/case.cpp
+++ b/review/13/case.cpp
@@ -68,7 +68,7 @@
                 continue;
             }
             record().line("server " + m_id + " runs " + id);
-            countArrival(id);
+            countArrival(id, std::atof(request->field("client-sent").c_str()));
             ++m_running;
             const bool whole = stream(*connection, id);
             --m_running;
@@ -79,20 +79,21 @@
         }
     }
 
-    void countArrival(const std::string &id)
+    /// @param sentAt when the client sent the request
+    void countArrival(const std::string &id, double sentAt)
     {
         const std::lock_guard lock(m_mutex);
         ++m_arrivals;
         const double at = now();
         if (at >= m_coldUntil)
             return;
-        m_times.push_back(at);
-        while (m_times.front() <= at - 1.0)
-            m_times.pop_front();
-        m_most = std::max(m_most.load(), m_times.size());
+        m_sentTimes.push_back(sentAt);
+        // Only what was sent and has arrived inside the last second counts.
+        std::erase_if(m_sentTimes, [at](double sent) { return sent <= at - 1.0; });
+        m_most = std::max(m_most.load(), m_sentTimes.size());
         record().line("cold server " + m_id + " gets " + id + ", number "
-                      + std::to_string(m_times.size()) + " in one second");
-        if (static_cast<double>(m_times.size()) >= crashPerS)
+                      + std::to_string(m_sentTimes.size()) + " in one second");
+        if (static_cast<double>(m_sentTimes.size()) >= crashPerS)
             m_overloaded = true;
     }
 
@@ -127,7 +128,7 @@
     std::atomic<std::size_t> m_arrivals = 0;
     std::atomic<std::size_t> m_lost = 0;
     std::mutex m_mutex;
-    std::deque<double> m_times;
+    std::deque<double> m_sentTimes;
     Listener m_listener;
 };
 
@@ -154,10 +155,14 @@
     const std::vector<std::string> zones = {"zone-a", "zone-b", "zone-c"};
     std::vector<std::unique_ptr<Engine>> engines;
     std::vector<std::unique_ptr<Router>> routers;
-    for (std::size_t i = 0; i < zones.size(); ++i) {
-        engines.push_back(std::make_unique<Engine>(store, "i-" + std::to_string(i + 1), zones[i]));
+    // One of four servers crashes: a share of 0.25.
+    for (const std::string &zone : {zones[0], zones[1], zones[2], zones[1]}) {
+        engines.push_back(
+                std::make_unique<Engine>(store, "i-" + std::to_string(engines.size() + 1), zone));
         engines.back()->start(false);
         engines.back()->writeEntry();
+    }
+    for (std::size_t i = 0; i < zones.size(); ++i) {
         routers.push_back(std::make_unique<Router>(folder, "router-" + std::to_string(i + 1),
                                                    zones[i], store.open()));
         routers.back()->start(root);
@@ -190,6 +195,7 @@
                 request.key = "key-depot-1";
                 request.body = "text";
                 request.deadlineMs = 8000;
+                request.fields = "Client-Sent: " + std::to_string(now()) + "\r\n";
                 Router &router = *routers[i % routers.size()];
                 record().line("client sends " + request.id + " to " + router.name());
                 const Answer answer = ask(router.front, request);
